--- a/examples/gateway.rs
+++ b/examples/gateway.rs
@@ -1,7 +1,7 @@
 //! A gateway in small: one controller, a clock that jumps from event to event, and a partner that refuses its
 //! first call. Run with `cargo run --example gateway`.
 
-use reedrun::{Controller, api::*};
+use onyxstile::{Controller, api::*};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -52,8 +52,15 @@
     let destination = DestinationId(1);
     let listed = EndpointInfo { destination, state: ListState::Live, ..EndpointInfo::default() };
     let remaining = Duration::from_secs(16);
-    let message =
-        NewMessage { id: MessageId(1), class: ClassId(0), tenant: None, key: None, destination, remaining };
+    let message = NewMessage {
+        id: MessageId(1),
+        class: ClassId(0),
+        tenant: None,
+        key: None,
+        destination,
+        remaining,
+        past: Past::default(),
+    };
     // What is due, by time: the gateway's own event queue.
     let mut queue =
         BTreeMap::from([((now, 0), vec![Event::ListReplaced(vec![listed]), Event::Message(message)])]);
--- a/src/api.rs
+++ b/src/api.rs
@@ -267,6 +267,17 @@
     pub destination: DestinationId,
     /// Time until it is given up.
     pub remaining: Duration,
+    /// What was done for it before this controller's start.
+    pub past: Past,
+}
+
+/// What earlier processes did for a message that outlived them.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Past {
+    /// Attempts already sent; the next is numbered so.
+    pub attempts: u32,
+    /// The first attempt that may have run: how long ago it was sent, and where.
+    pub risk: Option<(Duration, EndpointId)>,
 }
 
 /// How an attempt ended.
--- a/src/bin/reedrun-wirehost/fields.rs
+++ b/src/bin/onyxstile-adapter/fields.rs
@@ -1,5 +1,6 @@
 //! The parts of a line, and what is wrong with them.
 
+use onyxstile::settings::duration_ms;
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
@@ -132,12 +133,6 @@
     Ok(if negative { Duration::ZERO } else { Duration::from_micros(total) })
 }
 
-/// Milliseconds as a number, to the microsecond; none if it is negative or no time at all.
-pub fn duration_ms(ms: f64) -> Option<Duration> {
-    let micros = (ms * 1000.0).round();
-    (micros >= 0.0 && micros < u64::MAX as f64).then(|| Duration::from_micros(micros as u64))
-}
-
 /// Writes a time as milliseconds, to the microsecond.
 pub fn write_ms(out: &mut String, time: Duration) {
     use fmt::Write;
--- a/src/bin/reedrun-wirehost/host.rs
+++ b/src/bin/onyxstile-adapter/host.rs
@@ -1,9 +1,9 @@
 //! Many controllers behind one pipe.
 
-use crate::config::{self, Names};
-use crate::fields::{Fields, Malformed, shown, write_ms};
-use reedrun::Controller;
-use reedrun::api::*;
+use crate::fields::{Fields, Malformed, shown, shown_long, write_ms};
+use onyxstile::Controller;
+use onyxstile::api::*;
+use onyxstile::settings::{self, Names};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
@@ -141,7 +141,8 @@
         let sender = self.current.ok_or_else(|| Malformed::new("on", "no instance has been named yet"))?;
         if name == "launch" {
             let seed: u64 = fields.number("entropy")?;
-            let (settings, names) = config::read(fields.text("config")?)?;
+            let (settings, names) = settings::read(fields.text("config")?)
+                .map_err(|e| Malformed::new("config", shown_long(&e.to_string())))?;
             let controller = Controller::new(settings, seed, self.now)
                 .map_err(|e| Malformed::new("config", e.to_string()))?;
             let fresh = Instance {
@@ -200,6 +201,7 @@
                     key,
                     destination,
                     remaining,
+                    past: Past::default(),
                 }));
             }
             "result" => {
--- a/src/bin/reedrun-wirehost/main.rs
+++ b/src/bin/onyxstile-adapter/main.rs
@@ -1,7 +1,6 @@
-//! Hosts reedrun controllers on the simulator's wire: reads batches on standard input, writes one reply for
+//! Hosts onyxstile controllers on the simulator's wire: reads batches on standard input, writes one reply for
 //! each on standard output. It translates and decides nothing.
 
-mod config;
 mod fields;
 mod host;
 
@@ -14,7 +13,7 @@
     match serve(io::stdin().lock(), io::BufWriter::with_capacity(1 << 16, io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("reedrun-wirehost: {problem}");
+            eprintln!("onyxstile-adapter: {problem}");
             ExitCode::from(2)
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -373,7 +373,11 @@
         }
         let fresh =
             Message { class: m.class.0, destination: m.destination, key, worth, ..Message::default() };
-        self.messages.insert(m.id, Message { aim_at, deadline, ready_since: self.now, ..fresh });
+        // Sent before a restart: its attempts count on, and what may have run binds it from that first send.
+        let (attempts, risk) =
+            (m.past.attempts, m.past.risk.map(|(ago, at)| (self.now.saturating_sub(ago), at)));
+        self.messages
+            .insert(m.id, Message { aim_at, deadline, attempts, risk, ready_since: self.now, ..fresh });
     }
 
     fn take_outcome(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,294 @@
+//! The relay's core: which flows are open, and what has to be done for them.
+//!
+//! It does no input or output and reads no clock; a caller steps it with the clock and carries out the
+//! effects in order. The decisions are the module's ([`Controller`]): the core keeps each flow's payload, its
+//! attempts and whether one is out, and turns the module's actions into effects that name the payload. It
+//! knows no wire; what a payload is and how a real server is called is the business of the fronts.
+
+use crate::Controller;
+use crate::api::{
+    Action, AttemptEnd, ClassId, DestinationId, Event, LimitReport, NewMessage, Past, TenantId,
+};
+pub use crate::api::{
+    EndpointId as ServerNo, EndpointInfo as ServiceEntry, MessageId as FlowNo, Outcome, Settings,
+    SettingsError,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// What the core has to know of a flow that is handed to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FlowTerms {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, where there are tenants.
+    pub tenant: Option<TenantId>,
+    /// Where it goes.
+    pub destination: DestinationId,
+    /// Time until it is given up.
+    pub remaining: Duration,
+}
+
+/// How a flow ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Delivered.
+    Delivered,
+    /// Given up, with no promise about its effect.
+    Failed,
+    /// Handed back: coming again is harmless, after this time.
+    Returned(Duration),
+    /// Over without us: withdrawn, or its time up elsewhere. Nothing is owed.
+    Over,
+}
+
+/// The end of a call, as a front saw it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CallEnd {
+    /// The flow.
+    pub flow: FlowNo,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// The real server.
+    pub server: ServerNo,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The real server says that the flow is over and nothing more is owed.
+    pub over: bool,
+    /// Time since the call was ordered.
+    pub elapsed: Duration,
+    /// What the answer told of a limit.
+    pub limit: Option<LimitReport>,
+}
+
+/// What a caller has to do, in this order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect<P> {
+    /// The flow is held from now on: make it lasting, then tell whoever handed it in.
+    Taken(FlowNo, P),
+    /// The flow was not taken: it ended in the step that brought it.
+    TurnedDown(FlowNo, P, End),
+    /// Call the real server; report its end once by [`Core::call_ended`].
+    Call {
+        /// The flow.
+        flow: FlowNo,
+        /// Number of the attempt.
+        attempt: u32,
+        /// The real server.
+        server: ServerNo,
+        /// Clock time at which to stop waiting.
+        give_up_at: Duration,
+        /// What to send.
+        payload: P,
+    },
+    /// Stop waiting for a call; its end still has to be reported.
+    StopCall(FlowNo, u32),
+    /// A call to this destination that has not begun to go out must not go out any more.
+    HoldUnsent(DestinationId),
+    /// The flow is over.
+    Ended(FlowNo, P, End),
+    /// Close idle connections to the real server.
+    Release(ServerNo),
+    /// Call [`Core::wake`] and step once this time has passed.
+    Wake(Duration),
+    /// Check whether the real server answers, if that can be done.
+    Probe(ServerNo),
+    /// A line for the log.
+    Log(String),
+}
+
+#[derive(Debug)]
+struct Flow<P> {
+    payload: P,
+    destination: DestinationId,
+    attempts: u32,
+    out: Option<u32>,
+}
+
+/// The open flows, and the module that decides about them.
+#[derive(Debug)]
+pub struct Core<P> {
+    module: Controller,
+    flows: BTreeMap<FlowNo, Flow<P>>,
+    most_held: usize,
+    events: Vec<Event>,
+    /// Flows handed in since the last step by someone who waits for the answer.
+    fresh: Vec<FlowNo>,
+    /// Flows that an event since the last step has ended.
+    ended: Vec<(FlowNo, End)>,
+    /// Destinations that told a wait since the last step.
+    told: BTreeSet<DestinationId>,
+    /// No new call may go out any more.
+    closing: bool,
+}
+
+impl<P: Clone> Core<P> {
+    /// A core with no flows.
+    ///
+    /// # Errors
+    /// Settings that cannot work.
+    pub fn new(settings: Settings, seed: u64, now: Duration) -> Result<Self, SettingsError> {
+        Ok(Core {
+            most_held: settings.max_held,
+            module: Controller::new(settings, seed, now)?,
+            flows: BTreeMap::new(),
+            events: Vec::new(),
+            fresh: Vec::new(),
+            ended: Vec::new(),
+            told: BTreeSet::new(),
+            closing: false,
+        })
+    }
+
+    /// Whether one more flow may be held.
+    pub fn has_room(&self) -> bool {
+        self.flows.len() < self.most_held
+    }
+
+    /// How many flows are open.
+    pub fn open_flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// How many calls are out.
+    pub fn open_calls(&self) -> usize {
+        self.flows.values().filter(|f| f.out.is_some()).count()
+    }
+
+    /// Whether a step has something to work on.
+    pub fn has_events(&self) -> bool {
+        !self.events.is_empty()
+    }
+
+    /// From now on no call goes out.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// A flow was handed in; the next step says whether it is taken.
+    pub fn offer(&mut self, flow: FlowNo, terms: FlowTerms, payload: P) {
+        self.fresh.push(flow);
+        self.insert(flow, terms, Past::default(), payload);
+    }
+
+    /// A flow that an earlier process had taken.
+    pub fn recover(&mut self, flow: FlowNo, terms: FlowTerms, past: Past, payload: P) {
+        self.insert(flow, terms, past, payload);
+    }
+
+    fn insert(&mut self, id: FlowNo, terms: FlowTerms, past: Past, payload: P) {
+        let FlowTerms { class, tenant, destination, remaining } = terms;
+        self.flows.insert(id, Flow { payload, destination, attempts: past.attempts, out: None });
+        let message = NewMessage { id, class, tenant, key: None, destination, remaining, past };
+        self.events.push(Event::Message(message));
+    }
+
+    /// Nobody wants the flow any more, and nothing is owed for it.
+    pub fn withdraw(&mut self, flow: FlowNo) {
+        if self.flows.remove(&flow).is_some() {
+            self.fresh.retain(|f| *f != flow);
+            self.events.push(Event::Withdrawn(flow));
+        }
+    }
+
+    /// A call ended.
+    pub fn call_ended(&mut self, end: CallEnd) {
+        let CallEnd { flow, attempt, server, outcome, over, elapsed, limit } = end;
+        let mut terminal = true;
+        if let Some(f) = self.flows.get_mut(&flow) {
+            f.out = f.out.filter(|a| *a != attempt);
+            terminal = over || outcome == Outcome::Success;
+            if matches!(outcome, Outcome::Overloaded { wait: Some(_) }) {
+                self.told.insert(f.destination);
+            }
+            if terminal {
+                self.ended.push((flow, if over { End::Over } else { End::Delivered }));
+            }
+        }
+        let end = AttemptEnd { id: flow, attempt, endpoint: server, outcome, elapsed, terminal, limit };
+        self.events.push(Event::Outcome(end));
+    }
+
+    /// A probe ended.
+    pub fn probe_ended(&mut self, server: ServerNo, outcome: Outcome, limit: Option<LimitReport>) {
+        self.events.push(Event::Probed { endpoint: server, outcome, limit });
+    }
+
+    /// Service entries came: all there are, or those that changed.
+    pub fn take_entries(&mut self, entries: Vec<ServiceEntry>, all: bool) {
+        self.events.push(if all { Event::ListReplaced(entries) } else { Event::ListUpdate(entries) });
+    }
+
+    /// A timer is due.
+    pub fn wake(&mut self) {
+        self.events.push(Event::Wake(0));
+    }
+
+    /// Lets the module decide on all that has come in and appends what has to be done.
+    pub fn step(&mut self, now: Duration, effects: &mut Vec<Effect<P>>) {
+        let mut actions = Vec::new();
+        let events = std::mem::take(&mut self.events);
+        self.module.step(now, &events, &mut actions);
+        for (flow, end) in std::mem::take(&mut self.ended) {
+            if let Some(f) = self.flows.remove(&flow) {
+                effects.push(Effect::Ended(flow, f.payload, end));
+            }
+        }
+        // Guards the promise that no call of a flow begins before whoever handed it in can be told: what is
+        // taken comes before all calls, and what ends in its first step was never taken.
+        let over = |a: &Action| match a {
+            Action::Refuse { id, .. } | Action::Fail(id) => Some(*id),
+            _ => None,
+        };
+        let over: BTreeSet<FlowNo> = actions.iter().filter_map(over).collect();
+        let fresh: BTreeSet<FlowNo> = std::mem::take(&mut self.fresh).into_iter().collect();
+        for flow in fresh.iter().filter(|f| !over.contains(f)) {
+            if let Some(f) = self.flows.get(flow) {
+                effects.push(Effect::Taken(*flow, f.payload.clone()));
+            }
+        }
+        effects.extend(std::mem::take(&mut self.told).into_iter().map(Effect::HoldUnsent));
+        for action in actions {
+            self.carry(action, &fresh, effects);
+        }
+    }
+
+    fn carry(&mut self, action: Action, fresh: &BTreeSet<FlowNo>, effects: &mut Vec<Effect<P>>) {
+        match action {
+            Action::Send { id, endpoint, give_up_at } => {
+                let Some(f) = self.flows.get_mut(&id) else { return };
+                let attempt = f.attempts;
+                f.attempts += 1;
+                // Guards against two calls of one flow side by side, whatever the module asks for.
+                if self.closing || f.out.is_some() {
+                    let (outcome, elapsed) = (Outcome::Void, Duration::ZERO);
+                    let end =
+                        AttemptEnd { id, attempt, endpoint, outcome, elapsed, terminal: false, limit: None };
+                    self.events.push(Event::Outcome(end));
+                    return;
+                }
+                f.out = Some(attempt);
+                let payload = f.payload.clone();
+                effects.push(Effect::Call { flow: id, attempt, server: endpoint, give_up_at, payload });
+            }
+            Action::Refuse { id, wait } => self.finish(id, End::Returned(wait), fresh, effects),
+            Action::Fail(id) => self.finish(id, End::Failed, fresh, effects),
+            Action::Cancel { id, attempt } => effects.push(Effect::StopCall(id, attempt)),
+            Action::Wake { after, .. } => effects.push(Effect::Wake(after)),
+            Action::Release(server) => effects.push(Effect::Release(server)),
+            Action::Probe(server) => effects.push(Effect::Probe(server)),
+            // Every list comes unasked here: discovery keeps a watch of its own.
+            Action::Subscribe => {}
+            Action::Log(line) => effects.push(Effect::Log(line)),
+        }
+    }
+
+    fn finish(&mut self, id: FlowNo, end: End, fresh: &BTreeSet<FlowNo>, effects: &mut Vec<Effect<P>>) {
+        let Some(f) = self.flows.remove(&id) else { return };
+        effects.push(if fresh.contains(&id) {
+            Effect::TurnedDown(id, f.payload, end)
+        } else {
+            Effect::Ended(id, f.payload, end)
+        });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! reedrun decides when an outbound gateway calls its partners' systems, and when it had better not.
+//! onyxstile decides when an outbound gateway calls its partners' systems, and when it had better not.
 //!
 //! The library does no input or output and reads no clock. A [`Controller`] is told what happened, one batch
 //! at a time, and answers with what is to be done. The caller owns the clock: any `Duration` since a fixed
@@ -13,7 +13,7 @@
 //! A message ends by a final answer, or by an outcome that the caller marks as terminal.
 //!
 //! ```
-//! use reedrun::{Controller, api::*};
+//! use onyxstile::{Controller, api::*};
 //! use std::time::Duration;
 //!
 //! let ms = Duration::from_millis;
@@ -45,6 +45,7 @@
 //! };
 //! let message = NewMessage {
 //!     id, class: ClassId(0), tenant: None, key: None, destination, remaining: ms(16_000),
+//!     past: Past::default(),
 //! };
 //! controller.step(now, &[Event::ListReplaced(vec![listed]), Event::Message(message)], &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: MessageId(1), .. })));
@@ -68,5 +69,8 @@
 
 pub mod api;
 mod control;
+pub mod core;
+pub mod net;
+pub mod settings;
 
 pub use control::Controller;
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,72 @@
+//! Follows discovery's list by a watch that is set up anew whenever it ends.
+
+use super::config::RawList;
+use super::http::{Framing, HttpError, Reader};
+use super::owner::ToOwner;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// A sign of life comes every 2 s; two missed ones, and some slack, mean that the watch is dead.
+const SILENCE: Duration = Duration::from_millis(4500);
+/// Time for a connection, and for the list that is asked for at once.
+const ANSWER: Duration = Duration::from_secs(2);
+/// First and longest pause before the next try.
+const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+/// Bytes of one line of the list, at most.
+const LINE_MAX: usize = 1 << 20;
+
+/// Follows the list for as long as the program runs, from version `rev` on.
+pub async fn follow(address: SocketAddr, mut rev: u64, owner: mpsc::Sender<ToOwner>) {
+    let mut pause = PAUSE;
+    loop {
+        let before = rev;
+        let ended = watch(address, &mut rev, &owner).await;
+        log::info!(
+            "discovery: the watch ended at version {rev}: {}",
+            ended.err().map_or(String::new(), |e| e.to_string())
+        );
+        pause = if rev == before { (pause * 2).min(PAUSE_MAX) } else { PAUSE };
+        sleep(pause).await;
+    }
+}
+
+async fn watch(address: SocketAddr, rev: &mut u64, owner: &mpsc::Sender<ToOwner>) -> Result<(), HttpError> {
+    let late = |_| HttpError::Malformed("silence");
+    let connected = timeout(ANSWER, TcpStream::connect(address)).await.map_err(late)?;
+    let mut reader = Reader::new(connected.map_err(HttpError::Io)?);
+    let request = format!("GET /registry/instances?watch=1&from={rev} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+    reader.get_mut().write_all(request.as_bytes()).await.map_err(HttpError::Io)?;
+    let head = timeout(SILENCE, reader.head()).await.map_err(late)??;
+    if head.first[1] != "200" || head.framing(Framing::UntilEnd)? != Framing::Chunked {
+        // The version may be one that discovery no longer knows: from then on, the whole list.
+        *rev = 0;
+        return Err(HttpError::Malformed("no watch"));
+    }
+    let mut line = Vec::new();
+    while let Some(chunk) = timeout(SILENCE, reader.chunk(LINE_MAX)).await.map_err(late)?? {
+        for piece in chunk.split_inclusive(|b| *b == b'\n') {
+            line.extend_from_slice(piece);
+            if line.len() > LINE_MAX {
+                return Err(HttpError::BodyTooLarge);
+            }
+            if line.ends_with(b"\n") {
+                let text = line.trim_ascii();
+                if !text.is_empty() {
+                    let list: RawList =
+                        serde_json::from_slice(text).map_err(|_| HttpError::Malformed("a list"))?;
+                    *rev = list.rev;
+                    if owner.send(ToOwner::List(list)).await.is_err() {
+                        return Ok(());
+                    }
+                }
+                line.clear();
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/notices.rs
@@ -0,0 +1,93 @@
+//! Tells the platform how flows ended that were taken on and not delivered.
+
+use super::http::{Framing, HttpError, Reader};
+use super::journal::Owed;
+use super::owner::ToOwner;
+use crate::core::FlowNo;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// Time for one exchange.
+const ANSWER: Duration = Duration::from_secs(1);
+/// First and longest pause before the next try.
+const PAUSE: Duration = Duration::from_millis(25);
+const PAUSE_MAX: Duration = Duration::from_secs(1);
+/// Notices in one request, at most.
+pub const BATCH: usize = 128;
+
+/// Takes batches from `due` one after the other, and reports each to `owner` once it has been heard.
+pub async fn tell(
+    address: SocketAddr, mut due: mpsc::Receiver<Vec<(FlowNo, Owed)>>, owner: mpsc::Sender<ToOwner>,
+) {
+    let mut connection = None;
+    while let Some(batch) = due.recv().await {
+        let flows = batch.iter().map(|(no, _)| *no).collect();
+        if !tell_all(address, &mut connection, &batch).await {
+            // Not understood together: one faulty line must not hold up the others, nor come for ever.
+            for one in batch.chunks(1) {
+                if !tell_all(address, &mut connection, one).await {
+                    log::error!("the platform does not take the notice for {}", one[0].1.id);
+                }
+            }
+        }
+        if owner.send(ToOwner::NoticesHeard(flows)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells until there is an answer; whether it was understood.
+async fn tell_all(
+    address: SocketAddr, connection: &mut Option<Reader<TcpStream>>, batch: &[(FlowNo, Owed)],
+) -> bool {
+    let body: String = batch.iter().map(|(_, owed)| line(owed)).collect();
+    let mut pause = PAUSE;
+    loop {
+        match timeout(ANSWER, post(address, connection, &body)).await {
+            Ok(Ok(204)) => return true,
+            Ok(Ok(400)) => return false,
+            Ok(Ok(status)) => log::warn!("notices: the platform answers {status}"),
+            Ok(Err(e)) => log::warn!("notices: {e}"),
+            Err(_) => log::warn!("notices: no answer"),
+        }
+        *connection = None;
+        sleep(pause).await;
+        pause = (pause * 2).min(PAUSE_MAX);
+    }
+}
+
+fn line(owed: &Owed) -> String {
+    let mut notice = serde_json::json!({ "id": owed.id, "state": "failed" });
+    if let Some(after) = owed.returned_after {
+        notice["state"] = "returned".into();
+        notice["after_ms"] = (after.as_millis() as u64).into();
+    }
+    format!("{notice}\n")
+}
+
+async fn post(
+    address: SocketAddr, connection: &mut Option<Reader<TcpStream>>, body: &str,
+) -> Result<u16, HttpError> {
+    let mut reader = match connection.take() {
+        Some(reader) => reader,
+        None => Reader::new(TcpStream::connect(address).await.map_err(HttpError::Io)?),
+    };
+    let head = format!(
+        "POST /v1/outcomes HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/x-ndjson\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    reader.get_mut().write_all((head + body).as_bytes()).await.map_err(HttpError::Io)?;
+    let head = reader.head().await?;
+    let status = head.first[1].parse().map_err(|_| HttpError::Malformed("the status"))?;
+    // A 204 has no body, whatever else its head says.
+    let framing = if status == 204 { Framing::Length(0) } else { head.framing(Framing::UntilEnd)? };
+    reader.body(framing).await?;
+    if head.keeps_alive(&head.first[0]) && framing != Framing::UntilEnd {
+        *connection = Some(reader);
+    }
+    Ok(status)
+}
--- /dev/null
+++ b/src/net/phase.rs
@@ -0,0 +1,79 @@
+//! Where the program stands between its start and its exit.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// The named states, in their order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// Reading its configuration.
+    Starting,
+    /// Reading the journal.
+    Recovering,
+    /// Taking flows.
+    Serving,
+    /// Told to end: takes no new flows, lets open calls end.
+    Draining,
+    /// About to exit.
+    Stopped,
+}
+
+/// The one object that holds the state. It only ever moves on.
+#[derive(Debug, Clone)]
+pub struct Phase(Rc<(Cell<State>, Notify)>);
+
+impl Phase {
+    /// A program at its start.
+    pub fn new() -> Self {
+        Phase(Rc::new((Cell::new(State::Starting), Notify::new())))
+    }
+
+    /// The present state.
+    pub fn state(&self) -> State {
+        self.0.0.get()
+    }
+
+    /// Moves on to a later state; false if that state or a later one has been reached before.
+    pub fn advance(&self, to: State) -> bool {
+        let from = self.state();
+        if to <= from {
+            return false;
+        }
+        log::info!("{from:?} -> {to:?}");
+        self.0.0.set(to);
+        self.0.1.notify_waiters();
+        true
+    }
+
+    /// Returns once `state` or a later one is reached.
+    pub async fn reached(&self, state: State) {
+        loop {
+            let changed = self.0.1.notified();
+            if self.state() >= state {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+impl Default for Phase {
+    fn default() -> Self {
+        Phase::new()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_phase_never_goes_back() {
+        let phase = Phase::new();
+        assert!(phase.advance(State::Serving));
+        assert!(!phase.advance(State::Recovering) && !phase.advance(State::Serving));
+        assert_eq!(phase.state(), State::Serving);
+        assert!(phase.advance(State::Stopped));
+    }
+}
--- /dev/null
+++ b/src/net/upstream.rs
@@ -0,0 +1,296 @@
+//! Calls to real servers over HTTP, one at a time on each connection, and the connections kept for them.
+
+use super::http::{Framing, Head, HttpError, Reader};
+use super::owner::ToOwner;
+use super::parcel::Parcel;
+use crate::api::LimitReport;
+use crate::core::{CallEnd, FlowNo, Outcome, ServerNo};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// Share of the platform's keep-alive time for which an idle connection is kept: a request that crosses the
+/// other side's closing ends as a reset, which may have run.
+const KEEP_SHARE: f64 = 0.85;
+/// Idle connections over all real servers, at most.
+const IDLE_MAX: usize = 256;
+/// How long the rest of an answer may take once its outcome is known; then the connection is closed.
+const TAIL_TIME: Duration = Duration::from_millis(500);
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// A call to be made.
+#[derive(Debug, Clone)]
+pub struct CallOrder {
+    /// The flow.
+    pub flow: FlowNo,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// The real server.
+    pub server: ServerNo,
+    /// Its address.
+    pub address: SocketAddr,
+    /// When to stop waiting.
+    pub give_up_at: Instant,
+    /// What to send.
+    pub parcel: Rc<Parcel>,
+}
+
+#[derive(Debug, Default)]
+struct SwitchState {
+    stop: Cell<bool>,
+    hold: Cell<bool>,
+    wake: Notify,
+}
+
+/// Acts on a call that is being made.
+#[derive(Debug, Clone, Default)]
+pub struct Switch(Rc<SwitchState>);
+
+impl Switch {
+    /// Stop waiting for it.
+    pub fn stop(&self) {
+        self.0.stop.set(true);
+        self.0.wake.notify_one();
+    }
+
+    /// If nothing of it has been written, do not write it.
+    pub fn hold(&self) {
+        self.0.hold.set(true);
+    }
+
+    /// Whether it must not be written any more.
+    pub fn held(&self) -> bool {
+        self.0.hold.get()
+    }
+
+    /// Returns once it is to be stopped.
+    pub async fn stopped(&self) {
+        while !self.0.stop.get() {
+            self.0.wake.notified().await;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Reader<TcpStream>,
+    since: Instant,
+}
+
+/// What an answer says.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Answer {
+    outcome: Outcome,
+    over: bool,
+    limit: Option<LimitReport>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    idle: RefCell<BTreeMap<ServerNo, Vec<Idle>>>,
+    dial_timeout: Duration,
+    keep: Duration,
+    owner: mpsc::Sender<ToOwner>,
+}
+
+/// Makes calls and keeps connections.
+#[derive(Debug, Clone)]
+pub struct Upstream(Rc<Inner>);
+
+impl Upstream {
+    /// A pool with no connections. Ends of calls go to `owner`.
+    pub fn new(dial_timeout: Duration, keepalive: Duration, owner: mpsc::Sender<ToOwner>) -> Self {
+        let keep = keepalive.mul_f64(KEEP_SHARE);
+        Upstream(Rc::new(Inner { idle: RefCell::default(), dial_timeout, keep, owner }))
+    }
+
+    /// Starts a call.
+    pub fn call(&self, order: CallOrder) -> Switch {
+        let switch = Switch::default();
+        tokio::task::spawn_local(self.clone().run(order, switch.clone()));
+        switch
+    }
+
+    async fn run(self, order: CallOrder, switch: Switch) {
+        let started = Instant::now();
+        let sent = Cell::new(false);
+        let made = {
+            // Dropping the exchange closes its connection, before the end is told: no second call of the flow
+            // can go out while this one is still open.
+            let exchange = self.exchange(&order, &switch, &sent);
+            tokio::select! {
+                biased;
+                answer = timeout_at(order.give_up_at, exchange) => answer.ok(),
+                () = switch.stopped() => Some(Err(Outcome::Withdrawn)),
+            }
+        };
+        let answer = match (made, sent.get()) {
+            (Some(Ok(answer)), _) => answer,
+            // Called off or out of time before its last byte was written: it never ran.
+            (Some(Err(Outcome::Withdrawn)), false) => Answer::of(Outcome::Void),
+            (None, false) => Answer::of(Outcome::Unreachable),
+            (Some(Err(outcome)), _) => Answer::of(outcome),
+            (None, true) => Answer::of(Outcome::TimedOut),
+        };
+        log::debug!(
+            "flow {} attempt {} to {}: {:?} after {:?}",
+            order.flow.0,
+            order.attempt,
+            order.server.0,
+            answer.outcome,
+            started.elapsed()
+        );
+        let Answer { outcome, over, limit } = answer;
+        let CallOrder { flow, attempt, server, .. } = order;
+        let end = CallEnd { flow, attempt, server, outcome, over, elapsed: started.elapsed(), limit };
+        // The owner outlives all calls but at exit.
+        let _ = self.0.owner.send(ToOwner::CallEnded(end)).await;
+    }
+
+    async fn exchange(
+        &self, order: &CallOrder, switch: &Switch, sent: &Cell<bool>,
+    ) -> Result<Answer, Outcome> {
+        let mut connection = match self.take_idle(order.server) {
+            Some(connection) => connection,
+            None => self.dial(order.address).await.map_err(|e| {
+                log::debug!("real server {}: {e}", order.server.0);
+                Outcome::Unreachable
+            })?,
+        };
+        if switch.held() {
+            // Guards told waits: while this connection came up, another call was told to wait.
+            self.put_idle(order.server, connection);
+            return Err(Outcome::Void);
+        }
+        let request = request(order, Instant::now());
+        // Broken before the last byte is written, it never ran; the real server begins with the last byte.
+        connection.get_mut().write_all(&request).await.map_err(|_| Outcome::Unreachable)?;
+        sent.set(true);
+        let head = loop {
+            let head = connection.head().await.map_err(|_| Outcome::Broken)?;
+            if !head.first[1].starts_with('1') {
+                break head;
+            }
+        };
+        let answer = Answer::read(&head).ok_or(Outcome::Broken)?;
+        // The outcome is known; the rest only says whether the connection can be used again.
+        let rest = async {
+            let framing = head.framing(Framing::UntilEnd)?;
+            connection.body(framing).await?;
+            Ok::<_, HttpError>(framing != Framing::UntilEnd && head.keeps_alive(&head.first[0]))
+        };
+        if let Ok(Ok(true)) = timeout(TAIL_TIME, rest).await {
+            self.put_idle(order.server, connection);
+        }
+        Ok(answer)
+    }
+
+    async fn dial(&self, address: SocketAddr) -> io::Result<Reader<TcpStream>> {
+        let stream = timeout(self.0.dial_timeout, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        Ok(Reader::new(stream))
+    }
+
+    /// The connection used last, if it still stands.
+    fn take_idle(&self, server: ServerNo) -> Option<Reader<TcpStream>> {
+        let mut idle = self.0.idle.borrow_mut();
+        let list = idle.get_mut(&server)?;
+        list.retain_mut(|i| i.stands(self.0.keep));
+        list.pop().map(|i| i.connection)
+    }
+
+    fn put_idle(&self, server: ServerNo, connection: Reader<TcpStream>) {
+        if connection.has_more() {
+            return;
+        }
+        let mut idle = self.0.idle.borrow_mut();
+        if idle.values().map(Vec::len).sum::<usize>() < IDLE_MAX {
+            idle.entry(server).or_default().push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    /// Closes the idle connections to a real server.
+    pub fn release(&self, server: ServerNo) {
+        self.0.idle.borrow_mut().remove(&server);
+    }
+
+    /// Closes idle connections in time, for as long as the program runs.
+    pub async fn sweep(self) {
+        loop {
+            sleep(SWEEP).await;
+            self.0.idle.borrow_mut().retain(|_, list| {
+                list.retain_mut(|i| i.stands(self.0.keep));
+                !list.is_empty()
+            });
+        }
+    }
+}
+
+impl Idle {
+    /// Whether it may carry another call: young enough, and the other side has neither closed it nor said
+    /// anything unasked.
+    fn stands(&mut self, keep: Duration) -> bool {
+        let quiet = |stream: &TcpStream| {
+            let unread = stream.try_read(&mut [0; 1]);
+            matches!(unread, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        };
+        self.since.elapsed() < keep && quiet(self.connection.get_mut())
+    }
+}
+
+fn request(order: &CallOrder, now: Instant) -> Vec<u8> {
+    let left = order.give_up_at.saturating_duration_since(now).as_millis();
+    let parcel = &order.parcel;
+    let mut text =
+        format!("POST /inbox HTTP/1.1\r\nHost: {}\r\nX-Correlation-Id: {}\r\n", order.address, parcel.id);
+    if let Some(key) = &parcel.key {
+        text.push_str(&format!("Idempotency-Key: {key}\r\n"));
+    }
+    text.push_str(&format!("X-Time-Left-Ms: {left}\r\nContent-Length: {}\r\n\r\n", parcel.body.len()));
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(&parcel.body);
+    bytes
+}
+
+impl Answer {
+    fn of(outcome: Outcome) -> Self {
+        Answer { outcome, over: false, limit: None }
+    }
+
+    fn read(head: &Head) -> Option<Self> {
+        if !head.first[0].starts_with("HTTP/1.") {
+            return None;
+        }
+        let status: u16 = head.first[1].parse().ok()?;
+        let outcome = match status {
+            200..=299 => Outcome::Success,
+            429 => {
+                let wait = head.field("wait-ms").and_then(|v| v.parse::<f64>().ok());
+                let wait = wait.and_then(crate::settings::duration_ms).filter(|w| !w.is_zero());
+                Outcome::Overloaded { wait }
+            }
+            503 if head.field("slots-taken").is_some() => Outcome::Void,
+            503 => Outcome::Overloaded { wait: None },
+            504 | 410 => Outcome::Void,
+            _ => Outcome::Failure,
+        };
+        Some(Answer { outcome, over: status == 410, limit: head.field("x-backend-load").and_then(limit) })
+    }
+}
+
+/// Reads `x0=0.4,x1=25`.
+fn limit(text: &str) -> Option<LimitReport> {
+    let value = |name: &str| {
+        let pair = text.split(',').filter_map(|p| p.split_once('=')).find(|(n, _)| n.trim() == name)?;
+        pair.1.trim().parse::<f64>().ok().filter(|v| v.is_finite())
+    };
+    Some(LimitReport { left: value("x0")?, rate: value("x1")? })
+}
--- a/src/bin/reedrun-wirehost/config.rs
+++ b/src/settings.rs
@@ -1,10 +1,28 @@
-//! The settings of an instance, as the wire words them.
+//! The settings of an instance as the platform words them: JSON, the same on the simulator's wire and in a
+//! real relay's configuration.
 
-use crate::fields::{Malformed, duration_ms};
-use reedrun::api::*;
+use crate::api::*;
 use serde::{Deserialize, Deserializer, de::Error};
 use std::time::Duration;
 
+/// Settings that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReadError(String);
+
+impl std::fmt::Display for ReadError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ReadError {}
+
+/// Milliseconds as a number, to the microsecond; none if it is negative or no time at all.
+pub fn duration_ms(ms: f64) -> Option<Duration> {
+    let micros = (ms * 1000.0).round();
+    (micros >= 0.0 && micros < u64::MAX as f64).then(|| Duration::from_micros(micros as u64))
+}
+
 /// A time in milliseconds.
 #[derive(Clone, Copy, Default)]
 struct Ms(Duration);
@@ -116,16 +134,24 @@
 }
 
 /// The names that settings give, by which later lines refer to them.
+#[derive(Debug, Clone)]
 pub struct Names {
+    /// Classes of messages, by [`ClassId`].
     pub classes: Vec<String>,
+    /// Tenants, by [`TenantId`].
     pub tenants: Vec<String>,
+    /// Kinds of destination, by [`KindId`].
     pub kinds: Vec<String>,
+    /// Zones, by [`ZoneId`].
     pub zones: Vec<String>,
 }
 
-/// Reads `config`.
-pub fn read(text: &str) -> Result<(Settings, Names), Malformed> {
-    let bad = |e: serde_json::Error| Malformed::new("config", crate::fields::shown_long(&e.to_string()));
+/// Reads the settings object.
+///
+/// # Errors
+/// What is missing or cannot be understood.
+pub fn read(text: &str) -> Result<(Settings, Names), ReadError> {
+    let bad = |e: serde_json::Error| ReadError(e.to_string());
     let c: Config = serde_json::from_str(text).map_err(bad)?;
     let classes = c.classes.iter().map(class).collect::<Result<_, _>>()?;
     let kinds = (0..c.models.len()).map(|k| KindSettings {
@@ -175,7 +201,7 @@
     Ok((settings, names))
 }
 
-fn class(c: &Class) -> Result<ClassSettings, Malformed> {
+fn class(c: &Class) -> Result<ClassSettings, ReadError> {
     let group = match c.group.as_str() {
         "all" => RepeatGroup::All,
         "zone" => RepeatGroup::Zone,
@@ -186,8 +212,7 @@
         "by_key" => Effect::Keyed { group, window: c.window_ms.0 },
         "once" => Effect::Once,
         other => {
-            let what = format!("class effect `{}` is not known", crate::fields::shown(other));
-            return Err(Malformed::new("config", what));
+            return Err(ReadError(format!("class effect `{other:.40}` is not known")));
         }
     };
     Ok(ClassSettings {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A bench of one controller for the tests: it keeps the clock and reads the actions.
 #![allow(dead_code, missing_docs)]
 
-use reedrun::Controller;
-use reedrun::api::*;
+use onyxstile::Controller;
+use onyxstile::api::*;
 use std::time::Duration;
 
 pub const D: DestinationId = DestinationId(7);
@@ -102,6 +102,7 @@
                 key,
                 destination: D,
                 remaining,
+                past: Past::default(),
             }),
         )
     }
--- a/tests/law.rs
+++ b/tests/law.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs)]
 mod common;
 use common::*;
-use reedrun::api::*;
+use onyxstile::api::*;
 
 /// Firings of a message that is refused each time, alone at its destination: p is 1, so each one resends.
 #[test]
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,9 +2,9 @@
 #![allow(missing_docs)]
 mod common;
 use common::*;
+use onyxstile::api::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use reedrun::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs)]
 mod common;
 use common::*;
-use reedrun::api::*;
+use onyxstile::api::*;
 
 const FULL: Outcome = Outcome::Overloaded { wait: None };
 
