Add the mail front: SMTP and LMTP in and out, journalled, with notifications

Seen: nothing in the core knew a wire, so the front needed three things of it: flows handed in together, an end that a front knows (a 5yz), and calls that share a transaction. Offers now carry several flows; CallEnd says `finished`; the owner groups the sends of one step by real server, sender and body, as per_call allows.

Found by the tests: flows of one message had remaining times a few microseconds apart, so the module took the last recipient for the most urgent and an LMTP transaction came out in reverse (owner.rs, take_offer: one moment for all now). A call that had just been refused was reported as one that may have run, since the ledger shows it as out until the next write (end_record: `refused`).

Ruled out: resending after a break while a small body is written. The dot is in the kernel by then, so it may have run, and the flow ends by a notification; the test says so.

Tests: fifteen faults of stand-in servers over a SIGKILL and a restart (zero doubled orders, each flow ended once), LMTP with some taken, some refused and some forgotten, what clients hear, a server that drains.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -53,8 +53,8 @@
     pub server: ServerNo,
     /// How it ended.
     pub outcome: Outcome,
-    /// The real server says that the flow is over and nothing more is owed.
-    pub over: bool,
+    /// The front knows that the flow is over by this, whatever the outcome says.
+    pub finished: Option<End>,
     /// Time since the call was ordered.
     pub elapsed: Duration,
     /// What the answer told of a limit.
@@ -140,9 +140,9 @@
         })
     }
 
-    /// Whether one more flow may be held.
-    pub fn has_room(&self) -> bool {
-        self.flows.len() < self.most_held
+    /// Whether so many more flows may be held.
+    pub fn has_room(&self, flows: usize) -> bool {
+        self.flows.len() + flows <= self.most_held
     }
 
     /// How many flows are open.
@@ -193,17 +193,16 @@
 
     /// A call ended.
     pub fn call_ended(&mut self, end: CallEnd) {
-        let CallEnd { flow, attempt, server, outcome, over, elapsed, limit } = end;
+        let CallEnd { flow, attempt, server, outcome, finished, elapsed, limit } = end;
         let mut terminal = true;
         if let Some(f) = self.flows.get_mut(&flow) {
             f.out = f.out.filter(|a| *a != attempt);
-            terminal = over || outcome == Outcome::Success;
+            let end = finished.or((outcome == Outcome::Success).then_some(End::Delivered));
+            terminal = end.is_some();
             if matches!(outcome, Outcome::Overloaded { wait: Some(_) }) {
                 self.told.insert(f.destination);
             }
-            if terminal {
-                self.ended.push((flow, if over { End::Over } else { End::Delivered }));
-            }
+            self.ended.extend(end.map(|end| (flow, end)));
         }
         let end = AttemptEnd { id: flow, attempt, endpoint: server, outcome, elapsed, terminal, limit };
         self.events.push(Event::Outcome(end));
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,11 +1,14 @@
 //! What a relay is told at its start: the environment and the platform's configuration.
 
-use crate::api::Settings;
+use super::mail::MailSettings;
+use super::operator::{FixedServer, OperatorFile};
+use crate::api::{DestinationId, Settings};
 use crate::settings::{self, Names};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A configuration that cannot work.
 #[derive(Debug)]
@@ -82,15 +85,30 @@
     settings: serde_json::Value,
 }
 
+/// The HTTP front.
+#[derive(Debug, Clone)]
+pub struct HttpSettings {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Who is told how flows ended.
+    pub outcomes: SocketAddr,
+    /// Destinations by path, for requests that name none.
+    pub paths: Vec<(String, DestinationId)>,
+}
+
 /// What the relay runs by.
 #[derive(Debug)]
 pub struct Config {
     /// Its name.
     pub name: String,
-    /// Where clients connect.
-    pub listen: SocketAddr,
-    /// Discovery.
-    pub discovery: SocketAddr,
+    /// The HTTP front.
+    pub http: Option<HttpSettings>,
+    /// Discovery, where there is one.
+    pub discovery: Option<SocketAddr>,
+    /// The mail front.
+    pub mail: Option<MailSettings>,
+    /// Real servers that the operator names.
+    pub fixed: Vec<FixedServer>,
     /// The folder that lasts.
     pub state: PathBuf,
     /// Most bytes in it.
@@ -108,46 +126,57 @@
 }
 
 impl Config {
-    /// Reads the environment and the file that it names.
+    /// Reads the environment, the file that it names, and the operator's file if there is one.
     ///
     /// # Errors
     /// What is missing or cannot be read.
-    pub fn from_environment() -> Result<Config, ConfigError> {
+    pub fn load(operator: Option<&Path>) -> Result<Config, ConfigError> {
         let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-        let path = variable("GW_CONFIG").ok_or(ConfigError("GW_CONFIG is not set".into()))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
-        let state = variable("GW_STATE").ok_or(ConfigError("GW_STATE is not set".into()))?;
-        let mut config = Config::read(&text, state.into())?;
-        if let Some(listen) = variable("GW_LISTEN") {
-            config.listen = address("GW_LISTEN", &listen)?;
-        }
-        if let Some(discovery) = variable("GW_DISCOVERY") {
-            config.discovery = address("GW_DISCOVERY", &discovery)?;
+        let file = operator.map(OperatorFile::read).transpose()?;
+        let mut config = match (variable("GW_CONFIG"), &file) {
+            (Some(path), _) => {
+                let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
+                let state = variable("GW_STATE").ok_or(ConfigError("GW_STATE is not set".into()))?;
+                Config::platform(&text, state.into(), &variable)?
+            }
+            (None, Some(file)) => Config::alone(file)?,
+            (None, None) => return Err(ConfigError("GW_CONFIG is not set, and no file is given".into())),
+        };
+        if let Some(file) = file {
+            config.mail = file.mail(&mut config.settings, &mut config.names)?;
+            config.fixed = file.servers();
+            if let Some(http) = &mut config.http {
+                http.paths = file.paths();
+            }
         }
-        config.name = variable("GW_NAME").unwrap_or(config.name);
+        config.settings.check().map_err(|e| ConfigError(e.to_string()))?;
         Ok(config)
     }
 
-    /// Reads the platform's configuration.
-    ///
-    /// # Errors
-    /// What is missing or cannot be read.
-    pub fn read(text: &str, state: PathBuf) -> Result<Config, ConfigError> {
+    /// A relay of the platform's.
+    fn platform(
+        text: &str, state: PathBuf, variable: &dyn Fn(&str) -> Option<String>,
+    ) -> Result<Config, ConfigError> {
         let raw: RawConfig =
             serde_json::from_str(text).map_err(|e| ConfigError(format!("configuration: {e}")))?;
         let (settings, names) =
             settings::read(&raw.settings.to_string()).map_err(|e| ConfigError(format!("settings: {e}")))?;
-        let needed = |what: &str, value: Option<String>| {
-            value.ok_or(ConfigError(format!("{what} is missing"))).and_then(|v| address(what, &v))
+        let needed = |name: &str, value: Option<String>| {
+            let value = variable(name).or(value).ok_or(ConfigError(format!("{name} is not set")))?;
+            value.parse().map_err(|_| ConfigError(format!("{name}: `{value:.60}` is no address with a port")))
         };
         // Any text serves as a seed; hexadecimal digits are what the platform writes.
         let seed = u64::from_str_radix(&raw.seed, 16).unwrap_or_else(|_| {
             raw.seed.bytes().fold(1, |s: u64, b| s.wrapping_mul(31).wrapping_add(b.into()))
         });
+        let discovery = needed("GW_DISCOVERY", raw.discovery)?;
+        let listen = needed("GW_LISTEN", raw.listen)?;
         Ok(Config {
-            name: raw.name,
-            listen: needed("listen", raw.listen)?,
-            discovery: needed("discovery", raw.discovery)?,
+            name: variable("GW_NAME").unwrap_or(raw.name),
+            http: Some(HttpSettings { listen, outcomes: discovery, paths: Vec::new() }),
+            discovery: Some(discovery),
+            mail: None,
+            fixed: Vec::new(),
             state,
             disk: (raw.limits.disk_mb.max(0.0) * 1e6) as u64,
             sockets: raw.limits.sockets,
@@ -157,8 +186,29 @@
             names,
         })
     }
-}
 
-fn address(what: &str, text: &str) -> Result<SocketAddr, ConfigError> {
-    text.parse().map_err(|_| ConfigError(format!("{what}: `{text:.60}` is no address with a port")))
+    /// A relay that only the operator's file tells of.
+    fn alone(file: &OperatorFile) -> Result<Config, ConfigError> {
+        let relay =
+            file.relay.clone().ok_or(ConfigError("without a platform, [relay] has to say `state`".into()))?;
+        let (settings, names) =
+            settings::read(&file.settings_text()?).map_err(|e| ConfigError(format!("settings: {e}")))?;
+        let http = file.http.as_ref();
+        let http = http.map(|h| HttpSettings { listen: h.listen, outcomes: h.outcomes, paths: Vec::new() });
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(Config {
+            name: file.mail.as_ref().map_or_else(|| "onyxstile".into(), |_| "mail".into()),
+            http,
+            discovery: None,
+            mail: None,
+            fixed: Vec::new(),
+            state: relay.state,
+            disk: (relay.disk_mb.max(0.0) * 1e6) as u64,
+            sockets: relay.sockets,
+            seed: since.as_nanos() as u64 ^ u64::from(std::process::id()),
+            known: RawList::default(),
+            settings,
+            names,
+        })
+    }
 }
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -5,6 +5,7 @@
 use super::owner::{Offer, ToOwner, Verdict};
 use super::parcel::Parcel;
 use super::phase::{Phase, State};
+use crate::api::DestinationId;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -32,6 +33,8 @@
     phase: Phase,
     clock: Clock,
     most: usize,
+    /// Destinations by path, for requests that name none.
+    paths: Vec<(String, DestinationId)>,
     /// Open connections, by number; those that wait for a request can be told to close.
     open: RefCell<BTreeMap<u64, Rc<Waiting>>>,
     last: Cell<u64>,
@@ -45,8 +48,11 @@
 
 impl Edge {
     /// Nothing is listened to yet. At most `most` connections are held.
-    pub fn new(owner: mpsc::Sender<ToOwner>, phase: Phase, clock: Clock, most: usize) -> Rc<Self> {
-        Rc::new(Edge { owner, phase, clock, most, open: RefCell::default(), last: Cell::new(0) })
+    pub fn new(
+        owner: mpsc::Sender<ToOwner>, phase: Phase, clock: Clock, most: usize,
+        paths: Vec<(String, DestinationId)>,
+    ) -> Rc<Self> {
+        Rc::new(Edge { owner, phase, clock, most, paths, open: RefCell::default(), last: Cell::new(0) })
     }
 
     /// Accepts connections until the program stops.
@@ -148,7 +154,9 @@
         Ok(reply)
     }
 
-    fn offer(&self, head: &Head, body: Vec<u8>) -> Result<(Offer, oneshot::Receiver<Verdict>), &'static str> {
+    fn offer(
+        &self, head: &Head, body: Vec<u8>,
+    ) -> Result<(Offer, oneshot::Receiver<Vec<Verdict>>), &'static str> {
         let word = |name: &str, what: &'static str| match head.field(name) {
             Some(v) if v.is_empty() || v.len() > WORD_MAX || !v.bytes().all(|b| b.is_ascii_graphic()) => {
                 Err(what)
@@ -163,35 +171,41 @@
         let left = head.field("x-time-left-ms").and_then(|v| v.parse::<u32>().ok()).ok_or("the time left")?;
         let envelope = head.field("envelope").unwrap_or_default();
         let pairs = envelope.split([';', ',', '&', ' ']).filter_map(|p| p.split_once('='));
-        let dest = pairs.filter(|(n, _)| n.trim() == "dest").map(|(_, v)| v.trim().parse::<u64>()).next();
+        let dest = pairs
+            .filter(|(n, _)| n.trim() == "dest")
+            .map(|(_, v)| v.trim().parse().map(DestinationId))
+            .next();
+        let by_path =
+            || self.paths.iter().find(|(p, _)| head.first[1].starts_with(p.as_str())).map(|(_, d)| *d);
+        let destination = dest.map_or_else(by_path, Result::ok).ok_or("the destination")?;
         let id = word("x-correlation-id", "the id")?.ok_or("no id")?;
         let key = word("idempotency-key", "the key")?;
         let (reply, verdict) = oneshot::channel();
         let offer = Offer {
             class,
             tenant: word("x-account", "the account")?,
-            destination: dest.and_then(Result::ok).ok_or("the destination")?,
             deadline: self.clock.now() + Duration::from_millis(left.into()),
-            parcel: Rc::new(Parcel { id, key, mail: None, body: body.into() }),
+            items: vec![(destination, Rc::new(Parcel { id, key, mail: None, body: body.into() }))],
+            together: false,
             reply,
         };
         Ok((offer, verdict))
     }
 
-    async fn hand_in(&self, offer: Offer, verdict: oneshot::Receiver<Verdict>) -> Reply {
+    async fn hand_in(&self, offer: Offer, verdict: oneshot::Receiver<Vec<Verdict>>) -> Reply {
         // Guards the answer's time: a full queue is an answer in itself.
         if self.owner.try_send(ToOwner::Offer(offer)).is_err() {
             return Reply::new(503, "Service Unavailable").after(COME_BACK);
         }
-        match verdict.await {
-            Ok(Verdict::Taken) => Reply::new(202, "Accepted"),
-            Ok(Verdict::TurnedDown(wait)) => Reply::new(429, "Too Many Requests").after(wait),
-            Ok(Verdict::Failed) => Reply::new(500, "Internal Server Error"),
-            Ok(Verdict::Unknown(what)) => {
+        match verdict.await.ok().and_then(|v| v.first().copied()) {
+            Some(Verdict::Taken) => Reply::new(202, "Accepted"),
+            Some(Verdict::TurnedDown(wait)) => Reply::new(429, "Too Many Requests").after(wait),
+            Some(Verdict::Failed) => Reply::new(500, "Internal Server Error"),
+            Some(Verdict::Unknown(what)) => {
                 log::info!("a request was turned away: {what}");
                 Reply::new(400, "Bad Request")
             }
-            Ok(Verdict::Full) | Err(_) => Reply::new(503, "Service Unavailable").after(COME_BACK),
+            Some(Verdict::Full) | None => Reply::new(503, "Service Unavailable").after(COME_BACK),
         }
     }
 }
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -68,6 +68,8 @@
     CallEnded(FlowNo, bool),
     /// The flow is over, and this is still owed.
     Ended(FlowNo, Option<Owed>),
+    /// A mail flow is over, and the notification of that is taken as a flow of its own: both or neither.
+    Bounced(FlowNo, FlowNo, TakenFlow),
     /// What was owed has been heard.
     Noticed(FlowNo),
     /// In a rewritten file: what the records of an open flow added up to.
@@ -124,6 +126,10 @@
                 }
                 self.next = self.next.max(no.0 + 1);
             }
+            Record::Bounced(no, new, flow) => {
+                self.apply(&Record::Ended(*no, None));
+                self.apply(&Record::Taken(*new, flow.clone()));
+            }
             Record::Noticed(no) => {
                 self.owed.remove(no);
             }
@@ -205,11 +211,13 @@
         &self.ledger
     }
 
-    /// Whether a flow with a parcel of this size can be taken and all its later records still fit, with the
-    /// room that a rewrite needs beside the old file.
-    pub fn has_room(&self, parcel: usize) -> bool {
-        let open = self.ledger.open.len() as u64 + 1;
-        let live = self.live + parcel as u64 + FLOW_RESERVE;
+    /// Whether so many flows with so many bytes of parcels can be taken and all their later records still fit,
+    /// with the room that a rewrite needs beside the old file.
+    pub fn has_room(&mut self, flows: usize, bytes: usize) -> bool {
+        // After a write error, a rewrite that works shows that the folder can be written again.
+        self.broken = self.broken && self.rewrite().is_err();
+        let open = (self.ledger.open.len() + flows) as u64;
+        let live = self.live + bytes as u64;
         !self.broken && 2 * (live + open * FLOW_RESERVE) + SLACK <= self.limit
     }
 
@@ -260,7 +268,10 @@
 
     fn apply(&mut self, record: &Record, length: u64) {
         match record {
-            Record::Taken(no, _) => {
+            Record::Taken(no, _) | Record::Bounced(_, no, _) => {
+                if let Record::Bounced(old, ..) = record {
+                    self.live -= self.sizes.remove(old).unwrap_or(0);
+                }
                 let size = length + 256;
                 self.live += size;
                 self.sizes.insert(*no, size);
@@ -332,6 +343,20 @@
     put_bytes(out, to.server.as_bytes());
 }
 
+fn put_flow(out: &mut Vec<u8>, flow: &TakenFlow) {
+    put_time(out, flow.deadline);
+    put_bytes(out, flow.class.as_bytes());
+    put_maybe(out, flow.tenant.as_deref(), |o, t| put_bytes(o, t.as_bytes()));
+    put_u64(out, flow.destination);
+    put_bytes(out, flow.parcel.id.as_bytes());
+    put_maybe(out, flow.parcel.key.as_deref(), |o, k| put_bytes(o, k.as_bytes()));
+    put_maybe(out, flow.parcel.mail.as_ref(), |o, m| {
+        put_bytes(o, m.from.as_bytes());
+        put_bytes(o, m.to.as_bytes());
+    });
+    put_bytes(out, &flow.parcel.body);
+}
+
 /// Appends a record with its length and checksum.
 fn encode(record: &Record, out: &mut Vec<u8>) {
     let start = out.len();
@@ -340,17 +365,13 @@
         Record::Taken(no, flow) => {
             out.push(1);
             put_u64(out, no.0);
-            put_time(out, flow.deadline);
-            put_bytes(out, flow.class.as_bytes());
-            put_maybe(out, flow.tenant.as_deref(), |o, t| put_bytes(o, t.as_bytes()));
-            put_u64(out, flow.destination);
-            put_bytes(out, flow.parcel.id.as_bytes());
-            put_maybe(out, flow.parcel.key.as_deref(), |o, k| put_bytes(o, k.as_bytes()));
-            put_maybe(out, flow.parcel.mail.as_ref(), |o, m| {
-                put_bytes(o, m.from.as_bytes());
-                put_bytes(o, m.to.as_bytes());
-            });
-            put_bytes(out, &flow.parcel.body);
+            put_flow(out, flow);
+        }
+        Record::Bounced(no, new, flow) => {
+            out.push(8);
+            put_u64(out, no.0);
+            put_u64(out, new.0);
+            put_flow(out, flow);
         }
         Record::Sent(no, to) => {
             out.push(2);
@@ -446,21 +467,23 @@
         Some(SentTo { at: self.time()?, server: self.text()? })
     }
 
+    fn flow(&mut self) -> Option<TakenFlow> {
+        let deadline = self.time()?;
+        let class = self.text()?;
+        let tenant = self.maybe(Self::text)?;
+        let destination = self.u64()?;
+        let id = self.text()?;
+        let key = self.maybe(Self::text)?;
+        let mail = self.maybe(|p| Some(Envelope { from: p.text()?, to: p.text()? }))?;
+        let parcel = Rc::new(Parcel { id, key, mail, body: self.bytes()?.into() });
+        Some(TakenFlow { deadline, class, tenant, destination, parcel })
+    }
+
     fn record(&mut self) -> Option<Record> {
         let kind = self.take(1)?[0];
         let no = FlowNo(self.u64()?);
         Some(match kind {
-            1 => {
-                let deadline = self.time()?;
-                let class = self.text()?;
-                let tenant = self.maybe(Self::text)?;
-                let destination = self.u64()?;
-                let id = self.text()?;
-                let key = self.maybe(Self::text)?;
-                let mail = self.maybe(|p| Some(Envelope { from: p.text()?, to: p.text()? }))?;
-                let parcel = Rc::new(Parcel { id, key, mail, body: self.bytes()?.into() });
-                Record::Taken(no, TakenFlow { deadline, class, tenant, destination, parcel })
-            }
+            1 => Record::Taken(no, self.flow()?),
             2 => Record::Sent(no, self.sent()?),
             3 => Record::CallEnded(no, self.flag()?),
             4 => Record::Ended(
@@ -474,6 +497,7 @@
                 Record::Progress(no, Progress { attempts, out, risk })
             }
             7 => Record::Next(no),
+            8 => Record::Bounced(no, FlowNo(self.u64()?), self.flow()?),
             _ => return None,
         })
     }
@@ -549,7 +573,7 @@
         let mut journal = Journal::open(&folder, limit).unwrap();
         let mut held = std::collections::VecDeque::new();
         for no in 1..3000u64 {
-            if journal.has_room(900) {
+            if journal.has_room(1, 900 + 1024) {
                 journal.write(&[taken(no, 900)]).unwrap();
                 held.push_back(no);
             } else {
--- a/src/net/owner.rs
+++ b/src/net/owner.rs
@@ -3,14 +3,18 @@
 use super::clock::Clock;
 use super::config::{Config, RawEntry, RawList};
 use super::journal::{Journal, Owed, Record, SentTo, TakenFlow};
+use super::mail::MailSettings;
+use super::mail::client::{Item, MailCall, MailUpstream};
+use super::mail::dsn::Report;
 use super::notices;
-use super::parcel::Parcel;
+use super::operator::{FixedServer, Wire};
+use super::parcel::{Envelope, Parcel};
 use super::phase::{Phase, State};
 use super::upstream::{CallOrder, Switch, Upstream};
 use crate::api::{ClassId, DestinationId, KindId, ListState, Past, TenantId, ZoneId};
 use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo, ServiceEntry};
 use crate::settings::Names;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +31,8 @@
 const DRAIN_END: Duration = Duration::from_millis(3500);
 /// Time for which new connections still come after the order to end.
 const DRAIN_LEAST: Duration = Duration::from_millis(600);
+/// Time that clients are asked to stay away for by a relay that is about to end.
+const COME_BACK: Duration = Duration::from_secs(2);
 /// Ids of flows that are over, kept in case one is handed in twice.
 const REMEMBERED: usize = 4096;
 
@@ -36,28 +42,30 @@
     /// A client hands in a flow.
     Offer(Offer),
     /// A call ended.
-    CallEnded(CallEnd),
+    CallEnded(CallEnd, Option<String>),
+    /// The operator's real servers, all of them.
+    Servers(Vec<FixedServer>),
     /// News of discovery's list.
     List(RawList),
     /// Notices were heard.
     NoticesHeard(Vec<FlowNo>),
 }
 
-/// A flow that a client hands in.
+/// Flows that a client hands in together.
 #[derive(Debug)]
 pub struct Offer {
-    /// Its class, by name.
+    /// Their class, by name.
     pub class: String,
-    /// Its tenant, by name.
+    /// Their tenant, by name.
     pub tenant: Option<String>,
-    /// Its destination.
-    pub destination: u64,
-    /// When it is given up.
+    /// When they are given up.
     pub deadline: Duration,
-    /// What to deliver.
-    pub parcel: Rc<Parcel>,
-    /// Where the verdict goes.
-    pub reply: oneshot::Sender<Verdict>,
+    /// Where each goes, and what to deliver.
+    pub items: Vec<(DestinationId, Rc<Parcel>)>,
+    /// Whoever handed them in hears one verdict for all: taking one on takes all on.
+    pub together: bool,
+    /// Where the verdicts go, one for each.
+    pub reply: oneshot::Sender<Vec<Verdict>>,
 }
 
 /// What becomes of an offer.
@@ -79,6 +87,8 @@
 struct Server {
     uid: String,
     address: Option<SocketAddr>,
+    wire: Wire,
+    kind: KindId,
 }
 
 /// Real servers by their lasting names.
@@ -94,23 +104,32 @@
             return *no;
         }
         let no = ServerNo(self.servers.len() as u32);
-        self.servers.push(Server { uid: uid.to_string(), address: None });
+        self.servers.push(Server {
+            uid: uid.to_string(),
+            address: None,
+            wire: Wire::Http,
+            kind: KindId(usize::MAX),
+        });
         self.numbers.insert(uid.to_string(), no);
         no
     }
 
-    fn entry(&mut self, raw: &RawEntry, names: &Names) -> ServiceEntry {
+    fn entry(&mut self, raw: &RawEntry, wire: Wire, names: &Names) -> ServiceEntry {
         let id = self.number(&raw.uid);
+        let server = &mut self.servers[id.0 as usize];
+        server.wire = wire;
         match raw.endpoint.parse() {
-            Ok(address) => self.servers[id.0 as usize].address = Some(address),
+            Ok(address) => server.address = Some(address),
             Err(_) => log::error!("discovery: `{}` is no address", raw.endpoint),
         }
         // A kind or zone that the settings do not name has no settings of its own.
         let index = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
+        let kind = KindId(index(&names.kinds, &raw.model));
+        server.kind = kind;
         ServiceEntry {
             id,
             destination: DestinationId(raw.pod_group),
-            kind: KindId(index(&names.kinds, &raw.model)),
+            kind,
             zone: ZoneId(index(&names.zones, &raw.az)),
             state: match raw.state.as_str() {
                 "up" => ListState::Live,
@@ -128,6 +147,21 @@
     destination: DestinationId,
 }
 
+/// Flows whose client waits for the end of the present step.
+#[derive(Debug)]
+struct Group {
+    reply: oneshot::Sender<Vec<Verdict>>,
+    verdicts: Vec<Option<Verdict>>,
+    together: bool,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    group: u64,
+    index: usize,
+    flow: TakenFlow,
+}
+
 /// The owner's state.
 #[derive(Debug)]
 pub struct Owner {
@@ -137,10 +171,20 @@
     clock: Clock,
     phase: Phase,
     upstream: Upstream,
+    mail: Option<(MailSettings, MailUpstream)>,
+    fixed: Vec<FixedServer>,
+    per_call: Vec<usize>,
     directory: Directory,
     calls: BTreeMap<(FlowNo, u32), OpenCall>,
     /// Offers that wait for the end of the present step.
-    waiting: BTreeMap<FlowNo, (oneshot::Sender<Verdict>, TakenFlow)>,
+    waiting: BTreeMap<FlowNo, Waiting>,
+    groups: BTreeMap<u64, Group>,
+    /// Records that the next write begins with.
+    unwritten: Vec<Record>,
+    /// What real servers last said of open mail flows.
+    said: BTreeMap<FlowNo, String>,
+    /// Mail calls of the present step.
+    mail_calls: Vec<(ServerNo, Duration, DestinationId, Item)>,
     destinations: BTreeMap<FlowNo, DestinationId>,
     ids: BTreeMap<String, FlowNo>,
     over: VecDeque<String>,
@@ -163,6 +207,8 @@
     pub phase: Phase,
     /// Makes the calls.
     pub upstream: Upstream,
+    /// Makes those by mail.
+    pub mail_upstream: Option<MailUpstream>,
     /// Takes batches of notices.
     pub notices: mpsc::Sender<Vec<(FlowNo, Owed)>>,
     /// Where everything comes in.
@@ -175,7 +221,7 @@
     /// # Errors
     /// Settings that cannot work.
     pub fn new(config: &Config, parts: Parts) -> Result<Self, crate::core::SettingsError> {
-        let Parts { journal, clock, phase, upstream, notices, queue } = parts;
+        let Parts { journal, clock, phase, upstream, mail_upstream, notices, queue } = parts;
         let core = Core::new(config.settings.clone(), config.seed, clock.now())?;
         let mut owner = Owner {
             core,
@@ -185,9 +231,16 @@
             clock,
             phase,
             upstream,
+            mail: config.mail.clone().zip(mail_upstream),
+            fixed: config.fixed.clone(),
+            per_call: config.settings.kinds.iter().map(|k| k.per_call).collect(),
             directory: Directory::default(),
             calls: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            unwritten: Vec::new(),
+            said: BTreeMap::new(),
+            mail_calls: Vec::new(),
             destinations: BTreeMap::new(),
             ids: BTreeMap::new(),
             over: VecDeque::new(),
@@ -209,21 +262,15 @@
         let open: Vec<_> = self.journal.ledger().open.iter().map(|(no, f)| (*no, f.clone())).collect();
         let mut lost = Vec::new();
         for (no, (flow, progress)) in open {
-            self.ids.insert(flow.parcel.id.clone(), no);
-            let Some(class) = position(&self.names.classes, &flow.class) else {
-                // The settings have lost its class: nothing can be decided for it but its end.
-                lost.push(Record::Ended(no, Some(Owed { id: flow.parcel.id.clone(), returned_after: None })));
-                continue;
-            };
-            let tenant = flow.tenant.as_ref().and_then(|t| position(&self.names.tenants, t)).map(TenantId);
             let risk = progress.risk.or(progress.out);
             let risk = risk.map(|r| (now.saturating_sub(r.at), self.directory.number(&r.server)));
             let past = Past { attempts: progress.attempts, risk };
-            let destination = DestinationId(flow.destination);
-            let remaining = flow.deadline.saturating_sub(now);
-            let terms = FlowTerms { class: ClassId(class), tenant, destination, remaining };
-            self.destinations.insert(no, destination);
-            self.core.recover(no, terms, past, flow.parcel);
+            if !self.take_up(no, &flow, past, now) {
+                // The settings have lost its class: nothing can be decided for it but its end.
+                let owed = Owed { id: flow.parcel.id.clone(), returned_after: None };
+                lost.push(Record::Ended(no, Some(owed).filter(|_| flow.parcel.mail.is_none())));
+                continue;
+            };
         }
         if let Err(e) = self.journal.write(&lost) {
             log::error!("journal: {e}");
@@ -235,6 +282,19 @@
         );
     }
 
+    /// Hands the core a flow that is lasting already; false if the settings do not know its class.
+    fn take_up(&mut self, no: FlowNo, flow: &TakenFlow, past: Past, now: Duration) -> bool {
+        self.ids.insert(flow.parcel.id.clone(), no);
+        let Some(class) = position(&self.names.classes, &flow.class) else { return false };
+        let tenant = flow.tenant.as_ref().and_then(|t| position(&self.names.tenants, t)).map(TenantId);
+        let destination = DestinationId(flow.destination);
+        let remaining = flow.deadline.saturating_sub(now);
+        let terms = FlowTerms { class: ClassId(class), tenant, destination, remaining };
+        self.destinations.insert(no, destination);
+        self.core.recover(no, terms, past, flow.parcel.clone());
+        true
+    }
+
     /// Runs until the program has drained.
     pub async fn run(mut self) {
         self.step();
@@ -288,69 +348,106 @@
     fn take(&mut self, message: ToOwner) {
         match message {
             ToOwner::Offer(offer) => self.take_offer(offer),
-            ToOwner::CallEnded(end) => {
+            ToOwner::CallEnded(end, detail) => {
                 self.calls.remove(&(end.flow, end.attempt));
-                let record = Record::CallEnded(end.flow, end.outcome.never_ran());
-                // The flow goes on from here whether or not this is written: unwritten, a restart takes the
-                // call for one that may have run.
-                if let Err(e) = self.journal.write(&[record]) {
-                    log::error!("journal: {e}");
+                // Should this never be written, a restart takes the call for one that may have run.
+                self.unwritten.push(Record::CallEnded(end.flow, end.outcome.never_ran()));
+                if let Some(text) = detail {
+                    self.said.insert(end.flow, text);
                 }
                 self.core.call_ended(end);
             }
+            ToOwner::Servers(servers) => self.take_servers(servers),
             ToOwner::List(list) => self.take_list(&list),
             ToOwner::NoticesHeard(flows) => {
                 self.telling = false;
-                let heard: Vec<_> = flows.into_iter().map(Record::Noticed).collect();
-                if let Err(e) = self.journal.write(&heard) {
-                    log::error!("journal: {e}");
-                }
+                self.unwritten.extend(flows.into_iter().map(Record::Noticed));
             }
         }
     }
 
     fn take_list(&mut self, list: &RawList) {
-        let entries = list.targets.iter().map(|raw| self.directory.entry(raw, &self.names)).collect();
+        let of_list = list.targets.iter().map(|raw| (raw, Wire::Http));
+        // What the operator names is in no list of discovery's, and does not go with it.
+        let own = self.fixed.iter().filter(|_| list.all).map(|f| (&f.entry, f.wire));
+        let entries =
+            of_list.chain(own).map(|(raw, wire)| self.directory.entry(raw, wire, &self.names)).collect();
         self.core.take_entries(entries, list.all);
     }
 
+    fn take_servers(&mut self, servers: Vec<FixedServer>) {
+        let old = std::mem::replace(&mut self.fixed, servers);
+        let stays = |f: &FixedServer| self.fixed.iter().any(|n| n.entry.uid == f.entry.uid);
+        let gone = old.into_iter().filter(|f| !stays(f)).map(|mut f| {
+            f.entry.state = "removed".into();
+            f
+        });
+        let gone: Vec<_> = gone.collect();
+        let changed = self.fixed.iter().chain(&gone);
+        let entries = changed.map(|f| self.directory.entry(&f.entry, f.wire, &self.names)).collect();
+        self.core.take_entries(entries, false);
+    }
+
     fn take_offer(&mut self, offer: Offer) {
-        let Offer { class, tenant, destination, deadline, parcel, reply } = offer;
-        let verdict = if self.ids.contains_key(&parcel.id) {
+        let Offer { class, tenant, deadline, items, together, reply } = offer;
+        let known = position(&self.names.classes, &class);
+        let tenant_no = match &tenant {
+            None => Some(None),
+            Some(name) => position(&self.names.tenants, name).map(|t| Some(TenantId(t))),
+        };
+        let bytes = items.iter().map(|(_, p)| p.body.len() + 1024).sum();
+        let (Some(class_no), Some(tenant_no)) = (known, tenant_no) else {
+            let what = if known.is_none() { "the class" } else { "the account" };
+            let _ = reply.send(vec![Verdict::Unknown(what); items.len()]);
+            return;
+        };
+        let verdict = if items.iter().all(|(_, p)| self.ids.contains_key(&p.id)) {
             // Taken on before, and the answer was lost on its way: it is not a second flow.
             Some(Verdict::Taken)
         } else if self.phase.state() != State::Serving {
-            Some(Verdict::TurnedDown(Duration::from_secs(2)))
-        } else if !self.core.has_room() || !self.journal.has_room(parcel.body.len() + 1024) {
+            Some(Verdict::TurnedDown(COME_BACK))
+        } else if !self.core.has_room(items.len()) || !self.journal.has_room(items.len(), bytes) {
             Some(Verdict::Full)
         } else {
             None
         };
-        let known = position(&self.names.classes, &class);
-        let tenant_no = match &tenant {
-            None => Ok(None),
-            Some(name) => position(&self.names.tenants, name).map(|t| Some(TenantId(t))).ok_or("the account"),
-        };
-        let verdict = verdict.or(known.is_none().then_some(Verdict::Unknown("the class")));
-        let verdict = verdict.or(tenant_no.err().map(Verdict::Unknown));
         if let Some(verdict) = verdict {
-            let _ = reply.send(verdict);
+            let _ = reply.send(vec![verdict; items.len()]);
             return;
         }
-        let (Some(class_no), Ok(tenant_no)) = (known, tenant_no) else { return };
-        let no = FlowNo(self.next);
-        self.next += 1;
-        self.ids.insert(parcel.id.clone(), no);
+        let group = self.next;
+        // One moment for all: what was handed in together is as urgent and goes out in the order given.
         let remaining = deadline.saturating_sub(self.clock.now());
-        let terms = FlowTerms {
-            class: ClassId(class_no),
-            tenant: tenant_no,
-            destination: DestinationId(destination),
-            remaining,
-        };
-        self.destinations.insert(no, terms.destination);
-        self.core.offer(no, terms, parcel.clone());
-        self.waiting.insert(no, (reply, TakenFlow { deadline, class, tenant, destination, parcel }));
+        self.groups.insert(group, Group { reply, verdicts: vec![None; items.len()], together });
+        for (index, (destination, parcel)) in items.into_iter().enumerate() {
+            let no = self.number();
+            self.ids.insert(parcel.id.clone(), no);
+            let terms = FlowTerms { class: ClassId(class_no), tenant: tenant_no, destination, remaining };
+            self.destinations.insert(no, destination);
+            self.core.offer(no, terms, parcel.clone());
+            let (class, tenant) = (class.clone(), tenant.clone());
+            let flow = TakenFlow { deadline, class, tenant, destination: destination.0, parcel };
+            self.waiting.insert(no, Waiting { group, index, flow });
+        }
+    }
+
+    fn number(&mut self) -> FlowNo {
+        self.next += 1;
+        FlowNo(self.next - 1)
+    }
+
+    /// Tells the verdict on one flow; the client hears it once all of its group are there.
+    fn settle(&mut self, no: FlowNo, verdict: Verdict) {
+        let Some(Waiting { group, index, .. }) = self.waiting.remove(&no) else { return };
+        let Some(g) = self.groups.get_mut(&group) else { return };
+        g.verdicts[index] = Some(verdict);
+        let verdicts: Option<Vec<_>> = g.verdicts.iter().copied().collect();
+        if let Some(verdicts) = verdicts
+            && let Some(g) = self.groups.remove(&group)
+        {
+            // The client may be gone; what was taken stays taken.
+            let _ = g.reply.send(verdicts);
+        }
     }
 
     /// Steps the core until it has nothing left to work on, and carries out what it asks for.
@@ -373,12 +470,13 @@
     /// Writes down first what the effects promise, then does them.
     fn carry_out(&mut self, effects: Vec<Effect<Rc<Parcel>>>) {
         let now = self.clock.now();
-        let mut records = Vec::new();
+        let effects = self.keep_together(effects);
+        let mut records = std::mem::take(&mut self.unwritten);
         for effect in &effects {
             match effect {
                 Effect::Taken(no, _) => {
-                    if let Some((_, flow)) = self.waiting.get(no) {
-                        records.push(Record::Taken(*no, flow.clone()));
+                    if let Some(w) = self.waiting.get(no) {
+                        records.push(Record::Taken(*no, w.flow.clone()));
                     }
                 }
                 Effect::Call { flow, server, .. } => {
@@ -386,10 +484,8 @@
                     records.push(Record::Sent(*flow, SentTo { at: now, server }));
                 }
                 Effect::Ended(no, parcel, end) => {
-                    let returned_after = if let End::Returned(wait) = end { Some(*wait) } else { None };
-                    let owed = matches!(end, End::Failed | End::Returned(_));
-                    let owed = owed.then(|| Owed { id: parcel.id.clone(), returned_after });
-                    records.push(Record::Ended(*no, owed));
+                    let refused = records.contains(&Record::CallEnded(*no, true));
+                    records.push(self.end_record(*no, parcel, *end, refused, now));
                 }
                 _ => {}
             }
@@ -397,34 +493,155 @@
         let lasting = self.journal.write(&records);
         if let Err(e) = &lasting {
             log::error!("journal: {e}; new flows are turned down");
+            // Ends are written as soon as that works again; what was to be taken was not, nor was it sent.
+            let not_taken = |no: &FlowNo| records.iter().any(|r| matches!(r, Record::Taken(n, _) if n == no));
+            let keep = |r: &&Record| match r {
+                Record::Ended(no, _) | Record::Bounced(no, ..) | Record::CallEnded(no, _) => !not_taken(no),
+                Record::Noticed(_) => true,
+                _ => false,
+            };
+            self.unwritten = records.iter().filter(keep).cloned().collect();
+        } else {
+            for record in &records {
+                if let Record::Bounced(_, no, flow) = record {
+                    self.take_up(*no, flow, Past::default(), now);
+                }
+            }
         }
         for effect in effects {
             self.do_effect(effect, now, lasting.is_ok());
         }
+        self.make_mail_calls();
+    }
+
+    /// Guards the one verdict of flows handed in together: where some are taken, the others are taken too and
+    /// end at once, each with what is owed for it.
+    fn keep_together(&self, effects: Vec<Effect<Rc<Parcel>>>) -> Vec<Effect<Rc<Parcel>>> {
+        let group = |no: &FlowNo| self.waiting.get(no).map(|w| w.group);
+        let joint = |g: &u64| self.groups.get(g).is_some_and(|g| g.together);
+        let taken = |e: &Effect<Rc<Parcel>>| match e {
+            Effect::Taken(no, _) => group(no).filter(joint),
+            _ => None,
+        };
+        let taken: BTreeSet<u64> = effects.iter().filter_map(taken).collect();
+        let both = |e: Effect<Rc<Parcel>>| match e {
+            Effect::TurnedDown(no, parcel, end) if group(&no).is_some_and(|g| taken.contains(&g)) => {
+                vec![Effect::Taken(no, parcel.clone()), Effect::Ended(no, parcel, end)]
+            }
+            other => vec![other],
+        };
+        effects.into_iter().flat_map(both).collect()
+    }
+
+    /// How the end of a flow is written down, with what is owed for it.
+    /// `refused`: the call that the ledger may still show as out is known not to have run.
+    fn end_record(&mut self, no: FlowNo, parcel: &Parcel, end: End, refused: bool, now: Duration) -> Record {
+        let said = self.said.remove(&no);
+        if matches!(end, End::Delivered | End::Over) {
+            return Record::Ended(no, None);
+        }
+        let returned_after = if let End::Returned(wait) = end { Some(wait) } else { None };
+        let Some(envelope) = &parcel.mail else {
+            return Record::Ended(no, Some(Owed { id: parcel.id.clone(), returned_after }));
+        };
+        log::info!(
+            "mail: {} to <{}> ends undelivered: {}",
+            parcel.id,
+            envelope.to,
+            said.as_deref().unwrap_or("-")
+        );
+        let bounce = self.mail.as_ref().and_then(|(s, _)| s.bounce.map(|to| (s.clone(), to)));
+        let Some((settings, to)) = bounce.filter(|_| !envelope.from.is_empty()) else {
+            return Record::Ended(no, None);
+        };
+        let progress = self.journal.ledger().open.get(&no).map(|(_, p)| p.clone()).unwrap_or_default();
+        let permanent = said.as_deref().is_some_and(|s| s.starts_with('5'));
+        let (status, reason) = match end {
+            End::Failed if permanent => ("5.0.0", "The server that it was for refused it for good."),
+            End::Failed if progress.risk.or(progress.out.filter(|_| !refused)).is_some() => (
+                "4.4.2",
+                "The server that it was for took it and did not say what became of it. It may have been\r\n\
+                  delivered, and has not been sent again.",
+            ),
+            End::Failed => ("4.4.7", "Its time ran out before any server took it."),
+            _ => ("4.3.2", "There was no room for it. It has not been delivered, and may be sent again."),
+        };
+        let dsn = self.number();
+        let id = format!("n{:x}-{}", now.as_micros(), dsn.0);
+        let report = Report {
+            hostname: &settings.hostname,
+            id: &id,
+            sender: &envelope.from,
+            recipient: &envelope.to,
+            status,
+            reason,
+            diagnostic: said.as_deref(),
+            original: &parcel.body,
+            now,
+        };
+        let mail = Some(Envelope { from: String::new(), to: envelope.from.clone() });
+        let parcel = Rc::new(Parcel { id: id.clone(), key: None, mail, body: report.message().into() });
+        let (deadline, class) = (now + settings.deadline, settings.class.clone());
+        Record::Bounced(no, dsn, TakenFlow { deadline, class, tenant: None, destination: to.0, parcel })
+    }
+
+    /// Hands the mail calls of this step out: what goes to one real server shares calls as far as its kind
+    /// allows, and in a call what has one sender and one body shares a transaction.
+    fn make_mail_calls(&mut self) {
+        let mut by_server: BTreeMap<ServerNo, Vec<_>> = BTreeMap::new();
+        for (server, give_up_at, destination, item) in std::mem::take(&mut self.mail_calls) {
+            by_server.entry(server).or_default().push((give_up_at, destination, item));
+        }
+        for (no, orders) in by_server {
+            let server = &self.directory.servers[no.0 as usize];
+            let (Some(address), Wire::Mail(dialect), Some((_, upstream))) =
+                (server.address, server.wire, &self.mail)
+            else {
+                continue;
+            };
+            let per_call = self.per_call.get(server.kind.0).copied().unwrap_or(1).max(1);
+            for orders in orders.chunks(per_call) {
+                let mut transactions: Vec<Vec<Item>> = Vec::new();
+                for (_, _, item) in orders {
+                    let from = |i: &Item| i.parcel.mail.as_ref().map(|m| m.from.clone());
+                    let same = |t: &&mut Vec<Item>| {
+                        from(&t[0]) == from(item)
+                            && (Rc::ptr_eq(&t[0].parcel.body, &item.parcel.body)
+                                || t[0].parcel.body == item.parcel.body)
+                    };
+                    match transactions.iter_mut().find(same) {
+                        Some(t) => t.push(item.clone()),
+                        None => transactions.push(vec![item.clone()]),
+                    }
+                }
+                let give_up_at = orders.iter().map(|o| o.0).min().unwrap_or_default();
+                let give_up_at = self.clock.instant(give_up_at);
+                let switch =
+                    upstream.call(MailCall { server: no, address, dialect, give_up_at, transactions });
+                for (_, destination, item) in orders {
+                    let call = OpenCall { switch: switch.clone(), destination: *destination };
+                    self.calls.insert((item.flow, item.attempt), call);
+                }
+            }
+        }
     }
 
     fn do_effect(&mut self, effect: Effect<Rc<Parcel>>, now: Duration, lasting: bool) {
         match effect {
+            Effect::Taken(no, _) if lasting => self.settle(no, Verdict::Taken),
             Effect::Taken(no, parcel) => {
-                let Some((reply, _)) = self.waiting.remove(&no) else { return };
-                if lasting {
-                    let _ = reply.send(Verdict::Taken);
-                } else {
-                    // Guards the promise of a 202: what is not written down was not taken.
-                    self.core.withdraw(no);
-                    self.forget(no, &parcel.id);
-                    let _ = reply.send(Verdict::Full);
-                }
+                // Guards the promise of a 202: what is not written down was not taken.
+                self.core.withdraw(no);
+                self.forget(no, &parcel.id);
+                self.settle(no, Verdict::Full);
             }
             Effect::TurnedDown(no, parcel, end) => {
                 self.forget(no, &parcel.id);
-                if let Some((reply, _)) = self.waiting.remove(&no) {
-                    let verdict = match end {
-                        End::Returned(wait) => Verdict::TurnedDown(wait),
-                        _ => Verdict::Failed,
-                    };
-                    let _ = reply.send(verdict);
-                }
+                let verdict = match end {
+                    End::Returned(wait) => Verdict::TurnedDown(wait),
+                    _ => Verdict::Failed,
+                };
+                self.settle(no, verdict);
             }
             Effect::Call { flow, attempt, server, give_up_at, payload } => {
                 let address = self.directory.servers[server.0 as usize].address;
@@ -432,10 +649,16 @@
                 let (Some(address), Some(destination), true) = (address, destination, lasting) else {
                     // Not written down, or nowhere to go: it does not go out.
                     let (outcome, elapsed) = (Outcome::Void, Duration::ZERO);
-                    let end = CallEnd { flow, attempt, server, outcome, over: false, elapsed, limit: None };
+                    let end =
+                        CallEnd { flow, attempt, server, outcome, finished: None, elapsed, limit: None };
                     self.core.call_ended(end);
                     return;
                 };
+                if self.directory.servers[server.0 as usize].wire != Wire::Http {
+                    let item = Item { flow, attempt, parcel: payload };
+                    self.mail_calls.push((server, give_up_at, destination, item));
+                    return;
+                }
                 let give_up_at = self.clock.instant(give_up_at);
                 let order = CallOrder { flow, attempt, server, address, give_up_at, parcel: payload };
                 let switch = self.upstream.call(order);
@@ -460,7 +683,12 @@
                     self.ids.remove(&id);
                 }
             }
-            Effect::Release(server) => self.upstream.release(server),
+            Effect::Release(server) => {
+                self.upstream.release(server);
+                if let Some((_, mail)) = &self.mail {
+                    mail.release(server);
+                }
+            }
             Effect::Wake(after) => {
                 let at = now + after;
                 self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -4,11 +4,17 @@
 use super::config::Config;
 use super::edge::Edge;
 use super::journal::Journal;
-use super::owner::{Owner, Parts, QUEUE};
+use super::mail::Dialect;
+use super::mail::client::MailUpstream;
+use super::mail::server::MailEdge;
+use super::operator::OperatorFile;
+use super::owner::{Owner, Parts, QUEUE, ToOwner};
 use super::phase::{Phase, State};
 use super::upstream::Upstream;
 use super::{discovery, notices};
 use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -37,34 +43,57 @@
 ///
 /// # Errors
 /// What kept it from starting.
-pub fn serve(config: &Config) -> Result<(), StartError> {
+pub fn serve(config: &Config, operator: Option<PathBuf>) -> Result<(), StartError> {
     let failed = |what: &'static str| move |e: std::io::Error| StartError(format!("{what}: {e}"));
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(failed("runtime"))?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run(config, operator))
 }
 
-async fn run(config: &Config) -> Result<(), StartError> {
+async fn run(config: &Config, operator: Option<PathBuf>) -> Result<(), StartError> {
     let failed = |what: &'static str| move |e: std::io::Error| StartError(format!("{what}: {e}"));
     let phase = Phase::new();
     let clock = Clock::start();
     let mut terminated = signal(SignalKind::terminate()).map_err(failed("signals"))?;
     let mut interrupted = signal(SignalKind::interrupt()).map_err(failed("signals"))?;
-    let listener = TcpListener::bind(config.listen).await.map_err(failed("listen"))?;
     phase.advance(State::Recovering);
     let journal = Journal::open(&config.state, config.disk).map_err(failed("journal"))?;
     let (to_owner, queue) = mpsc::channel(QUEUE);
     let upstream =
         Upstream::new(config.settings.connect_timeout, config.settings.keepalive, to_owner.clone());
-    let (due, told) = mpsc::channel(1);
     spawn_local(upstream.clone().sweep());
-    spawn_local(notices::tell(config.discovery, told, to_owner.clone()));
-    spawn_local(discovery::follow(config.discovery, config.known.rev, to_owner.clone()));
-    let parts = Parts { journal, clock, phase: phase.clone(), upstream, notices: due, queue };
+    let mail_upstream = config.mail.as_ref().map(|m| {
+        MailUpstream::new(m.hostname.clone(), config.settings.connect_timeout, m.times, to_owner.clone())
+    });
+    if let Some(mail) = &mail_upstream {
+        spawn_local(mail.clone().sweep());
+    }
+    let (due, told) = mpsc::channel(1);
+    if let Some(http) = &config.http {
+        spawn_local(notices::tell(http.outcomes, told, to_owner.clone()));
+    }
+    if let Some(discovery) = config.discovery {
+        spawn_local(discovery::follow(discovery, config.known.rev, to_owner.clone()));
+    }
+    let parts = Parts { journal, clock, phase: phase.clone(), upstream, mail_upstream, notices: due, queue };
     let owner = Owner::new(config, parts).map_err(|e| StartError(e.to_string()))?;
-    let most = config.sockets.saturating_sub(OTHER_DESCRIPTORS).max(16);
-    let edge = Edge::new(to_owner, phase.clone(), clock, most);
-    spawn_local(edge.serve(listener));
+    if let Some(http) = &config.http {
+        let most = config.sockets.saturating_sub(OTHER_DESCRIPTORS).max(16);
+        let edge = Edge::new(to_owner.clone(), phase.clone(), clock, most, http.paths.clone());
+        spawn_local(edge.serve(listen("HTTP", http.listen).await?));
+    }
+    if let Some(mail) = &config.mail {
+        let edge = MailEdge::new(mail.clone(), to_owner.clone(), phase.clone(), clock);
+        if let Some(address) = mail.smtp {
+            spawn_local(edge.clone().serve(listen("SMTP", address).await?, Dialect::Smtp));
+        }
+        if let Some(address) = mail.lmtp {
+            spawn_local(edge.serve(listen("LMTP", address).await?, Dialect::Lmtp));
+        }
+    }
+    if let Some(path) = operator {
+        spawn_local(reread(path, to_owner));
+    }
     let owner = spawn_local(owner.run());
     phase.advance(State::Serving);
     let order = phase.clone();
@@ -81,3 +110,27 @@
     phase.advance(State::Stopped);
     ended.map_err(|e| StartError(format!("the owner failed: {e}")))
 }
+
+async fn listen(what: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let failed = |e| StartError(format!("{what} on {address}: {e}"));
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    log::info!("{what} on {}", listener.local_addr().map_err(failed)?);
+    Ok(listener)
+}
+
+/// Reads the operator's file again at each SIGHUP and passes its real servers on; all else in it stays as it
+/// was at the start.
+async fn reread(path: PathBuf, owner: mpsc::Sender<ToOwner>) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+    while hangup.recv().await.is_some() {
+        match OperatorFile::read(&path) {
+            Ok(file) => {
+                log::info!("{} read again", path.display());
+                if owner.send(ToOwner::Servers(file.servers())).await.is_err() {
+                    return;
+                }
+            }
+            Err(e) => log::error!("not taken over: {e}"),
+        }
+    }
+}
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -4,7 +4,7 @@
 use super::owner::ToOwner;
 use super::parcel::Parcel;
 use crate::api::LimitReport;
-use crate::core::{CallEnd, FlowNo, Outcome, ServerNo};
+use crate::core::{CallEnd, End, FlowNo, Outcome, ServerNo};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -89,7 +89,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Answer {
     outcome: Outcome,
-    over: bool,
+    finished: Option<End>,
     limit: Option<LimitReport>,
 }
 
@@ -148,11 +148,11 @@
             answer.outcome,
             started.elapsed()
         );
-        let Answer { outcome, over, limit } = answer;
+        let Answer { outcome, finished, limit } = answer;
         let CallOrder { flow, attempt, server, .. } = order;
-        let end = CallEnd { flow, attempt, server, outcome, over, elapsed: started.elapsed(), limit };
+        let end = CallEnd { flow, attempt, server, outcome, finished, elapsed: started.elapsed(), limit };
         // The owner outlives all calls but at exit.
-        let _ = self.0.owner.send(ToOwner::CallEnded(end)).await;
+        let _ = self.0.owner.send(ToOwner::CallEnded(end, None)).await;
     }
 
     async fn exchange(
@@ -238,14 +238,15 @@
     /// Whether it may carry another call: young enough, and the other side has neither closed it nor said
     /// anything unasked.
     fn stands(&mut self, keep: Duration) -> bool {
-        let quiet = |stream: &TcpStream| {
-            let unread = stream.try_read(&mut [0; 1]);
-            matches!(unread, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-        };
-        self.since.elapsed() < keep && quiet(self.connection.get_mut())
+        self.since.elapsed() < keep && is_quiet(self.connection.get_mut())
     }
 }
 
+/// Whether the other side has neither closed an idle connection nor said anything unasked.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    matches!(stream.try_read(&mut [0; 1]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
 fn request(order: &CallOrder, now: Instant) -> Vec<u8> {
     let left = order.give_up_at.saturating_duration_since(now).as_millis();
     let parcel = &order.parcel;
@@ -262,7 +263,7 @@
 
 impl Answer {
     fn of(outcome: Outcome) -> Self {
-        Answer { outcome, over: false, limit: None }
+        Answer { outcome, finished: None, limit: None }
     }
 
     fn read(head: &Head) -> Option<Self> {
@@ -282,7 +283,8 @@
             504 | 410 => Outcome::Void,
             _ => Outcome::Failure,
         };
-        Some(Answer { outcome, over: status == 410, limit: head.field("x-backend-load").and_then(limit) })
+        let finished = (status == 410).then_some(End::Over);
+        Some(Answer { outcome, finished, limit: head.field("x-backend-load").and_then(limit) })
     }
 }
 
