Ask the probes that the module orders: a hung real server was never found to be back

With destinations in the debug log, 21 of the 33 failed flows had no attempt at all; all were for one destination with one real server, judged down at the hang and never tried again by that relay.

Cause: limits.probes is true here, so the module sends no message to a server that is down but a probe, and owner.rs answered Effect::Probe with Void, which proves nothing. Now GET /stats goes out on a pooled connection (upstream.rs, probe); a mail server is asked for its greeting.

Tests: three stories over loopback (the probe; a kill with a torn tail, a once and a keyed flow out and a platform that fails to take the first notice; faulty requests, doubles and SIGTERM).

--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -113,6 +113,23 @@
         switch
     }
 
+    /// Probes a real server: whether it greets us.
+    pub fn probe(&self, server: ServerNo, address: SocketAddr, dialect: Dialect) {
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            let outcome = match timeout(this.0.dial_timeout * 2, this.connect(address, dialect)).await {
+                Ok(Ok(c)) => {
+                    this.put_idle(server, c);
+                    Outcome::Success
+                }
+                Ok(Err(Stopped::Closing(_))) => Outcome::Overloaded { wait: None },
+                Ok(Err(Stopped::Late)) | Err(_) => Outcome::TimedOut,
+                Ok(Err(_)) => Outcome::Unreachable,
+            };
+            let _ = this.0.owner.send(ToOwner::Probed(server, outcome, None)).await;
+        });
+    }
+
     async fn run(self, call: MailCall, switch: Switch) {
         let started = Instant::now();
         let items: Vec<&Item> = call.transactions.iter().flatten().collect();
@@ -150,7 +167,7 @@
     ) -> Result<(), Stopped> {
         let mut c = match self.take_idle(call.server) {
             Some(c) => c,
-            None => self.connect(call).await?,
+            None => self.connect(call.address, call.dialect).await?,
         };
         let mut first = 0;
         for transaction in &call.transactions {
@@ -167,8 +184,8 @@
         Ok(())
     }
 
-    async fn connect(&self, call: &MailCall) -> Result<Connection, Stopped> {
-        let dialled = timeout(self.0.dial_timeout, TcpStream::connect(call.address)).await;
+    async fn connect(&self, address: SocketAddr, dialect: Dialect) -> Result<Connection, Stopped> {
+        let dialled = timeout(self.0.dial_timeout, TcpStream::connect(address)).await;
         let stream = dialled.map_err(|_| Stopped::Late)??;
         stream.set_nodelay(true)?;
         let mut c = Connection { lines: Lines::new(stream), eight_bit: false, size: false };
@@ -177,12 +194,12 @@
             return Err(Stopped::Closing(greeting.text()));
         }
         let name = &self.0.hostname;
-        let hello = match call.dialect {
+        let hello = match dialect {
             Dialect::Smtp => self.command(&mut c, &format!("EHLO {name}")).await?,
             Dialect::Lmtp => self.command(&mut c, &format!("LHLO {name}")).await?,
         };
         (c.eight_bit, c.size) = (hello.offers("8BITMIME"), hello.offers("SIZE"));
-        let plain = hello.kind() == 5 && call.dialect == Dialect::Smtp;
+        let plain = hello.kind() == 5 && dialect == Dialect::Smtp;
         let hello = if plain { self.command(&mut c, &format!("HELO {name}")).await? } else { hello };
         if hello.kind() == 2 { Ok(c) } else { Err(Stopped::Closing(hello.text())) }
     }
--- a/src/net/owner.rs
+++ b/src/net/owner.rs
@@ -11,7 +11,7 @@
 use super::parcel::{Envelope, Parcel};
 use super::phase::{Phase, State};
 use super::upstream::{CallOrder, Switch, Upstream};
-use crate::api::{ClassId, DestinationId, KindId, ListState, Past, TenantId, ZoneId};
+use crate::api::{ClassId, DestinationId, KindId, LimitReport, ListState, Past, TenantId, ZoneId};
 use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo, ServiceEntry};
 use crate::settings::Names;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -43,6 +43,8 @@
     Offer(Offer),
     /// A call ended.
     CallEnded(CallEnd, Option<String>),
+    /// A probe ended.
+    Probed(ServerNo, Outcome, Option<LimitReport>),
     /// The operator's real servers, all of them.
     Servers(Vec<FixedServer>),
     /// News of discovery's list.
@@ -118,6 +120,7 @@
         let id = self.number(&raw.uid);
         let server = &mut self.servers[id.0 as usize];
         server.wire = wire;
+        log::debug!("server {} is {} of destination {}: {}", id.0, raw.uid, raw.pod_group, raw.state);
         match raw.endpoint.parse() {
             Ok(address) => server.address = Some(address),
             Err(_) => log::error!("discovery: `{}` is no address", raw.endpoint),
@@ -357,6 +360,7 @@
                 }
                 self.core.call_ended(end);
             }
+            ToOwner::Probed(server, outcome, limit) => self.core.probe_ended(server, outcome, limit),
             ToOwner::Servers(servers) => self.take_servers(servers),
             ToOwner::List(list) => self.take_list(&list),
             ToOwner::NoticesHeard(flows) => {
@@ -628,7 +632,13 @@
 
     fn do_effect(&mut self, effect: Effect<Rc<Parcel>>, now: Duration, lasting: bool) {
         match effect {
-            Effect::Taken(no, _) if lasting => self.settle(no, Verdict::Taken),
+            Effect::Taken(no, parcel) if lasting => {
+                if let Some(w) = self.waiting.get(&no) {
+                    let (class, to) = (&w.flow.class, w.flow.destination);
+                    log::debug!("flow {} ({}) taken: class {class}, destination {to}", no.0, parcel.id);
+                }
+                self.settle(no, Verdict::Taken);
+            }
             Effect::Taken(no, parcel) => {
                 // Guards the promise of a 202: what is not written down was not taken.
                 self.core.withdraw(no);
@@ -693,8 +703,16 @@
                 let at = now + after;
                 self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
             }
-            // The platform's real servers have no probe that the settings would not have to allow first.
-            Effect::Probe(server) => self.core.probe_ended(server, Outcome::Void, None),
+            Effect::Probe(server) => {
+                let Server { address, wire, .. } = &self.directory.servers[server.0 as usize];
+                match (address, wire, &self.mail) {
+                    (Some(address), Wire::Http, _) => self.upstream.probe(server, *address),
+                    (Some(address), Wire::Mail(dialect), Some((_, mail))) => {
+                        mail.probe(server, *address, *dialect)
+                    }
+                    _ => self.core.probe_ended(server, Outcome::Void, None),
+                }
+            }
             Effect::Log(line) => log::info!("{line}"),
         }
     }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -158,21 +158,33 @@
     async fn exchange(
         &self, order: &CallOrder, switch: &Switch, sent: &Cell<bool>,
     ) -> Result<Answer, Outcome> {
-        let mut connection = match self.take_idle(order.server) {
-            Some(connection) => connection,
-            None => self.dial(order.address).await.map_err(|e| {
-                log::debug!("real server {}: {e}", order.server.0);
-                Outcome::Unreachable
-            })?,
-        };
+        let connection = self.connection(order.server, order.address).await?;
         if switch.held() {
             // Guards told waits: while this connection came up, another call was told to wait.
             self.put_idle(order.server, connection);
             return Err(Outcome::Void);
         }
         let request = request(order, Instant::now());
+        let (head, _) = self.ask(order.server, connection, &request, sent).await?;
+        Answer::read(&head).ok_or(Outcome::Broken)
+    }
+
+    async fn connection(&self, server: ServerNo, address: SocketAddr) -> Result<Reader<TcpStream>, Outcome> {
+        match self.take_idle(server) {
+            Some(connection) => Ok(connection),
+            None => self.dial(address).await.map_err(|e| {
+                log::debug!("real server {}: {e}", server.0);
+                Outcome::Unreachable
+            }),
+        }
+    }
+
+    /// Writes a request and reads its answer; the connection is kept if it can be used again.
+    async fn ask(
+        &self, server: ServerNo, mut connection: Reader<TcpStream>, request: &[u8], sent: &Cell<bool>,
+    ) -> Result<(Head, Vec<u8>), Outcome> {
         // Broken before the last byte is written, it never ran; the real server begins with the last byte.
-        connection.get_mut().write_all(&request).await.map_err(|_| Outcome::Unreachable)?;
+        connection.get_mut().write_all(request).await.map_err(|_| Outcome::Unreachable)?;
         sent.set(true);
         let head = loop {
             let head = connection.head().await.map_err(|_| Outcome::Broken)?;
@@ -180,17 +192,39 @@
                 break head;
             }
         };
-        let answer = Answer::read(&head).ok_or(Outcome::Broken)?;
         // The outcome is known; the rest only says whether the connection can be used again.
         let rest = async {
             let framing = head.framing(Framing::UntilEnd)?;
-            connection.body(framing).await?;
-            Ok::<_, HttpError>(framing != Framing::UntilEnd && head.keeps_alive(&head.first[0]))
+            let body = connection.body(framing).await?;
+            Ok::<_, HttpError>((framing != Framing::UntilEnd && head.keeps_alive(&head.first[0]), body))
         };
-        if let Ok(Ok(true)) = timeout(TAIL_TIME, rest).await {
-            self.put_idle(order.server, connection);
+        let mut body = Vec::new();
+        if let Ok(Ok((again, read))) = timeout(TAIL_TIME, rest).await {
+            body = read;
+            if again {
+                self.put_idle(server, connection);
+            }
         }
-        Ok(answer)
+        Ok((head, body))
+    }
+
+    /// Probes a real server.
+    pub fn probe(&self, server: ServerNo, address: SocketAddr) {
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            let asked = async {
+                let connection = this.connection(server, address).await?;
+                let request = format!("GET /stats HTTP/1.1\r\nHost: {address}\r\n\r\n");
+                this.ask(server, connection, request.as_bytes(), &Cell::new(false)).await
+            };
+            let (outcome, report) = match timeout(this.0.dial_timeout, asked).await {
+                Ok(Ok((head, body))) => probed(&head, &body),
+                Ok(Err(outcome)) => (outcome, None),
+                Err(_) => (Outcome::TimedOut, None),
+            };
+            log::debug!("probe of {}: {outcome:?}", server.0);
+            let _ = this.0.owner.send(ToOwner::Probed(server, outcome, report)).await;
+        });
     }
 
     async fn dial(&self, address: SocketAddr) -> io::Result<Reader<TcpStream>> {
@@ -261,6 +295,17 @@
     bytes
 }
 
+/// What the answer to a probe says. Its report may stand in the head or be the body.
+fn probed(head: &Head, body: &[u8]) -> (Outcome, Option<LimitReport>) {
+    let outcome = match head.first[1].as_str() {
+        "200" => Outcome::Success,
+        "429" | "503" => Outcome::Overloaded { wait: None },
+        _ => Outcome::Failure,
+    };
+    let body = std::str::from_utf8(body).unwrap_or_default();
+    (outcome, limit(head.field("x-backend-load").unwrap_or(body)))
+}
+
 impl Answer {
     fn of(outcome: Outcome) -> Self {
         Answer { outcome, finished: None, limit: None }
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,202 @@
+//! Stories of the HTTP front: a relay between scripted clients, real servers and a platform.
+#![allow(missing_docs)]
+
+mod peers;
+
+use peers::*;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::Duration;
+
+type Heard = Arc<Mutex<Vec<String>>>;
+
+/// A request: its first line, its fields in lower case, and its body.
+fn request(talk: &mut Talk) -> Option<(String, String, String)> {
+    let first = talk.line()?;
+    let mut fields = String::new();
+    loop {
+        let line = talk.line()?;
+        if line.is_empty() {
+            break;
+        }
+        fields += &format!("{}\n", line.to_ascii_lowercase());
+    }
+    let length = field(&fields, "content-length").map_or(0, |l| l.parse().unwrap());
+    Some((first, fields, String::from_utf8(talk.exact(length)).unwrap()))
+}
+
+fn field<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    fields.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(": "))
+}
+
+fn answer(talk: &mut Talk, status: &str) {
+    talk.write(&format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"));
+}
+
+/// The platform: a list that never changes, and notices, the first of which it fails to take.
+fn platform() -> (SocketAddr, Heard) {
+    let heard = Heard::default();
+    let (to, posts) = (heard.clone(), AtomicUsize::new(0));
+    let address = listen(move |mut talk| {
+        while let Some((first, _, body)) = request(&mut talk) {
+            if first.starts_with("GET") {
+                talk.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                while talk.line().is_some() {}
+            } else if posts.fetch_add(1, SeqCst) == 0 {
+                answer(&mut talk, "503 no");
+            } else {
+                to.lock().unwrap().extend(body.lines().map(str::to_string));
+                answer(&mut talk, "204 No Content");
+            }
+        }
+    });
+    (address, heard)
+}
+
+/// A real server: `script` says what the n-th call is answered with; `mute` and `cut` are no answer.
+fn server(script: impl Fn(usize) -> &'static str + Send + Sync + 'static) -> (SocketAddr, Heard) {
+    let heard = Heard::default();
+    let (to, calls) = (heard.clone(), AtomicUsize::new(0));
+    let address = listen(move |mut talk| {
+        while let Some((first, fields, _)) = request(&mut talk) {
+            if first.starts_with("GET /stats") {
+                answer(&mut talk, "200 OK");
+                continue;
+            }
+            to.lock().unwrap().push(field(&fields, "x-correlation-id").unwrap().to_string());
+            match script(calls.fetch_add(1, SeqCst)) {
+                "mute" => while talk.line().is_some() {},
+                "cut" => return,
+                status => answer(&mut talk, status),
+            }
+        }
+    });
+    (address, heard)
+}
+
+fn config(platform: SocketAddr, server: SocketAddr, most_held: usize) -> String {
+    let class = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","aimMs":1000,"deadlineMs":9000,"worth":1,"effect":"{effect}","group":"all","windowMs":8000}}"#
+        )
+    };
+    format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"{platform}","seed":"1f","limits":{{"disk_mb":1,"sockets":256}},
+        "known":{{"rev":1,"all":true,"targets":[{{"uid":"s","endpoint":"{server}","model":"m","pod_group":7,"state":"up"}}]}},
+        "settings":{{"classes":[{},{}],"extra":{{"maxCalls":8}},"models":["m"],"siblings":1,"tariffs":{{}},"tickMs":5,"zones":[],
+        "invariants":{{"coldMs":500,"overloadFactor":2,"overloadForMs":100,"startCapacity":1}},
+        "limits":{{"dialTimeoutMs":500,"keepaliveMs":5000,"maxAttempts":6,"maxRetryAfterMs":500,"maxStreams":1,
+        "mostHeld":{most_held},"probes":true,"cancelling":true}}}}}}"#,
+        class("orders", "once"),
+        class("notices", "by_key")
+    )
+}
+
+fn flow(class: &str, id: &str) -> String {
+    format!(
+        "POST /{class} HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 9000\r\nIdempotency-Key: k\r\n\
+         Envelope: dest=7\r\nContent-Length: 2\r\n\r\nab"
+    )
+}
+
+/// Sends a request and returns the status and fields of its answer.
+fn ask(talk: &mut Talk, request: &str) -> String {
+    talk.write(request);
+    let mut head = String::new();
+    while let Some(line) = talk.line().filter(|l| !l.is_empty()) {
+        head += &format!("{line}\n");
+    }
+    head.strip_prefix("HTTP/1.1 ").unwrap_or_default().to_string()
+}
+
+fn hand_in(relay: &Relay, class: &str, id: &str) -> String {
+    ask(&mut Talk::to(relay.address("HTTP")), &flow(class, id))
+}
+
+#[test]
+fn a_server_that_said_nothing_is_probed_and_found_to_be_back() {
+    let folder = Folder::new("probe");
+    let (platform, notices) = platform();
+    let (address, heard) = server(|n| if n == 0 { "mute" } else { "200 OK" });
+    let relay = Relay::platform(&folder, &config(platform, address, 50));
+    assert!(hand_in(&relay, "orders", "first").starts_with("202"));
+    sleep(Duration::from_millis(800));
+    // Now held to be down: only a probe can clear it for an order, which has one try.
+    assert!(hand_in(&relay, "orders", "second").starts_with("202"));
+    sleep(Duration::from_millis(4500));
+    assert_eq!(*heard.lock().unwrap(), ["first", "second"]);
+    assert!(notices.lock().unwrap().is_empty());
+}
+
+#[test]
+fn after_a_kill_what_may_have_run_is_failed_or_goes_on_and_its_notice_is_told_until_it_is_heard() {
+    let folder = Folder::new("kill");
+    let (platform, notices) = platform();
+    let (address, heard) = server(|n| if n < 2 { "mute" } else { "200 OK" });
+    let text = config(platform, address, 50);
+    let relay = Relay::platform(&folder, &text);
+    assert!(hand_in(&relay, "orders", "once").starts_with("202"));
+    assert!(hand_in(&relay, "notices", "keyed").starts_with("202"));
+    until("both calls", || (heard.lock().unwrap().len() == 2).then_some(()));
+    relay.kill();
+    // The tail of the journal is torn.
+    let journal = folder.0.join("state/journal");
+    let mut bytes = std::fs::read(&journal).unwrap();
+    bytes.extend([9, 0, 0, 0, 1]);
+    std::fs::write(&journal, bytes).unwrap();
+    let relay = Relay::platform(&folder, &text);
+    relay.logged("cutting off 5 bytes");
+    until("the notice", || (!notices.lock().unwrap().is_empty()).then_some(()));
+    until("the keyed one", || (heard.lock().unwrap().len() == 3).then_some(()));
+    sleep(Duration::from_millis(300));
+    relay.kill();
+    let relay = Relay::platform(&folder, &text);
+    relay.logged("recovered 0 open flows and 0 notices owed");
+    assert_eq!(*notices.lock().unwrap(), [r#"{"id":"once","state":"failed"}"#]);
+    assert_eq!(heard.lock().unwrap()[2], "keyed");
+}
+
+#[test]
+fn faulty_requests_fail_alone_and_a_relay_told_to_end_answers_all_that_is_whole() {
+    let folder = Folder::new("edge");
+    let (platform, _) = platform();
+    let (address, heard) = server(|n| if n == 0 { "cut" } else { "mute" });
+    let mut relay = Relay::platform(&folder, &config(platform, address, 3));
+    let at = relay.address("HTTP");
+    let whole = flow("orders", "a");
+    let long = format!("POST /orders HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(9000));
+    for (bad, status) in [
+        (whole.replace("Content-Length: 2", "Content-Length: 99999"), "413"),
+        (whole.replace("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked"), "400"),
+        (whole.replace("POST /orders", "POST /parcels"), "400"),
+        (whole.replace("dest=7", "dest=x"), "400"),
+        (long, "431"),
+        ("GET /health/ready HTTP/1.1\r\n\r\n".into(), "200"),
+    ] {
+        assert!(ask(&mut Talk::to(at), &bad).starts_with(status), "{status}");
+    }
+    // Handed in twice under one id it is one flow; and once may have run is once sent.
+    assert!(hand_in(&relay, "orders", "a").starts_with("202"));
+    assert!(hand_in(&relay, "orders", "a").starts_with("202"));
+    until("the call", || (!heard.lock().unwrap().is_empty()).then_some(()));
+    sleep(Duration::from_millis(700));
+    assert_eq!(*heard.lock().unwrap(), ["a"]);
+    // Room for three, of which the module keeps one free: a turn-down is the direct answer.
+    let said: Vec<_> = ["b", "c", "d", "e"].iter().map(|id| hand_in(&relay, "orders", id)).collect();
+    assert!(
+        said[..2].iter().all(|s| s.starts_with("202"))
+            && said[3].starts_with("429")
+            && said[3].contains("Retry-After: 0.5"),
+        "{said:?}"
+    );
+    let mut kept = Talk::to(at);
+    assert!(ask(&mut kept, "GET /health/ready HTTP/1.1\r\n\r\n").starts_with("200"));
+    relay.signal("TERM");
+    relay.logged("-> Draining");
+    assert!(ask(&mut kept, "GET /health/ready HTTP/1.1\r\n\r\n").starts_with("503"));
+    let said = ask(&mut kept, &flow("orders", "f"));
+    assert!(said.starts_with("429") && said.contains("Retry-After: 2"), "{said}");
+    assert!(relay.ended());
+}
