--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 mod logger;
 
 use argh::FromArgs;
+use onyxstile::import_nginx;
 use onyxstile::net::{config::Config, relay};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -19,6 +20,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Import(Import),
     Version(Version),
 }
 
@@ -40,6 +42,16 @@
     file: PathBuf,
 }
 
+/// Write the upstream and location blocks of an nginx configuration as an operator's file on standard output,
+/// and what could not be carried over, by line, on standard error.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "import-nginx")]
+struct Import {
+    /// the configuration
+    #[argh(positional)]
+    file: PathBuf,
+}
+
 /// Print the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -49,6 +61,7 @@
     let done = match argh::from_env::<Arguments>().command {
         Command::Serve(options) => serve(options.config).map_err(|e| e.to_string()),
         Command::Check(options) => check(&options.file).map_err(|e| e.to_string()),
+        Command::Import(options) => import(&options.file).map_err(|e| e.to_string()),
         Command::Version(_) => {
             println!("onyxstile {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -80,3 +93,13 @@
     }
     Ok(())
 }
+
+fn import(file: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let imported = import_nginx::import(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+    print!("{}", imported.file);
+    for (line, what) in &imported.left {
+        eprintln!("{}:{line}: {what}", file.display());
+    }
+    Ok(())
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,11 +3,13 @@
 use super::mail::MailSettings;
 use super::operator::{FixedServer, OperatorFile};
 use crate::api::{DestinationId, Settings};
+use crate::plugin::Hooks;
 use crate::settings::{self, Names};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A configuration that cannot work.
@@ -107,6 +109,8 @@
     pub discovery: Option<SocketAddr>,
     /// The mail front.
     pub mail: Option<MailSettings>,
+    /// The operator's scripts.
+    pub hooks: Rc<Hooks>,
     /// Real servers that the operator names.
     pub fixed: Vec<FixedServer>,
     /// The folder that lasts.
@@ -145,6 +149,8 @@
         if let Some(file) = file {
             config.mail = file.mail(&mut config.settings, &mut config.names)?;
             config.fixed = file.servers();
+            config.hooks =
+                Rc::new(Hooks::load(&file.plugins.scripts).map_err(|e| ConfigError(e.to_string()))?);
             if let Some(http) = &mut config.http {
                 http.paths = file.paths();
             }
@@ -176,6 +182,7 @@
             http: Some(HttpSettings { listen, outcomes: discovery, paths: Vec::new() }),
             discovery: Some(discovery),
             mail: None,
+            hooks: no_hooks()?,
             fixed: Vec::new(),
             state,
             disk: (raw.limits.disk_mb.max(0.0) * 1e6) as u64,
@@ -201,6 +208,7 @@
             http,
             discovery: None,
             mail: None,
+            hooks: no_hooks()?,
             fixed: Vec::new(),
             state: relay.state,
             disk: (relay.disk_mb.max(0.0) * 1e6) as u64,
@@ -212,3 +220,7 @@
         })
     }
 }
+
+fn no_hooks() -> Result<Rc<Hooks>, ConfigError> {
+    Hooks::load(&[]).map(Rc::new).map_err(|e| ConfigError(e.to_string()))
+}
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -164,10 +164,14 @@
             other => Ok(other.map(str::to_string)),
         };
         let path = head.first[1].strip_prefix('/').ok_or("the path")?;
-        let class = path.split(['/', '?']).next().unwrap_or_default().to_string();
-        if word("x-service-class", "the class")?.is_some_and(|c| c != class) {
+        let first = path.split(['/', '?']).next().unwrap_or_default().to_string();
+        let named = word("x-service-class", "the class")?;
+        // The first part of the path is the class, but for paths that the operator has routed.
+        let routed = self.paths.iter().any(|(p, _)| head.first[1].starts_with(p.as_str()));
+        if !routed && named.as_ref().is_some_and(|c| *c != first) {
             return Err("two classes");
         }
+        let class = named.filter(|_| routed).unwrap_or(first);
         let left = head.field("x-time-left-ms").and_then(|v| v.parse::<u32>().ok()).ok_or("the time left")?;
         let envelope = head.field("envelope").unwrap_or_default();
         let pairs = envelope.split([';', ',', '&', ' ']).filter_map(|p| p.split_once('='));
--- a/src/net/mail/mod.rs
+++ b/src/net/mail/mod.rs
@@ -22,6 +22,11 @@
     DestinationId(MAIL_SPACE | written)
 }
 
+/// The number as the operator wrote it, of a mail destination or another.
+pub fn written(destination: DestinationId) -> u64 {
+    destination.0 & !MAIL_SPACE
+}
+
 /// Which of the two protocols.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Dialect {
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -28,10 +28,21 @@
     /// Where recipients and paths belong.
     #[serde(default)]
     pub route: Vec<RouteTable>,
+    /// Scripts called at points of a flow's life.
+    #[serde(default)]
+    pub plugins: PluginsTable,
     /// The module's settings without a platform, in the platform's words.
     pub settings: Option<toml::Table>,
 }
 
+/// Scripts, in the order in which they are called.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PluginsTable {
+    /// Their files.
+    pub scripts: Vec<PathBuf>,
+}
+
 /// A relay without a platform.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -193,8 +204,20 @@
             return Err(wrong(&"over 1 MiB"));
         }
         let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
-        let file: OperatorFile = toml::from_str(&text).map_err(|e| wrong(&e))?;
-        file.check().map_err(|e| wrong(&e))?;
+        let mut file = OperatorFile::parse(&text).map_err(|e| wrong(&e))?;
+        // Scripts are named from where the file is.
+        let folder = path.parent().unwrap_or(Path::new(""));
+        file.plugins.scripts.iter_mut().for_each(|s| *s = folder.join(&s));
+        Ok(file)
+    }
+
+    /// Reads the text of a file.
+    ///
+    /// # Errors
+    /// Something in it cannot be understood.
+    pub fn parse(text: &str) -> Result<OperatorFile, ConfigError> {
+        let file: OperatorFile = toml::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        file.check()?;
         Ok(file)
     }
 
@@ -216,7 +239,7 @@
             if route.domain.is_some() == route.path.is_some() {
                 return Err(ConfigError("a route needs a domain or a path, and not both".into()));
             }
-            if !named(route.destination) && route.domain.is_some() {
+            if !named(route.destination) && (route.domain.is_some() || !self.server.is_empty()) {
                 return Err(ConfigError(format!("no server has destination {}", route.destination)));
             }
         }
@@ -344,8 +367,7 @@
     use super::*;
 
     fn read(text: &str) -> Result<Option<MailSettings>, String> {
-        let file: OperatorFile = toml::from_str(text).map_err(|e| e.to_string())?;
-        file.check().map_err(|e| e.to_string())?;
+        let file = OperatorFile::parse(text).map_err(|e| e.to_string())?;
         let (mut settings, mut names) = crate::settings::read(&file.settings_text().unwrap()).unwrap();
         file.mail(&mut settings, &mut names).map_err(|e| e.to_string())
     }
--- a/src/net/owner.rs
+++ b/src/net/owner.rs
@@ -13,6 +13,7 @@
 use super::upstream::{CallOrder, Switch, Upstream};
 use crate::api::{ClassId, DestinationId, KindId, LimitReport, ListState, Past, TenantId, ZoneId};
 use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo, ServiceEntry};
+use crate::plugin::{FlowView, Hooks};
 use crate::settings::Names;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -175,6 +176,9 @@
     phase: Phase,
     upstream: Upstream,
     mail: Option<(MailSettings, MailUpstream)>,
+    hooks: Rc<Hooks>,
+    /// What scripts see of the open flows; kept only where there are scripts.
+    views: BTreeMap<FlowNo, FlowView>,
     fixed: Vec<FixedServer>,
     per_call: Vec<usize>,
     directory: Directory,
@@ -235,6 +239,8 @@
             phase,
             upstream,
             mail: config.mail.clone().zip(mail_upstream),
+            hooks: config.hooks.clone(),
+            views: BTreeMap::new(),
             fixed: config.fixed.clone(),
             per_call: config.settings.kinds.iter().map(|k| k.per_call).collect(),
             directory: Directory::default(),
@@ -293,6 +299,10 @@
         let destination = DestinationId(flow.destination);
         let remaining = flow.deadline.saturating_sub(now);
         let terms = FlowTerms { class: ClassId(class), tenant, destination, remaining };
+        if !self.hooks.is_empty() {
+            let view = view(&flow.class, flow.tenant.as_deref(), destination, &flow.parcel);
+            self.views.insert(no, view);
+        }
         self.destinations.insert(no, destination);
         self.core.recover(no, terms, past, flow.parcel.clone());
         true
@@ -355,6 +365,11 @@
                 self.calls.remove(&(end.flow, end.attempt));
                 // Should this never be written, a restart takes the call for one that may have run.
                 self.unwritten.push(Record::CallEnded(end.flow, end.outcome.never_ran()));
+                if let Some(view) = self.views.get(&end.flow) {
+                    let server = &self.directory.servers[end.server.0 as usize].uid;
+                    let outcome = outcome_name(end.outcome);
+                    self.hooks.attempt_ended(view, end.attempt, server, outcome, end.elapsed);
+                }
                 if let Some(text) = detail {
                     self.said.insert(end.flow, text);
                 }
@@ -419,12 +434,37 @@
             let _ = reply.send(vec![verdict; items.len()]);
             return;
         }
+        // Scripts come after all that could refuse it and before anything is promised: they can only add a
+        // turn-down. Where one verdict holds for all, so does that.
+        let mut views = Vec::new();
+        let mut turned_down = vec![None; items.len()];
+        if !self.hooks.is_empty() {
+            for (i, (destination, parcel)) in items.iter().enumerate() {
+                let mut view = view(&class, tenant.as_deref(), *destination, parcel);
+                turned_down[i] = self.hooks.flow_taken(&mut view);
+                views.push(view);
+            }
+        }
+        if let Some(wait) = turned_down.iter().flatten().max().copied().filter(|_| together) {
+            turned_down.fill(Some(wait));
+        }
         let group = self.next;
         // One moment for all: what was handed in together is as urgent and goes out in the order given.
         let remaining = deadline.saturating_sub(self.clock.now());
-        self.groups.insert(group, Group { reply, verdicts: vec![None; items.len()], together });
+        let verdicts: Vec<_> = turned_down.iter().map(|w| w.map(Verdict::TurnedDown)).collect();
+        if let Some(all) = verdicts.iter().copied().collect() {
+            let _ = reply.send(all);
+            return;
+        }
+        self.groups.insert(group, Group { reply, verdicts, together });
         for (index, (destination, parcel)) in items.into_iter().enumerate() {
+            if turned_down[index].is_some() {
+                continue;
+            }
             let no = self.number();
+            if let Some(view) = views.get(index) {
+                self.views.insert(no, view.clone());
+            }
             self.ids.insert(parcel.id.clone(), no);
             let terms = FlowTerms { class: ClassId(class_no), tenant: tenant_no, destination, remaining };
             self.destinations.insert(no, destination);
@@ -685,6 +725,9 @@
             }
             Effect::Ended(no, parcel, end) => {
                 log::debug!("flow {} ({}) ended: {end:?}", no.0, parcel.id);
+                if let Some(view) = self.views.remove(&no) {
+                    self.hooks.flow_ended(&view, end_name(end));
+                }
                 self.destinations.remove(&no);
                 self.over.push_back(parcel.id.clone());
                 if self.over.len() > REMEMBERED
@@ -719,6 +762,7 @@
 
     fn forget(&mut self, no: FlowNo, id: &str) {
         self.destinations.remove(&no);
+        self.views.remove(&no);
         self.ids.remove(id);
     }
 }
@@ -726,3 +770,37 @@
 fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
+
+fn view(class: &str, tenant: Option<&str>, destination: DestinationId, parcel: &Parcel) -> FlowView {
+    FlowView {
+        id: parcel.id.clone(),
+        class: class.to_string(),
+        tenant: tenant.unwrap_or_default().to_string(),
+        destination: super::mail::written(destination),
+        size: parcel.body.len(),
+        mail: parcel.mail.as_ref().map(|m| (m.from.clone(), m.to.clone())),
+        label: String::new(),
+    }
+}
+
+fn end_name(end: End) -> &'static str {
+    match end {
+        End::Delivered => "delivered",
+        End::Failed => "failed",
+        End::Returned(_) => "returned",
+        End::Over => "over",
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Success => "success",
+        Outcome::Failure => "failure",
+        Outcome::Overloaded { .. } => "overloaded",
+        Outcome::TimedOut => "timed_out",
+        Outcome::Unreachable => "unreachable",
+        Outcome::Broken => "broken",
+        Outcome::Withdrawn => "withdrawn",
+        Outcome::Void => "void",
+    }
+}
--- a/tests/mail.rs
+++ b/tests/mail.rs
@@ -351,3 +351,25 @@
     until("the second", || (taken_second.lock().unwrap().len() == 5).then_some(()));
     assert_eq!(taken_first.lock().unwrap().len(), 1);
 }
+
+#[test]
+fn a_script_can_turn_down_and_hears_of_ends_and_one_that_fails_stops_nothing() {
+    let folder = Folder::new("script");
+    let (server, taken) = stand_in(false, Fault::None);
+    let mut text = file(&folder, 20, &[("smtp", 0, server), ("smtp", 1, server)]);
+    let script = r#"
+        fn flow_taken(f) { if f.to.starts_with("never") { #{ turn_down: 1 } } else { #{ label: "seen" } } }
+        fn attempt_ended(f, a) { loop {} }
+        fn flow_ended(f, end) { print(`${f.to} ${f.label} ${f.destination} ${end}`) }
+    "#;
+    std::fs::write(folder.0.join("one.rhai"), script).unwrap();
+    text += "[plugins]\nscripts = [\"one.rhai\"]\n";
+    let relay = Relay::start(&folder, &text);
+    let to = ["never@d1.example", "ok@d1.example"].map(str::to_string);
+    assert!(hand_in(relay.address("SMTP"), false, "", &to, "A: b\r\n")[0].starts_with("451"));
+    let said = hand_in(relay.address("LMTP"), true, "", &to, "A: b\r\n");
+    assert!(said[0].starts_with("451") && said[1].starts_with("250"), "{said:?}");
+    relay.logged("ok@d1.example seen 1 delivered");
+    relay.logged("attempt_ended: Too many operations");
+    assert_eq!(taken.lock().unwrap().len(), 1);
+}
