--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -8,22 +8,19 @@
 use crate::core::{CallEnd, End, FlowNo, Outcome, ServerNo};
 use crate::net::owner::ToOwner;
 use crate::net::parcel::Parcel;
+use crate::net::pool::{Pool, Pooled};
 use crate::net::upstream::Switch;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Bytes written at a time.
 const BLOCK: usize = 4096;
-/// How often idle connections are looked at.
-const SWEEP: Duration = Duration::from_millis(500);
-
 /// One flow of a call.
 #[derive(Debug, Clone)]
 pub struct Item {
@@ -89,7 +86,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    idle: RefCell<BTreeMap<ServerNo, Vec<(Connection, Instant)>>>,
+    idle: Pool<Connection>,
     hostname: String,
     dial_timeout: Duration,
     times: Times,
@@ -103,7 +100,7 @@
 impl MailUpstream {
     /// A pool with no connections. Ends of calls go to `owner`.
     pub fn new(hostname: String, dial_timeout: Duration, times: Times, owner: mpsc::Sender<ToOwner>) -> Self {
-        MailUpstream(Rc::new(Inner { idle: RefCell::default(), hostname, dial_timeout, times, owner }))
+        MailUpstream(Rc::new(Inner { idle: Pool::new(times.keep), hostname, dial_timeout, times, owner }))
     }
 
     /// Starts a call; one switch acts on all its flows.
@@ -119,7 +116,7 @@
         tokio::task::spawn_local(async move {
             let outcome = match timeout(this.0.dial_timeout * 2, this.connect(address, dialect)).await {
                 Ok(Ok(c)) => {
-                    this.put_idle(server, c);
+                    this.0.idle.put(server, c);
                     Outcome::Success
                 }
                 Ok(Err(Stopped::Closing(_))) => Outcome::Overloaded { wait: None },
@@ -165,7 +162,7 @@
     async fn converse(
         &self, call: &MailCall, switch: &Switch, stages: &RefCell<Vec<Stage>>,
     ) -> Result<(), Stopped> {
-        let mut c = match self.take_idle(call.server) {
+        let mut c = match self.0.idle.take(call.server) {
             Some(c) => c,
             None => self.connect(call.address, call.dialect).await?,
         };
@@ -173,14 +170,14 @@
         for transaction in &call.transactions {
             if switch.held() {
                 // Guards told waits and drains: nothing new begins once the call is held.
-                self.put_idle(call.server, c);
+                self.0.idle.put(call.server, c);
                 return Err(Stopped::Held);
             }
             let its = StagesFrom { all: stages, first };
             self.transact(&mut c, call.dialect, transaction, &its).await?;
             first += transaction.len();
         }
-        self.put_idle(call.server, c);
+        self.0.idle.put(call.server, c);
         Ok(())
     }
 
@@ -288,38 +285,25 @@
         timeout(time, c.lines.reply()).await.map_err(|_| Stopped::Late)?.map_err(Stopped::Broken)
     }
 
-    fn take_idle(&self, server: ServerNo) -> Option<Connection> {
-        let mut idle = self.0.idle.borrow_mut();
-        let list = idle.get_mut(&server)?;
-        list.retain_mut(|i| stands(i, self.0.times.keep));
-        list.pop().map(|(c, _)| c)
-    }
-
-    fn put_idle(&self, server: ServerNo, c: Connection) {
-        if !c.lines.has_more() {
-            self.0.idle.borrow_mut().entry(server).or_default().push((c, Instant::now()));
-        }
-    }
-
     /// Closes the idle connections to a real server.
     pub fn release(&self, server: ServerNo) {
-        self.0.idle.borrow_mut().remove(&server);
+        self.0.idle.release(server);
     }
 
     /// Closes idle connections in time, for as long as the program runs.
     pub async fn sweep(self) {
-        loop {
-            sleep(SWEEP).await;
-            self.0.idle.borrow_mut().retain(|_, list| {
-                list.retain_mut(|i| stands(i, self.0.times.keep));
-                !list.is_empty()
-            });
-        }
+        self.0.idle.sweep().await;
     }
 }
 
-fn stands(idle: &mut (Connection, Instant), keep: Duration) -> bool {
-    idle.1.elapsed() < keep && crate::net::upstream::is_quiet(idle.0.lines.get_mut())
+impl Pooled for Connection {
+    fn stream(&mut self) -> &mut TcpStream {
+        self.lines.get_mut()
+    }
+
+    fn has_more(&self) -> bool {
+        self.lines.has_more()
+    }
 }
 
 /// What a reply to a part of a transaction means for the flows that it is about.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,5 +12,6 @@
 pub mod owner;
 pub mod parcel;
 pub mod phase;
+pub mod pool;
 pub mod relay;
 pub mod upstream;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -3,10 +3,10 @@
 use super::http::{Framing, Head, HttpError, Reader};
 use super::owner::ToOwner;
 use super::parcel::Parcel;
+use super::pool::{Pool, Pooled};
 use crate::api::LimitReport;
 use crate::core::{CallEnd, End, FlowNo, Outcome, ServerNo};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,18 +14,13 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Share of the platform's keep-alive time for which an idle connection is kept: a request that crosses the
 /// other side's closing ends as a reset, which may have run.
 const KEEP_SHARE: f64 = 0.85;
-/// Idle connections over all real servers, at most.
-const IDLE_MAX: usize = 256;
 /// How long the rest of an answer may take once its outcome is known; then the connection is closed.
 const TAIL_TIME: Duration = Duration::from_millis(500);
-/// How often idle connections are looked at.
-const SWEEP: Duration = Duration::from_millis(250);
-
 /// A call to be made.
 #[derive(Debug, Clone)]
 pub struct CallOrder {
@@ -79,12 +74,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Idle {
-    connection: Reader<TcpStream>,
-    since: Instant,
-}
-
 /// What an answer says.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Answer {
@@ -95,9 +84,8 @@
 
 #[derive(Debug)]
 struct Inner {
-    idle: RefCell<BTreeMap<ServerNo, Vec<Idle>>>,
+    idle: Pool<Reader<TcpStream>>,
     dial_timeout: Duration,
-    keep: Duration,
     owner: mpsc::Sender<ToOwner>,
 }
 
@@ -109,7 +97,7 @@
     /// A pool with no connections. Ends of calls go to `owner`.
     pub fn new(dial_timeout: Duration, keepalive: Duration, owner: mpsc::Sender<ToOwner>) -> Self {
         let keep = keepalive.mul_f64(KEEP_SHARE);
-        Upstream(Rc::new(Inner { idle: RefCell::default(), dial_timeout, keep, owner }))
+        Upstream(Rc::new(Inner { idle: Pool::new(keep), dial_timeout, owner }))
     }
 
     /// Starts a call.
@@ -161,7 +149,7 @@
         let connection = self.connection(order.server, order.address).await?;
         if switch.held() {
             // Guards told waits: while this connection came up, another call was told to wait.
-            self.put_idle(order.server, connection);
+            self.0.idle.put(order.server, connection);
             return Err(Outcome::Void);
         }
         let request = request(order, Instant::now());
@@ -170,7 +158,7 @@
     }
 
     async fn connection(&self, server: ServerNo, address: SocketAddr) -> Result<Reader<TcpStream>, Outcome> {
-        match self.take_idle(server) {
+        match self.0.idle.take(server) {
             Some(connection) => Ok(connection),
             None => self.dial(address).await.map_err(|e| {
                 log::debug!("real server {}: {e}", server.0);
@@ -202,7 +190,7 @@
         if let Ok(Ok((again, read))) = timeout(TAIL_TIME, rest).await {
             body = read;
             if again {
-                self.put_idle(server, connection);
+                self.0.idle.put(server, connection);
             }
         }
         Ok((head, body))
@@ -233,52 +221,25 @@
         Ok(Reader::new(stream))
     }
 
-    /// The connection used last, if it still stands.
-    fn take_idle(&self, server: ServerNo) -> Option<Reader<TcpStream>> {
-        let mut idle = self.0.idle.borrow_mut();
-        let list = idle.get_mut(&server)?;
-        list.retain_mut(|i| i.stands(self.0.keep));
-        list.pop().map(|i| i.connection)
-    }
-
-    fn put_idle(&self, server: ServerNo, connection: Reader<TcpStream>) {
-        if connection.has_more() {
-            return;
-        }
-        let mut idle = self.0.idle.borrow_mut();
-        if idle.values().map(Vec::len).sum::<usize>() < IDLE_MAX {
-            idle.entry(server).or_default().push(Idle { connection, since: Instant::now() });
-        }
-    }
-
     /// Closes the idle connections to a real server.
     pub fn release(&self, server: ServerNo) {
-        self.0.idle.borrow_mut().remove(&server);
+        self.0.idle.release(server);
     }
 
     /// Closes idle connections in time, for as long as the program runs.
     pub async fn sweep(self) {
-        loop {
-            sleep(SWEEP).await;
-            self.0.idle.borrow_mut().retain(|_, list| {
-                list.retain_mut(|i| i.stands(self.0.keep));
-                !list.is_empty()
-            });
-        }
+        self.0.idle.sweep().await;
     }
 }
 
-impl Idle {
-    /// Whether it may carry another call: young enough, and the other side has neither closed it nor said
-    /// anything unasked.
-    fn stands(&mut self, keep: Duration) -> bool {
-        self.since.elapsed() < keep && is_quiet(self.connection.get_mut())
+impl Pooled for Reader<TcpStream> {
+    fn stream(&mut self) -> &mut TcpStream {
+        self.get_mut()
     }
-}
 
-/// Whether the other side has neither closed an idle connection nor said anything unasked.
-pub fn is_quiet(stream: &TcpStream) -> bool {
-    matches!(stream.try_read(&mut [0; 1]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    fn has_more(&self) -> bool {
+        Reader::has_more(self)
+    }
 }
 
 fn request(order: &CallOrder, now: Instant) -> Vec<u8> {
