Read the platform's configuration anew on SIGHUP

Cause: relay.rs listened for SIGHUP only where an operator's file was given, so that on the platform the signal had its usual effect; discovery.rs and notices.rs held their address for life; config.rs preferred the environment, which does not change, to the file, which does.

Ruled out: memory and descriptors (1 of 48 MB, 37 of 384).

Now each SIGHUP reads all of the configuration as at the start. A good one moves the watch, from the version it has come to, and the notices, which are told anew at once; a bad one is logged. The watch no longer moves its version on before the list is on its way, as it can now be left at any wait.

Test: a story over loopback, seen to fail without the change.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -168,7 +168,8 @@
         let (settings, names) =
             settings::read(&raw.settings.to_string()).map_err(|e| ConfigError(format!("settings: {e}")))?;
         let needed = |name: &str, value: Option<String>| {
-            let value = variable(name).or(value).ok_or(ConfigError(format!("{name} is not set")))?;
+            // The file comes first: it may have been replaced since the process was given its environment.
+            let value = value.or_else(|| variable(name)).ok_or(ConfigError(format!("{name} is not set")))?;
             value.parse().map_err(|_| ConfigError(format!("{name}: `{value:.60}` is no address with a port")))
         };
         // Any text serves as a seed; hexadecimal digits are what the platform writes.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,6 +8,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
 
 /// A sign of life comes every 2 s; two missed ones, and some slack, mean that the watch is dead.
@@ -20,18 +21,37 @@
 /// Bytes of one line of the list, at most.
 const LINE_MAX: usize = 1 << 20;
 
-/// Follows the list for as long as the program runs, from version `rev` on.
-pub async fn follow(address: SocketAddr, mut rev: u64, owner: mpsc::Sender<ToOwner>) {
+/// Follows the list for as long as the program runs, from version `rev` on; at a new address as soon as there
+/// is one. The list stands meanwhile: that an address is left says nothing of the real servers.
+pub async fn follow(mut addresses: Receiver<SocketAddr>, mut rev: u64, owner: mpsc::Sender<ToOwner>) {
     let mut pause = PAUSE;
     loop {
-        let before = rev;
-        let ended = watch(address, &mut rev, &owner).await;
+        let (before, address) = (rev, *addresses.borrow_and_update());
+        let ended = tokio::select! {
+            ended = watch(address, &mut rev, &owner) => ended,
+            () = moved(&mut addresses) => {
+                log::info!("discovery: from {address} to {} at version {rev}", *addresses.borrow());
+                pause = PAUSE;
+                continue;
+            }
+        };
         log::info!(
             "discovery: the watch ended at version {rev}: {}",
             ended.err().map_or(String::new(), |e| e.to_string())
         );
         pause = if rev == before { (pause * 2).min(PAUSE_MAX) } else { PAUSE };
-        sleep(pause).await;
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = moved(&mut addresses) => pause = PAUSE,
+        }
+    }
+}
+
+/// Returns once there is another address.
+pub async fn moved(addresses: &mut Receiver<SocketAddr>) {
+    if addresses.changed().await.is_err() {
+        // Nobody is left who could name one.
+        std::future::pending::<()>().await;
     }
 }
 
@@ -59,10 +79,10 @@
                 if !text.is_empty() {
                     let list: RawList =
                         serde_json::from_slice(text).map_err(|_| HttpError::Malformed("a list"))?;
+                    // The version moves on only with the list on its way: the watch may be left at any wait.
+                    let Ok(place) = owner.reserve().await else { return Ok(()) };
                     *rev = list.rev;
-                    if owner.send(ToOwner::List(list)).await.is_err() {
-                        return Ok(());
-                    }
+                    place.send(ToOwner::List(list));
                 }
                 line.clear();
             }
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -1,5 +1,6 @@
 //! Tells the platform how flows ended that were taken on and not delivered.
 
+use super::discovery::moved;
 use super::http::{Framing, HttpError, Reader};
 use super::journal::Owed;
 use super::owner::ToOwner;
@@ -9,6 +10,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
 
 /// Time for one exchange.
@@ -21,15 +23,16 @@
 
 /// Takes batches from `due` one after the other, and reports each to `owner` once it has been heard.
 pub async fn tell(
-    address: SocketAddr, mut due: mpsc::Receiver<Vec<(FlowNo, Owed)>>, owner: mpsc::Sender<ToOwner>,
+    mut addresses: Receiver<SocketAddr>, mut due: mpsc::Receiver<Vec<(FlowNo, Owed)>>,
+    owner: mpsc::Sender<ToOwner>,
 ) {
     let mut connection = None;
     while let Some(batch) = due.recv().await {
         let flows = batch.iter().map(|(no, _)| *no).collect();
-        if !tell_all(address, &mut connection, &batch).await {
+        if !tell_all(&mut addresses, &mut connection, &batch).await {
             // Not understood together: one faulty line must not hold up the others, nor come for ever.
             for one in batch.chunks(1) {
-                if !tell_all(address, &mut connection, one).await {
+                if !tell_all(&mut addresses, &mut connection, one).await {
                     log::error!("the platform does not take the notice for {}", one[0].1.id);
                 }
             }
@@ -42,12 +45,26 @@
 
 /// Tells until there is an answer; whether it was understood.
 async fn tell_all(
-    address: SocketAddr, connection: &mut Option<Reader<TcpStream>>, batch: &[(FlowNo, Owed)],
+    addresses: &mut Receiver<SocketAddr>, connection: &mut Option<Reader<TcpStream>>,
+    batch: &[(FlowNo, Owed)],
 ) -> bool {
     let body: String = batch.iter().map(|(_, owed)| line(owed)).collect();
     let mut pause = PAUSE;
     loop {
-        match timeout(ANSWER, post(address, connection, &body)).await {
+        // Guards against notices told where nobody listens any more: a new address gets them at once.
+        if addresses.has_changed().unwrap_or(false) {
+            *connection = None;
+            pause = PAUSE;
+        }
+        let address = *addresses.borrow_and_update();
+        let told = tokio::select! {
+            told = timeout(ANSWER, post(address, connection, &body)) => told,
+            () = moved(addresses) => {
+                addresses.mark_changed();
+                continue;
+            }
+        };
+        match told {
             Ok(Ok(204)) => return true,
             Ok(Ok(400)) => return false,
             Ok(Ok(status)) => log::warn!("notices: the platform answers {status}"),
@@ -55,8 +72,10 @@
             Err(_) => log::warn!("notices: no answer"),
         }
         *connection = None;
-        sleep(pause).await;
-        pause = (pause * 2).min(PAUSE_MAX);
+        tokio::select! {
+            () = sleep(pause) => pause = (pause * 2).min(PAUSE_MAX),
+            () = moved(addresses) => addresses.mark_changed(),
+        }
     }
 }
 
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -7,7 +7,6 @@
 use super::mail::Dialect;
 use super::mail::client::MailUpstream;
 use super::mail::server::MailEdge;
-use super::operator::OperatorFile;
 use super::owner::{Owner, Parts, QUEUE, ToOwner};
 use super::phase::{Phase, State};
 use super::upstream::Upstream;
@@ -17,8 +16,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -56,6 +55,8 @@
     let clock = Clock::start();
     let mut terminated = signal(SignalKind::terminate()).map_err(failed("signals"))?;
     let mut interrupted = signal(SignalKind::interrupt()).map_err(failed("signals"))?;
+    // Guards against the end that SIGHUP means to a program that does not listen for it.
+    let hangup = signal(SignalKind::hangup()).map_err(failed("signals"))?;
     phase.advance(State::Recovering);
     let journal = Journal::open(&config.state, config.disk).map_err(failed("journal"))?;
     let (to_owner, queue) = mpsc::channel(QUEUE);
@@ -69,12 +70,15 @@
         spawn_local(mail.clone().sweep());
     }
     let (due, told) = mpsc::channel(1);
-    if let Some(http) = &config.http {
-        spawn_local(notices::tell(http.outcomes, told, to_owner.clone()));
+    let outcomes = config.http.as_ref().map(|http| watch::Sender::new(http.outcomes));
+    if let Some(outcomes) = &outcomes {
+        spawn_local(notices::tell(outcomes.subscribe(), told, to_owner.clone()));
     }
-    if let Some(discovery) = config.discovery {
-        spawn_local(discovery::follow(discovery, config.known.rev, to_owner.clone()));
+    let discovery = config.discovery.map(watch::Sender::new);
+    if let Some(discovery) = &discovery {
+        spawn_local(discovery::follow(discovery.subscribe(), config.known.rev, to_owner.clone()));
     }
+    let addresses = Addresses { discovery, outcomes };
     let parts = Parts { journal, clock, phase: phase.clone(), upstream, mail_upstream, notices: due, queue };
     let owner = Owner::new(config, parts).map_err(|e| StartError(e.to_string()))?;
     if let Some(http) = &config.http {
@@ -91,9 +95,7 @@
             spawn_local(edge.serve(listen("LMTP", address).await?, Dialect::Lmtp));
         }
     }
-    if let Some(path) = operator {
-        spawn_local(reread(path, to_owner));
-    }
+    spawn_local(reread(hangup, operator, addresses, to_owner));
     let owner = spawn_local(owner.run());
     phase.advance(State::Serving);
     let order = phase.clone();
@@ -118,19 +120,33 @@
     Ok(listener)
 }
 
-/// Reads the operator's file again at each SIGHUP and passes its real servers on; all else in it stays as it
-/// was at the start.
-async fn reread(path: PathBuf, owner: mpsc::Sender<ToOwner>) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+/// Who is told of new addresses.
+struct Addresses {
+    discovery: Option<watch::Sender<SocketAddr>>,
+    outcomes: Option<watch::Sender<SocketAddr>>,
+}
+
+/// Reads the configuration again at each SIGHUP, all of it as at the start. If it is good, discovery's address,
+/// that for notices and the operator's real servers are taken over from it; all else stays as it was.
+async fn reread(
+    mut hangup: Signal, operator: Option<PathBuf>, addresses: Addresses, owner: mpsc::Sender<ToOwner>,
+) {
+    let renew = |to: &Option<watch::Sender<SocketAddr>>, new: Option<SocketAddr>| {
+        if let (Some(to), Some(new)) = (to, new) {
+            to.send_if_modified(|old| std::mem::replace(old, new) != new);
+        }
+    };
     while hangup.recv().await.is_some() {
-        match OperatorFile::read(&path) {
-            Ok(file) => {
-                log::info!("{} read again", path.display());
-                if owner.send(ToOwner::Servers(file.servers())).await.is_err() {
+        match Config::load(operator.as_deref()) {
+            Ok(config) => {
+                log::info!("the configuration was read again");
+                renew(&addresses.outcomes, config.http.map(|h| h.outcomes));
+                renew(&addresses.discovery, config.discovery);
+                if operator.is_some() && owner.send(ToOwner::Servers(config.fixed)).await.is_err() {
                     return;
                 }
             }
-            Err(e) => log::error!("not taken over: {e}"),
+            Err(e) => log::error!("the configuration is not taken over: {e}"),
         }
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -37,12 +37,20 @@
 
 /// The platform: a list that never changes, and notices, the first of which it fails to take.
 fn platform() -> (SocketAddr, Heard) {
+    platform_telling(String::new())
+}
+
+/// A platform that tells each watch one piece of news.
+fn platform_telling(news: String) -> (SocketAddr, Heard) {
     let heard = Heard::default();
     let (to, posts) = (heard.clone(), AtomicUsize::new(0));
     let address = listen(move |mut talk| {
         while let Some((first, _, body)) = request(&mut talk) {
             if first.starts_with("GET") {
                 talk.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                if !news.is_empty() {
+                    talk.write(&format!("{:x}\r\n{news}\n\r\n", news.len() + 1));
+                }
                 while talk.line().is_some() {}
             } else if posts.fetch_add(1, SeqCst) == 0 {
                 answer(&mut talk, "503 no");
@@ -200,3 +208,30 @@
     assert!(said.starts_with("429") && said.contains("Retry-After: 2"), "{said}");
     assert!(relay.ended());
 }
+
+#[test]
+fn a_hangup_moves_the_watch_and_the_notices_and_a_bad_file_changes_nothing() {
+    let folder = Folder::new("hangup");
+    let (old, at_old) = platform();
+    let (first, heard) = server(|n| if n == 0 { "mute" } else { "200 OK" });
+    let (second, heard_too) = server(|_| "500 no");
+    let (new, notices) = platform_telling(format!(
+        r#"{{"rev":2,"all":false,"targets":[{{"uid":"t","endpoint":"{second}","model":"m","pod_group":8,"state":"up"}}]}}"#
+    ));
+    let relay = Relay::platform(&folder, &config(old, first, 50));
+    assert!(hand_in(&relay, "orders", "open").starts_with("202"));
+    std::fs::write(folder.0.join("config.json"), config(new, first, 50).replace("once", "twice")).unwrap();
+    relay.signal("HUP");
+    relay.logged("is not taken over");
+    std::fs::write(folder.0.join("config.json"), config(new, first, 50)).unwrap();
+    relay.signal("HUP");
+    relay.logged("discovery: from");
+    // Its news are heard, and what the old one said still stands.
+    let to_eight = |id: &str| flow("orders", id).replace("dest=7", "dest=8");
+    assert!(ask(&mut Talk::to(relay.address("HTTP")), &to_eight("moved")).starts_with("202"));
+    until("the notice", || (!notices.lock().unwrap().is_empty()).then_some(()));
+    assert_eq!(*notices.lock().unwrap(), [r#"{"id":"moved","state":"failed"}"#]);
+    assert_eq!(*heard_too.lock().unwrap(), ["moved"]);
+    assert_eq!(*heard.lock().unwrap(), ["open"]);
+    assert!(at_old.lock().unwrap().is_empty());
+}
