Free slots from calls whose answers got lost, and forget endpoints long gone

At debug level no call of either relay ended from 8.8 to 9.7 s, and few until 21 s: 12 calls out, each of them to another real server, were called off only after 5.0 s or timed out after 3.0 s, while tens of flows waited for real servers that answered all others in 25 to 150 ms. A part of the answers got lost, everywhere.

Ruled out: health (probes cleared what was held to be down within a second), limits (1% of calls refused), the processor (0.12 of 0.2 in a second at most), memory (3 of 32 MB), the pool.

Cause: notice_silence in control.rs waited 2 or 4 times late_after, which is never under half of the aim, before it freed a slot that others need; with a fifth of the answers lost, 12 slots fill within a second. Now what is out longer than the mean and six deviations (250 ms at least) gives way where slots are out and others wait. And in send, a call that may be repeated timed out only after its whole aim, so that every other try came late: it is late_after now.

Tests: three, each seen to fail without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -170,6 +170,8 @@
     last_sent: Duration,
     spread: f64,
     calls_out: usize,
+    /// When it was last listed, once it is gone.
+    listed: Duration,
     /// Since when each of its idle connections is idle, the newest last.
     idle: Vec<Duration>,
 }
@@ -305,7 +307,9 @@
             }
             Event::ListUpdate(list) => self.take_list(list),
             Event::ListReplaced(list) => {
-                self.endpoints.values_mut().for_each(|e| e.info.state = ListState::Gone);
+                for e in self.endpoints.values_mut().filter(|e| e.info.state != ListState::Gone) {
+                    (e.info.state, e.listed) = (ListState::Gone, self.now);
+                }
                 self.take_list(list);
             }
             Event::ListUnavailable => {
@@ -328,6 +332,7 @@
         self.asks_failed = 0;
         for info in list {
             if let Some(e) = self.endpoints.get_mut(&info.id) {
+                e.listed = if e.info.state == ListState::Gone { e.listed } else { self.now };
                 e.info = info.clone();
                 continue;
             }
@@ -348,9 +353,27 @@
             let fresh = || Destination { first_sends, ..Destination::default() };
             self.destinations.entry(info.destination).or_insert_with(fresh).endpoints.push(info.id);
             let (last_sent, last_ok, info) = (self.now, self.now, info.clone());
-            let known = Endpoint { info, health, lane, last_sent, spread, last_ok, ..Endpoint::default() };
+            let listed = self.now;
+            let known =
+                Endpoint { info, health, lane, last_sent, spread, last_ok, listed, ..Endpoint::default() };
             self.endpoints.insert(known.info.id, known);
         }
+        self.forget_gone();
+    }
+
+    /// Guards memory where endpoints come and go: one long gone says nothing any more of those that are left.
+    fn forget_gone(&mut self) {
+        let (now, memory) = (self.now, self.settings.cold_time + self.settings.overload_span);
+        let past =
+            |e: &Endpoint| e.info.state == ListState::Gone && e.calls_out == 0 && now > e.listed + memory;
+        let past: Vec<_> = self.endpoints.values().filter(|e| past(e)).map(|e| (e.info.id, e.lane)).collect();
+        for (id, lane) in past {
+            self.endpoints.remove(&id);
+            self.lanes.retain(|l, _| *l != lane || l.1.is_none());
+            if let Some(d) = self.destinations.get_mut(&lane.0) {
+                d.endpoints.retain(|e| *e != id);
+            }
+        }
     }
 
     fn take_message(&mut self, m: &NewMessage) {
@@ -603,13 +626,14 @@
         let needed = full && self.messages.values().any(wanted);
         let sure = self.doubt_until > now + STALE_DOUBT;
         let lost = |c: &Call| sure && c.idle_for > self.trusted && now > c.sent + c.late_after;
-        let mute = |c: &Call| self.endpoints.get(&c.endpoint).is_some_and(|e| e.last_heard <= c.sent);
-        let patience = |c: &Call| c.late_after * if mute(c) { 2 } else { 4 };
+        // Where answers get lost, all slots fill with calls that will never end; what is far over the usual
+        // time gives way to many that would be answered meanwhile.
+        let patience = |c: &Call| self.usual_end(c.destination).max(T1 / 2);
         let silent = |c: &Call| !c.cancelled && (lost(c) || needed && now > c.sent + patience(c));
-        let found = self.calls.iter_mut().find(|(_, c)| self.settings.cancelling && silent(c));
-        let Some((number, call)) = found else { return };
+        let found = self.calls.iter().find(|(_, c)| self.settings.cancelling && silent(c)).map(|(n, _)| *n);
+        let Some((number, call)) = found.and_then(|n| Some((n, self.calls.get_mut(&n)?))) else { return };
         call.cancelled = true;
-        let its = self.flights.iter().filter(|(_, f)| f.0 == *number);
+        let its = self.flights.iter().filter(|(_, f)| f.0 == number);
         actions.extend(its.map(|((id, attempt), _)| Action::Cancel { id: *id, attempt: *attempt }));
     }
 
@@ -890,8 +914,14 @@
     /// Time after which a call to a destination is overdue: well above what was seen there.
     fn late_after(&self, destination: DestinationId, class: usize) -> Duration {
         let aim = self.settings.classes[class].aim;
-        let Some(d) = self.destinations.get(&destination) else { return aim };
-        Duration::from_secs_f64(d.latency + LATE_DEVIATIONS * d.deviation).max(aim / 2)
+        let known = self.destinations.contains_key(&destination);
+        if known { self.usual_end(destination).max(aim / 2) } else { aim }
+    }
+
+    /// Time within which nearly all calls to a destination were answered.
+    fn usual_end(&self, destination: DestinationId) -> Duration {
+        let seen = |d: &Destination| Duration::from_secs_f64(d.latency + LATE_DEVIATIONS * d.deviation);
+        self.destinations.get(&destination).map_or(Duration::ZERO, seen)
     }
 
     fn send(&mut self, id: MessageId, endpoint: EndpointId, call: u64, actions: &mut Vec<Action>) {
@@ -901,7 +931,8 @@
         let give_up_at = if class.effect == Effect::Once {
             m.deadline
         } else {
-            let patience = self.late_after(m.destination, m.class).max(class.aim);
+            // Early enough for another try within the aim.
+            let patience = self.late_after(m.destination, m.class);
             (self.now + patience * (1 << m.attempts.min(6))).min(m.deadline)
         };
         actions.push(Action::Send { id, endpoint, give_up_at });
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -285,3 +285,49 @@
     let (_, actions) = bed.message(0, None);
     assert!(sends(&actions).is_empty(), "nothing is known of the day: as if it refused many");
 }
+
+/// Answers that get lost at every endpoint fill all slots with calls that never end: those far over the usual
+/// time make room, long before half of the aim is over.
+#[test]
+fn where_answers_get_lost_slots_go_to_messages_that_wait() {
+    let mut s = settings();
+    s.max_calls = 4;
+    let mut bed = Bed::new(s, &[1, 2]);
+    for _ in 0..30 {
+        let (id, actions) = bed.message(2, None);
+        bed.pass(ms(50));
+        bed.outcome(id, 0, sends(&actions)[0].1, Outcome::Success);
+    }
+    let lost: Vec<_> = (0..4).map(|_| bed.message(2, None).0).collect();
+    bed.message(2, None);
+    let cancelled = cancels(&bed.pass(ms(700)));
+    assert!(cancelled >= 1, "{cancelled} of {} given up", lost.len());
+}
+
+/// A message that may go again is tried again within its aim when its answer is lost.
+#[test]
+fn a_call_that_may_be_repeated_times_out_within_the_aim() {
+    let mut bed = Bed::new(settings(), &[1]);
+    let (_, actions) = bed.message(0, None);
+    let limit =
+        |a: &Action| matches!(a, Action::Send { give_up_at, .. } if *give_up_at <= bed.now + ms(1200));
+    assert!(actions.iter().any(limit), "{actions:?}");
+}
+
+/// Endpoints that come and go all day leave nothing behind.
+#[test]
+fn an_endpoint_long_gone_is_forgotten() {
+    let mut bed = Bed::new(settings(), &[1]);
+    let (id, actions) = bed.message(2, None);
+    bed.outcome(id, 0, sends(&actions)[0].1, Outcome::Success);
+    for new in 2..6 {
+        bed.step(vec![Event::ListUpdate(vec![
+            line(new - 1, D, 0, ListState::Gone),
+            line(new, D, 0, ListState::Live),
+        ])]);
+        bed.pass(ms(8000));
+    }
+    let state = format!("{:?}", bed.c);
+    assert!(!state.contains("EndpointId(1)") && state.contains("EndpointId(5)"), "{state}");
+    assert_eq!(sends(&bed.message(2, None).1)[0].1, EndpointId(5));
+}
