--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,5 +1,6 @@
 //! What a relay is told at its start: the environment and the platform's configuration.
 
+use super::http::BODY_MAX;
 use super::mail::MailSettings;
 use super::operator::{FixedServer, OperatorFile};
 use crate::api::{DestinationId, Settings};
@@ -12,6 +13,13 @@
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// Descriptors for the journal and its successor, discovery, notices, the listener, the runtime and the log.
+const OWN_DESCRIPTORS: usize = 24;
+/// Edge connections that may be closing while others take their place.
+const EDGES_OVER: usize = 8;
+/// Part of the memory allowed that half-read bodies may take: one in so many.
+const BODIES_SHARE: usize = 8;
+
 /// A configuration that cannot work.
 #[derive(Debug)]
 pub struct ConfigError(pub String);
@@ -64,11 +72,33 @@
 struct RawLimits {
     sockets: usize,
     disk_mb: f64,
+    memory_mb: f64,
 }
 
 impl Default for RawLimits {
     fn default() -> Self {
-        RawLimits { sockets: 1024, disk_mb: 64.0 }
+        RawLimits { sockets: 1024, disk_mb: 64.0, memory_mb: 64.0 }
+    }
+}
+
+/// How the descriptors and the memory allowed are divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shares {
+    /// Edge connections. Usual clients hold a third of the descriptors at most; the rest is for others.
+    pub edges: usize,
+    /// Idle connections to real servers.
+    pub idle: usize,
+    /// Bytes of requests' bodies that have not come whole.
+    pub bodies: usize,
+}
+
+impl Shares {
+    /// What is left beside so many calls, each with one connection, and the program's own files and sockets.
+    fn of(sockets: usize, memory_mb: f64, calls: usize) -> Self {
+        let edges = (sockets / 2).max(16);
+        let idle = sockets.saturating_sub(edges + EDGES_OVER + OWN_DESCRIPTORS + calls).clamp(8, 256);
+        let bodies = ((memory_mb.max(0.0) * 1e6) as usize / BODIES_SHARE).max(BODY_MAX);
+        Shares { edges, idle, bodies }
     }
 }
 
@@ -117,8 +147,8 @@
     pub state: PathBuf,
     /// Most bytes in it.
     pub disk: u64,
-    /// Most file descriptors.
-    pub sockets: usize,
+    /// How descriptors and memory are divided.
+    pub shares: Shares,
     /// For random numbers.
     pub seed: u64,
     /// The list as this relay last held it.
@@ -187,7 +217,7 @@
             fixed: Vec::new(),
             state,
             disk: (raw.limits.disk_mb.max(0.0) * 1e6) as u64,
-            sockets: raw.limits.sockets,
+            shares: Shares::of(raw.limits.sockets, raw.limits.memory_mb, settings.max_calls),
             seed,
             known: raw.known,
             settings,
@@ -213,7 +243,7 @@
             fixed: Vec::new(),
             state: relay.state,
             disk: (relay.disk_mb.max(0.0) * 1e6) as u64,
-            sockets: relay.sockets,
+            shares: Shares::of(relay.sockets, relay.memory_mb, settings.max_calls),
             seed: since.as_nanos() as u64 ^ u64::from(std::process::id()),
             known: RawList::default(),
             settings,
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -1,58 +1,95 @@
 //! Edge connections: clients hand in flows over HTTP.
 
 use super::clock::Clock;
-use super::http::{Framing, Head, HttpError, Reader};
+use super::http::{BODY_MAX, Framing, Head, HttpError, Reader};
 use super::owner::{Offer, ToOwner, Verdict};
 use super::parcel::Parcel;
 use super::phase::{Phase, State};
 use crate::api::DestinationId;
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::time::{sleep, timeout};
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// How long a client may take to send a request once it has begun.
-const REQUEST_TIME: Duration = Duration::from_secs(10);
+/// How long a client may take from its connecting, or from its last answer, until its next request is whole.
+/// Who sends nothing of use is owed an error or a close within 3 s.
+const REQUEST_TIME: Duration = Duration::from_millis(2000);
+/// How long a connection may stand idle after an answer: where many stand open, and where there is room.
+const IDLE_LEAST: Duration = Duration::from_millis(2100);
+const IDLE_MOST: Duration = Duration::from_secs(60);
 /// How long an answer may take to be written.
-const WRITE_TIME: Duration = Duration::from_secs(5);
-/// How long a faulty request's sender is still listened to, so that the answer is not lost with a reset.
+const WRITE_TIME: Duration = Duration::from_millis(500);
+/// How long a faulty request's sender is still listened to, so that the answer is not lost with a reset, and
+/// how much of what it sends is read meanwhile.
 const LINGER: Duration = Duration::from_millis(200);
+const LINGER_BYTES: usize = 64 * 1024;
+/// Age under which a connection is closed for another's sake only if no older one can be.
+const NEW: Duration = Duration::from_millis(200);
 /// Letters of an id, a key or a name, at most.
 const WORD_MAX: usize = 200;
 /// Time that a client is asked to stay away for where nothing else says it.
 const COME_BACK: Duration = Duration::from_millis(500);
 
+/// What the front may use, from the configuration's limits.
+#[derive(Debug, Clone, Copy)]
+pub struct EdgeLimits {
+    /// Connections held at once.
+    pub connections: usize,
+    /// Bytes of bodies that have not come whole yet, over all connections.
+    pub bodies: usize,
+}
+
 /// What all edge connections share.
 #[derive(Debug)]
 pub struct Edge {
     owner: mpsc::Sender<ToOwner>,
     phase: Phase,
     clock: Clock,
-    most: usize,
+    limits: EdgeLimits,
     /// Destinations by path, for requests that name none.
     paths: Vec<(String, DestinationId)>,
-    /// Open connections, by number; those that wait for a request can be told to close.
-    open: RefCell<BTreeMap<u64, Rc<Waiting>>>,
+    /// Open connections, by number.
+    open: RefCell<BTreeMap<u64, Rc<Connection>>>,
     last: Cell<u64>,
+    /// Bytes set aside for bodies that are coming in.
+    bodies: Cell<usize>,
 }
 
-#[derive(Debug, Default)]
-struct Waiting {
-    idle: Cell<bool>,
+#[derive(Debug)]
+struct Connection {
+    peer: IpAddr,
+    since: Instant,
+    /// It has had an answer to a request of use.
+    served: Cell<bool>,
+    /// A whole request waits for its answer, or the connection has been told to close.
+    bound: Cell<bool>,
     close: Notify,
 }
 
+/// Room set aside for a body, given back with it.
+struct Room<'a>(&'a Cell<usize>, usize);
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - self.1);
+    }
+}
+
 impl Edge {
-    /// Nothing is listened to yet. At most `most` connections are held.
+    /// Nothing is listened to yet.
     pub fn new(
-        owner: mpsc::Sender<ToOwner>, phase: Phase, clock: Clock, most: usize,
+        owner: mpsc::Sender<ToOwner>, phase: Phase, clock: Clock, limits: EdgeLimits,
         paths: Vec<(String, DestinationId)>,
     ) -> Rc<Self> {
-        Rc::new(Edge { owner, phase, clock, most, paths, open: RefCell::default(), last: Cell::new(0) })
+        let (open, last, bodies) = (RefCell::default(), Cell::new(0), Cell::new(0));
+        Rc::new(Edge { owner, phase, clock, limits, paths, open, last, bodies })
     }
 
     /// Accepts connections until the program stops.
@@ -63,26 +100,34 @@
                 () = self.phase.reached(State::Stopped) => return,
             };
             match stream {
-                Ok((stream, _)) => {
-                    // Guards the descriptors: where too many are open, the one that has waited longest for a
-                    // request goes; a client comes again on a new one.
-                    if self.open.borrow().len() >= self.most
-                        && let Some(w) = self.open.borrow().values().find(|w| w.idle.get())
-                    {
-                        w.idle.set(false);
-                        w.close.notify_one();
-                    }
-                    if self.open.borrow().len() < self.most + 16 {
-                        let number = self.last.get() + 1;
-                        self.last.set(number);
-                        let waiting = Rc::new(Waiting::default());
-                        self.open.borrow_mut().insert(number, waiting.clone());
-                        let edge = self.clone();
-                        tokio::task::spawn_local(async move {
-                            edge.attend(stream, &waiting).await;
-                            edge.open.borrow_mut().remove(&number);
-                        });
+                Ok((stream, peer)) => {
+                    while self.open.borrow().len() >= self.limits.connections {
+                        if self.make_room() {
+                            // Let it close.
+                            yield_now().await;
+                        } else {
+                            // All that stand wait for an answer, which comes soon.
+                            sleep(Duration::from_millis(1)).await;
+                        }
                     }
+                    let number = self.last.get() + 1;
+                    self.last.set(number);
+                    let connection = Rc::new(Connection {
+                        peer: peer.ip(),
+                        since: Instant::now(),
+                        served: Cell::new(false),
+                        bound: Cell::new(false),
+                        close: Notify::new(),
+                    });
+                    self.open.borrow_mut().insert(number, connection.clone());
+                    let edge = self.clone();
+                    tokio::task::spawn_local(async move {
+                        edge.attend(stream, &connection).await;
+                        edge.open.borrow_mut().remove(&number);
+                    });
+                    // Guards usual clients against a flood of connections: each is looked at before the next
+                    // is taken.
+                    yield_now().await;
                 }
                 Err(e) => {
                     // Out of descriptors, most likely: give open ones time to close.
@@ -93,20 +138,68 @@
         }
     }
 
-    async fn attend(&self, stream: TcpStream, waiting: &Waiting) {
+    /// Guards the descriptors: where too many are open, one that waits for nothing goes. First one that never
+    /// brought a request, then a new one, then one of whoever holds most, then the oldest; a client comes again
+    /// on a new one. False if there is none.
+    fn make_room(&self) -> bool {
+        let open = self.open.borrow();
+        let mut held: BTreeMap<IpAddr, usize> = BTreeMap::new();
+        open.values().for_each(|c| *held.entry(c.peer).or_default() += 1);
+        let rank =
+            |c: &Connection| (c.served.get(), c.since.elapsed() < NEW, Reverse(held.get(&c.peer).copied()));
+        let free = open.iter().filter(|(_, c)| !c.bound.get());
+        let first = free.min_by_key(|(number, c)| (rank(c), **number));
+        if let Some((_, c)) = first {
+            c.bound.set(true);
+            c.close.notify_one();
+        }
+        first.is_some()
+    }
+
+    fn crowded(&self) -> bool {
+        self.open.borrow().len() > self.limits.connections / 2
+    }
+
+    async fn attend(&self, stream: TcpStream, connection: &Connection) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream);
+        let mut due = connection.since + REQUEST_TIME;
         loop {
-            waiting.idle.set(true);
-            tokio::select! {
-                biased;
-                begun = reader.begun() => if begun.is_err() { return },
-                () = waiting.close.notified() => return,
-                () = self.phase.reached(State::Stopped) => return,
+            let (mut left, mut idle) = (due.saturating_duration_since(Instant::now()), Duration::ZERO);
+            loop {
+                tokio::select! {
+                    biased;
+                    begun = reader.begun() => if begun.is_err() { return } else { break },
+                    () = connection.close.notified() => return,
+                    () = self.phase.reached(State::Stopped) => return,
+                    () = sleep(left) => {
+                        idle += left;
+                        // A client that never sent anything is not one that keeps its connection.
+                        if !connection.served.get() || self.crowded() || idle >= IDLE_MOST {
+                            return;
+                        }
+                        left = IDLE_LEAST;
+                    }
+                }
+            }
+            if connection.served.get() {
+                due = Instant::now() + REQUEST_TIME;
             }
-            waiting.idle.set(false);
-            let answer = match timeout(REQUEST_TIME, self.request(&mut reader)).await {
-                Ok(Ok(answer)) => answer,
+            let read = tokio::select! {
+                biased;
+                read = timeout_at(due, self.request(&mut reader)) => read,
+                () = connection.close.notified() => Ok(Ok(Request::Answered(Reply::closing(503, "Service Unavailable").after(COME_BACK)))),
+            };
+            // Guards the promise of an answer: from here on the request is whole, and nothing cuts it short.
+            connection.bound.set(true);
+            let answer = match read {
+                Ok(Ok(Request::Whole(offer, verdict, keep))) => {
+                    let reply = self.hand_in(offer, verdict).await;
+                    // One that is told to end wants its clients elsewhere.
+                    let stays = keep && self.phase.state() < State::Draining;
+                    Reply { close: reply.close || !stays, ..reply }
+                }
+                Ok(Ok(Request::Answered(reply))) => reply,
                 Ok(Err(e)) => match fault(&e) {
                     Some(answer) => answer,
                     None => return,
@@ -120,44 +213,63 @@
             }
             if answer.close {
                 let _ = reader.get_mut().shutdown().await;
-                let _ = timeout(LINGER, async { while reader.discard().await {} }).await;
+                let _ = timeout(LINGER, reader.discard(LINGER_BYTES)).await;
                 return;
             }
+            connection.served.set(true);
+            connection.bound.set(false);
+            due = Instant::now() + IDLE_LEAST;
         }
     }
 
-    async fn request(&self, reader: &mut Reader<TcpStream>) -> Result<Reply, HttpError> {
+    /// Reads a request. What is wrong with its head is told before its body has come: nobody has to wait for
+    /// megabytes that are of no use.
+    async fn request(&self, reader: &mut Reader<TcpStream>) -> Result<Request, HttpError> {
         let head = reader.head().await?;
         let framing = head.framing(Framing::Length(0))?;
-        if head.expects_continue() {
-            reader.get_mut().write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(HttpError::Io)?;
-        }
-        let body = reader.body(framing).await?;
-        if !head.first[2].starts_with("HTTP/1.") {
+        let version = head.first[2].as_str();
+        if !matches!(version, "HTTP/1.1" | "HTTP/1.0") || framing == Framing::Chunked && version == "HTTP/1.0"
+        {
             return Err(HttpError::Malformed("the version"));
         }
-        let mut reply = match (head.first[0].as_str(), head.first[1].as_str()) {
+        let keep = head.keeps_alive(version);
+        let reply = match (head.first[0].as_str(), head.first[1].as_str()) {
+            ("POST", _) => {
+                let terms = match self.terms(&head) {
+                    Ok(terms) => terms,
+                    Err(what) => return Err(HttpError::Malformed(what)),
+                };
+                let most = if let Framing::Length(length) = framing { length } else { BODY_MAX };
+                if self.bodies.get() + most > self.limits.bodies {
+                    return Ok(Request::Answered(
+                        Reply::closing(503, "Service Unavailable").after(COME_BACK),
+                    ));
+                }
+                self.bodies.set(self.bodies.get() + most);
+                let room = Room(&self.bodies, most);
+                if head.expects_continue() {
+                    let go_on = reader.get_mut().write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    go_on.await.map_err(HttpError::Io)?;
+                }
+                let body = reader.body(framing).await?;
+                drop(room);
+                let (offer, verdict) = self.offer(terms, body);
+                return Ok(Request::Whole(offer, verdict, keep));
+            }
             ("GET", "/health/ready") if self.phase.state() == State::Serving => Reply::new(200, "OK"),
             ("GET", "/health/ready") => Reply::new(503, "Service Unavailable"),
             ("GET", "/health/live") => Reply::new(200, "OK"),
-            ("POST", _) => match self.offer(&head, body) {
-                Ok((offer, verdict)) => self.hand_in(offer, verdict).await,
-                Err(what) => {
-                    log::info!("a request was turned away: {what}");
-                    Reply::new(400, "Bad Request")
-                }
-            },
-            ("GET", _) => Reply::new(404, "Not Found"),
-            _ => Reply::new(405, "Method Not Allowed"),
+            ("GET", _) => Reply::closing(404, "Not Found"),
+            _ => Reply::closing(405, "Method Not Allowed"),
         };
-        reply.close |= !head.keeps_alive(&head.first[2]);
-        Ok(reply)
+        // Nothing that is asked so has a body; one that has is not read.
+        let close = reply.close || !keep || framing != Framing::Length(0);
+        Ok(Request::Answered(Reply { close, ..reply }))
     }
 
-    fn offer(
-        &self, head: &Head, body: Vec<u8>,
-    ) -> Result<(Offer, oneshot::Receiver<Vec<Verdict>>), &'static str> {
-        let word = |name: &str, what: &'static str| match head.field(name) {
+    /// What a request's head says of its flow.
+    fn terms(&self, head: &Head) -> Result<Terms, &'static str> {
+        let word = |name: &str, what: &'static str| match head.only(name).map_err(|_| what)? {
             Some(v) if v.is_empty() || v.len() > WORD_MAX || !v.bytes().all(|b| b.is_ascii_graphic()) => {
                 Err(what)
             }
@@ -172,28 +284,29 @@
             return Err("two classes");
         }
         let class = named.filter(|_| routed).unwrap_or(first);
-        let left = head.field("x-time-left-ms").and_then(|v| v.parse::<u32>().ok()).ok_or("the time left")?;
-        let envelope = head.field("envelope").unwrap_or_default();
+        let left = head.only("x-time-left-ms").ok().flatten().and_then(digits).ok_or("the time left")?;
+        let envelope = head.only("envelope").map_err(|_| "two envelopes")?.unwrap_or_default();
         let pairs = envelope.split([';', ',', '&', ' ']).filter_map(|p| p.split_once('='));
-        let dest = pairs
-            .filter(|(n, _)| n.trim() == "dest")
-            .map(|(_, v)| v.trim().parse().map(DestinationId))
-            .next();
+        let mut dests = pairs.filter(|(n, _)| n.trim() == "dest").map(|(_, v)| digits(v.trim()));
+        let dest = dests.next().map(|d| d.map(DestinationId));
+        if dests.next().is_some() {
+            return Err("two destinations");
+        }
         let by_path =
             || self.paths.iter().find(|(p, _)| head.first[1].starts_with(p.as_str())).map(|(_, d)| *d);
-        let destination = dest.map_or_else(by_path, Result::ok).ok_or("the destination")?;
+        let destination = dest.unwrap_or_else(by_path).ok_or("the destination")?;
         let id = word("x-correlation-id", "the id")?.ok_or("no id")?;
         let key = word("idempotency-key", "the key")?;
+        let tenant = word("x-account", "the account")?;
+        let deadline = self.clock.now() + Duration::from_millis(left);
+        Ok(Terms { class, tenant, deadline, destination, id, key })
+    }
+
+    fn offer(&self, terms: Terms, body: Vec<u8>) -> (Offer, oneshot::Receiver<Vec<Verdict>>) {
+        let Terms { class, tenant, deadline, destination, id, key } = terms;
         let (reply, verdict) = oneshot::channel();
-        let offer = Offer {
-            class,
-            tenant: word("x-account", "the account")?,
-            deadline: self.clock.now() + Duration::from_millis(left.into()),
-            items: vec![(destination, Rc::new(Parcel { id, key, mail: None, body: body.into() }))],
-            together: false,
-            reply,
-        };
-        Ok((offer, verdict))
+        let items = vec![(destination, Rc::new(Parcel { id, key, mail: None, body: body.into() }))];
+        (Offer { class, tenant, deadline, items, together: false, reply }, verdict)
     }
 
     async fn hand_in(&self, offer: Offer, verdict: oneshot::Receiver<Vec<Verdict>>) -> Reply {
@@ -206,19 +319,25 @@
             Some(Verdict::TurnedDown(wait)) => Reply::new(429, "Too Many Requests").after(wait),
             Some(Verdict::Failed) => Reply::new(500, "Internal Server Error"),
             Some(Verdict::Unknown(what)) => {
-                log::info!("a request was turned away: {what}");
-                Reply::new(400, "Bad Request")
+                log::debug!("a request was turned away: {what}");
+                Reply::closing(400, "Bad Request")
             }
             Some(Verdict::Full) | None => Reply::new(503, "Service Unavailable").after(COME_BACK),
         }
     }
 }
 
+/// A number in plain digits, and no more of them than a number of use has.
+fn digits(text: &str) -> Option<u64> {
+    let plain = !text.is_empty() && text.len() <= 15 && text.bytes().all(|b| b.is_ascii_digit());
+    text.parse().ok().filter(|_| plain)
+}
+
 /// What a fault in a request is answered with, if there is anyone to answer.
 fn fault(e: &HttpError) -> Option<Reply> {
     Some(match e {
         HttpError::Malformed(what) => {
-            log::info!("an edge connection fails: {what}");
+            log::debug!("an edge connection fails: {what}");
             Reply::closing(400, "Bad Request")
         }
         HttpError::HeadTooLarge => Reply::closing(431, "Request Header Fields Too Large"),
@@ -227,6 +346,24 @@
     })
 }
 
+/// What a head says of a flow.
+struct Terms {
+    class: String,
+    tenant: Option<String>,
+    deadline: Duration,
+    destination: DestinationId,
+    id: String,
+    key: Option<String>,
+}
+
+/// A request as it was read.
+enum Request {
+    /// It hands in a flow; whether its connection stays open.
+    Whole(Offer, oneshot::Receiver<Vec<Verdict>>, bool),
+    /// It has its answer.
+    Answered(Reply),
+}
+
 #[derive(Debug)]
 struct Reply {
     status: u16,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -12,6 +12,9 @@
 /// Bytes of the line before a chunk, at most.
 const CHUNK_LINE_MAX: usize = 128;
 
+/// What every answer begins with.
+const VERSION: &[u8] = b"HTTP/1.";
+
 /// Why a message cannot be had.
 #[derive(Debug)]
 pub enum HttpError {
@@ -73,9 +76,17 @@
         let Some(end) = window.windows(4).position(|w| w == b"\r\n\r\n") else {
             return if bytes.len() >= HEAD_MAX { Err(HttpError::HeadTooLarge) } else { Ok(None) };
         };
-        let text = std::str::from_utf8(&window[..end]).map_err(|_| HttpError::Malformed("no text"))?;
+        // Bytes that are no text can only stand in a value that nobody can use; the rest of the head holds.
+        let text = String::from_utf8_lossy(&window[..end]);
         // A bare line end could be read as a border by one side and not by the other.
-        if text.replace("\r\n", "").contains(['\r', '\n', '\0']) {
+        let mut after_cr = false;
+        for byte in text.bytes() {
+            if (byte == b'\n') != after_cr || byte == 0 {
+                return Err(HttpError::Malformed("a bare line end in the head"));
+            }
+            after_cr = byte == b'\r';
+        }
+        if after_cr {
             return Err(HttpError::Malformed("a bare line end in the head"));
         }
         let mut lines = text.split("\r\n");
@@ -103,6 +114,16 @@
         self.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
+    /// The value of a field that may stand only once, by its name in lower case.
+    ///
+    /// # Errors
+    /// It is there more than once: two readers could each take another one.
+    pub fn only(&self, name: &str) -> Result<Option<&str>, HttpError> {
+        let mut values = self.fields.iter().filter(|(n, _)| n == name).map(|(_, v)| v.as_str());
+        let value = values.next();
+        if values.next().is_some() { Err(HttpError::Malformed("a field given twice")) } else { Ok(value) }
+    }
+
     fn names(&self, field: &str, word: &str) -> bool {
         let values = self.fields.iter().filter(|(n, _)| n == field);
         values.flat_map(|(_, v)| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case(word))
@@ -123,12 +144,7 @@
     /// # Errors
     /// Lengths that contradict one another, that are no numbers or that are over the bound.
     pub fn framing(&self, without: Framing) -> Result<Framing, HttpError> {
-        let mut lengths = self.fields.iter().filter(|(n, _)| n == "content-length").map(|(_, v)| v);
-        let length = lengths.next();
-        if lengths.any(|l| Some(l) != length) {
-            return Err(HttpError::Malformed("more than one length"));
-        }
-        match (self.field("transfer-encoding"), length) {
+        match (self.only("transfer-encoding")?, self.only("content-length")?) {
             (Some(_), Some(_)) => Err(HttpError::Malformed("a length and chunks")),
             (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
             (Some(_), None) => Err(HttpError::Malformed("the transfer coding")),
@@ -178,10 +194,41 @@
         }
     }
 
-    /// Reads on and throws away what comes; false once nothing more does.
-    pub async fn discard(&mut self) -> bool {
-        self.buffer.clear();
-        self.more().await.is_ok()
+    /// Reads on and throws away what comes, so many bytes at most.
+    pub async fn discard(&mut self, most: usize) {
+        let mut seen = 0;
+        while seen < most && self.more().await.is_ok() {
+            seen += self.buffer.len();
+            self.buffer.clear();
+        }
+    }
+
+    /// The status of the answer that has begun to come, once its first line is there and can be read.
+    pub fn status(&self) -> Option<u16> {
+        let line = &self.buffer[..self.buffer.windows(2).position(|w| w == b"\r\n")?];
+        let rest = line.strip_prefix(b"HTTP/1.1 ").or(line.strip_prefix(b"HTTP/1.0 "))?;
+        let (digits, after) = rest.split_at_checked(3)?;
+        let good = digits.iter().all(u8::is_ascii_digit) && after.first().is_none_or(|b| *b == b' ');
+        std::str::from_utf8(digits).ok().filter(|_| good)?.parse().ok()
+    }
+
+    /// Reads until [`Reader::status`] can tell, or nobody ever can.
+    ///
+    /// # Errors
+    /// As [`Reader::head`].
+    pub async fn first_line(&mut self) -> Result<u16, HttpError> {
+        self.begun().await?;
+        while !self.buffer.windows(2).any(|w| w == b"\r\n") {
+            let seen = self.buffer.len().min(VERSION.len());
+            if self.buffer[..seen] != VERSION[..seen] {
+                return Err(HttpError::Malformed("the first line"));
+            }
+            if self.buffer.len() >= HEAD_MAX {
+                return Err(HttpError::HeadTooLarge);
+            }
+            self.more().await?;
+        }
+        self.status().ok_or(HttpError::Malformed("the first line"))
     }
 
     /// Waits for the first byte of a message.
@@ -190,6 +237,8 @@
     /// [`HttpError::Closed`] if there is none.
     pub async fn begun(&mut self) -> Result<(), HttpError> {
         if self.buffer.is_empty() {
+            // Guards memory: what a large body took is not kept for as long as the connection stands.
+            self.buffer = Vec::new();
             self.more()
                 .await
                 .map_err(|e| if matches!(e, HttpError::Ended) { HttpError::Closed } else { e })?;
@@ -349,7 +398,9 @@
         assert!(matches!(framing("Content-Length: 99999999999999999999"), Err(HttpError::BodyTooLarge)));
         for text in [
             "Content-Length: +1",
-            "Content-Length: 1\r\nContent-Length: 2",
+            "Content-Length: -1",
+            "Content-Length: 1\r\nContent-Length: 1",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
             "Transfer-Encoding: gzip",
             "Content-Length: 1\r\nTransfer-Encoding: chunked",
         ] {
--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -98,9 +98,12 @@
 pub struct MailUpstream(Rc<Inner>);
 
 impl MailUpstream {
-    /// A pool with no connections. Ends of calls go to `owner`.
-    pub fn new(hostname: String, dial_timeout: Duration, times: Times, owner: mpsc::Sender<ToOwner>) -> Self {
-        MailUpstream(Rc::new(Inner { idle: Pool::new(times.keep), hostname, dial_timeout, times, owner }))
+    /// A pool with no connections, for so many idle ones. Ends of calls go to `owner`.
+    pub fn new(
+        hostname: String, dial_timeout: Duration, times: Times, idle: usize, owner: mpsc::Sender<ToOwner>,
+    ) -> Self {
+        let idle = Pool::new(times.keep, idle);
+        MailUpstream(Rc::new(Inner { idle, hostname, dial_timeout, times, owner }))
     }
 
     /// Starts a call; one switch acts on all its flows.
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -55,6 +55,9 @@
     /// Descriptors.
     #[serde(default = "default_sockets")]
     pub sockets: usize,
+    /// Memory.
+    #[serde(default = "default_memory")]
+    pub memory_mb: f64,
 }
 
 /// The HTTP front without a platform.
@@ -155,6 +158,9 @@
 fn default_sockets() -> usize {
     1024
 }
+fn default_memory() -> f64 {
+    64.0
+}
 fn default_size() -> usize {
     60 * 1024
 }
--- a/src/net/owner.rs
+++ b/src/net/owner.rs
@@ -92,13 +92,20 @@
     address: Option<SocketAddr>,
     wire: Wire,
     kind: KindId,
+    state: ListState,
+    /// Its idle connections lead nowhere any more.
+    moved: bool,
 }
 
-/// Real servers by their lasting names.
+/// Real servers by their lasting names. One that has gone is kept until its last call is over; should its name
+/// come again, it is another real server.
 #[derive(Debug, Default)]
 struct Directory {
     numbers: BTreeMap<String, ServerNo>,
-    servers: Vec<Server>,
+    servers: BTreeMap<ServerNo, Server>,
+    next: u32,
+    /// Every destination that a list has named.
+    destinations: BTreeSet<DestinationId>,
 }
 
 impl Directory {
@@ -106,42 +113,45 @@
         if let Some(no) = self.numbers.get(uid) {
             return *no;
         }
-        let no = ServerNo(self.servers.len() as u32);
-        self.servers.push(Server {
-            uid: uid.to_string(),
-            address: None,
-            wire: Wire::Http,
-            kind: KindId(usize::MAX),
-        });
+        let no = ServerNo(self.next);
+        self.next += 1;
+        let (address, wire, kind) = (None, Wire::Http, KindId(usize::MAX));
+        let server =
+            Server { uid: uid.to_string(), address, wire, kind, state: ListState::Live, moved: false };
+        self.servers.insert(no, server);
         self.numbers.insert(uid.to_string(), no);
         no
     }
 
     fn entry(&mut self, raw: &RawEntry, wire: Wire, names: &Names) -> ServiceEntry {
         let id = self.number(&raw.uid);
-        let server = &mut self.servers[id.0 as usize];
-        server.wire = wire;
-        log::debug!("server {} is {} of destination {}: {}", id.0, raw.uid, raw.pod_group, raw.state);
-        match raw.endpoint.parse() {
-            Ok(address) => server.address = Some(address),
-            Err(_) => log::error!("discovery: `{}` is no address", raw.endpoint),
-        }
+        let state = match raw.state.as_str() {
+            "up" => ListState::Live,
+            "draining" => ListState::Draining,
+            _ => ListState::Gone,
+        };
+        let destination = DestinationId(raw.pod_group);
+        self.destinations.insert(destination);
         // A kind or zone that the settings do not name has no settings of its own.
         let index = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
-        let kind = KindId(index(&names.kinds, &raw.model));
-        server.kind = kind;
-        ServiceEntry {
-            id,
-            destination: DestinationId(raw.pod_group),
-            kind,
-            zone: ZoneId(index(&names.zones, &raw.az)),
-            state: match raw.state.as_str() {
-                "up" => ListState::Live,
-                "draining" => ListState::Draining,
-                _ => ListState::Gone,
-            },
-            rate: raw.capacity_hint,
+        let (kind, zone) = (KindId(index(&names.kinds, &raw.model)), ZoneId(index(&names.zones, &raw.az)));
+        if let Some(server) = self.servers.get_mut(&id) {
+            (server.wire, server.kind, server.state) = (wire, kind, state);
+            match raw.endpoint.parse() {
+                Ok(address) => {
+                    server.moved |= server.address.is_some_and(|old| old != address);
+                    server.address = Some(address);
+                }
+                Err(_) => log::error!("discovery: `{:.60}` is no address", raw.endpoint),
+            }
         }
+        log::debug!("server {} is {} of destination {}: {}", id.0, raw.uid, raw.pod_group, raw.state);
+        ServiceEntry { id, destination, kind, zone, state, rate: raw.capacity_hint }
+    }
+
+    /// The lasting name of a real server.
+    fn uid(&self, no: ServerNo) -> String {
+        self.servers.get(&no).map(|s| s.uid.clone()).unwrap_or_default()
     }
 }
 
@@ -149,6 +159,7 @@
 struct OpenCall {
     switch: Switch,
     destination: DestinationId,
+    server: ServerNo,
 }
 
 /// Flows whose client waits for the end of the present step.
@@ -181,6 +192,8 @@
     views: BTreeMap<FlowNo, FlowView>,
     fixed: Vec<FixedServer>,
     per_call: Vec<usize>,
+    /// What a repeat does and how long a flow lives, by class.
+    classes: Vec<(crate::api::Effect, Duration)>,
     directory: Directory,
     calls: BTreeMap<(FlowNo, u32), OpenCall>,
     /// Offers that wait for the end of the present step.
@@ -242,6 +255,7 @@
             hooks: config.hooks.clone(),
             views: BTreeMap::new(),
             fixed: config.fixed.clone(),
+            classes: config.settings.classes.iter().map(|c| (c.effect, c.deadline)).collect(),
             per_call: config.settings.kinds.iter().map(|k| k.per_call).collect(),
             directory: Directory::default(),
             calls: BTreeMap::new(),
@@ -366,9 +380,9 @@
                 // Should this never be written, a restart takes the call for one that may have run.
                 self.unwritten.push(Record::CallEnded(end.flow, end.outcome.never_ran()));
                 if let Some(view) = self.views.get(&end.flow) {
-                    let server = &self.directory.servers[end.server.0 as usize].uid;
+                    let server = self.directory.uid(end.server);
                     let outcome = outcome_name(end.outcome);
-                    self.hooks.attempt_ended(view, end.attempt, server, outcome, end.elapsed);
+                    self.hooks.attempt_ended(view, end.attempt, &server, outcome, end.elapsed);
                 }
                 if let Some(text) = detail {
                     self.said.insert(end.flow, text);
@@ -386,12 +400,37 @@
     }
 
     fn take_list(&mut self, list: &RawList) {
+        if list.all {
+            self.directory.servers.values_mut().for_each(|s| s.state = ListState::Gone);
+        }
         let of_list = list.targets.iter().map(|raw| (raw, Wire::Http));
         // What the operator names is in no list of discovery's, and does not go with it.
         let own = self.fixed.iter().filter(|_| list.all).map(|f| (&f.entry, f.wire));
         let entries =
             of_list.chain(own).map(|(raw, wire)| self.directory.entry(raw, wire, &self.names)).collect();
         self.core.take_entries(entries, list.all);
+        self.sweep_servers();
+    }
+
+    /// Guards memory and descriptors on days on which real servers come and go: one that wants nothing new, or
+    /// has another address, keeps no idle connection, and one that is gone is forgotten with its last call.
+    fn sweep_servers(&mut self) {
+        let mut gone = Vec::new();
+        for (no, server) in &mut self.directory.servers {
+            if std::mem::take(&mut server.moved) || server.state != ListState::Live {
+                self.upstream.release(*no);
+                if let Some((_, mail)) = &self.mail {
+                    mail.release(*no);
+                }
+            }
+            if server.state == ListState::Gone && !self.calls.values().any(|c| c.server == *no) {
+                gone.push((*no, server.uid.clone()));
+            }
+        }
+        for (no, uid) in gone {
+            self.directory.servers.remove(&no);
+            self.directory.numbers.remove(&uid);
+        }
     }
 
     fn take_servers(&mut self, servers: Vec<FixedServer>) {
@@ -405,6 +444,7 @@
         let changed = self.fixed.iter().chain(&gone);
         let entries = changed.map(|f| self.directory.entry(&f.entry, f.wire, &self.names)).collect();
         self.core.take_entries(entries, false);
+        self.sweep_servers();
     }
 
     fn take_offer(&mut self, offer: Offer) {
@@ -420,16 +460,25 @@
             let _ = reply.send(vec![Verdict::Unknown(what); items.len()]);
             return;
         };
-        let verdict = if items.iter().all(|(_, p)| self.ids.contains_key(&p.id)) {
-            // Taken on before, and the answer was lost on its way: it is not a second flow.
-            Some(Verdict::Taken)
-        } else if self.phase.state() != State::Serving {
-            Some(Verdict::TurnedDown(COME_BACK))
-        } else if !self.core.has_room(items.len()) || !self.journal.has_room(items.len(), bytes) {
-            Some(Verdict::Full)
-        } else {
-            None
-        };
+        if let Some(what) = self.unusable(class_no, deadline, &items) {
+            let _ = reply.send(vec![Verdict::Unknown(what); items.len()]);
+            return;
+        }
+        let verdict =
+            if items.iter().any(|(_, p)| self.ids.get(&p.id).is_some_and(|no| self.waiting.contains_key(no)))
+            {
+                // One of that id waits for its verdict; nothing can be promised in its name.
+                Some(Verdict::Unknown("the id"))
+            } else if items.iter().all(|(_, p)| self.ids.contains_key(&p.id)) {
+                // Taken on before, and the answer was lost on its way: it is not a second flow.
+                Some(Verdict::Taken)
+            } else if self.phase.state() != State::Serving {
+                Some(Verdict::TurnedDown(COME_BACK))
+            } else if !self.core.has_room(items.len()) || !self.journal.has_room(items.len(), bytes) {
+                Some(Verdict::Full)
+            } else {
+                None
+            };
         if let Some(verdict) = verdict {
             let _ = reply.send(vec![verdict; items.len()]);
             return;
@@ -475,6 +524,23 @@
         }
     }
 
+    /// What makes it impossible to keep the rules for flows of a class, if anything.
+    fn unusable(
+        &self, class: usize, deadline: Duration, items: &[(DestinationId, Rc<Parcel>)],
+    ) -> Option<&'static str> {
+        let (effect, longest) = self.classes.get(class)?;
+        let keyed = matches!(effect, crate::api::Effect::Keyed { .. });
+        let over = deadline.saturating_sub(self.clock.now()) > *longest * 2;
+        let plain = |p: &Parcel| p.mail.is_none();
+        items.iter().find_map(|(to, p)| match p {
+            // What no list ever named could only be held until its time is up.
+            _ if !self.directory.destinations.contains(to) => Some("the destination"),
+            p if plain(p) && keyed && p.key.is_none() => Some("no key"),
+            p if plain(p) && over => Some("the time left"),
+            _ => None,
+        })
+    }
+
     fn number(&mut self) -> FlowNo {
         self.next += 1;
         FlowNo(self.next - 1)
@@ -524,7 +590,7 @@
                     }
                 }
                 Effect::Call { flow, server, .. } => {
-                    let server = self.directory.servers[server.0 as usize].uid.clone();
+                    let server = self.directory.uid(*server);
                     records.push(Record::Sent(*flow, SentTo { at: now, server }));
                 }
                 Effect::Ended(no, parcel, end) => {
@@ -637,7 +703,7 @@
             by_server.entry(server).or_default().push((give_up_at, destination, item));
         }
         for (no, orders) in by_server {
-            let server = &self.directory.servers[no.0 as usize];
+            let Some(server) = self.directory.servers.get(&no) else { continue };
             let (Some(address), Wire::Mail(dialect), Some((_, upstream))) =
                 (server.address, server.wire, &self.mail)
             else {
@@ -663,7 +729,8 @@
                 let switch =
                     upstream.call(MailCall { server: no, address, dialect, give_up_at, transactions });
                 for (_, destination, item) in orders {
-                    let call = OpenCall { switch: switch.clone(), destination: *destination };
+                    let (switch, destination) = (switch.clone(), *destination);
+                    let call = OpenCall { switch, destination, server: no };
                     self.calls.insert((item.flow, item.attempt), call);
                 }
             }
@@ -694,9 +761,9 @@
                 self.settle(no, verdict);
             }
             Effect::Call { flow, attempt, server, give_up_at, payload } => {
-                let address = self.directory.servers[server.0 as usize].address;
+                let to = self.directory.servers.get(&server).and_then(|s| Some((s.address?, s.wire)));
                 let destination = self.destinations.get(&flow).copied();
-                let (Some(address), Some(destination), true) = (address, destination, lasting) else {
+                let (Some((address, wire)), Some(destination), true) = (to, destination, lasting) else {
                     // Not written down, or nowhere to go: it does not go out.
                     let (outcome, elapsed) = (Outcome::Void, Duration::ZERO);
                     let end =
@@ -704,7 +771,7 @@
                     self.core.call_ended(end);
                     return;
                 };
-                if self.directory.servers[server.0 as usize].wire != Wire::Http {
+                if wire != Wire::Http {
                     let item = Item { flow, attempt, parcel: payload };
                     self.mail_calls.push((server, give_up_at, destination, item));
                     return;
@@ -712,7 +779,7 @@
                 let give_up_at = self.clock.instant(give_up_at);
                 let order = CallOrder { flow, attempt, server, address, give_up_at, parcel: payload };
                 let switch = self.upstream.call(order);
-                self.calls.insert((flow, attempt), OpenCall { switch, destination });
+                self.calls.insert((flow, attempt), OpenCall { switch, destination, server });
             }
             Effect::StopCall(flow, attempt) => {
                 if let Some(call) = self.calls.get(&(flow, attempt)) {
@@ -747,11 +814,11 @@
                 self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
             }
             Effect::Probe(server) => {
-                let Server { address, wire, .. } = &self.directory.servers[server.0 as usize];
-                match (address, wire, &self.mail) {
-                    (Some(address), Wire::Http, _) => self.upstream.probe(server, *address),
-                    (Some(address), Wire::Mail(dialect), Some((_, mail))) => {
-                        mail.probe(server, *address, *dialect)
+                let to = self.directory.servers.get(&server).and_then(|s| Some((s.address?, s.wire)));
+                match (to, &self.mail) {
+                    (Some((address, Wire::Http)), _) => self.upstream.probe(server, address),
+                    (Some((address, Wire::Mail(dialect))), Some((_, mail))) => {
+                        mail.probe(server, address, dialect)
                     }
                     _ => self.core.probe_ended(server, Outcome::Void, None),
                 }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -8,8 +8,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
-/// Idle connections over all real servers, at most.
-const IDLE_MAX: usize = 256;
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -41,26 +39,31 @@
 pub struct Pool<C> {
     idle: RefCell<BTreeMap<ServerNo, Vec<Idle<C>>>>,
     keep: Duration,
+    most: usize,
 }
 
 impl<C: Pooled> Pool<C> {
-    /// Nothing yet.
-    pub fn new(keep: Duration) -> Self {
-        Pool { idle: RefCell::default(), keep }
+    /// Nothing yet; over all real servers, `most` connections are kept at most.
+    pub fn new(keep: Duration, most: usize) -> Self {
+        Pool { idle: RefCell::default(), keep, most }
     }
 
     /// The connection used last, if it still stands.
     pub fn take(&self, server: ServerNo) -> Option<C> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&server)?;
-        list.retain_mut(|i| i.stands(self.keep));
-        list.pop().map(|i| i.connection)
+        while let Some(mut last) = list.pop() {
+            if last.stands(self.keep) {
+                return Some(last.connection);
+            }
+        }
+        None
     }
 
     /// Keeps a connection whose call is over.
     pub fn put(&self, server: ServerNo, connection: C) {
         let mut idle = self.idle.borrow_mut();
-        if !connection.has_more() && idle.values().map(Vec::len).sum::<usize>() < IDLE_MAX {
+        if !connection.has_more() && idle.values().map(Vec::len).sum::<usize>() < self.most {
             idle.entry(server).or_default().push(Idle { connection, since: Instant::now() });
         }
     }
@@ -108,7 +111,7 @@
                 let ours = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
                 (Plain(ours), listener.accept().await.unwrap().0)
             };
-            let (pool, server) = (Pool::new(Duration::from_millis(300)), ServerNo(1));
+            let (pool, server) = (Pool::new(Duration::from_millis(300), 8), ServerNo(1));
             let ((good, _theirs), (closed, gone)) = (pair().await, pair().await);
             let (spoken, mut other) = pair().await;
             let port = good.0.local_addr().unwrap();
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -2,7 +2,7 @@
 
 use super::clock::Clock;
 use super::config::Config;
-use super::edge::Edge;
+use super::edge::{Edge, EdgeLimits};
 use super::journal::Journal;
 use super::mail::Dialect;
 use super::mail::client::MailUpstream;
@@ -15,14 +15,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
-/// Descriptors kept for calls, the journal, discovery and the rest.
-const OTHER_DESCRIPTORS: usize = 384;
+/// Connections that may wait to be accepted.
+const WAITING_CONNECTIONS: u32 = 1024;
 /// Time for the last answers to leave.
 const LAST_WORDS: Duration = Duration::from_millis(50);
 
@@ -60,11 +60,22 @@
     phase.advance(State::Recovering);
     let journal = Journal::open(&config.state, config.disk).map_err(failed("journal"))?;
     let (to_owner, queue) = mpsc::channel(QUEUE);
-    let upstream =
-        Upstream::new(config.settings.connect_timeout, config.settings.keepalive, to_owner.clone());
+    let shares = config.shares;
+    let upstream = Upstream::new(
+        config.settings.connect_timeout,
+        config.settings.keepalive,
+        shares.idle,
+        to_owner.clone(),
+    );
     spawn_local(upstream.clone().sweep());
     let mail_upstream = config.mail.as_ref().map(|m| {
-        MailUpstream::new(m.hostname.clone(), config.settings.connect_timeout, m.times, to_owner.clone())
+        MailUpstream::new(
+            m.hostname.clone(),
+            config.settings.connect_timeout,
+            m.times,
+            shares.idle,
+            to_owner.clone(),
+        )
     });
     if let Some(mail) = &mail_upstream {
         spawn_local(mail.clone().sweep());
@@ -82,8 +93,8 @@
     let parts = Parts { journal, clock, phase: phase.clone(), upstream, mail_upstream, notices: due, queue };
     let owner = Owner::new(config, parts).map_err(|e| StartError(e.to_string()))?;
     if let Some(http) = &config.http {
-        let most = config.sockets.saturating_sub(OTHER_DESCRIPTORS).max(16);
-        let edge = Edge::new(to_owner.clone(), phase.clone(), clock, most, http.paths.clone());
+        let limits = EdgeLimits { connections: shares.edges, bodies: shares.bodies };
+        let edge = Edge::new(to_owner.clone(), phase.clone(), clock, limits, http.paths.clone());
         spawn_local(edge.serve(listen("HTTP", http.listen).await?));
     }
     if let Some(mail) = &config.mail {
@@ -115,7 +126,12 @@
 
 async fn listen(what: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
     let failed = |e| StartError(format!("{what} on {address}: {e}"));
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }.map_err(failed)?;
+    // A relay that was killed a moment ago may have left connections at its address.
+    socket.set_reuseaddr(true).map_err(failed)?;
+    socket.bind(address).map_err(failed)?;
+    // Guards usual clients against a flood of others: what finds no place in the queue waits a second.
+    let listener = socket.listen(WAITING_CONNECTIONS).map_err(failed)?;
     log::info!("{what} on {}", listener.local_addr().map_err(failed)?);
     Ok(listener)
 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -19,8 +19,20 @@
 /// Share of the platform's keep-alive time for which an idle connection is kept: a request that crosses the
 /// other side's closing ends as a reset, which may have run.
 const KEEP_SHARE: f64 = 0.85;
-/// How long the rest of an answer may take once its outcome is known; then the connection is closed.
+/// How long the rest of an answer may take once its first line is there; then the connection is closed.
 const TAIL_TIME: Duration = Duration::from_millis(500);
+/// How much of that a delivered flow waits for the report that the answer may carry, and its call for the
+/// answer's body.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+const BODY_TIME: Duration = Duration::from_millis(5);
+/// Answers of the 1xx kind before the real one, at most.
+const EARLY_MAX: usize = 16;
+/// Longest told wait that is believed: no flow lives so long.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+/// Calls a second and share left that a report may state; anything else is noise.
+const RATE_MAX: f64 = 1e6;
+const LEFT_MAX: f64 = 2.0;
+
 /// A call to be made.
 #[derive(Debug, Clone)]
 pub struct CallOrder {
@@ -82,6 +94,17 @@
     limit: Option<LimitReport>,
 }
 
+/// How far a call has come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stage {
+    /// Its last byte has not been written.
+    Unsent,
+    /// It may run.
+    Sent,
+    /// The first line of its answer says 200.
+    Delivered,
+}
+
 #[derive(Debug)]
 struct Inner {
     idle: Pool<Reader<TcpStream>>,
@@ -94,10 +117,12 @@
 pub struct Upstream(Rc<Inner>);
 
 impl Upstream {
-    /// A pool with no connections. Ends of calls go to `owner`.
-    pub fn new(dial_timeout: Duration, keepalive: Duration, owner: mpsc::Sender<ToOwner>) -> Self {
+    /// A pool with no connections, for so many idle ones. Ends of calls go to `owner`.
+    pub fn new(
+        dial_timeout: Duration, keepalive: Duration, idle: usize, owner: mpsc::Sender<ToOwner>,
+    ) -> Self {
         let keep = keepalive.mul_f64(KEEP_SHARE);
-        Upstream(Rc::new(Inner { idle: Pool::new(keep), dial_timeout, owner }))
+        Upstream(Rc::new(Inner { idle: Pool::new(keep, idle), dial_timeout, owner }))
     }
 
     /// Starts a call.
@@ -109,24 +134,26 @@
 
     async fn run(self, order: CallOrder, switch: Switch) {
         let started = Instant::now();
-        let sent = Cell::new(false);
+        let stage = Cell::new(Stage::Unsent);
         let made = {
             // Dropping the exchange closes its connection, before the end is told: no second call of the flow
             // can go out while this one is still open.
-            let exchange = self.exchange(&order, &switch, &sent);
+            let exchange = self.exchange(&order, &switch, &stage);
             tokio::select! {
                 biased;
                 answer = timeout_at(order.give_up_at, exchange) => answer.ok(),
                 () = switch.stopped() => Some(Err(Outcome::Withdrawn)),
             }
         };
-        let answer = match (made, sent.get()) {
+        let answer = match (made, stage.get()) {
             (Some(Ok(answer)), _) => answer,
             // Called off or out of time before its last byte was written: it never ran.
-            (Some(Err(Outcome::Withdrawn)), false) => Answer::of(Outcome::Void),
-            (None, false) => Answer::of(Outcome::Unreachable),
+            (Some(Err(Outcome::Withdrawn)), Stage::Unsent) => Answer::of(Outcome::Void),
+            (None, Stage::Unsent) => Answer::of(Outcome::Unreachable),
+            // Whatever became of the rest of the answer, its first line was true.
+            (_, Stage::Delivered) => Answer::of(Outcome::Success),
             (Some(Err(outcome)), _) => Answer::of(outcome),
-            (None, true) => Answer::of(Outcome::TimedOut),
+            (None, Stage::Sent) => Answer::of(Outcome::TimedOut),
         };
         log::debug!(
             "flow {} attempt {} to {}: {:?} after {:?}",
@@ -144,7 +171,7 @@
     }
 
     async fn exchange(
-        &self, order: &CallOrder, switch: &Switch, sent: &Cell<bool>,
+        &self, order: &CallOrder, switch: &Switch, stage: &Cell<Stage>,
     ) -> Result<Answer, Outcome> {
         let connection = self.connection(order.server, order.address).await?;
         if switch.held() {
@@ -153,8 +180,8 @@
             return Err(Outcome::Void);
         }
         let request = request(order, Instant::now());
-        let (head, _) = self.ask(order.server, connection, &request, sent).await?;
-        Answer::read(&head).ok_or(Outcome::Broken)
+        let (status, head, _) = self.ask(order.server, connection, &request, stage).await?;
+        Ok(Answer::read(status, head.as_ref()))
     }
 
     async fn connection(&self, server: ServerNo, address: SocketAddr) -> Result<Reader<TcpStream>, Outcome> {
@@ -168,32 +195,68 @@
     }
 
     /// Writes a request and reads its answer; the connection is kept if it can be used again.
+    ///
+    /// Guards against spoilt answers. One whose first line says 200 has delivered, whatever comes after it.
+    /// Any other counts for what it says only if it comes whole and can be read: the call has run, and a
+    /// spoilt 503 proves nothing.
     async fn ask(
-        &self, server: ServerNo, mut connection: Reader<TcpStream>, request: &[u8], sent: &Cell<bool>,
-    ) -> Result<(Head, Vec<u8>), Outcome> {
+        &self, server: ServerNo, mut connection: Reader<TcpStream>, request: &[u8], stage: &Cell<Stage>,
+    ) -> Result<(u16, Option<Head>, Vec<u8>), Outcome> {
         // Broken before the last byte is written, it never ran; the real server begins with the last byte.
         connection.get_mut().write_all(request).await.map_err(|_| Outcome::Unreachable)?;
-        sent.set(true);
-        let head = loop {
-            let head = connection.head().await.map_err(|_| Outcome::Broken)?;
-            if !head.first[1].starts_with('1') {
-                break head;
+        stage.set(Stage::Sent);
+        let mut others = 0;
+        let status = loop {
+            connection.begun().await.map_err(|_| Outcome::Broken)?;
+            // What has begun and does not go on is noise, and holds its slot no longer than that.
+            let line = timeout(TAIL_TIME, connection.first_line()).await;
+            let status = line.ok().and_then(Result::ok).ok_or(Outcome::Broken)?;
+            if !(100..200).contains(&status) {
+                break status;
+            }
+            let head = timeout(TAIL_TIME, connection.head()).await;
+            others += 1;
+            if others > EARLY_MAX || !matches!(head, Ok(Ok(_))) {
+                return Err(Outcome::Broken);
             }
         };
-        // The outcome is known; the rest only says whether the connection can be used again.
-        let rest = async {
-            let framing = head.framing(Framing::UntilEnd)?;
-            let body = connection.body(framing).await?;
-            Ok::<_, HttpError>((framing != Framing::UntilEnd && head.keeps_alive(&head.first[0]), body))
-        };
-        let mut body = Vec::new();
-        if let Ok(Ok((again, read))) = timeout(TAIL_TIME, rest).await {
-            body = read;
+        if status != 200 {
+            let whole = async {
+                let head = connection.head().await?;
+                let framing = head.framing(Framing::UntilEnd)?;
+                let body = connection.body(framing).await?;
+                Ok::<_, HttpError>((
+                    framing != Framing::UntilEnd && head.keeps_alive(&head.first[0]),
+                    head,
+                    body,
+                ))
+            };
+            let Ok(Ok((again, head, body))) = timeout(TAIL_TIME, whole).await else {
+                return Err(Outcome::Broken);
+            };
             if again {
                 self.0.idle.put(server, connection);
             }
+            return Ok((status, Some(head), body));
+        }
+        stage.set(Stage::Delivered);
+        let Ok(Ok(head)) = timeout(REPORT_TIME, connection.head()).await else {
+            return Ok((status, None, Vec::new()));
+        };
+        // The rest only says whether the connection can be used again: the call does not wait for it.
+        let (this, framing, keeps) =
+            (self.clone(), head.framing(Framing::UntilEnd), head.keeps_alive(&head.first[0]));
+        let mut rest = Box::pin(async move {
+            let framing = framing.ok().filter(|f| keeps && *f != Framing::UntilEnd)?;
+            let body = connection.body(framing).await.ok()?;
+            this.0.idle.put(server, connection);
+            Some(body)
+        });
+        if let Ok(body) = timeout(BODY_TIME, &mut rest).await {
+            return Ok((status, Some(head), body.unwrap_or_default()));
         }
-        Ok((head, body))
+        tokio::task::spawn_local(timeout(TAIL_TIME, rest));
+        Ok((status, Some(head), Vec::new()))
     }
 
     /// Probes a real server.
@@ -203,10 +266,10 @@
             let asked = async {
                 let connection = this.connection(server, address).await?;
                 let request = format!("GET /stats HTTP/1.1\r\nHost: {address}\r\n\r\n");
-                this.ask(server, connection, request.as_bytes(), &Cell::new(false)).await
+                this.ask(server, connection, request.as_bytes(), &Cell::new(Stage::Unsent)).await
             };
             let (outcome, report) = match timeout(this.0.dial_timeout, asked).await {
-                Ok(Ok((head, body))) => probed(&head, &body),
+                Ok(Ok((status, head, body))) => probed(status, head.as_ref(), &body),
                 Ok(Err(outcome)) => (outcome, None),
                 Err(_) => (Outcome::TimedOut, None),
             };
@@ -257,14 +320,14 @@
 }
 
 /// What the answer to a probe says. Its report may stand in the head or be the body.
-fn probed(head: &Head, body: &[u8]) -> (Outcome, Option<LimitReport>) {
-    let outcome = match head.first[1].as_str() {
-        "200" => Outcome::Success,
-        "429" | "503" => Outcome::Overloaded { wait: None },
+fn probed(status: u16, head: Option<&Head>, body: &[u8]) -> (Outcome, Option<LimitReport>) {
+    let outcome = match status {
+        200 => Outcome::Success,
+        429 | 503 => Outcome::Overloaded { wait: None },
         _ => Outcome::Failure,
     };
     let body = std::str::from_utf8(body).unwrap_or_default();
-    (outcome, limit(head.field("x-backend-load").unwrap_or(body)))
+    (outcome, limit(head.and_then(|h| h.field("x-backend-load")).unwrap_or(body)))
 }
 
 impl Answer {
@@ -272,25 +335,22 @@
         Answer { outcome, finished: None, limit: None }
     }
 
-    fn read(head: &Head) -> Option<Self> {
-        if !head.first[0].starts_with("HTTP/1.") {
-            return None;
-        }
-        let status: u16 = head.first[1].parse().ok()?;
+    fn read(status: u16, head: Option<&Head>) -> Self {
+        let field = |name: &str| head.and_then(|h| h.field(name));
         let outcome = match status {
-            200..=299 => Outcome::Success,
+            200 => Outcome::Success,
             429 => {
-                let wait = head.field("wait-ms").and_then(|v| v.parse::<f64>().ok());
+                let wait = field("wait-ms").and_then(|v| v.parse::<f64>().ok());
                 let wait = wait.and_then(crate::settings::duration_ms).filter(|w| !w.is_zero());
-                Outcome::Overloaded { wait }
+                Outcome::Overloaded { wait: wait.map(|w| w.min(WAIT_MAX)) }
             }
-            503 if head.field("slots-taken").is_some() => Outcome::Void,
+            503 if field("slots-taken").is_some() => Outcome::Void,
             503 => Outcome::Overloaded { wait: None },
             504 | 410 => Outcome::Void,
             _ => Outcome::Failure,
         };
         let finished = (status == 410).then_some(End::Over);
-        Some(Answer { outcome, finished, limit: head.field("x-backend-load").and_then(limit) })
+        Answer { outcome, finished, limit: field("x-backend-load").and_then(limit) }
     }
 }
 
@@ -300,5 +360,100 @@
         let pair = text.split(',').filter_map(|p| p.split_once('=')).find(|(n, _)| n.trim() == name)?;
         pair.1.trim().parse::<f64>().ok().filter(|v| v.is_finite())
     };
-    Some(LimitReport { left: value("x0")?, rate: value("x1")? })
+    let (left, rate) = (value("x0")?, value("x1")?);
+    let plain = (0.0..=LEFT_MAX).contains(&left) && (0.0..=RATE_MAX).contains(&rate);
+    plain.then_some(LimitReport { left, rate })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+    use std::thread;
+
+    const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Backend-Load: x0=0.5,x1=9\r\n\r\n";
+
+    /// Makes a call that is answered so, and another; their ends, and on how many connections they went.
+    fn call(answer: &'static str) -> (CallEnd, CallEnd, usize) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (count, counted) = std::sync::mpsc::channel();
+        thread::spawn(move || {
+            let mut first = true;
+            for stream in listener.incoming().map_while(Result::ok) {
+                count.send(()).unwrap();
+                let says = if std::mem::take(&mut first) { answer } else { GOOD };
+                thread::spawn(move || {
+                    let (mut stream, mut says) = (stream, says);
+                    let mut bytes = [0; 4096];
+                    while stream.read(&mut bytes).is_ok_and(|n| n > 0) {
+                        let _ = stream.write_all(says.as_bytes());
+                        says = GOOD;
+                    }
+                });
+            }
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (owner, mut ends) = mpsc::channel(8);
+            let second = Duration::from_secs(1);
+            let upstream = Upstream::new(second, second * 9, 8, owner);
+            let mut seen = Vec::new();
+            for flow in 1..=2 {
+                let body: Rc<[u8]> = b"ab"[..].into();
+                let parcel = Rc::new(Parcel { id: format!("f{flow}"), key: None, mail: None, body });
+                let (flow, give_up_at) = (FlowNo(flow), Instant::now() + second * 3);
+                upstream.call(CallOrder {
+                    flow,
+                    attempt: 0,
+                    server: ServerNo(1),
+                    address,
+                    give_up_at,
+                    parcel,
+                });
+                match timeout(second * 9, ends.recv()).await.unwrap() {
+                    Some(ToOwner::CallEnded(end, _)) => seen.push(end),
+                    other => panic!("{other:?}"),
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            (seen[0], seen[1], counted.try_iter().count())
+        })
+    }
+
+    #[test]
+    fn a_spoilt_answer_delivers_by_its_first_line_or_may_have_run_and_its_connection_goes() {
+        let long: &'static str = format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(20_000)).leak();
+        let twice: &'static str = format!("{GOOD}{GOOD}").leak();
+        let early: &'static str = format!("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n{GOOD}").leak();
+        for (answer, outcome, connections) in [
+            (GOOD, Outcome::Success, 1),
+            (early, Outcome::Success, 1),
+            (twice, Outcome::Success, 2),
+            (long, Outcome::Success, 2),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", Outcome::Success, 2),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nxxxx", Outcome::Success, 2),
+            ("HTTP/1.1 200 OK\r\n: :\r\n\r\n", Outcome::Success, 2),
+            ("HTTP/1.1 200 OK\r\nand no more", Outcome::Success, 2),
+            ("HTTP/1.1 503 no\r\nContent-Length: 9\r\n\r\nxxxx", Outcome::Broken, 2),
+            ("HTTP/1.1 429 no\r\nWait-Ms: 9\r\n:\r\n\r\n", Outcome::Broken, 2),
+            ("HTTP/1.1 2000 OK\r\n\r\n", Outcome::Broken, 2),
+            ("\u{1}\u{2}noise", Outcome::Broken, 2),
+            ("HTTP/1.", Outcome::Broken, 2),
+            ("HTTP/1.1 503 no\r\nContent-Length: 2\r\n\r\nno", Outcome::Overloaded { wait: None }, 1),
+        ] {
+            let (first, second, opened) = call(answer);
+            assert_eq!((first.outcome, opened), (outcome, connections), "{answer:.60}");
+            assert!(first.elapsed < Duration::from_secs(1), "{answer:.60} took {:?}", first.elapsed);
+            assert_eq!(second.outcome, Outcome::Success, "after {answer:.60}");
+            assert_eq!(second.limit, Some(LimitReport { left: 0.5, rate: 9.0 }));
+        }
+    }
+
+    #[test]
+    fn a_report_that_cannot_be_true_is_none() {
+        for noise in ["", "x0", "x0=a,x1=1", "x0=NaN,x1=1", "x0=0.5,x1=1e300", "x0=-1,x1=2", "x0=0.5"] {
+            assert_eq!(limit(noise), None, "{noise}");
+        }
+    }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 type Heard = Arc<Mutex<Vec<String>>>;
 
@@ -180,6 +180,13 @@
         (whole.replace("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked"), "400"),
         (whole.replace("POST /orders", "POST /parcels"), "400"),
         (whole.replace("dest=7", "dest=x"), "400"),
+        (whole.replace("dest=7", "dest=9"), "400"),
+        (whole.replace("Time-Left-Ms: 9000", "Time-Left-Ms: +9000"), "400"),
+        (whole.replace("Time-Left-Ms: 9000", "Time-Left-Ms: 900000000"), "400"),
+        (whole.replace("Correlation-Id: a", "Correlation-Id: a\r\nX-Correlation-Id: b"), "400"),
+        (whole.replace("Content-Length: 2", "Content-Length: -2"), "400"),
+        (whole.replace("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 2"), "400"),
+        (flow("notices", "k").replace("Idempotency-Key: k\r\n", ""), "400"),
         (long, "431"),
         ("GET /health/ready HTTP/1.1\r\n\r\n".into(), "200"),
     ] {
@@ -228,10 +235,38 @@
     relay.logged("discovery: from");
     // Its news are heard, and what the old one said still stands.
     let to_eight = |id: &str| flow("orders", id).replace("dest=7", "dest=8");
-    assert!(ask(&mut Talk::to(relay.address("HTTP")), &to_eight("moved")).starts_with("202"));
+    let handed_in = || ask(&mut Talk::to(relay.address("HTTP")), &to_eight("moved")).starts_with("202");
+    until("the news", || handed_in().then_some(()));
     until("the notice", || (!notices.lock().unwrap().is_empty()).then_some(()));
     assert_eq!(*notices.lock().unwrap(), [r#"{"id":"moved","state":"failed"}"#]);
     assert_eq!(*heard_too.lock().unwrap(), ["moved"]);
     assert_eq!(*heard.lock().unwrap(), ["open"]);
     assert!(at_old.lock().unwrap().is_empty());
 }
+
+#[test]
+fn silent_and_slow_clients_are_let_go_and_starve_nobody() {
+    let folder = Folder::new("silent");
+    let (platform, _) = platform();
+    let (address, _) = server(|_| "200 OK");
+    let relay = Relay::platform(&folder, &config(platform, address, 50));
+    let at = relay.address("HTTP");
+    let mut kept = Talk::to(at);
+    assert!(ask(&mut kept, &flow("orders", "kept")).starts_with("202"));
+    let began = Instant::now();
+    let mut half = Talk::to(at);
+    half.write("POST /orders HTTP/1.1\r\nX-Correlation-Id: half\r\n");
+    // More than there are descriptors.
+    let mut silent: Vec<_> = (0..300).map(|_| Talk::to(at)).collect();
+    for n in 0..20 {
+        let asked = Instant::now();
+        assert!(hand_in(&relay, "orders", &format!("usual{n}")).starts_with("202"));
+        assert!(asked.elapsed() < Duration::from_millis(400), "after {:?}", asked.elapsed());
+    }
+    assert!(silent.iter_mut().all(|s| s.line().is_none()), "a silent client was told something");
+    let said = half.line();
+    assert!(said.is_none_or(|l| l.contains(" 408 ") || l.contains(" 503 ")));
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    // A client that was served may go on.
+    assert!(ask(&mut kept, &flow("orders", "again")).starts_with("202"));
+}
