Let a message try where only probes are answered, and see a hang before slots run out

Seen: on rude+garble+fleet the destination with most traffic hangs from 6 to 15 s.

Checked: the debug log shows calls to real servers 0 and 6 withdrawn after 0.29 s, one after the other, and probes of both answered within 25 ms all the while (GET /stats is answered beside the queue), each of which made them Well again.

Cause, in control.rs: a call that notice_silence called off for its slot had an outcome that judge does not count, so that no silence was ever noticed; and judge took a probe's answer for the end of an outage. Now a call given up for its slot makes an endpoint suspect that has said nothing since; an answered probe lets one message try, one that may go again if such a one waits, and trials in vain come every second.

Tests: two, each seen to fail without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -32,6 +32,8 @@
 /// two of these are enough, while errors and resets come singly from destinations that still serve.
 const DOWN_AFTER: u32 = 6;
 const HARD_WEIGHT: u32 = 3;
+/// Trials in vain up to which the pause before the next one doubles.
+const TRIALS_SLOW: u32 = 1;
 /// Refusals in a row, and time without a success, before untold refusals count as shut and not as a limit.
 const SHUT_AFTER: u32 = 4;
 const SHUT_QUIET: Duration = Duration::from_millis(2000);
@@ -170,6 +172,9 @@
     last_sent: Duration,
     spread: f64,
     calls_out: usize,
+    /// A probe was answered while it was down, and no message has tried since; and how many have in vain.
+    trial: bool,
+    trials: u32,
     /// When it was last listed, once it is gone.
     listed: Duration,
     /// Since when each of its idle connections is idle, the newest last.
@@ -301,6 +306,10 @@
             Event::Outcome(end) => self.take_outcome(end, actions),
             Event::Withdrawn(id) => self.forget(*id),
             Event::Wake(_) => {}
+            // What answers a probe may still answer no call: the probe lets one message try.
+            Event::Probed { endpoint, outcome: Outcome::Success, .. } if self.is_down(*endpoint) => {
+                self.endpoints.entry(*endpoint).and_modify(|e| e.trial = true);
+            }
             Event::Probed { endpoint, outcome, limit } => {
                 let sent = self.endpoints.get(endpoint).map_or(self.now, |e| e.last_sent);
                 self.judge(*endpoint, *outcome, sent, *limit, actions);
@@ -502,7 +511,7 @@
             Outcome::Void | Outcome::Withdrawn => return,
             Outcome::Success => {
                 let suspected = e.hard_run == 0 && e.refused_run == 0;
-                (e.last_ok, e.hard_run, e.refused_run) = (now, 0, 0);
+                (e.last_ok, e.hard_run, e.refused_run, e.trials) = (now, 0, 0, 0);
                 lane.recent.add(now, RECENT_TAU);
                 match e.health {
                     Health::Well => e.usual.add(now, USUAL_TAU),
@@ -633,6 +642,12 @@
         let found = self.calls.iter().find(|(_, c)| self.settings.cancelling && silent(c)).map(|(n, _)| *n);
         let Some((number, call)) = found.and_then(|n| Some((n, self.calls.get_mut(&n)?))) else { return };
         call.cancelled = true;
+        // Called off so early, it must not hide an endpoint that answers nobody.
+        let (sent, young) = (call.sent, call.idle_for <= T1 / 2);
+        let mute = |e: &&mut Endpoint| young && e.last_heard <= sent && e.health == Health::Well;
+        if let Some(e) = self.endpoints.get_mut(&call.endpoint).filter(mute) {
+            (e.health, e.down_since) = (Health::Down, now);
+        }
         let its = self.flights.iter().filter(|(_, f)| f.0 == number);
         actions.extend(its.map(|((id, attempt), _)| Action::Cancel { id: *id, attempt: *attempt }));
     }
@@ -678,7 +693,10 @@
     fn open(&self, e: &Endpoint) -> bool {
         let waiting = self.lanes.get(&e.lane).is_none_or(|l| l.wait_until > self.now);
         let shut = match e.health {
-            Health::Down => self.now < e.last_sent + self.cold_gap(e).max(T1),
+            Health::Down => {
+                !e.trial
+                    && self.now < e.last_sent + self.cold_gap(e).max(T1 * (1 << e.trials.min(TRIALS_SLOW)))
+            }
             // Not in step: a shut that told its end is over for all senders at the same moment.
             Health::Warming(since) => self.now < e.last_sent.max(since) + self.cold_gap(e),
             Health::Well => false,
@@ -686,6 +704,17 @@
         !waiting && !shut
     }
 
+    /// Whether a message may be the one that a probe lets try: one try only is for when no other waits.
+    fn may_try(&self, m: &Message) -> bool {
+        let once = |m: &Message| self.settings.classes[m.class].effect == Effect::Once;
+        let waits = |o: &Message| o.destination == m.destination && o.state == State::Ready && !once(o);
+        !once(m) || !self.messages.values().any(waits)
+    }
+
+    fn is_down(&self, id: EndpointId) -> bool {
+        self.endpoints.get(&id).is_some_and(|e| e.health == Health::Down)
+    }
+
     /// Whether another attempt of this message can ever be sent.
     fn may_retry(&self, m: &Message) -> bool {
         let allowed = match (m.risk, self.settings.classes[m.class].effect) {
@@ -704,7 +733,9 @@
         // Where probes may ask, no message is spent on an endpoint that does not answer; but where trials are
         // rarer than the span, a message that may go again is itself the trial.
         let rare = class.effect != Effect::Once && self.cold_gap(e) > s.overload_span;
-        let answers = !(s.probes && e.refused_run == 0 && e.health == Health::Down) || rare;
+        let answers = !(s.probes && e.refused_run == 0 && e.health == Health::Down)
+            || rare
+            || e.trial && self.may_try(m);
         // A keyed message that may have run stays where its key is known.
         let known = match (m.risk, class.effect) {
             (Some((_, at)), Effect::Keyed { group: RepeatGroup::Zone, .. }) => {
@@ -715,7 +746,7 @@
         };
         // One try only: not where calls fail, unless time is nearly up.
         let timid = class.effect == Effect::Once && self.now + class.aim < m.deadline;
-        let feared = timid && (e.fail_share > SAFE_FAIL || e.health == Health::Down);
+        let feared = timid && (e.fail_share > SAFE_FAIL || e.health == Health::Down && !e.trial);
         let due = m.state == State::Ready && self.now < m.deadline && self.may_retry(m);
         due && listed && answers && known && !feared && self.turn(id, m)
     }
@@ -905,6 +936,7 @@
         let (now, warm) = (self.now, self.settings.cold_time + self.settings.overload_span);
         let spread = self.random_spread();
         let Some(e) = self.endpoints.get_mut(&endpoint) else { return };
+        e.trials += u32::from(std::mem::take(&mut e.trial));
         (e.last_sent, e.spread) = (now, spread);
         if matches!(e.health, Health::Warming(since) if now >= since + warm) {
             e.health = Health::Well;
@@ -952,7 +984,8 @@
 
     /// Where messages wait for an endpoint judged down, a probe asks for them if probes are allowed.
     fn probe_down(&mut self, waiting: &[DestinationId], actions: &mut Vec<Action>) {
-        let due = |e: &&Endpoint| e.health == Health::Down && e.refused_run == 0 && self.open(e);
+        let down = |e: &&Endpoint| e.health == Health::Down && e.refused_run == 0 && !e.trial;
+        let due = |e: &&Endpoint| down(e) && self.open(e);
         let due = waiting.iter().flat_map(|d| self.live(*d).filter(due)).map(|e| e.info.id);
         for id in due.filter(|_| self.settings.probes).collect::<Vec<_>>() {
             self.note_sent(id);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -331,3 +331,52 @@
     assert!(!state.contains("EndpointId(1)") && state.contains("EndpointId(5)"), "{state}");
     assert_eq!(sends(&bed.message(2, None).1)[0].1, EndpointId(5));
 }
+
+/// Calls given up early for their slots tell of a hang all the same: nothing more with one try goes there.
+#[test]
+fn calls_given_up_for_their_slots_make_a_silent_endpoint_suspect() {
+    let mut s = settings();
+    (s.max_calls, s.probes) = (4, true);
+    let mut bed = Bed::new(s, &[1]);
+    for _ in 0..30 {
+        let (id, actions) = bed.message(2, None);
+        bed.pass(ms(50));
+        bed.outcome(id, 0, sends(&actions)[0].1, Outcome::Success);
+    }
+    let lost: Vec<_> = (0..8).map(|_| bed.message(2, None).0).collect();
+    let mut later = Vec::new();
+    for _ in 0..14 {
+        let passed = bed.pass(ms(50));
+        for (at, a) in passed {
+            if let Action::Cancel { id, attempt } = &a {
+                let then = bed.outcome(*id, *attempt, EndpointId(1), Outcome::Withdrawn);
+                later.extend(then.into_iter().map(|a| (at, a)));
+            }
+            later.push((at, a));
+        }
+    }
+    assert!(cancels(&later) >= 1, "none of {} given up", lost.len());
+    assert!(timed_sends(&later).is_empty(), "{later:?}");
+}
+
+/// A hung endpoint may answer probes: a probe lets one message try, and not all that wait.
+#[test]
+fn an_answered_probe_lets_one_message_try() {
+    let mut s = settings();
+    s.probes = true;
+    let mut bed = Bed::new(s, &[1]);
+    bed.message(0, None);
+    bed.pass(ms(1100));
+    for _ in 0..6 {
+        bed.message(2, None);
+    }
+    let probed = |bed: &mut Bed| {
+        let (endpoint, outcome) = (EndpointId(1), Outcome::Success);
+        sends(&bed.step(vec![Event::Probed { endpoint, outcome, limit: None }]))
+    };
+    let first = probed(&mut bed);
+    assert_eq!(first.len(), 1, "{first:?}");
+    assert!(timed_sends(&bed.pass(ms(500))).is_empty());
+    // Its answer is what shows that the endpoint serves.
+    assert_eq!(sends(&bed.outcome(first[0].0, 0, EndpointId(1), Outcome::Success)).len(), 5);
+}
