--- a/src/control.rs
+++ b/src/control.rs
@@ -52,6 +52,8 @@
 /// How long idle connections are doubted after an overdue call; if a fresh connection to the same endpoint
 /// answers meanwhile, for `CROWD_MEMORY`.
 const STALE_DOUBT: Duration = Duration::from_secs(10);
+/// Time within which a call breaks whose connection was gone before it.
+const BREAKS_AT_ONCE: Duration = Duration::from_millis(20);
 /// How long a kind of destination that refused a connection counts as short of them.
 const CROWD_MEMORY: Duration = Duration::from_secs(60);
 /// Share of its time that a connection is in use from which it is worth its place all the same.
@@ -452,7 +454,9 @@
             self.doubt_until = self.now + CROWD_MEMORY;
         }
         let refused = matches!(outcome, Outcome::Overloaded { .. });
-        if refused || first && (!outcome.may_still_run() || idle_for <= trusted) {
+        // What breaks at once on a connection that was idle tells of that connection only.
+        let stale = outcome == Outcome::Broken && !idle_for.is_zero() && elapsed < BREAKS_AT_ONCE;
+        if refused || first && !stale && (!outcome.may_still_run() || idle_for <= trusted) {
             self.judge(endpoint, outcome, sent, limit, actions);
         }
         let weight = if first && attempt == 0 { REFUSED_WEIGHT } else { 0.0 };
--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -166,7 +166,7 @@
         &self, call: &MailCall, switch: &Switch, stages: &RefCell<Vec<Stage>>,
     ) -> Result<(), Stopped> {
         let mut c = match self.0.idle.take(call.server) {
-            Some(c) => c,
+            Some((c, _)) => c,
             None => self.connect(call.address, call.dialect).await?,
         };
         let mut first = 0;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -25,6 +25,8 @@
 /// answer's body.
 const REPORT_TIME: Duration = Duration::from_millis(100);
 const BODY_TIME: Duration = Duration::from_millis(5);
+/// Time within which a call breaks whose connection was gone before it.
+const AT_ONCE: Duration = Duration::from_millis(20);
 /// Answers of the 1xx kind before the real one, at most.
 const EARLY_MAX: usize = 16;
 /// Longest told wait that is believed: no flow lives so long.
@@ -173,21 +175,31 @@
     async fn exchange(
         &self, order: &CallOrder, switch: &Switch, stage: &Cell<Stage>,
     ) -> Result<Answer, Outcome> {
-        let connection = self.connection(order.server, order.address).await?;
+        let (connection, idle) = self.connection(order.server, order.address).await?;
         if switch.held() {
             // Guards told waits: while this connection came up, another call was told to wait.
             self.0.idle.put(order.server, connection);
             return Err(Outcome::Void);
         }
-        let request = request(order, Instant::now());
-        let (status, head, _) = self.ask(order.server, connection, &request, stage).await?;
+        let written = Instant::now();
+        let request = request(order, written);
+        let asked = self.ask(order.server, connection, &request, stage).await;
+        if let (Err(Outcome::Broken), Some(idle)) = (&asked, idle)
+            && written.elapsed() < AT_ONCE
+        {
+            self.0.idle.broke(idle);
+        }
+        let (status, head, _) = asked?;
         Ok(Answer::read(status, head.as_ref()))
     }
 
-    async fn connection(&self, server: ServerNo, address: SocketAddr) -> Result<Reader<TcpStream>, Outcome> {
+    /// A connection, and how long it was idle if it is not a new one.
+    async fn connection(
+        &self, server: ServerNo, address: SocketAddr,
+    ) -> Result<(Reader<TcpStream>, Option<Duration>), Outcome> {
         match self.0.idle.take(server) {
-            Some(connection) => Ok(connection),
-            None => self.dial(address).await.map_err(|e| {
+            Some((connection, idle)) => Ok((connection, Some(idle))),
+            None => self.dial(address).await.map(|new| (new, None)).map_err(|e| {
                 log::debug!("real server {}: {e}", server.0);
                 Outcome::Unreachable
             }),
@@ -264,7 +276,7 @@
         let this = self.clone();
         tokio::task::spawn_local(async move {
             let asked = async {
-                let connection = this.connection(server, address).await?;
+                let (connection, _) = this.connection(server, address).await?;
                 let request = format!("GET /stats HTTP/1.1\r\nHost: {address}\r\n\r\n");
                 this.ask(server, connection, request.as_bytes(), &Cell::new(Stage::Unsent)).await
             };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -380,3 +380,23 @@
     // Its answer is what shows that the endpoint serves.
     assert_eq!(sends(&bed.outcome(first[0].0, 0, EndpointId(1), Outcome::Success)).len(), 5);
 }
+
+/// Connections that were gone before the call tell nothing of the endpoint.
+#[test]
+fn breaks_at_once_on_idle_connections_do_not_close_an_endpoint() {
+    let mut bed = Bed::new(settings(), &[1]);
+    let (id, actions) = bed.message(2, None);
+    bed.outcome(id, 0, sends(&actions)[0].1, Outcome::Success);
+    // Until then idle connections of a kind not known yet are given back.
+    bed.pass(ms(11_000));
+    for _ in 0..6 {
+        for outcome in [Outcome::Success, Outcome::Broken] {
+            let (id, actions) = bed.message(2, None);
+            let endpoint = sends(&actions).first().expect("held").1;
+            let (elapsed, terminal) = (ms(1), outcome == Outcome::Success);
+            let end = AttemptEnd { id, attempt: 0, endpoint, outcome, elapsed, terminal, limit: None };
+            bed.step(vec![Event::Outcome(end)]);
+            bed.pass(ms(20));
+        }
+    }
+}
