Give the places of clients that had their error to others, and bound mail sessions by address

Seen: with 500 connections that send a faulty head and stay, a usual client of the loopback story waited 587 ms for its answer; clients wait 400. In the mail front one address could hold every session for 300 s.

Cause: edge.rs kept a connection for 200 ms after its error as one that nobody may close; config.rs knew no queue; server.rs counted sessions over all addresses only.

Now such a connection gives way at once; the queue has a place for each edge connection and two for each call; a body is counted until its verdict; an address holds half of the mail sessions at most.

Tried and taken back: a draining relay that stays 3.3 s and keeps clients' connections, so as to tell them when to come again.

Tests: the story of silent clients, seen to fail with the old edge.rs, and one of the mail server's.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -15,6 +15,8 @@
 
 /// Descriptors for the journal and its successor, discovery, notices, the listener, the runtime and the log.
 const OWN_DESCRIPTORS: usize = 24;
+/// Room in the owner's queue for all else: news of the list, probes, notices.
+const QUEUE_OVER: usize = 64;
 /// Edge connections that may be closing while others take their place.
 const EDGES_OVER: usize = 8;
 /// Part of the memory allowed that half-read bodies may take: one in so many.
@@ -88,8 +90,10 @@
     pub edges: usize,
     /// Idle connections to real servers.
     pub idle: usize,
-    /// Bytes of requests' bodies that have not come whole.
+    /// Bytes of requests' bodies that are coming in or wait for the owner.
     pub bodies: usize,
+    /// Messages that may wait for the owner: one for each edge connection and call, and some.
+    pub queue: usize,
 }
 
 impl Shares {
@@ -98,7 +102,8 @@
         let edges = (sockets / 2).max(16);
         let idle = sockets.saturating_sub(edges + EDGES_OVER + OWN_DESCRIPTORS + calls).clamp(8, 256);
         let bodies = ((memory_mb.max(0.0) * 1e6) as usize / BODIES_SHARE).max(BODY_MAX);
-        Shares { edges, idle, bodies }
+        let queue = edges + 2 * calls + QUEUE_OVER;
+        Shares { edges, idle, bodies, queue }
     }
 }
 
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -42,7 +42,7 @@
 pub struct EdgeLimits {
     /// Connections held at once.
     pub connections: usize,
-    /// Bytes of bodies that have not come whole yet, over all connections.
+    /// Bytes of bodies that are coming in or wait for the owner, over all connections.
     pub bodies: usize,
 }
 
@@ -193,7 +193,7 @@
             // Guards the promise of an answer: from here on the request is whole, and nothing cuts it short.
             connection.bound.set(true);
             let answer = match read {
-                Ok(Ok(Request::Whole(offer, verdict, keep))) => {
+                Ok(Ok(Request::Whole { offer, verdict, keep, room: _room })) => {
                     let reply = self.hand_in(offer, verdict).await;
                     // One that is told to end wants its clients elsewhere.
                     let stays = keep && self.phase.state() < State::Draining;
@@ -213,7 +213,14 @@
             }
             if answer.close {
                 let _ = reader.get_mut().shutdown().await;
-                let _ = timeout(LINGER, reader.discard(LINGER_BYTES)).await;
+                // It has its answer: whoever needs the place may have it, or a flood of faulty requests would
+                // hold them all.
+                connection.served.set(false);
+                connection.bound.set(false);
+                tokio::select! {
+                    _ = timeout(LINGER, reader.discard(LINGER_BYTES)) => {}
+                    () = connection.close.notified() => {}
+                }
                 return;
             }
             connection.served.set(true);
@@ -224,7 +231,7 @@
 
     /// Reads a request. What is wrong with its head is told before its body has come: nobody has to wait for
     /// megabytes that are of no use.
-    async fn request(&self, reader: &mut Reader<TcpStream>) -> Result<Request, HttpError> {
+    async fn request(&self, reader: &mut Reader<TcpStream>) -> Result<Request<'_>, HttpError> {
         let head = reader.head().await?;
         let framing = head.framing(Framing::Length(0))?;
         let version = head.first[2].as_str();
@@ -252,9 +259,8 @@
                     go_on.await.map_err(HttpError::Io)?;
                 }
                 let body = reader.body(framing).await?;
-                drop(room);
                 let (offer, verdict) = self.offer(terms, body);
-                return Ok(Request::Whole(offer, verdict, keep));
+                return Ok(Request::Whole { offer, verdict, keep, room });
             }
             ("GET", "/health/ready") if self.phase.state() == State::Serving => Reply::new(200, "OK"),
             ("GET", "/health/ready") => Reply::new(503, "Service Unavailable"),
@@ -357,9 +363,16 @@
 }
 
 /// A request as it was read.
-enum Request {
-    /// It hands in a flow; whether its connection stays open.
-    Whole(Offer, oneshot::Receiver<Vec<Verdict>>, bool),
+enum Request<'a> {
+    /// It hands in a flow.
+    Whole {
+        offer: Offer,
+        verdict: oneshot::Receiver<Vec<Verdict>>,
+        /// Whether its connection stays open.
+        keep: bool,
+        /// Its body's, until the owner has decided: from then on the journal bounds what is held.
+        room: Room<'a>,
+    },
     /// It has its answer.
     Answered(Reply),
 }
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -7,7 +7,9 @@
 use crate::net::owner::{Offer, ToOwner, Verdict};
 use crate::net::parcel::{Envelope, Parcel};
 use crate::net::phase::{Phase, State};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -19,6 +21,8 @@
 const FAULTS_MAX: u32 = 20;
 /// Trace lines from which a message is taken for one that goes round in circles (RFC 5321, 6.3).
 const HOPS_MAX: usize = 100;
+/// Sessions over the most that are open for as long as it takes to turn them away.
+const TOLD_BUSY: usize = 16;
 /// Time for a reply to be taken.
 const WRITE_TIME: Duration = Duration::from_secs(30);
 
@@ -29,7 +33,8 @@
     owner: mpsc::Sender<ToOwner>,
     phase: Phase,
     clock: Clock,
-    open: Cell<usize>,
+    /// Open sessions, by the client's address.
+    open: RefCell<BTreeMap<IpAddr, usize>>,
     last: Cell<u64>,
 }
 
@@ -69,7 +74,7 @@
 impl MailEdge {
     /// No session yet.
     pub fn new(settings: MailSettings, owner: mpsc::Sender<ToOwner>, phase: Phase, clock: Clock) -> Rc<Self> {
-        Rc::new(MailEdge { settings, owner, phase, clock, open: Cell::new(0), last: Cell::new(0) })
+        Rc::new(MailEdge { settings, owner, phase, clock, open: RefCell::default(), last: Cell::new(0) })
     }
 
     /// Accepts sessions until the program stops.
@@ -82,16 +87,21 @@
             match accepted {
                 Ok((stream, peer)) => {
                     let edge = self.clone();
-                    edge.open.set(edge.open.get() + 1);
+                    if self.sessions() > self.settings.max_clients + TOLD_BUSY {
+                        // Not even room to tell it so.
+                        continue;
+                    }
+                    *self.open.borrow_mut().entry(peer.ip()).or_default() += 1;
                     tokio::task::spawn_local(async move {
                         let _ = stream.set_nodelay(true);
                         let lines = Lines::new(stream);
                         let (hello, mail) = (None, Transaction::default());
-                        let peer = peer.ip().to_string();
+                        let from = peer.ip();
+                        let peer = from.to_string();
                         let mut session =
                             Session { edge: &edge, dialect, lines, peer, hello, mail, faults: 0 };
-                        session.run().await;
-                        edge.open.set(edge.open.get() - 1);
+                        session.run(from).await;
+                        edge.left(from);
                     });
                 }
                 Err(e) => {
@@ -102,8 +112,26 @@
         }
     }
 
-    fn busy(&self) -> bool {
-        self.open.get() > self.settings.max_clients || self.phase.state() != State::Serving
+    fn sessions(&self) -> usize {
+        self.open.borrow().values().sum()
+    }
+
+    fn left(&self, peer: IpAddr) {
+        let mut open = self.open.borrow_mut();
+        let left = open.get_mut(&peer).map_or(0, |n| {
+            *n -= 1;
+            *n
+        });
+        if left == 0 {
+            open.remove(&peer);
+        }
+    }
+
+    /// Guards usual clients against one that opens session after session and says nothing: no address holds
+    /// more than half of them.
+    fn busy(&self, peer: IpAddr) -> bool {
+        let (most, its) = (self.settings.max_clients, self.open.borrow().get(&peer).copied().unwrap_or(0));
+        self.sessions() > most || its > most.div_ceil(2) || self.phase.state() != State::Serving
     }
 
     /// An id that no other flow of this relay has or had.
@@ -115,9 +143,9 @@
 }
 
 impl Session<'_> {
-    async fn run(&mut self) {
+    async fn run(&mut self, from: IpAddr) {
         let name = self.edge.settings.hostname.clone();
-        if self.edge.busy() {
+        if self.edge.busy(from) {
             let _ = self.say("421 4.3.2 not now, come again later").await;
             return;
         }
@@ -372,3 +400,40 @@
     let header = body.split(|b| *b == b'\n').take_while(|l| *l != b"\r");
     header.filter(|l| l.len() >= 9 && l[..9].eq_ignore_ascii_case(b"received:")).count()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::mail::Times;
+
+    #[test]
+    fn one_address_cannot_hold_all_sessions() {
+        let time = Duration::from_secs(1);
+        let times =
+            Times { client: time, client_data: time, command: time, block: time, done: time, keep: time };
+        let settings = MailSettings {
+            smtp: None,
+            lmtp: None,
+            hostname: "relay".into(),
+            class: "orders".into(),
+            deadline: time,
+            routes: Vec::new(),
+            bounce: None,
+            max_size: 1000,
+            max_recipients: 1,
+            max_clients: 4,
+            per_call: 1,
+            times,
+        };
+        let phase = Phase::new();
+        phase.advance(State::Serving);
+        let edge = MailEdge::new(settings, mpsc::channel(1).0, phase, Clock::start());
+        let (greedy, usual) = (IpAddr::from([127, 0, 0, 1]), IpAddr::from([127, 0, 0, 2]));
+        edge.open.borrow_mut().extend([(greedy, 3), (usual, 1)]);
+        assert!(edge.busy(greedy) && !edge.busy(usual));
+        edge.left(greedy);
+        assert!(!edge.busy(greedy));
+        edge.left(usual);
+        assert_eq!(edge.open.borrow().len(), 1);
+    }
+}
--- a/src/net/owner.rs
+++ b/src/net/owner.rs
@@ -22,8 +22,6 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
-/// Messages that may wait for the owner.
-pub const QUEUE: usize = 1024;
 /// Messages taken into one step, at most.
 const BATCH: usize = 256;
 /// Time from the order to end within which calls may still begin, and after which the program exits: the kill
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -7,7 +7,7 @@
 use super::mail::Dialect;
 use super::mail::client::MailUpstream;
 use super::mail::server::MailEdge;
-use super::owner::{Owner, Parts, QUEUE, ToOwner};
+use super::owner::{Owner, Parts, ToOwner};
 use super::phase::{Phase, State};
 use super::upstream::Upstream;
 use super::{discovery, notices};
@@ -59,8 +59,8 @@
     let hangup = signal(SignalKind::hangup()).map_err(failed("signals"))?;
     phase.advance(State::Recovering);
     let journal = Journal::open(&config.state, config.disk).map_err(failed("journal"))?;
-    let (to_owner, queue) = mpsc::channel(QUEUE);
     let shares = config.shares;
+    let (to_owner, queue) = mpsc::channel(shares.queue);
     let upstream = Upstream::new(
         config.settings.connect_timeout,
         config.settings.keepalive,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -245,7 +245,7 @@
 }
 
 #[test]
-fn silent_and_slow_clients_are_let_go_and_starve_nobody() {
+fn silent_slow_and_faulty_clients_are_let_go_and_starve_nobody() {
     let folder = Folder::new("silent");
     let (platform, _) = platform();
     let (address, _) = server(|_| "200 OK");
@@ -262,11 +262,22 @@
         let asked = Instant::now();
         assert!(hand_in(&relay, "orders", &format!("usual{n}")).starts_with("202"));
         assert!(asked.elapsed() < Duration::from_millis(400), "after {:?}", asked.elapsed());
+        assert!(ask(&mut kept, &flow("orders", &format!("kept{n}"))).starts_with("202"));
     }
     assert!(silent.iter_mut().all(|s| s.line().is_none()), "a silent client was told something");
     let said = half.line();
     assert!(said.is_none_or(|l| l.contains(" 408 ") || l.contains(" 503 ")));
     assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
-    // A client that was served may go on.
-    assert!(ask(&mut kept, &flow("orders", "again")).starts_with("202"));
+    // Nor do those that are told an error at once and stay.
+    let faulty: Vec<_> = (0..500)
+        .map(|_| {
+            let mut talk = Talk::to(at);
+            talk.write("POST /nothing HTTP/1.1\r\n\r\n");
+            talk
+        })
+        .collect();
+    let asked = Instant::now();
+    assert!(hand_in(&relay, "orders", "after").starts_with("202"));
+    assert!(asked.elapsed() < Duration::from_millis(400), "after {:?}", asked.elapsed());
+    drop(faulty);
 }
