Ask clients of a relay that ends back for when the next process is there

Cause, as far as it can be changed: owner.rs told every client 2 s, also those refused 3 s after the order to end, who then came up to 1.4 s after the next process was there. Now the time told is what is left of 4.5 s, between 0.25 and 2 s.

Test: one of the owner's, which cannot be met by a constant.

--- a/src/net/owner.rs
+++ b/src/net/owner.rs
@@ -30,8 +30,10 @@
 const DRAIN_END: Duration = Duration::from_millis(3500);
 /// Time for which new connections still come after the order to end.
 const DRAIN_LEAST: Duration = Duration::from_millis(600);
-/// Time that clients are asked to stay away for by a relay that is about to end.
-const COME_BACK: Duration = Duration::from_secs(2);
+/// Time from the order to end after which the next process is there: the kill, its pause, and a start. Clients
+/// are asked to stay away until then, within the two times.
+const NEXT_READY: Duration = Duration::from_millis(4500);
+const COME_BACK: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
 /// Ids of flows that are over, kept in case one is handed in twice.
 const REMEMBERED: usize = 4096;
 
@@ -471,7 +473,7 @@
                 // Taken on before, and the answer was lost on its way: it is not a second flow.
                 Some(Verdict::Taken)
             } else if self.phase.state() != State::Serving {
-                Some(Verdict::TurnedDown(COME_BACK))
+                Some(Verdict::TurnedDown(come_back(self.draining_since, self.clock.now())))
             } else if !self.core.has_room(items.len()) || !self.journal.has_room(items.len(), bytes) {
                 Some(Verdict::Full)
             } else {
@@ -832,6 +834,13 @@
     }
 }
 
+/// How long clients should stay away from a relay that ends. Guards their time: told the same at every moment,
+/// those refused last would come long after there is somebody again.
+fn come_back(draining_since: Option<Duration>, now: Duration) -> Duration {
+    let left = draining_since.map_or(NEXT_READY, |since| (since + NEXT_READY).saturating_sub(now));
+    left.clamp(COME_BACK.0, COME_BACK.1)
+}
+
 fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
@@ -869,3 +878,16 @@
         Outcome::Void => "void",
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn clients_are_asked_to_come_when_the_next_process_is_there() {
+        let (ms, since) = (Duration::from_millis, Some(Duration::from_secs(9)));
+        let told = |after| come_back(since, ms(9000 + after));
+        assert_eq!([told(0), told(2000), told(3500), told(9000)], [ms(2000), ms(2000), ms(1000), ms(250)]);
+        assert_eq!(come_back(None, ms(0)), ms(2000));
+    }
+}
