End a flow by notice when its answer is read after its time, and tell notices in time

Now a first line read within 20 ms of the flow's time, or after it, ends the flow by a notice (finished: failed); a notice too many does no harm.

Possible, though not the cause here: a notice on a connection that fell silent waited 1 s; now 80 ms, then on a new connection, doubling.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,8 @@
 //! attempts and whether one is out, and turns the module's actions into effects that name the payload. It
 //! knows no wire; what a payload is and how a real server is called is the business of the fronts.
 
+pub mod vigil;
+
 use crate::Controller;
 use crate::api::{
     Action, AttemptEnd, ClassId, DestinationId, Event, LimitReport, NewMessage, Past, TenantId,
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -13,8 +13,11 @@
 use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
 
-/// Time for one exchange.
-const ANSWER: Duration = Duration::from_secs(1);
+/// Time for the first exchange of a batch, and for the last ones; it doubles in between. The platform answers at
+/// once, and a notice is overdue 300 ms after its flow's time: a connection that fell silent unseen must not
+/// take longer than that to be left for a new one. Told twice, a notice does no harm.
+const ANSWER: Duration = Duration::from_millis(80);
+const ANSWER_MAX: Duration = Duration::from_secs(1);
 /// First and longest pause before the next try.
 const PAUSE: Duration = Duration::from_millis(25);
 const PAUSE_MAX: Duration = Duration::from_secs(1);
@@ -49,7 +52,7 @@
     batch: &[(FlowNo, Owed)],
 ) -> bool {
     let body: String = batch.iter().map(|(_, owed)| line(owed)).collect();
-    let mut pause = PAUSE;
+    let (mut pause, mut patience) = (PAUSE, ANSWER);
     loop {
         // Guards against notices told where nobody listens any more: a new address gets them at once.
         if addresses.has_changed().unwrap_or(false) {
@@ -58,7 +61,7 @@
         }
         let address = *addresses.borrow_and_update();
         let told = tokio::select! {
-            told = timeout(ANSWER, post(address, connection, &body)) => told,
+            told = timeout(patience, post(address, connection, &body)) => told,
             () = moved(addresses) => {
                 addresses.mark_changed();
                 continue;
@@ -69,7 +72,15 @@
             Ok(Ok(400)) => return false,
             Ok(Ok(status)) => log::warn!("notices: the platform answers {status}"),
             Ok(Err(e)) => log::warn!("notices: {e}"),
-            Err(_) => log::warn!("notices: no answer"),
+            Err(_) => {
+                // Silence says nothing of the platform yet: a new connection is tried at once.
+                log::warn!("notices: no answer within {patience:?}");
+                *connection = None;
+                if patience < ANSWER_MAX {
+                    patience = (patience * 2).min(ANSWER_MAX);
+                    continue;
+                }
+            }
         }
         *connection = None;
         tokio::select! {
--- a/src/net/owner.rs
+++ b/src/net/owner.rs
@@ -12,6 +12,7 @@
 use super::phase::{Phase, State};
 use super::upstream::{CallOrder, Switch, Upstream};
 use crate::api::{ClassId, DestinationId, KindId, LimitReport, ListState, Past, TenantId, ZoneId};
+use crate::core::vigil::{Line, Vigil};
 use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo, ServiceEntry};
 use crate::plugin::{FlowView, Hooks};
 use crate::settings::Names;
@@ -182,6 +183,7 @@
 pub struct Owner {
     core: Core<Rc<Parcel>>,
     journal: Journal,
+    vigil: Vigil,
     names: Names,
     clock: Clock,
     phase: Phase,
@@ -247,6 +249,7 @@
             core,
             next: journal.ledger().next.max(1),
             journal,
+            vigil: Vigil::default(),
             names: config.names.clone(),
             clock,
             phase,
@@ -318,6 +321,9 @@
             self.views.insert(no, view);
         }
         self.destinations.insert(no, destination);
+        if flow.parcel.mail.is_none() {
+            self.vigil.taken(no, &flow.parcel.id, now, flow.deadline, true);
+        }
         self.core.recover(no, terms, past, flow.parcel.clone());
         true
     }
@@ -376,6 +382,8 @@
         match message {
             ToOwner::Offer(offer) => self.take_offer(offer),
             ToOwner::CallEnded(end, detail) => {
+                let line = Line::CallEnded(end.attempt, outcome_name(end.outcome));
+                self.vigil.note(end.flow, self.clock.now(), line);
                 self.calls.remove(&(end.flow, end.attempt));
                 // Should this never be written, a restart takes the call for one that may have run.
                 self.unwritten.push(Record::CallEnded(end.flow, end.outcome.never_ran()));
@@ -394,6 +402,11 @@
             ToOwner::List(list) => self.take_list(&list),
             ToOwner::NoticesHeard(flows) => {
                 self.telling = false;
+                let now = self.clock.now();
+                flows
+                    .iter()
+                    .filter_map(|no| self.vigil.kept(*no, now))
+                    .for_each(|story| log::error!("{story}"));
                 self.unwritten.extend(flows.into_iter().map(Record::Noticed));
             }
         }
@@ -572,9 +585,13 @@
         }
         if !self.telling && !self.journal.ledger().owed.is_empty() {
             let owed = self.journal.ledger().owed.iter().take(notices::BATCH);
-            let batch = owed.map(|(no, owed)| (*no, owed.clone())).collect();
+            let batch: Vec<_> = owed.map(|(no, owed)| (*no, owed.clone())).collect();
+            let now = self.clock.now();
+            batch.iter().for_each(|(no, _)| self.vigil.note(*no, now, Line::Telling));
             self.telling = self.notices.try_send(batch).is_ok();
         }
+        let now = self.clock.now();
+        self.vigil.overdue(now).into_iter().for_each(|story| log::error!("{story}"));
     }
 
     /// Writes down first what the effects promise, then does them.
@@ -743,6 +760,9 @@
                 if let Some(w) = self.waiting.get(&no) {
                     let (class, to) = (&w.flow.class, w.flow.destination);
                     log::debug!("flow {} ({}) taken: class {class}, destination {to}", no.0, parcel.id);
+                    if parcel.mail.is_none() {
+                        self.vigil.taken(no, &parcel.id, now, w.flow.deadline, false);
+                    }
                 }
                 self.settle(no, Verdict::Taken);
             }
@@ -776,12 +796,17 @@
                     self.mail_calls.push((server, give_up_at, destination, item));
                     return;
                 }
+                self.vigil.note(flow, now, Line::Sent(attempt, server.0, give_up_at));
                 let give_up_at = self.clock.instant(give_up_at);
-                let order = CallOrder { flow, attempt, server, address, give_up_at, parcel: payload };
+                let deadline = self.journal.ledger().open.get(&flow).map(|(f, _)| f.deadline);
+                let over_at = deadline.map_or(give_up_at, |d| self.clock.instant(d));
+                let order =
+                    CallOrder { flow, attempt, server, address, give_up_at, over_at, parcel: payload };
                 let switch = self.upstream.call(order);
                 self.calls.insert((flow, attempt), OpenCall { switch, destination, server });
             }
             Effect::StopCall(flow, attempt) => {
+                self.vigil.note(flow, now, Line::Stopped(attempt));
                 if let Some(call) = self.calls.get(&(flow, attempt)) {
                     call.switch.stop();
                 }
@@ -792,6 +817,11 @@
             }
             Effect::Ended(no, parcel, end) => {
                 log::debug!("flow {} ({}) ended: {end:?}", no.0, parcel.id);
+                let owed = parcel.mail.is_none() && matches!(end, End::Failed | End::Returned(_));
+                self.vigil.note(no, now, Line::Ended(end_name(end), owed));
+                if !owed && let Some(story) = self.vigil.kept(no, now) {
+                    log::error!("{story}");
+                }
                 if let Some(view) = self.views.remove(&no) {
                     self.hooks.flow_ended(&view, end_name(end));
                 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -27,6 +27,9 @@
 const BODY_TIME: Duration = Duration::from_millis(5);
 /// Time within which a call breaks whose connection was gone before it.
 const AT_ONCE: Duration = Duration::from_millis(20);
+/// A delivery this shortly before the end of a flow's time counts as too late: that time began before the relay
+/// read of it, and the platform goes by its own clock. Such a flow ends by a notice, which does no harm.
+const LAST_MOMENT: Duration = Duration::from_millis(20);
 /// Answers of the 1xx kind before the real one, at most.
 const EARLY_MAX: usize = 16;
 /// Longest told wait that is believed: no flow lives so long.
@@ -48,6 +51,8 @@
     pub address: SocketAddr,
     /// When to stop waiting.
     pub give_up_at: Instant,
+    /// When the flow's time is up.
+    pub over_at: Instant,
     /// What to send.
     pub parcel: Rc<Parcel>,
 }
@@ -103,8 +108,8 @@
     Unsent,
     /// It may run.
     Sent,
-    /// The first line of its answer says 200.
-    Delivered,
+    /// The first line of its answer says 200, and was read then.
+    Delivered(Instant),
 }
 
 #[derive(Debug)]
@@ -153,7 +158,7 @@
             (Some(Err(Outcome::Withdrawn)), Stage::Unsent) => Answer::of(Outcome::Void),
             (None, Stage::Unsent) => Answer::of(Outcome::Unreachable),
             // Whatever became of the rest of the answer, its first line was true.
-            (_, Stage::Delivered) => Answer::of(Outcome::Success),
+            (_, Stage::Delivered(_)) => Answer::of(Outcome::Success),
             (Some(Err(outcome)), _) => Answer::of(outcome),
             (None, Stage::Sent) => Answer::of(Outcome::TimedOut),
         };
@@ -165,7 +170,13 @@
             answer.outcome,
             started.elapsed()
         );
-        let Answer { outcome, finished, limit } = answer;
+        let Answer { outcome, mut finished, limit } = answer;
+        // Guards the one end of a flow that is answered after its time. A thread that was kept from running
+        // finds answer and time-out together; what it reads then was written when the flow was over for
+        // whoever handed it in, and its end is still owed.
+        if matches!(stage.get(), Stage::Delivered(at) if at + LAST_MOMENT > order.over_at) {
+            finished = Some(End::Failed);
+        }
         let CallOrder { flow, attempt, server, .. } = order;
         let end = CallEnd { flow, attempt, server, outcome, finished, elapsed: started.elapsed(), limit };
         // The owner outlives all calls but at exit.
@@ -251,7 +262,7 @@
             }
             return Ok((status, Some(head), body));
         }
-        stage.set(Stage::Delivered);
+        stage.set(Stage::Delivered(Instant::now()));
         let Ok(Ok(head)) = timeout(REPORT_TIME, connection.head()).await else {
             return Ok((status, None, Vec::new()));
         };
@@ -421,6 +432,7 @@
                     server: ServerNo(1),
                     address,
                     give_up_at,
+                    over_at: give_up_at,
                     parcel,
                 });
                 match timeout(second * 9, ends.recv()).await.unwrap() {
@@ -462,6 +474,50 @@
         }
     }
 
+    #[test]
+    fn an_answer_read_after_the_time_of_its_flow_leaves_the_end_owed() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let ms = Duration::from_millis;
+        thread::spawn(move || {
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                let mut bytes = [0; 4096];
+                while stream.read(&mut bytes).is_ok_and(|n| n > 0) {
+                    thread::sleep(ms(150));
+                    let _ = stream.write_all(GOOD.as_bytes());
+                }
+            }
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (owner, mut ends) = mpsc::channel(8);
+            let upstream = Upstream::new(ms(1000), ms(9000), 8, owner);
+            // Of a flow with time left, and of one whose time is up as the thread does not get to run.
+            for (time, finished) in [(2000, None), (100, Some(End::Failed))] {
+                let parcel =
+                    Rc::new(Parcel { id: "f".into(), key: None, mail: None, body: b"ab"[..].into() });
+                let over_at = Instant::now() + ms(time);
+                upstream.call(CallOrder {
+                    flow: FlowNo(1),
+                    attempt: 0,
+                    server: ServerNo(1),
+                    address,
+                    give_up_at: over_at,
+                    over_at,
+                    parcel,
+                });
+                tokio::time::sleep(ms(50)).await;
+                thread::sleep(ms(250));
+                match timeout(ms(9000), ends.recv()).await.unwrap() {
+                    Some(ToOwner::CallEnded(end, _)) => {
+                        assert_eq!((end.outcome, end.finished), (Outcome::Success, finished));
+                    }
+                    other => panic!("{other:?}"),
+                }
+            }
+        });
+    }
+
     #[test]
     fn a_report_that_cannot_be_true_is_none() {
         for noise in ["", "x0", "x0=a,x1=1", "x0=NaN,x1=1", "x0=0.5,x1=1e300", "x0=-1,x1=2", "x0=0.5"] {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -281,3 +281,45 @@
     assert!(asked.elapsed() < Duration::from_millis(400), "after {:?}", asked.elapsed());
     drop(faulty);
 }
+
+/// A platform on which every second exchange of a connection, and all after it, find nobody.
+fn platform_falling_silent() -> (SocketAddr, Arc<Mutex<Vec<(Instant, String)>>>) {
+    let heard: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
+    let to = heard.clone();
+    let address = listen(move |mut talk| {
+        let mut posts = 0;
+        while let Some((first, _, body)) = request(&mut talk) {
+            if first.starts_with("GET") {
+                talk.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                while talk.line().is_some() {}
+            }
+            posts += 1;
+            if posts > 1 {
+                while talk.line().is_some() {}
+                return;
+            }
+            to.lock().unwrap().extend(body.lines().map(|l| (Instant::now(), l.to_string())));
+            answer(&mut talk, "204 No Content");
+        }
+    });
+    (address, heard)
+}
+
+#[test]
+fn a_notice_finds_its_way_in_time_when_its_connection_has_fallen_silent() {
+    let folder = Folder::new("mutenotice");
+    let (platform, notices) = platform_falling_silent();
+    let (address, _) = server(|_| "500 no");
+    let relay = Relay::platform(&folder, &config(platform, address, 50));
+    let mut worst = Duration::ZERO;
+    for n in 0..4 {
+        let began = Instant::now();
+        let id = format!("f{n}");
+        // Held back or failed at once: its end is due after 200 ms.
+        let short = flow("orders", &id).replace("Time-Left-Ms: 9000", "Time-Left-Ms: 200");
+        assert!(ask(&mut Talk::to(relay.address("HTTP")), &short).starts_with("202"));
+        let heard = || notices.lock().unwrap().iter().find(|(_, l)| l.contains(&id)).map(|(at, _)| *at);
+        worst = worst.max(until("the notice", heard) - began);
+    }
+    assert!(worst < Duration::from_millis(500), "a notice took {worst:?}");
+}
