Route by hosts, locations and groups, and import nginx settings into that

The importer wrote addresses only; nothing in the relay could carry weights, backups, methods, regex locations, path rewriting, limits or access rules.

Change: crates/onyxstile-routing (hosts, locations, paths, groups with all of nginx's open methods, limits by key, variables; no I/O, no clock), crates/onyxstile-nginx (lexer, parser with includes, an account of every directive, a writer of operator's files), net/routing.rs between table, edge, owner and module.

--- a/src/api.rs
+++ b/src/api.rs
@@ -417,3 +417,29 @@
     /// A line for the log.
     Log(String),
 }
+
+/// Proposes an order of preference among the endpoints of a destination. The module disposes: it asks for a
+/// proposal where it is about to choose, and takes the first endpoint that it would allow. Health, waits,
+/// drains, cold ramps, slots and repeated attempts stay the module's.
+pub trait Proposer: std::fmt::Debug {
+    /// Names endpoints until one is allowed. A proposer that has no opinion on a destination says
+    /// [`Proposed::NoOpinion`], and the module chooses by itself.
+    fn propose(
+        &mut self, destination: DestinationId, message: MessageId,
+        allowed: &mut dyn FnMut(EndpointId) -> bool,
+    ) -> Proposed;
+
+    /// So many calls to the endpoint are out.
+    fn busy(&mut self, endpoint: EndpointId, calls_out: usize);
+}
+
+/// What a proposal came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Proposed {
+    /// The destination is not among those that the proposer orders.
+    NoOpinion,
+    /// None of its endpoints was allowed.
+    Nobody,
+    /// This one was.
+    Endpoint(EndpointId),
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 use crate::api::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -251,6 +252,8 @@
     /// Where the list has to be asked for: failures in a row, and when to ask (again) if not subscribed.
     asks_failed: u32,
     ask_at: Option<Duration>,
+    /// Whose order of preference is asked first, if there is one.
+    proposer: RefCell<Option<Box<dyn Proposer>>>,
 }
 
 impl Controller {
@@ -279,10 +282,16 @@
             wake_at: None,
             asks_failed: 0,
             ask_at: settings.ask_for_list.then_some(now),
+            proposer: RefCell::new(None),
             settings,
         })
     }
 
+    /// From now on choices go by the proposer's order, for the destinations on which it has an opinion.
+    pub fn set_proposer(&mut self, proposer: Box<dyn Proposer>) {
+        self.proposer = RefCell::new(Some(proposer));
+    }
+
     /// Takes a whole batch of events at the clock `now` and appends what is to be done to `actions`.
     pub fn step(&mut self, now: Duration, events: &[Event], actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -440,6 +449,7 @@
         let answered = matches!(outcome, Outcome::Success | Outcome::Failure | Outcome::Overloaded { .. });
         if let Some(e) = self.endpoints.get_mut(&endpoint).filter(|_| over) {
             e.calls_out -= 1;
+            self.proposer.get_mut().iter_mut().for_each(|p| p.busy(endpoint, e.calls_out));
             if answered && e.calls_out.is_multiple_of(self.settings.streams_per_connection) {
                 e.idle.push(self.now);
             }
@@ -900,11 +910,19 @@
         let jammed = if self.refused_share < REFUSED_MOST { JAMMED } else { 1 };
         let free = |e: &Endpoint, l: &Lane| m.attempts == 0 && e.refused_run < jammed && l.pace * aim < 0.5;
         let paid = |e: &Endpoint, l: &Lane| l.tokens >= 1.0 || l.pace >= PACE_FREE || free(e, l);
-        self.live(m.destination)
-            .filter(|e| self.lanes.get(&e.lane).is_some_and(|l| paid(e, l)))
-            .filter(|e| self.open(e) && self.may_send(id, m, e))
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)))
-            .map(|e| e.info.id)
+        let fits = |e: &Endpoint| {
+            self.lanes.get(&e.lane).is_some_and(|l| paid(e, l)) && self.open(e) && self.may_send(id, m, e)
+        };
+        if let Some(proposer) = self.proposer.borrow_mut().as_mut() {
+            let mut allowed = |id: EndpointId| self.endpoints.get(&id).is_some_and(fits);
+            match proposer.propose(m.destination, id, &mut allowed) {
+                Proposed::NoOpinion => {}
+                Proposed::Nobody => return None,
+                Proposed::Endpoint(id) => return Some(id),
+            }
+        }
+        let fitting = self.live(m.destination).filter(|e| fits(e));
+        fitting.min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|e| e.info.id)
     }
 
     /// Books a new call: its slot, its token, its place in the cold budget or as a trial.
@@ -925,6 +943,7 @@
                 idle_for = e.idle.pop().map_or(Duration::ZERO, |since| sent - since);
             }
             e.calls_out += 1;
+            self.proposer.get_mut().iter_mut().for_each(|p| p.busy(endpoint, e.calls_out));
             if let Some(l) = self.lanes.get_mut(&e.lane) {
                 l.tokens = (l.tokens - 1.0).max(-1.0);
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::Controller;
 use crate::api::{
-    Action, AttemptEnd, ClassId, DestinationId, Event, LimitReport, NewMessage, Past, TenantId,
+    Action, AttemptEnd, ClassId, DestinationId, Event, LimitReport, NewMessage, Past, Proposer, TenantId,
 };
 pub use crate::api::{
     EndpointId as ServerNo, EndpointInfo as ServiceEntry, MessageId as FlowNo, Outcome, Settings,
@@ -142,6 +142,11 @@
         })
     }
 
+    /// From now on the module asks the proposer first (see [`Proposer`]).
+    pub fn set_proposer(&mut self, proposer: Box<dyn Proposer>) {
+        self.module.set_proposer(proposer);
+    }
+
     /// Whether so many more flows may be held.
     pub fn has_room(&self, flows: usize) -> bool {
         self.flows.len() + flows <= self.most_held
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,7 +70,6 @@
 pub mod api;
 mod control;
 pub mod core;
-pub mod import_nginx;
 pub mod net;
 pub mod plugin;
 pub mod settings;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -7,11 +7,12 @@
 use crate::api::{DestinationId, Settings};
 use crate::plugin::Hooks;
 use crate::settings::{self, Names};
+use onyxstile_routing::RoutingConfig;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Descriptors for the journal and its successor, discovery, notices, the listener, the runtime and the log.
 const OWN_DESCRIPTORS: usize = 24;
@@ -80,10 +81,12 @@
 pub struct HttpSettings {
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Who is told how flows ended.
-    pub outcomes: SocketAddr,
+    /// Who is told how flows ended; where nobody is, the log is.
+    pub outcomes: Option<SocketAddr>,
     /// Destinations by path, for requests that name none.
     pub paths: Vec<(String, DestinationId)>,
+    /// Classes and how long their flows live, for requests that do not say it.
+    pub classes: Vec<(String, Duration)>,
 }
 
 /// What the relay runs by.
@@ -101,6 +104,8 @@
     pub hooks: Rc<Hooks>,
     /// Real servers that the operator names.
     pub fixed: Vec<FixedServer>,
+    /// The routing table.
+    pub routing: Option<RoutingConfig>,
     /// The folder that lasts.
     pub state: PathBuf,
     /// Most bytes in it.
@@ -137,10 +142,13 @@
         if let Some(file) = file {
             config.mail = file.mail(&mut config.settings, &mut config.names)?;
             config.fixed = file.servers();
+            config.routing = file.routing.clone();
             config.hooks =
                 Rc::new(Hooks::load(&file.plugins.scripts).map_err(|e| ConfigError(e.to_string()))?);
             if let Some(http) = &mut config.http {
                 http.paths = file.paths();
+                let classes = config.names.classes.iter().zip(&config.settings.classes);
+                http.classes = classes.map(|(name, c)| (name.clone(), c.deadline)).collect();
             }
         }
         config.settings.check().map_err(|e| ConfigError(e.to_string()))?;
@@ -168,11 +176,17 @@
         let listen = needed("GW_LISTEN", raw.listen)?;
         Ok(Config {
             name: variable("GW_NAME").unwrap_or(raw.name),
-            http: Some(HttpSettings { listen, outcomes: discovery, paths: Vec::new() }),
+            http: Some(HttpSettings {
+                listen,
+                outcomes: Some(discovery),
+                paths: Vec::new(),
+                classes: Vec::new(),
+            }),
             discovery: Some(discovery),
             mail: None,
             hooks: no_hooks()?,
             fixed: Vec::new(),
+            routing: None,
             state,
             disk: (raw.limits.disk_mb.max(0.0) * 1e6) as u64,
             shares: Shares::of(raw.limits.sockets, raw.limits.memory_mb, settings.max_calls),
@@ -190,7 +204,12 @@
         let (settings, names) =
             settings::read(&file.settings_text()?).map_err(|e| ConfigError(format!("settings: {e}")))?;
         let http = file.http.as_ref();
-        let http = http.map(|h| HttpSettings { listen: h.listen, outcomes: h.outcomes, paths: Vec::new() });
+        let http = http.map(|h| HttpSettings {
+            listen: h.listen,
+            outcomes: h.outcomes,
+            paths: Vec::new(),
+            classes: Vec::new(),
+        });
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Config {
             name: file.mail.as_ref().map_or_else(|| "onyxstile".into(), |_| "mail".into()),
@@ -199,6 +218,7 @@
             mail: None,
             hooks: no_hooks()?,
             fixed: Vec::new(),
+            routing: None,
             state: relay.state,
             disk: (relay.disk_mb.max(0.0) * 1e6) as u64,
             shares: Shares::of(relay.sockets, relay.memory_mb, settings.max_calls),
--- a/src/net/directory.rs
+++ b/src/net/directory.rs
@@ -82,6 +82,11 @@
         self.servers.get(&no).map(|s| s.uid.clone()).unwrap_or_default()
     }
 
+    /// The number that a name has, if it has one.
+    pub fn find(&self, uid: &str) -> Option<ServerNo> {
+        self.numbers.get(uid).copied()
+    }
+
     /// A real server.
     pub fn get(&self, no: ServerNo) -> Option<&Server> {
         self.servers.get(&no)
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -1,10 +1,12 @@
 //! Edge connections: clients hand in flows over HTTP.
 
 use super::clock::Clock;
+use super::config::HttpSettings;
 use super::http::{BODY_MAX, Framing, Head, HttpError, Reader};
 use super::inbox::{Offer, ToOwner, Verdict};
-use super::parcel::Parcel;
+use super::parcel::{Parcel, Routed};
 use super::phase::{Phase, State};
+use super::routing::{Held, NoWay, Routing};
 use crate::api::DestinationId;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -34,6 +36,8 @@
 const NEW: Duration = Duration::from_millis(200);
 /// Letters of an id, a key or a name, at most.
 const WORD_MAX: usize = 200;
+/// The least that a client over a limit is asked to stay away for.
+const LIMITED_LEAST: Duration = Duration::from_millis(100);
 /// Time that a client is asked to stay away for where nothing else says it.
 const COME_BACK: Duration = Duration::from_millis(500);
 
@@ -55,6 +59,11 @@
     limits: EdgeLimits,
     /// Destinations by path, for requests that name none.
     paths: Vec<(String, DestinationId)>,
+    /// Classes and how long their flows live, for routed requests that do not say it.
+    classes: Vec<(String, Duration)>,
+    routing: Rc<Routing>,
+    /// Ids given to routed requests that have none: the start, in microseconds, and how many.
+    ids: (u128, Cell<u64>),
     /// Open connections, by number.
     open: RefCell<BTreeMap<u64, Rc<Connection>>>,
     last: Cell<u64>,
@@ -85,11 +94,13 @@
 impl Edge {
     /// Nothing is listened to yet.
     pub fn new(
-        owner: mpsc::Sender<ToOwner>, phase: Phase, clock: Clock, limits: EdgeLimits,
-        paths: Vec<(String, DestinationId)>,
+        owner: mpsc::Sender<ToOwner>, phase: Phase, clock: Clock, limits: EdgeLimits, http: &HttpSettings,
+        routing: Rc<Routing>,
     ) -> Rc<Self> {
         let (open, last, bodies) = (RefCell::default(), Cell::new(0), Cell::new(0));
-        Rc::new(Edge { owner, phase, clock, limits, paths, open, last, bodies })
+        let (paths, classes) = (http.paths.clone(), http.classes.clone());
+        let ids = (clock.now().as_micros(), Cell::new(0));
+        Rc::new(Edge { owner, phase, clock, limits, paths, classes, routing, ids, open, last, bodies })
     }
 
     /// Accepts connections until the program stops.
@@ -187,13 +198,13 @@
             }
             let read = tokio::select! {
                 biased;
-                read = timeout_at(due, self.request(&mut reader)) => read,
+                read = timeout_at(due, self.request(&mut reader, connection.peer)) => read,
                 () = connection.close.notified() => Ok(Ok(Request::Answered(Reply::closing(503, "Service Unavailable").after(COME_BACK)))),
             };
             // Guards the promise of an answer: from here on the request is whole, and nothing cuts it short.
             connection.bound.set(true);
             let answer = match read {
-                Ok(Ok(Request::Whole { offer, verdict, keep, room: _room })) => {
+                Ok(Ok(Request::Whole { offer, verdict, keep, room: _room, held: _held })) => {
                     let reply = self.hand_in(offer, verdict).await;
                     // One that is told to end wants its clients elsewhere.
                     let stays = keep && self.phase.state() < State::Draining;
@@ -231,7 +242,7 @@
 
     /// Reads a request. What is wrong with its head is told before its body has come: nobody has to wait for
     /// megabytes that are of no use.
-    async fn request(&self, reader: &mut Reader<TcpStream>) -> Result<Request<'_>, HttpError> {
+    async fn request(&self, reader: &mut Reader<TcpStream>, peer: IpAddr) -> Result<Request<'_>, HttpError> {
         let head = reader.head().await?;
         let framing = head.framing(Framing::Length(0))?;
         let version = head.first[2].as_str();
@@ -242,9 +253,11 @@
         let keep = head.keeps_alive(version);
         let reply = match (head.first[0].as_str(), head.first[1].as_str()) {
             ("POST", _) => {
-                let terms = match self.terms(&head) {
+                let length = if let Framing::Length(length) = framing { Some(length as u64) } else { None };
+                let (terms, held) = match self.terms(&head, peer, length) {
                     Ok(terms) => terms,
-                    Err(what) => return Err(HttpError::Malformed(what)),
+                    Err(Unfit::Malformed(what)) => return Err(HttpError::Malformed(what)),
+                    Err(Unfit::Answered(reply)) => return Ok(Request::Answered(reply)),
                 };
                 let most = if let Framing::Length(length) = framing { length } else { BODY_MAX };
                 if self.bodies.get() + most > self.limits.bodies {
@@ -260,7 +273,7 @@
                 }
                 let body = reader.body(framing).await?;
                 let (offer, verdict) = self.offer(terms, body);
-                return Ok(Request::Whole { offer, verdict, keep, room });
+                return Ok(Request::Whole { offer, verdict, keep, room, held });
             }
             ("GET", "/health/ready") if self.phase.state() == State::Serving => Reply::new(200, "OK"),
             ("GET", "/health/ready") => Reply::new(503, "Service Unavailable"),
@@ -274,7 +287,7 @@
     }
 
     /// What a request's head says of its flow.
-    fn terms(&self, head: &Head) -> Result<Terms, &'static str> {
+    fn terms(&self, head: &Head, peer: IpAddr, length: Option<u64>) -> Result<(Terms, Option<Held>), Unfit> {
         let word = |name: &str, what: &'static str| match head.only(name).map_err(|_| what)? {
             Some(v) if v.is_empty() || v.len() > WORD_MAX || !v.bytes().all(|b| b.is_ascii_graphic()) => {
                 Err(what)
@@ -284,34 +297,54 @@
         let path = head.first[1].strip_prefix('/').ok_or("the path")?;
         let first = path.split(['/', '?']).next().unwrap_or_default().to_string();
         let named = word("x-service-class", "the class")?;
-        // The first part of the path is the class, but for paths that the operator has routed.
-        let routed = self.paths.iter().any(|(p, _)| head.first[1].starts_with(p.as_str()));
-        if !routed && named.as_ref().is_some_and(|c| *c != first) {
-            return Err("two classes");
-        }
-        let class = named.filter(|_| routed).unwrap_or(first);
-        let left = head.only("x-time-left-ms").ok().flatten().and_then(digits).ok_or("the time left")?;
         let envelope = head.only("envelope").map_err(|_| "two envelopes")?.unwrap_or_default();
         let pairs = envelope.split([';', ',', '&', ' ']).filter_map(|p| p.split_once('='));
         let mut dests = pairs.filter(|(n, _)| n.trim() == "dest").map(|(_, v)| digits(v.trim()));
-        let dest = dests.next().map(|d| d.map(DestinationId));
+        let dest = dests.next();
         if dests.next().is_some() {
-            return Err("two destinations");
+            return Err("two destinations".into());
         }
-        let by_path =
-            || self.paths.iter().find(|(p, _)| head.first[1].starts_with(p.as_str())).map(|(_, d)| *d);
-        let destination = dest.unwrap_or_else(by_path).ok_or("the destination")?;
-        let id = word("x-correlation-id", "the id")?.ok_or("no id")?;
         let key = word("idempotency-key", "the key")?;
         let tenant = word("x-account", "the account")?;
+        let id = word("x-correlation-id", "the id")?;
+        let left = head.only("x-time-left-ms").ok().flatten().map(digits);
+        if dest.is_none() && !self.routing.is_empty() {
+            // A routed client may know nothing of classes, ids or times.
+            let only = || self.classes.first().filter(|_| self.classes.len() == 1).map(|c| c.0.clone());
+            let class = named.or_else(only).ok_or("the class")?;
+            let life = self.classes.iter().find(|c| c.0 == class).map(|c| c.1);
+            let left = match left {
+                Some(left) => left.map(Duration::from_millis),
+                None => life,
+            };
+            let deadline = self.clock.now() + left.ok_or("the time left")?;
+            let way = self.routing.way(head, peer, length, self.clock.now());
+            let way = way.map_err(|no| Unfit::Answered(Reply::no_way(no)))?;
+            let id = id.unwrap_or_else(|| {
+                self.ids.1.set(self.ids.1.get() + 1);
+                format!("r{:x}-{:x}", self.ids.0, self.ids.1.get())
+            });
+            let (destination, routed) = (way.destination, Some(way.routed));
+            return Ok((Terms { class, tenant, deadline, destination, id, key, routed }, Some(way.held)));
+        }
+        // The first part of the path is the class, but for paths that the operator has routed.
+        let path = self.paths.iter().find(|(p, _)| head.first[1].starts_with(p.as_str()));
+        if path.is_none() && named.as_ref().is_some_and(|c| *c != first) {
+            return Err("two classes".into());
+        }
+        let class = named.filter(|_| path.is_some()).unwrap_or(first);
+        let left = left.flatten().ok_or("the time left")?;
+        let dest = dest.map(|d| d.map(DestinationId));
+        let destination = dest.unwrap_or_else(|| path.map(|(_, d)| *d)).ok_or("the destination")?;
+        let id = id.ok_or("no id")?;
         let deadline = self.clock.now() + Duration::from_millis(left);
-        Ok(Terms { class, tenant, deadline, destination, id, key })
+        Ok((Terms { class, tenant, deadline, destination, id, key, routed: None }, None))
     }
 
     fn offer(&self, terms: Terms, body: Vec<u8>) -> (Offer, oneshot::Receiver<Vec<Verdict>>) {
-        let Terms { class, tenant, deadline, destination, id, key } = terms;
+        let Terms { class, tenant, deadline, destination, id, key, routed } = terms;
         let (reply, verdict) = oneshot::channel();
-        let items = vec![(destination, Rc::new(Parcel { id, key, mail: None, body: body.into() }))];
+        let items = vec![(destination, Rc::new(Parcel { id, key, mail: None, routed, body: body.into() }))];
         (Offer { class, tenant, deadline, items, together: false, reply }, verdict)
     }
 
@@ -360,6 +393,21 @@
     destination: DestinationId,
     id: String,
     key: Option<String>,
+    routed: Option<Routed>,
+}
+
+/// Why a head is of no use.
+enum Unfit {
+    /// It is not as it should be.
+    Malformed(&'static str),
+    /// It has its answer.
+    Answered(Reply),
+}
+
+impl From<&'static str> for Unfit {
+    fn from(what: &'static str) -> Unfit {
+        Unfit::Malformed(what)
+    }
 }
 
 /// A request as it was read.
@@ -372,6 +420,8 @@
         keep: bool,
         /// Its body's, until the owner has decided: from then on the journal bounds what is held.
         room: Room<'a>,
+        /// Its places in limits, as long.
+        held: Option<Held>,
     },
     /// It has its answer.
     Answered(Reply),
@@ -382,18 +432,32 @@
     status: u16,
     reason: &'static str,
     after: Option<Duration>,
+    /// What a moved request has to ask for.
+    location: Option<String>,
     close: bool,
 }
 
 impl Reply {
     fn new(status: u16, reason: &'static str) -> Self {
-        Reply { status, reason, after: None, close: false }
+        Reply { status, reason, after: None, location: None, close: false }
     }
 
     fn closing(status: u16, reason: &'static str) -> Self {
         Reply { close: true, ..Reply::new(status, reason) }
     }
 
+    /// The answer to a request that the routing table lets go nowhere. Its body is not read, so the connection
+    /// closes.
+    fn no_way(no: NoWay) -> Self {
+        match no {
+            NoWay::Limited(after) => Reply::closing(429, "Too Many Requests").after(after.max(LIMITED_LEAST)),
+            NoWay::Moved(target) => {
+                Reply { location: Some(target), ..Reply::closing(301, "Moved Permanently") }
+            }
+            NoWay::Status(status) => Reply::closing(status, "Not Taken"),
+        }
+    }
+
     fn after(self, wait: Duration) -> Self {
         Reply { after: Some(wait).filter(|w| !w.is_zero()), ..self }
     }
@@ -403,6 +467,9 @@
         if let Some(after) = self.after {
             text.push_str(&format!("Retry-After: {:.3}\r\n", after.as_secs_f64()));
         }
+        if let Some(location) = &self.location {
+            text.push_str(&format!("Location: {location}\r\n"));
+        }
         if self.close {
             text.push_str("Connection: close\r\n");
         }
--- a/src/net/inbox.rs
+++ b/src/net/inbox.rs
@@ -3,6 +3,7 @@
 
 use super::listed::{FixedServer, RawList};
 use super::parcel::Parcel;
+use super::routing::Staged;
 use crate::api::{DestinationId, LimitReport};
 use crate::core::{CallEnd, FlowNo, Outcome, ServerNo};
 use std::rc::Rc;
@@ -18,8 +19,8 @@
     CallEnded(CallEnd, Option<String>),
     /// A probe ended.
     Probed(ServerNo, Outcome, Option<LimitReport>),
-    /// The operator's real servers, all of them.
-    Servers(Vec<FixedServer>),
+    /// What the operator's file says anew: all of its real servers, and its routing table.
+    Operator(Vec<FixedServer>, Option<Box<Staged>>),
     /// News of discovery's list.
     List(RawList),
     /// Notices were heard.
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -4,7 +4,7 @@
 //! keeps the state that its records add up to, so that it can write that state to a new file and take it in
 //! the old one's place; both together never outgrow the folder's limit.
 
-use super::parcel::{Envelope, Parcel};
+use super::parcel::{Envelope, Parcel, Routed};
 use crate::core::FlowNo;
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -176,17 +176,20 @@
     /// The folder cannot be read or written.
     pub fn open(folder: &Path, limit: u64) -> io::Result<Journal> {
         let path = folder.join("journal");
+        // Every error names what it is about: without, nobody knows which folder was meant.
+        let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
+        fs::create_dir_all(folder).map_err(named)?;
         // A rewrite that was not finished; the old file still stands.
         match fs::remove_file(path.with_extension("new")) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(named(e)),
             _ => {}
         }
         let bytes = match fs::read(&path) {
             Ok(bytes) => bytes,
             Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
-            Err(e) => return Err(e),
+            Err(e) => return Err(named(e)),
         };
-        let file = OpenOptions::new().append(true).create(true).open(&path)?;
+        let file = OpenOptions::new().append(true).create(true).open(&path).map_err(named)?;
         let ledger = Ledger::default();
         let sizes = BTreeMap::new();
         let (length, live, buffer, broken) = (0, 0, Vec::new(), false);
@@ -363,8 +366,14 @@
     out.extend([0; HEADER]);
     match record {
         Record::Taken(no, flow) => {
-            out.push(1);
+            let routed = flow.parcel.routed.as_ref();
+            // Two forms, so that what earlier programs wrote can be read.
+            out.push(if routed.is_some() { 9 } else { 1 });
             put_u64(out, no.0);
+            if let Some(routed) = routed {
+                put_bytes(out, routed.path.as_bytes());
+                put_bytes(out, &routed.key);
+            }
             put_flow(out, flow);
         }
         Record::Bounced(no, new, flow) => {
@@ -467,7 +476,7 @@
         Some(SentTo { at: self.time()?, server: self.text()? })
     }
 
-    fn flow(&mut self) -> Option<TakenFlow> {
+    fn flow(&mut self, routed: Option<Routed>) -> Option<TakenFlow> {
         let deadline = self.time()?;
         let class = self.text()?;
         let tenant = self.maybe(Self::text)?;
@@ -475,7 +484,7 @@
         let id = self.text()?;
         let key = self.maybe(Self::text)?;
         let mail = self.maybe(|p| Some(Envelope { from: p.text()?, to: p.text()? }))?;
-        let parcel = Rc::new(Parcel { id, key, mail, body: self.bytes()?.into() });
+        let parcel = Rc::new(Parcel { id, key, mail, routed, body: self.bytes()?.into() });
         Some(TakenFlow { deadline, class, tenant, destination, parcel })
     }
 
@@ -483,7 +492,11 @@
         let kind = self.take(1)?[0];
         let no = FlowNo(self.u64()?);
         Some(match kind {
-            1 => Record::Taken(no, self.flow()?),
+            1 => Record::Taken(no, self.flow(None)?),
+            9 => {
+                let routed = Routed { path: self.text()?, key: self.bytes()? };
+                Record::Taken(no, self.flow(Some(routed))?)
+            }
             2 => Record::Sent(no, self.sent()?),
             3 => Record::CallEnded(no, self.flag()?),
             4 => Record::Ended(
@@ -497,7 +510,7 @@
                 Record::Progress(no, Progress { attempts, out, risk })
             }
             7 => Record::Next(no),
-            8 => Record::Bounced(no, FlowNo(self.u64()?), self.flow()?),
+            8 => Record::Bounced(no, FlowNo(self.u64()?), self.flow(None)?),
             _ => return None,
         })
     }
@@ -516,7 +529,9 @@
 
     fn taken(no: u64, size: usize) -> Record {
         let mail = Some(Envelope { from: "a@b".into(), to: "c@d".into() }).filter(|_| no.is_multiple_of(2));
-        let parcel = Parcel { id: format!("f{no}"), key: Some("k".into()), mail, body: vec![7; size].into() };
+        let routed = Some(Routed { path: "/a?b".into(), key: vec![0, 9] }).filter(|_| no.is_multiple_of(3));
+        let parcel =
+            Parcel { id: format!("f{no}"), key: Some("k".into()), mail, routed, body: vec![7; size].into() };
         let (deadline, class) = (Duration::from_secs(1_000_000 + no), "orders".to_string());
         let flow = TakenFlow { deadline, class, tenant: None, destination: 3, parcel: Rc::new(parcel) };
         Record::Taken(FlowNo(no), flow)
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -359,7 +359,7 @@
             if which.last() == Some(&items.len()) {
                 let envelope = Envelope { from: from.clone(), to: to.clone() };
                 let id = format!("{id}-{}", items.len());
-                let parcel = Parcel { id, key: None, mail: Some(envelope), body: body.clone() };
+                let parcel = Parcel { id, key: None, mail: Some(envelope), routed: None, body: body.clone() };
                 items.push((*destination, Rc::new(parcel)));
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,4 +17,5 @@
 pub mod phase;
 pub mod pool;
 pub mod relay;
+pub mod routing;
 pub mod upstream;
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -46,6 +46,17 @@
     }
 }
 
+/// Where no platform is told: each end stands in the log, which is all that hears of it.
+pub async fn tell_log(mut due: mpsc::Receiver<Vec<(FlowNo, Owed)>>, owner: mpsc::Sender<ToOwner>) {
+    while let Some(batch) = due.recv().await {
+        batch.iter().for_each(|(_, owed)| log::warn!("undelivered: {}", line(owed).trim_end()));
+        let flows = batch.into_iter().map(|(no, _)| no).collect();
+        if owner.send(ToOwner::NoticesHeard(flows)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Tells until there is an answer; whether it was understood.
 async fn tell_all(
     addresses: &mut Receiver<SocketAddr>, connection: &mut Option<Reader<TcpStream>>,
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -4,6 +4,8 @@
 use super::mail::{self, Dialect, MailSettings, Times};
 use crate::api::{DestinationId, Effect, Settings};
 use crate::settings::Names;
+use onyxstile_routing::config::UpstreamConfig;
+use onyxstile_routing::{RoutingConfig, Table};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -28,6 +30,8 @@
     /// Where recipients and paths belong.
     #[serde(default)]
     pub route: Vec<RouteTable>,
+    /// Hosts, locations, groups of real servers and limits, as nginx words them.
+    pub routing: Option<RoutingConfig>,
     /// Scripts called at points of a flow's life.
     #[serde(default)]
     pub plugins: PluginsTable,
@@ -66,8 +70,8 @@
 pub struct HttpTable {
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Who is told how flows ended that were taken on and not delivered.
-    pub outcomes: SocketAddr,
+    /// Who is told how flows ended that were taken on and not delivered; absent: the log is.
+    pub outcomes: Option<SocketAddr>,
 }
 
 /// The mail front.
@@ -193,8 +197,11 @@
         }
         let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
         let mut file = OperatorFile::parse(&text).map_err(|e| wrong(&e))?;
-        // Scripts are named from where the file is.
+        // Scripts and the folder that lasts are named from where the file is.
         let folder = path.parent().unwrap_or(Path::new(""));
+        if let Some(relay) = &mut file.relay {
+            relay.state = folder.join(&relay.state);
+        }
         file.plugins.scripts.iter_mut().for_each(|s| *s = folder.join(&s));
         Ok(file)
     }
@@ -222,6 +229,14 @@
                 )));
             }
         }
+        if let Some(routing) = &self.routing {
+            Table::build(routing).map_err(|e| ConfigError(format!("routing: {e}")))?;
+            let taken = |u: &&UpstreamConfig| self.server.iter().any(|s| s.destination == u.destination);
+            if let Some(u) = routing.upstream.iter().find(taken) {
+                let text = format!("routing: upstream `{}` has the destination of a server", u.name);
+                return Err(ConfigError(text));
+            }
+        }
         let named = |d: u64| self.server.iter().any(|s| s.destination == d);
         for route in &self.route {
             if route.domain.is_some() == route.path.is_some() {
@@ -276,7 +291,8 @@
             };
             FixedServer { entry, wire }
         };
-        self.server.iter().map(server).collect()
+        let groups = self.routing.iter().flat_map(super::routing::servers);
+        self.server.iter().map(server).chain(groups).collect()
     }
 
     /// Paths and the destinations that they belong to, the longest first.
--- a/src/net/owner/mail.rs
+++ b/src/net/owner/mail.rs
@@ -52,7 +52,8 @@
             now,
         };
         let mail = Some(Envelope { from: String::new(), to: envelope.from.clone() });
-        let parcel = Rc::new(Parcel { id: id.clone(), key: None, mail, body: report.message().into() });
+        let parcel =
+            Rc::new(Parcel { id: id.clone(), key: None, mail, routed: None, body: report.message().into() });
         let (deadline, class) = (now + settings.deadline, settings.class.clone());
         Record::Bounced(no, dsn, TakenFlow { deadline, class, tenant: None, destination: to.0, parcel })
     }
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -17,6 +17,7 @@
 use super::notices;
 use super::parcel::{Envelope, Parcel};
 use super::phase::{Phase, State};
+use super::routing::{Routing, Staged};
 use super::upstream::{CallOrder, Switch, Upstream};
 use crate::api::{ClassId, DestinationId, Past, TenantId};
 use crate::core::vigil::{Line, Vigil};
@@ -71,6 +72,7 @@
     /// What scripts see of the open flows; kept only where there are scripts.
     views: BTreeMap<FlowNo, FlowView>,
     fixed: Vec<FixedServer>,
+    routing: Rc<Routing>,
     per_call: Vec<usize>,
     /// What a repeat does and how long a flow lives, by class.
     classes: Vec<(crate::api::Effect, Duration)>,
@@ -109,6 +111,8 @@
     pub upstream: Upstream,
     /// Makes those by mail.
     pub mail_upstream: Option<MailUpstream>,
+    /// The routing table; an empty one routes nothing.
+    pub routing: Rc<Routing>,
     /// Takes batches of notices.
     pub notices: mpsc::Sender<Vec<(FlowNo, Owed)>>,
     /// Where everything comes in.
@@ -121,8 +125,11 @@
     /// # Errors
     /// Settings that cannot work.
     pub fn new(config: &Config, parts: Parts) -> Result<Self, crate::core::SettingsError> {
-        let Parts { journal, clock, phase, upstream, mail_upstream, notices, queue } = parts;
-        let core = Core::new(config.settings.clone(), config.seed, clock.now())?;
+        let Parts { journal, clock, phase, upstream, mail_upstream, routing, notices, queue } = parts;
+        let mut core = Core::new(config.settings.clone(), config.seed, clock.now())?;
+        if !routing.is_empty() {
+            core.set_proposer(routing.proposer());
+        }
         let mut owner = Owner {
             core,
             next: journal.ledger().next.max(1),
@@ -136,6 +143,7 @@
             hooks: config.hooks.clone(),
             views: BTreeMap::new(),
             fixed: config.fixed.clone(),
+            routing,
             classes: config.settings.classes.iter().map(|c| (c.effect, c.deadline)).collect(),
             per_call: config.settings.kinds.iter().map(|k| k.per_call).collect(),
             directory: Directory::default(),
@@ -212,7 +220,7 @@
                 self.core.call_ended(end);
             }
             ToOwner::Probed(server, outcome, limit) => self.core.probe_ended(server, outcome, limit),
-            ToOwner::Servers(servers) => self.take_servers(servers),
+            ToOwner::Operator(servers, routing) => self.take_operator(servers, routing),
             ToOwner::List(list) => self.take_list(&list),
             ToOwner::NoticesHeard(flows) => {
                 self.telling = false;
@@ -237,6 +245,7 @@
             of_list.chain(own).map(|(raw, wire)| self.directory.entry(raw, wire, &self.names)).collect();
         self.core.take_entries(entries, list.all);
         self.sweep_servers();
+        self.routing.name_servers(&self.directory);
     }
 
     fn sweep_servers(&mut self) {
@@ -249,6 +258,17 @@
         }
     }
 
+    /// Takes over what the operator's file says anew, all of it in one moment of one step.
+    fn take_operator(&mut self, servers: Vec<FixedServer>, routing: Option<Box<Staged>>) {
+        if let Some(staged) = routing {
+            self.routing.replace(*staged);
+            if !self.routing.is_empty() {
+                self.core.set_proposer(self.routing.proposer());
+            }
+        }
+        self.take_servers(servers);
+    }
+
     fn take_servers(&mut self, servers: Vec<FixedServer>) {
         let old = std::mem::replace(&mut self.fixed, servers);
         let stays = |f: &FixedServer| self.fixed.iter().any(|n| n.entry.uid == f.entry.uid);
@@ -261,6 +281,7 @@
         let entries = changed.map(|f| self.directory.entry(&f.entry, f.wire, &self.names)).collect();
         self.core.take_entries(entries, false);
         self.sweep_servers();
+        self.routing.name_servers(&self.directory);
     }
 
     fn number(&mut self) -> FlowNo {
@@ -408,6 +429,7 @@
                     self.hooks.flow_ended(&view, end_name(end));
                 }
                 self.destinations.remove(&no);
+                self.routing.flow_over(no);
                 self.over.push_back(parcel.id.clone());
                 if self.over.len() > REMEMBERED
                     && let Some(id) = self.over.pop_front()
@@ -441,6 +463,7 @@
 
     fn forget(&mut self, no: FlowNo, id: &str) {
         self.destinations.remove(&no);
+        self.routing.flow_over(no);
         self.views.remove(&no);
         self.ids.remove(id);
     }
--- a/src/net/owner/offers.rs
+++ b/src/net/owner/offers.rs
@@ -74,6 +74,7 @@
             self.ids.insert(parcel.id.clone(), no);
             let terms = FlowTerms { class: ClassId(class_no), tenant: tenant_no, destination, remaining };
             self.destinations.insert(no, destination);
+            self.routing.flow_opens(no, &parcel);
             self.core.offer(no, terms, parcel.clone());
             let (class, tenant) = (class.clone(), tenant.clone());
             let flow = TakenFlow { deadline, class, tenant, destination: destination.0, parcel };
--- a/src/net/owner/recovery.rs
+++ b/src/net/owner/recovery.rs
@@ -43,6 +43,7 @@
             self.views.insert(no, view);
         }
         self.destinations.insert(no, destination);
+        self.routing.flow_opens(no, &flow.parcel);
         if flow.parcel.mail.is_none() {
             self.vigil.taken(no, &flow.parcel.id, now, flow.deadline, true);
         }
--- a/src/net/parcel.rs
+++ b/src/net/parcel.rs
@@ -11,6 +11,15 @@
     pub to: String,
 }
 
+/// How a flow was routed: it goes by this to its end, whatever table is in force meanwhile.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Routed {
+    /// The target that the real server is asked for.
+    pub path: String,
+    /// What its group's method goes by: the client's address, a key, or nothing.
+    pub key: Vec<u8>,
+}
+
 /// What is delivered.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Parcel {
@@ -20,6 +29,8 @@
     pub key: Option<String>,
     /// For mail flows.
     pub mail: Option<Envelope>,
+    /// For HTTP flows that a routing table has taken in.
+    pub routed: Option<Routed>,
     /// The body, passed on unchanged.
     pub body: Rc<[u8]>,
 }
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -10,6 +10,7 @@
 use super::mail::server::MailEdge;
 use super::owner::{Owner, Parts};
 use super::phase::{Phase, State};
+use super::routing::{Routing, Staged};
 use super::upstream::Upstream;
 use super::{discovery, notices};
 use std::fmt;
@@ -82,20 +83,34 @@
         spawn_local(mail.clone().sweep());
     }
     let (due, told) = mpsc::channel(1);
-    let outcomes = config.http.as_ref().map(|http| watch::Sender::new(http.outcomes));
+    let outcomes = config.http.as_ref().and_then(|http| http.outcomes).map(watch::Sender::new);
     if let Some(outcomes) = &outcomes {
         spawn_local(notices::tell(outcomes.subscribe(), told, to_owner.clone()));
+    } else if config.http.is_some() {
+        spawn_local(notices::tell_log(told, to_owner.clone()));
     }
     let discovery = config.discovery.map(watch::Sender::new);
     if let Some(discovery) = &discovery {
         spawn_local(discovery::follow(discovery.subscribe(), config.known.rev, to_owner.clone()));
     }
     let addresses = Addresses { discovery, outcomes };
-    let parts = Parts { journal, clock, phase: phase.clone(), upstream, mail_upstream, notices: due, queue };
+    let staged = Staged::build(config.routing.clone().unwrap_or_default());
+    let staged = staged.map_err(|e| StartError(format!("routing: {e}")))?;
+    let routing = Routing::new(staged, config.seed, clock.now());
+    let parts = Parts {
+        journal,
+        clock,
+        phase: phase.clone(),
+        upstream,
+        mail_upstream,
+        routing: routing.clone(),
+        notices: due,
+        queue,
+    };
     let owner = Owner::new(config, parts).map_err(|e| StartError(e.to_string()))?;
     if let Some(http) = &config.http {
         let limits = EdgeLimits { connections: shares.edges, bodies: shares.bodies };
-        let edge = Edge::new(to_owner.clone(), phase.clone(), clock, limits, http.paths.clone());
+        let edge = Edge::new(to_owner.clone(), phase.clone(), clock, limits, http, routing);
         spawn_local(edge.serve(listen("HTTP", http.listen).await?));
     }
     if let Some(mail) = &config.mail {
@@ -157,10 +172,19 @@
         match Config::load(operator.as_deref()) {
             Ok(config) => {
                 log::info!("the configuration was read again");
-                renew(&addresses.outcomes, config.http.map(|h| h.outcomes));
+                renew(&addresses.outcomes, config.http.and_then(|h| h.outcomes));
                 renew(&addresses.discovery, config.discovery);
-                if operator.is_some() && owner.send(ToOwner::Servers(config.fixed)).await.is_err() {
-                    return;
+                let routing = config.routing.unwrap_or_default();
+                let anew = Staged::build(routing)
+                    .map(|staged| ToOwner::Operator(config.fixed, Some(Box::new(staged))));
+                match anew {
+                    Ok(anew) if operator.is_some() => {
+                        if owner.send(anew).await.is_err() {
+                            return;
+                        }
+                    }
+                    Ok(_) => {}
+                    Err(e) => log::error!("the routing table is not taken over: {e}"),
                 }
             }
             Err(e) => log::error!("the configuration is not taken over: {e}"),
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -331,8 +331,9 @@
 fn request(order: &CallOrder, now: Instant) -> Vec<u8> {
     let left = order.give_up_at.saturating_duration_since(now).as_millis();
     let parcel = &order.parcel;
+    let path = parcel.routed.as_ref().map_or("/inbox", |r| r.path.as_str());
     let mut text =
-        format!("POST /inbox HTTP/1.1\r\nHost: {}\r\nX-Correlation-Id: {}\r\n", order.address, parcel.id);
+        format!("POST {path} HTTP/1.1\r\nHost: {}\r\nX-Correlation-Id: {}\r\n", order.address, parcel.id);
     if let Some(key) = &parcel.key {
         text.push_str(&format!("Idempotency-Key: {key}\r\n"));
     }
@@ -424,7 +425,8 @@
             let mut seen = Vec::new();
             for flow in 1..=2 {
                 let body: Rc<[u8]> = b"ab"[..].into();
-                let parcel = Rc::new(Parcel { id: format!("f{flow}"), key: None, mail: None, body });
+                let parcel =
+                    Rc::new(Parcel { id: format!("f{flow}"), key: None, mail: None, routed: None, body });
                 let (flow, give_up_at) = (FlowNo(flow), Instant::now() + second * 3);
                 upstream.call(CallOrder {
                     flow,
@@ -494,8 +496,13 @@
             let upstream = Upstream::new(ms(1000), ms(9000), 8, owner);
             // Of a flow with time left, and of one whose time is up as the thread does not get to run.
             for (time, finished) in [(2000, None), (100, Some(End::Failed))] {
-                let parcel =
-                    Rc::new(Parcel { id: "f".into(), key: None, mail: None, body: b"ab"[..].into() });
+                let parcel = Rc::new(Parcel {
+                    id: "f".into(),
+                    key: None,
+                    mail: None,
+                    routed: None,
+                    body: b"ab"[..].into(),
+                });
                 let over_at = Instant::now() + ms(time);
                 upstream.call(CallOrder {
                     flow: FlowNo(1),
