--- /dev/null
+++ b/crates/onyxstile-lab/src/lib.rs
@@ -0,0 +1,22 @@
+//! The laboratory: stand-in partners, a stand-in reverse proxy, a load driver, and what is measured with them.
+//! Everything stays on loopback.
+//!
+//! * [`http`] - as much of HTTP/1.1 as stand-ins need, apart from the relay's own
+//! * [`partner`] - real servers by a script, which write down what they saw
+//! * [`proxy`] - a reverse proxy that chooses as nginx's documentation says, with a look at every server
+//! * [`relay`] - a relay as a process of its own
+//! * [`load`] - clients that come at their times, whether they are answered or not
+//! * [`compare`] - the same traffic through proxy and relay
+//! * [`chart`] - pictures of what was measured
+
+pub mod chart;
+pub mod compare;
+pub mod demo;
+pub mod http;
+pub mod load;
+pub mod partner;
+pub mod proxy;
+pub mod relay;
+
+/// How an experiment ends that could not be done.
+pub type Failed = Box<dyn std::error::Error>;
--- /dev/null
+++ b/crates/onyxstile-lab/src/main.rs
@@ -0,0 +1,151 @@
+//! The laboratory's command line.
+
+use argh::FromArgs;
+use onyxstile_lab::{Failed, compare, demo, load};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Stand-ins, load and comparisons for the relay, all on loopback.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(Demo),
+    Compare(Compare),
+    Failures(Failures),
+    Load(LoadCommand),
+}
+
+/// Partners, a relay set up from an nginx configuration, and some seconds of load.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct Demo {
+    /// the relay's binary
+    #[argh(option, default = "PathBuf::from(\"target/release/onyxstile\")")]
+    relay: PathBuf,
+    /// for how long
+    #[argh(option, default = "4")]
+    seconds: u64,
+}
+
+/// The same traffic through a stand-in reverse proxy and a relay, for each sample of a folder.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct Compare {
+    /// the relay's binary
+    #[argh(option, default = "PathBuf::from(\"target/release/onyxstile\")")]
+    relay: PathBuf,
+    /// the samples
+    #[argh(option, default = "PathBuf::from(\"crates/onyxstile-nginx/samples\")")]
+    samples: PathBuf,
+    /// where the table goes (CSV)
+    #[argh(option)]
+    output: Option<PathBuf>,
+    /// requests one after the other, for each sample
+    #[argh(option, default = "200")]
+    sequential: usize,
+    /// requests of each of 64 clients at once
+    #[argh(option, default = "100")]
+    each: usize,
+    /// for the traffic
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// A day on which real servers hang, refuse and go, by proxy and by relay.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "failures")]
+struct Failures {
+    /// the relay's binary
+    #[argh(option, default = "PathBuf::from(\"target/release/onyxstile\")")]
+    relay: PathBuf,
+    /// where the chart goes (SVG)
+    #[argh(option, default = "PathBuf::from(\"failures.svg\")")]
+    chart: PathBuf,
+}
+
+/// Clients that come at their times, to a relay or proxy that runs already on loopback.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+struct LoadCommand {
+    /// where
+    #[argh(option)]
+    to: SocketAddr,
+    /// the host that is named
+    #[argh(option, default = "String::from(\"shop.example\")")]
+    host: String,
+    /// the target
+    #[argh(option, default = "String::from(\"/\")")]
+    target: String,
+    /// clients a second
+    #[argh(option, default = "100.0")]
+    per_s: f64,
+    /// for how long
+    #[argh(option, default = "5")]
+    seconds: u64,
+    /// for the distances between them
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let done = runtime.map_err(Failed::from).and_then(|runtime| {
+        tokio::task::LocalSet::new().block_on(&runtime, run(argh::from_env::<Arguments>().command))
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("onyxstile-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<(), Failed> {
+    match command {
+        Command::Demo(Demo { relay, seconds }) => demo::demo(&relay, seconds).await,
+        Command::Failures(Failures { relay, chart }) => {
+            for day in demo::failures(&relay, &chart).await? {
+                println!("{}", serde_json::to_string(&day)?);
+            }
+            Ok(())
+        }
+        Command::Load(LoadCommand { to, host, target, per_s, seconds, seed }) => {
+            if !to.ip().is_loopback() {
+                return Err("loads go to loopback only".into());
+            }
+            let load =
+                load::Load { address: to, host, target, per_s, time: Duration::from_secs(seconds), seed };
+            println!("{}", serde_json::to_string(&load::run(load).await?)?);
+            Ok(())
+        }
+        Command::Compare(c) => compare_all(&c).await,
+    }
+}
+
+async fn compare_all(c: &Compare) -> Result<(), Failed> {
+    let size = compare::Size { sequential: c.sequential, clients: (64, c.each) };
+    let mut rows = Vec::new();
+    for path in compare::samples(Path::new(&c.samples))? {
+        let row = compare::sample(&c.relay, &path, size, c.seed).await?;
+        let other =
+            if row.first_other.is_empty() { String::new() } else { format!("  first: {}", row.first_other) };
+        println!(
+            "{:28} {:24} same {}/{}  shares within {:.2} points over {}{other}",
+            row.sample, row.methods, row.same, row.sequential, row.share_points, row.concurrent
+        );
+        rows.push(row);
+    }
+    if let Some(output) = &c.output {
+        std::fs::write(output, compare::table(&rows))?;
+    }
+    Ok(())
+}
--- a/crates/onyxstile-nginx/src/lib.rs
+++ b/crates/onyxstile-nginx/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod write;
 
 pub use import::{Diagnostic, Imported, Level, import};
+pub use onyxstile_routing::config::HostConfig;
 pub use parse::{Files, ParseError, Source};
--- a/crates/onyxstile-routing/src/table.rs
+++ b/crates/onyxstile-routing/src/table.rs
@@ -402,7 +402,9 @@
             host: host.shown.clone(),
             location: number.map_or(String::new(), |n| self.locations[n].shown.clone()),
         };
-        let passes = |n: &usize| self.locations[*n].upstream.is_some();
+        // One whose target could not be carried over is asked for with its slash all the same.
+        let passes =
+            |n: &usize| self.locations[*n].upstream.is_some() || self.locations[*n].answer == Some(502);
         let exact = found.is_some_and(|n| self.locations[n].prefix == Some(request.path().len()));
         if !exact && let Some(slashed) = host.level.with_slash(request.path()).filter(passes) {
             let args = if request.parsed.args.is_some() { "?" } else { "" };
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -141,6 +141,7 @@
         };
         if let Some(file) = file {
             config.mail = file.mail(&mut config.settings, &mut config.names)?;
+            file.add_routed_kind(&mut config.settings, &mut config.names);
             config.fixed = file.servers();
             config.routing = file.routing.clone();
             config.hooks =
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -206,8 +206,9 @@
             let answer = match read {
                 Ok(Ok(Request::Whole { offer, verdict, keep, room: _room, held: _held })) => {
                     let reply = self.hand_in(offer, verdict).await;
-                    // One that is told to end wants its clients elsewhere.
-                    let stays = keep && self.phase.state() < State::Draining;
+                    // One that is told to end goes on for as long as it takes flows on; then its clients are
+                    // better off elsewhere.
+                    let stays = keep && (reply.status == 202 || self.phase.state() < State::Draining);
                     Reply { close: reply.close || !stays, ..reply }
                 }
                 Ok(Ok(Request::Answered(reply))) => reply,
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -303,6 +303,17 @@
         paths
     }
 
+    /// Puts the kind of real server that groups have among the settings. As nginx has it, each is for itself: what
+    /// one refuses says nothing of the others, and a wait that it tells binds it alone.
+    pub fn add_routed_kind(&self, settings: &mut Settings, names: &mut Names) {
+        if self.routing.is_some() {
+            names.kinds.push(super::routing::KIND.into());
+            let plain = crate::api::KindSettings { per_call: 1, routes_apart: false };
+            settings.kinds.resize(names.kinds.len() - 1, plain);
+            settings.kinds.push(crate::api::KindSettings { per_call: 1, routes_apart: true });
+        }
+    }
+
     /// The mail front, and its kind of real server among the settings.
     ///
     /// # Errors
--- a/src/net/owner/drain.rs
+++ b/src/net/owner/drain.rs
@@ -2,12 +2,14 @@
 
 use super::*;
 
-/// Time from the order to end within which calls may still begin, and after which the program exits: the kill
-/// comes no sooner than 3.7 s after it.
-const DRAIN_CALLS: Duration = Duration::from_millis(2000);
+/// Time from the order to end within which calls may still begin, within which flows are still taken on, and
+/// after which the program exits: the kill comes no sooner than 3.7 s after it. What is taken on after the last
+/// call has begun is the next process's, which finds it in the journal.
+const DRAIN_CALLS: Duration = Duration::from_millis(2700);
+const DRAIN_TAKE: Duration = Duration::from_millis(3300);
 const DRAIN_END: Duration = Duration::from_millis(3500);
-/// Time for which new connections still come after the order to end.
-const DRAIN_LEAST: Duration = Duration::from_millis(600);
+/// Time without a flow open or handed in after which nobody is left who would use the rest.
+const DRAIN_QUIET: Duration = Duration::from_millis(1000);
 /// Time from the order to end after which the next process is there: the kill, its pause, and a start. Clients
 /// are asked to stay away until then, within the two times.
 const NEXT_READY: Duration = Duration::from_millis(4500);
@@ -17,7 +19,8 @@
     pub(super) fn drain_due(&self) -> Option<Duration> {
         let since = self.draining_since?;
         let now = self.clock.now();
-        [DRAIN_LEAST, DRAIN_CALLS, DRAIN_END].into_iter().map(|t| since + t).find(|t| *t > now)
+        let quiet = self.last_offer.max(since) + DRAIN_QUIET;
+        [quiet, since + DRAIN_CALLS, since + DRAIN_END].into_iter().filter(|t| *t > now).min()
     }
 
     /// Follows the order to end; true once nothing is left that can still end in time.
@@ -28,7 +31,18 @@
             self.core.close();
         }
         let idle = self.core.open_flows() == 0 && self.journal.ledger().owed.is_empty();
-        now >= since + DRAIN_END || idle && now >= since + DRAIN_LEAST
+        now >= since + DRAIN_END || idle && now >= self.last_offer.max(since) + DRAIN_QUIET
+    }
+
+    /// Whether flows are taken on. Guards what is handed in during a planned restart: a relay that turned all
+    /// down from the order on left its clients without one for as long as it took to end and the next to come.
+    pub(super) fn takes_flows(&self) -> bool {
+        let until = self.draining_since.map(|since| since + DRAIN_TAKE);
+        match self.phase.state() {
+            State::Serving => true,
+            State::Draining => until.is_none_or(|t| self.clock.now() < t),
+            _ => false,
+        }
     }
 }
 
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -95,6 +95,8 @@
     notices: mpsc::Sender<Vec<(FlowNo, Owed)>>,
     telling: bool,
     draining_since: Option<Duration>,
+    /// When a client last handed something in.
+    last_offer: Duration,
     queue: mpsc::Receiver<ToOwner>,
 }
 
@@ -160,6 +162,7 @@
             notices,
             telling: false,
             draining_since: None,
+            last_offer: clock.now(),
             queue,
         };
         owner.take_list(&RawList { all: true, ..config.known.clone() });
--- a/src/net/owner/offers.rs
+++ b/src/net/owner/offers.rs
@@ -6,6 +6,7 @@
 impl Owner {
     pub(super) fn take_offer(&mut self, offer: Offer) {
         let Offer { class, tenant, deadline, items, together, reply } = offer;
+        self.last_offer = self.clock.now();
         let known = position(&self.names.classes, &class);
         let tenant_no = match &tenant {
             None => Some(None),
@@ -29,7 +30,7 @@
             } else if items.iter().all(|(_, p)| self.ids.contains_key(&p.id)) {
                 // Taken on before, and the answer was lost on its way: it is not a second flow.
                 Some(Verdict::Taken)
-            } else if self.phase.state() != State::Serving {
+            } else if !self.takes_flows() {
                 Some(Verdict::TurnedDown(come_back(self.draining_since, self.clock.now())))
             } else if !self.core.has_room(items.len()) || !self.journal.has_room(items.len(), bytes) {
                 Some(Verdict::Full)
--- a/src/net/phase.rs
+++ b/src/net/phase.rs
@@ -13,7 +13,7 @@
     Recovering,
     /// Taking flows.
     Serving,
-    /// Told to end: takes no new flows, lets open calls end.
+    /// Told to end: no longer ready, takes flows on for a while yet, and leaves what is open to the next process.
     Draining,
     /// About to exit.
     Stopped,
--- a/src/net/routing.rs
+++ b/src/net/routing.rs
@@ -169,6 +169,9 @@
     }
 }
 
+/// The name of the kind that groups' real servers are of.
+pub const KIND: &str = "routed";
+
 /// The lasting name of a group's real server.
 fn uid(upstream: &str, address: &str) -> String {
     format!("{upstream}/{address}")
@@ -184,7 +187,7 @@
             uid: uid(&u.name, &endpoint),
             endpoint,
             az: String::new(),
-            model: String::new(),
+            model: KIND.into(),
             pod_group: u.destination,
             state: state.into(),
             capacity_hint: 0.0,
