Keep connections through a drain, and send orders to a server that answers again

Cause: owner/offers.rs turned all flows down from SIGTERM on; and in the first form of the drain edge.rs closed the connection of whatever was turned down, to which the platform opens no other.

One cause: a server's share of failures from before it was back (control.rs, judge).

--- a/src/control.rs
+++ b/src/control.rs
@@ -530,7 +530,10 @@
                 match e.health {
                     Health::Well => e.usual.add(now, USUAL_TAU),
                     Health::Down if suspected => e.health = Health::Well,
-                    Health::Down if sent >= e.down_since => e.health = cold,
+                    // What failed before it was back says nothing of what comes now, within the cold budget.
+                    Health::Down if sent >= e.down_since => {
+                        (e.health, e.fail_share) = (cold, e.fail_share.min(SAFE_FAIL));
+                    }
                     _ => {}
                 }
             }
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -206,10 +206,7 @@
             let answer = match read {
                 Ok(Ok(Request::Whole { offer, verdict, keep, room: _room, held: _held })) => {
                     let reply = self.hand_in(offer, verdict).await;
-                    // One that is told to end goes on for as long as it takes flows on; then its clients are
-                    // better off elsewhere.
-                    let stays = keep && (reply.status == 202 || self.phase.state() < State::Draining);
-                    Reply { close: reply.close || !stays, ..reply }
+                    Reply { close: reply.close || !keep, ..reply }
                 }
                 Ok(Ok(Request::Answered(reply))) => reply,
                 Ok(Err(e)) => match fault(&e) {
@@ -357,6 +354,8 @@
         match verdict.await.ok().and_then(|v| v.first().copied()) {
             Some(Verdict::Taken) => Reply::new(202, "Accepted"),
             Some(Verdict::TurnedDown(wait)) => Reply::new(429, "Too Many Requests").after(wait),
+            // Its clients are better off elsewhere from now on.
+            Some(Verdict::Ending(wait)) => Reply::closing(429, "Too Many Requests").after(wait),
             Some(Verdict::Failed) => Reply::new(500, "Internal Server Error"),
             Some(Verdict::Unknown(what)) => {
                 log::debug!("a request was turned away: {what}");
--- a/src/net/inbox.rs
+++ b/src/net/inbox.rs
@@ -51,6 +51,8 @@
     Taken,
     /// Not taken; may come again after this time.
     TurnedDown(Duration),
+    /// Not taken, for the relay ends; the next process is there after this time.
+    Ending(Duration),
     /// No room.
     Full,
     /// Given up at once.
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -381,7 +381,9 @@
             let verdict = which.get(i).and_then(|w| verdicts.get(*w)).copied().unwrap_or(Verdict::Full);
             match verdict {
                 Verdict::Taken => format!("250 2.0.0 {id} taken on"),
-                Verdict::TurnedDown(_) | Verdict::Failed => "451 4.3.2 not now, come again later".to_string(),
+                Verdict::TurnedDown(_) | Verdict::Ending(_) | Verdict::Failed => {
+                    "451 4.3.2 not now, come again later".to_string()
+                }
                 Verdict::Full | Verdict::Unknown(_) => "452 4.3.1 no room".to_string(),
             }
         };
--- a/src/net/owner/offers.rs
+++ b/src/net/owner/offers.rs
@@ -31,7 +31,7 @@
                 // Taken on before, and the answer was lost on its way: it is not a second flow.
                 Some(Verdict::Taken)
             } else if !self.takes_flows() {
-                Some(Verdict::TurnedDown(come_back(self.draining_since, self.clock.now())))
+                Some(Verdict::Ending(come_back(self.draining_since, self.clock.now())))
             } else if !self.core.has_room(items.len()) || !self.journal.has_room(items.len(), bytes) {
                 Some(Verdict::Full)
             } else {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -400,3 +400,25 @@
         }
     }
 }
+
+/// An endpoint that answers again after an outage: a message with one try does not wait for its time to run out
+/// because of what failed before.
+#[test]
+fn a_one_try_message_goes_to_an_endpoint_that_is_back() {
+    let mut bed = Bed::new(settings(), &[1]);
+    let (id, actions) = bed.message(0, None);
+    let mut sent = sends(&actions);
+    for attempt in 0..4 {
+        bed.outcome(id, attempt, sent[0].1, Outcome::Unreachable);
+        sent.clear();
+        while sent.is_empty() {
+            sent = timed_sends(&bed.pass(ms(100))).iter().map(|s| (s.1, s.2)).collect();
+        }
+    }
+    // Held to be down: its next trial is answered.
+    bed.outcome(id, 4, sent[0].1, Outcome::Success);
+    let (id, actions) = bed.message(2, None);
+    let later = bed.pass(ms(4000));
+    let gone = sends(&actions).iter().any(|s| s.0 == id) || timed_sends(&later).iter().any(|s| s.1 == id);
+    assert!(gone, "held for what failed before the endpoint was back");
+}
