--- a/crates/onyxstile-nginx/src/known.rs
+++ b/crates/onyxstile-nginx/src/known.rs
@@ -1,6 +1,6 @@
 //! What nginx's documentation knows, and what each directive is here.
 //!
-//! Directives that the importer works on are not in this table; they are in [`crate::import`].
+//! Directives that the importer works on are not in this table; they are in [`mod@crate::import`].
 
 /// What a directive that is not worked on is here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/onyxstile-nginx/src/lib.rs
+++ b/crates/onyxstile-nginx/src/lib.rs
@@ -3,8 +3,8 @@
 //! * [`lex`]: words and borders, each with its place
 //! * [`parse`]: directives and blocks, with their includes
 //! * [`known`]: what nginx's documentation knows, and what each directive is here
-//! * [`import`]: the table, and an account of every directive
-//! * [`write`]: the operator's file
+//! * [`mod@import`]: the table, and an account of every directive
+//! * [`mod@write`]: the operator's file
 //!
 //! Nothing is dropped unseen: each directive is carried, carried with a difference, not carried, or of no
 //! concern here, and [`import::Imported::account`] counts them all.
