--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -360,7 +360,8 @@
     until("the rest", || (heard.lock().unwrap().len() == taken.len()).then_some(()));
     // Each once; what the next process finds goes out in no order.
     let mut all = heard.lock().unwrap().clone();
-    (all.sort(), taken.sort());
+    all.sort();
+    taken.sort();
     assert_eq!(all, taken);
     assert!(notices.lock().unwrap().is_empty());
 }
