Use a routed server again once it answers, and draw the primaries' return

Messages with one try shun it, and with no other class nothing asked for it. Imported settings now allow probes; a routed server is probed by OPTIONS *, also when it is only shunned, and an answered probe lets one message try it.

--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,10 @@
 compare: build
 	cargo run --release --locked --quiet -p onyxstile-lab -- compare --output docs/reports/import-nginx.csv
 
-# A day on which real servers hang, refuse and go, by proxy and by relay (two minutes).
+# A day on which real servers hang, refuse and go, by proxy and by relay, and one on which all primaries go (three minutes).
 failures: build
 	cargo run --release --locked --quiet -p onyxstile-lab -- failures --chart docs/reports/failures.svg
+	cargo run --release --locked --quiet -p onyxstile-lab -- failures --primaries --chart docs/reports/return.svg
 
 # What a look-up and a choice cost.
 bench:
@@ -42,6 +43,7 @@
 fuzz:
 	FUZZ_RUNS=1000000 cargo test --release --locked -p onyxstile-nginx --test fuzz -- --nocapture
 
-# The day on which servers fail, again and again until a rule breaks.
+# The day on which servers fail, again and again (HUNT times) until a rule breaks.
+HUNT ?= 20
 hunt: build
-	tools/until-broken.sh 20 $${TMPDIR:-/tmp}/onyxstile-hunt cargo run --release --locked --quiet -p onyxstile-lab -- failures --chart %d/failures.svg
+	tools/until-broken.sh $(HUNT) $${TMPDIR:-/tmp}/onyxstile-hunt cargo run --release --locked --quiet -p onyxstile-lab -- failures --chart %d/failures.svg
--- a/crates/onyxstile-lab/src/main.rs
+++ b/crates/onyxstile-lab/src/main.rs
@@ -69,6 +69,9 @@
     /// where the chart goes (SVG)
     #[argh(option, default = "PathBuf::from(\"failures.svg\")")]
     chart: PathBuf,
+    /// the day on which both primaries go and come back, instead
+    #[argh(switch)]
+    primaries: bool,
 }
 
 /// Clients that come at their times, to a relay or proxy that runs already on loopback.
@@ -112,8 +115,9 @@
 async fn run(command: Command) -> Result<(), Failed> {
     match command {
         Command::Demo(Demo { relay, seconds }) => demo::demo(&relay, seconds).await,
-        Command::Failures(Failures { relay, chart }) => {
-            for day in demo::failures(&relay, &chart).await? {
+        Command::Failures(Failures { relay, chart, primaries }) => {
+            let story = if primaries { demo::RETURN } else { demo::FAILURES };
+            for day in demo::failures(story, &relay, &chart).await? {
                 println!("{}", serde_json::to_string(&day)?);
             }
             Ok(())
--- a/crates/onyxstile-lab/src/partner.rs
+++ b/crates/onyxstile-lab/src/partner.rs
@@ -73,6 +73,8 @@
     /// Calls taken in the present span of its limit.
     taken: RefCell<VecDeque<Instant>>,
     back_since: Cell<Option<Instant>>,
+    /// Probes that came; they use up the limit as calls do.
+    pub probes: Cell<u64>,
     /// Connections open now, and most at once.
     pub open: Cell<(usize, usize)>,
 }
@@ -91,6 +93,7 @@
             ability,
             taken: RefCell::default(),
             back_since: Cell::new(None),
+            probes: Cell::new(0),
             open: Cell::new((0, 0)),
         });
         let this = partner.clone();
@@ -117,7 +120,10 @@
         self.seen.borrow().iter().filter(|s| s.status == 200).count()
     }
 
-    fn note(&self, at: Instant, id: &str, target: &str, status: u16) {
+    fn note(&self, at: Instant, id: &str, target: &str, status: u16, probe: bool) {
+        if probe {
+            return;
+        }
         self.seen.borrow_mut().push(Seen { at, id: id.into(), target: target.into(), status });
     }
 
@@ -156,6 +162,8 @@
             let now = Instant::now();
             let id = call.field("x-correlation-id").unwrap_or_default().to_string();
             let target = call.first.get(1).cloned().unwrap_or_default();
+            let probe = call.first[0] == "OPTIONS";
+            self.probes.set(self.probes.get() + u64::from(probe));
             let (status, wait) = match self.mood.get() {
                 Mood::Well => match self.room(now) {
                     Ok(()) => (200, None),
@@ -166,11 +174,11 @@
                 Mood::Refuses(None) => (503, None),
                 Mood::Fails => (500, None),
                 Mood::Resets | Mood::Gone => {
-                    self.note(now, &id, &target, 0);
+                    self.note(now, &id, &target, 0, probe);
                     return Ok(());
                 }
                 Mood::Hangs => {
-                    self.note(now, &id, &target, 0);
+                    self.note(now, &id, &target, 0, probe);
                     while wire.read().await?.is_some() {}
                     return Ok(());
                 }
@@ -178,7 +186,7 @@
             if status == 200 {
                 sleep(self.ability.pace).await;
             }
-            self.note(now, &id, &target, status);
+            self.note(now, &id, &target, status, probe);
             let wait = wait.map_or(String::new(), |w| format!("Wait-Ms: {}\r\n", w.as_millis() + 1));
             wire.write(format!("HTTP/1.1 {status} .\r\n{wait}Content-Length: 0\r\n\r\n").as_bytes()).await?;
         }
--- a/crates/onyxstile-lab/src/proxy.rs
+++ b/crates/onyxstile-lab/src/proxy.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// How long a real server's answer is waited for (`proxy_read_timeout`; nginx has 60 s unless it is set).
 const READ_TIME: Duration = Duration::from_secs(5);
@@ -144,6 +144,26 @@
     down: bool,
     current: i64,
     out: usize,
+    /// Failures that make it unavailable, and for how long; how many there were, and the last.
+    max_fails: u32,
+    fail_timeout: Duration,
+    fails: u32,
+    failed: Option<Instant>,
+}
+
+impl Server {
+    /// Neither marked down nor, for a time, out of use after its failures.
+    fn able(&self) -> bool {
+        let lately = self.failed.is_some_and(|at| at.elapsed() < self.fail_timeout);
+        !self.down && !(lately && self.max_fails > 0 && self.fails >= self.max_fails)
+    }
+
+    fn failed(&mut self) {
+        if self.failed.is_none_or(|at| at.elapsed() >= self.fail_timeout) {
+            self.fails = 0;
+        }
+        (self.fails, self.failed) = (self.fails + 1, Some(Instant::now()));
+    }
 }
 
 #[derive(Debug)]
@@ -161,6 +181,9 @@
             let address = plain.parse().or_else(|_| format!("{plain}:80").parse()).ok()?;
             let weight = n.words.iter().find_map(|w| w.strip_prefix("weight=")?.parse().ok()).unwrap_or(1);
             let has = |word: &str| n.words.iter().any(|w| w == word);
+            let number = |name: &str| {
+                n.words.iter().find_map(|w| w.strip_prefix(name)?.trim_end_matches('s').parse().ok())
+            };
             Some(Server {
                 address,
                 text,
@@ -169,6 +192,10 @@
                 down: has("down"),
                 current: 0,
                 out: 0,
+                max_fails: number("max_fails=").unwrap_or(1),
+                fail_timeout: Duration::from_secs(number("fail_timeout=").unwrap_or(10).into()),
+                fails: 0,
+                failed: None,
             })
         };
         let servers = node.inside.iter().filter(|n| n.is("server")).filter_map(server).collect();
@@ -180,12 +207,17 @@
     fn usable(&self) -> Vec<usize> {
         let of = |backup: bool| {
             (0..self.servers.len())
-                .filter(move |n| self.servers[*n].backup == backup && !self.servers[*n].down)
+                .filter(move |n| self.servers[*n].backup == backup && self.servers[*n].able())
         };
         let first: Vec<_> = of(false).collect();
         if first.is_empty() { of(true).collect() } else { first }
     }
 
+    /// With nobody left all are taken for well again.
+    fn forgive(&mut self) {
+        self.servers.iter_mut().for_each(|s| s.fails = 0);
+    }
+
     /// Each gains its weight; the one that has most, the first of equals, is chosen and pays the sum.
     fn round_robin(&mut self, among: &[usize]) -> Option<usize> {
         let total: i64 = among.iter().map(|n| self.servers[*n].weight).sum();
@@ -243,7 +275,7 @@
                         hash = (hash * 113 + i64::from(*octet)) % 6271;
                     }
                     let n = self.by_weight(hash % total);
-                    if !self.servers[n].down {
+                    if self.servers[n].able() {
                         return Some(n);
                     }
                 }
@@ -256,7 +288,7 @@
                     text.extend_from_slice(key);
                     hash += (crc32(&text) >> 16) & 0x7fff;
                     let n = self.by_weight(i64::from(hash) % total);
-                    if !self.servers[n].down {
+                    if self.servers[n].able() {
                         return Some(n);
                     }
                 }
@@ -278,7 +310,7 @@
                 let hash = crc32(key);
                 let from = points.iter().position(|p| p.0 >= hash).unwrap_or(0);
                 let around = points[from..].iter().chain(&points[..from]);
-                around.map(|p| p.1).find(|n| !self.servers[*n].down)
+                around.map(|p| p.1).find(|n| self.servers[*n].able())
             }
             ["random", ..] => {
                 let one = self.roll() as i64 % total;
@@ -473,7 +505,10 @@
             let template =
                 group.method.get(1).cloned().filter(|_| group.method[0] == "hash").unwrap_or_default();
             let key = self.expand(&template, request, client, &path, args);
-            let Some(n) = group.choose(client, key.as_bytes()) else { return Chosen::Status(502) };
+            let Some(n) = group.choose(client, key.as_bytes()) else {
+                group.forgive();
+                return Chosen::Status(502);
+            };
             group.servers[n].out += 1;
             return Chosen::To(group.servers[n].address, sent);
         }
@@ -557,10 +592,15 @@
         }
     }
 
-    fn done(&self, address: SocketAddr) {
+    fn done(&self, address: SocketAddr, answered: bool) {
         for group in self.groups.borrow_mut().values_mut() {
             for server in group.servers.iter_mut().filter(|s| s.address == address) {
                 server.out = server.out.saturating_sub(1);
+                if answered {
+                    server.fails = 0;
+                } else {
+                    server.failed();
+                }
             }
         }
     }
@@ -597,7 +637,7 @@
                         Ok::<_, io::Error>((server, answer.status()))
                     };
                     let asked = timeout(READ_TIME, asked).await;
-                    self.done(address);
+                    self.done(address, matches!(asked, Ok(Ok(_))));
                     match asked {
                         Ok(Ok((server, status))) => {
                             kept.insert(address, server);
@@ -723,6 +763,10 @@
             down: false,
             current: 0,
             out: 0,
+            max_fails: 1,
+            fail_timeout: Duration::from_secs(10),
+            fails: 0,
+            failed: None,
         };
         let servers = [5, 1, 1].into_iter().enumerate().map(server).collect();
         let mut group = Upstream { method: vec![], servers, dice: 1 };
--- a/crates/onyxstile-nginx/src/known.rs
+++ b/crates/onyxstile-nginx/src/known.rs
@@ -287,7 +287,7 @@
 
 /// Directives in whose place the relay does something of its own.
 const DIFFERENCE: &[(&str, &str)] = &[
-    ("health_check", "the module finds out by itself who is well, and probes as the settings allow"),
+    ("health_check", "the module finds out by itself who is well, by `OPTIONS *` to a server that failed"),
     ("http3", "HTTP/1.1 is spoken"),
     ("keepalive", "idle connections are kept for [settings] limits.keepaliveMs, 256 at most"),
     ("limit_conn_status", "turned down with 429 and Retry-After"),
--- a/crates/onyxstile-nginx/src/write.rs
+++ b/crates/onyxstile-nginx/src/write.rs
@@ -45,7 +45,7 @@
 maxRetryAfterMs = 2000
 maxStreams = 1
 mostHeld = 1000
-probes = false
+probes = true                   # a server that failed is asked `OPTIONS *` before a message tries it again
 cancelling = true
 
 [settings.tariffs]
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -19,7 +19,7 @@
 use super::phase::{Phase, State};
 use super::routing::{Routing, Staged};
 use super::upstream::{CallOrder, Switch, Upstream};
-use crate::api::{ClassId, DestinationId, Past, TenantId};
+use crate::api::{ClassId, DestinationId, KindId, Past, TenantId};
 use crate::core::vigil::{Line, Vigil};
 use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo};
 use crate::plugin::{FlowView, Hooks};
@@ -451,10 +451,14 @@
                 self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
             }
             Effect::Probe(server) => {
-                let to = self.directory.get(server).and_then(|s| Some((s.address?, s.wire)));
+                let foreign =
+                    |kind: KindId| self.names.kinds.get(kind.0).is_some_and(|k| k == super::routing::KIND);
+                let to = self.directory.get(server).and_then(|s| Some((s.address?, s.wire, foreign(s.kind))));
                 match (to, &self.mail) {
-                    (Some((address, Wire::Http)), _) => self.upstream.probe(server, address),
-                    (Some((address, Wire::Mail(dialect))), Some((_, mail))) => {
+                    (Some((address, Wire::Http, foreign)), _) => {
+                        self.upstream.probe(server, address, foreign)
+                    }
+                    (Some((address, Wire::Mail(dialect), _)), Some((_, mail))) => {
                         mail.probe(server, address, dialect)
                     }
                     _ => self.core.probe_ended(server, Outcome::Void, None),
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -246,7 +246,9 @@
         if status != 200 {
             let whole = async {
                 let head = connection.head().await?;
-                let framing = head.framing(Framing::UntilEnd)?;
+                // RFC 9112, 6.3: a 204 and a 304 end with their heads.
+                let ends = matches!(status, 204 | 304);
+                let framing = if ends { Framing::Length(0) } else { head.framing(Framing::UntilEnd)? };
                 let body = connection.body(framing).await?;
                 Ok::<_, HttpError>((
                     framing != Framing::UntilEnd && head.keeps_alive(&head.first[0]),
@@ -282,16 +284,20 @@
         Ok((status, Some(head), Vec::new()))
     }
 
-    /// Probes a real server.
-    pub fn probe(&self, server: ServerNo, address: SocketAddr) {
+    /// Probes a real server: one of the platform by its report, one that is `foreign` to it by the request that
+    /// asks for nothing (RFC 9110, 9.3.7).
+    pub fn probe(&self, server: ServerNo, address: SocketAddr, foreign: bool) {
         let this = self.clone();
         tokio::task::spawn_local(async move {
             let asked = async {
                 let (connection, _) = this.connection(server, address).await?;
-                let request = format!("GET /stats HTTP/1.1\r\nHost: {address}\r\n\r\n");
+                let what = if foreign { "OPTIONS *" } else { "GET /stats" };
+                let request = format!("{what} HTTP/1.1\r\nHost: {address}\r\n\r\n");
                 this.ask(server, connection, request.as_bytes(), &Cell::new(Stage::Unsent)).await
             };
             let (outcome, report) = match timeout(this.0.dial_timeout, asked).await {
+                // What it makes of such a request is its own matter: it answers.
+                Ok(Ok((..500, ..))) if foreign => (Outcome::Success, None),
                 Ok(Ok((status, head, body))) => probed(status, head.as_ref(), &body),
                 Ok(Err(outcome)) => (outcome, None),
                 Err(_) => (Outcome::TimedOut, None),
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -5,6 +5,7 @@
 
 use peers::*;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
@@ -198,6 +199,63 @@
     assert_eq!(heard_b.lock().unwrap()[12], "/q/kept");
 }
 
+/// Messages that never take effect twice try no server that is down; without a probe of a kind that any server
+/// understands, none would be back for them while another is well.
+#[test]
+fn a_server_that_went_is_used_again_once_it_answers_what_asks_for_nothing() {
+    let folder = Folder::new("return");
+    let (gone, (a, heard_a)) = (Arc::new(AtomicBool::new(false)), server("200 OK"));
+    let (heard_b, probes) = (Heard::default(), Heard::default());
+    let (is_gone, heard, asked) = (gone.clone(), heard_b.clone(), probes.clone());
+    let b = listen(move |mut talk| {
+        while !is_gone.load(Relaxed)
+            && let Some(first) = talk.line()
+        {
+            let mut length = 0;
+            while let Some(line) = talk.line().filter(|l| !l.is_empty()) {
+                length = line.strip_prefix("Content-Length: ").map_or(length, |l| l.parse().unwrap());
+            }
+            talk.exact(length);
+            if is_gone.load(Relaxed) {
+                return;
+            }
+            let probe = first.starts_with("OPTIONS * ");
+            let (to, status) = if probe { (&asked, "405 No") } else { (&heard, "200 OK") };
+            to.lock().unwrap().push(first);
+            talk.write(&format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"));
+        }
+    });
+    let file = [
+        &SKELETON.replace("probes = false", "probes = true"),
+        &group("g", 1, &[(a, ""), (b, "")]),
+        "[[routing.host]]\nnames = [\"a\"]\n",
+        &location("/", "g", ""),
+    ]
+    .concat();
+    let relay = Relay::start(&folder, &file);
+    let pass = |n: usize| {
+        (0..n).for_each(|_| {
+            ask(&relay, "a", "/");
+            sleep(Duration::from_millis(20));
+        });
+    };
+    pass(10);
+    assert!(count(&heard_b) >= 4);
+    gone.store(true, Relaxed);
+    pass(40);
+    let (before, at_a) = (count(&heard_b), count(&heard_a));
+    pass(20);
+    assert_eq!(count(&heard_b), before, "while it is gone");
+    assert!(count(&heard_a) >= at_a + 18, "the other carries on");
+    gone.store(false, Relaxed);
+    let began = std::time::Instant::now();
+    while count(&heard_b) < before + 5 {
+        assert!(began.elapsed() < Duration::from_secs(8), "it is back, and nothing goes there");
+        pass(1);
+    }
+    assert!(count(&probes) > 0);
+}
+
 #[test]
 fn a_server_never_has_more_calls_out_than_its_max_conns() {
     let folder = Folder::new("maxconns");
