--- a/crates/onyxstile-lab/src/proxy.rs
+++ b/crates/onyxstile-lab/src/proxy.rs
@@ -155,7 +155,7 @@
     /// Neither marked down nor, for a time, out of use after its failures.
     fn able(&self) -> bool {
         let lately = self.failed.is_some_and(|at| at.elapsed() < self.fail_timeout);
-        !self.down && !(lately && self.max_fails > 0 && self.fails >= self.max_fails)
+        !(self.down || lately && self.max_fails > 0 && self.fails >= self.max_fails)
     }
 
     fn failed(&mut self) {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 pub mod import_nginx;
 pub mod route;
 pub mod serve;
+pub mod trace;
 pub mod version;
 
 use std::fmt::Display;
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,6 +20,7 @@
     Check(cli::check::Check),
     Import(cli::import_nginx::Import),
     Route(cli::route::Route),
+    Trace(cli::trace::Trace),
     Version(cli::version::Version),
 }
 
@@ -29,6 +30,7 @@
         Command::Check(options) => options.run(),
         Command::Import(options) => options.run(),
         Command::Route(options) => options.run(),
+        Command::Trace(options) => options.run(),
         Command::Version(options) => options.run(),
     };
     done.unwrap_or_else(|e| {
