Record flows, attempts, refusals and waits in a trace, off unless [trace] is set

The owner tells a scribe what goes into a step and what comes out; a thread behind a bounded buffer writes it, so that a slow or full disk costs events, which are counted, and no flow. The module notes health changes and rolls for whoever keeps an account.

--- /dev/null
+++ b/crates/onyxstile-lab/src/cost.rs
@@ -0,0 +1,114 @@
+//! What recording costs: relays with the recorder off, on and sampled side by side, under the same load.
+
+use crate::Failed;
+use crate::demo::{configuration, imported};
+use crate::load::{self, Load};
+use crate::partner::{Ability, Partner};
+use crate::relay::{Folder, Relay};
+use serde::Serialize;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// One relay's figures.
+#[derive(Debug, Serialize)]
+pub struct Row {
+    /// How the recorder was set.
+    pub recorder: &'static str,
+    /// Messages handed in.
+    pub messages: u64,
+    /// Of these, delivered.
+    pub delivered: usize,
+    /// The relay's processor time for a message, microseconds, with all its threads.
+    pub cpu_us: f64,
+    /// Of that, the recorder's thread.
+    pub cpu_trace_us: f64,
+    /// Bytes of trace for a message.
+    pub bytes: f64,
+    /// Answered after so long: median and 99th percentile, microseconds.
+    pub wait_us: [u64; 2],
+    /// The relay's peak of memory, bytes.
+    pub peak_bytes: u64,
+}
+
+/// The ways a recorder is set.
+const WAYS: [(&str, &str); 3] = [
+    ("off", ""),
+    ("on", "[trace]\nfolder = \"traces\"\n"),
+    ("sampled, one in ten", "[trace]\nfolder = \"traces\"\nsample = 0.1\n"),
+];
+
+async fn one(binary: &Path, way: usize, per_s: f64, seconds: u64, seed: u64) -> Result<Row, Failed> {
+    let (recorder, table) = WAYS[way];
+    let mut partners = Vec::new();
+    for _ in 0..3 {
+        partners
+            .push(Partner::start(Ability { pace: Duration::from_millis(5), ..Ability::default() }).await?);
+    }
+    let folder = Folder::new(&format!("cost-{way}"))?;
+    let text = imported(&folder, &configuration(&partners, &[""; 3]))?;
+    let relay = Relay::start(binary, &folder.0, &format!("{text}\n{table}")).await?;
+    let load = |time, seed| Load {
+        address: relay.address,
+        host: "shop.example".into(),
+        target: "/orders/new".into(),
+        per_s,
+        time: Duration::from_secs(time),
+        seed,
+    };
+    let delivered = || partners.iter().map(|p| p.delivered()).sum::<usize>();
+    // The first seconds are for caches and connections.
+    load::run(load(2, seed + 1000)).await?;
+    sleep(Duration::from_millis(1500)).await;
+    let (before, cpu, bytes) = (delivered(), relay.cpu()?, size(&folder.0.join("traces")));
+    let result = load::run(load(seconds, seed)).await?;
+    let end = Instant::now() + Duration::from_secs(30);
+    while delivered() - before < result.taken.len() && Instant::now() < end {
+        sleep(Duration::from_millis(50)).await;
+    }
+    // Whatever waits for its block is written by then.
+    sleep(Duration::from_millis(1500)).await;
+    let after = relay.cpu()?;
+    let messages = result.offered as f64;
+    let us = |a: Duration, b: Duration| (a - b).as_secs_f64() * 1e6 / messages;
+    let row = Row {
+        recorder,
+        messages: result.offered,
+        delivered: delivered() - before,
+        cpu_us: us(after.0, cpu.0),
+        cpu_trace_us: us(after.1, cpu.1),
+        bytes: (size(&folder.0.join("traces")) - bytes) as f64 / messages,
+        wait_us: [result.wait_us[0], result.wait_us[1]],
+        peak_bytes: relay.peak_bytes().unwrap_or_default(),
+    };
+    relay.kill().await;
+    Ok(row)
+}
+
+fn size(folder: &Path) -> u64 {
+    let entries = std::fs::read_dir(folder).into_iter().flatten();
+    entries.filter_map(|e| Some(e.ok()?.metadata().ok()?.len())).sum()
+}
+
+/// Runs all three ways at once, several times; each row is of one relay in one round.
+///
+/// # Errors
+/// Something does not start.
+pub async fn run(binary: &Path, per_s: f64, seconds: u64, rounds: u64) -> Result<Vec<Row>, Failed> {
+    let mut rows = Vec::new();
+    for round in 0..rounds {
+        let (a, b, c) = tokio::join!(
+            one(binary, 0, per_s, seconds, round),
+            one(binary, 1, per_s, seconds, round),
+            one(binary, 2, per_s, seconds, round)
+        );
+        rows.extend([a?, b?, c?]);
+    }
+    Ok(rows)
+}
+
+/// The middle of some figures.
+pub fn median(mut figures: Vec<f64>) -> f64 {
+    figures.sort_by(f64::total_cmp);
+    figures.get(figures.len() / 2).copied().unwrap_or_default()
+}
--- a/crates/onyxstile-lab/src/demo.rs
+++ b/crates/onyxstile-lab/src/demo.rs
@@ -27,7 +27,8 @@
     Ok(partners)
 }
 
-fn configuration<S: std::fmt::Display>(partners: &[Rc<Partner>], parameters: &[S]) -> String {
+/// An nginx configuration with these servers in one group, each with what follows its address.
+pub(crate) fn configuration<S: std::fmt::Display>(partners: &[Rc<Partner>], parameters: &[S]) -> String {
     let servers = partners.iter().zip(parameters);
     let servers = servers.map(|(p, with)| format!("    server {}{with};\n", p.address));
     let servers: String = servers.collect();
@@ -38,10 +39,14 @@
 }
 
 async fn relay(binary: &Path, folder: &Folder, conf: &str) -> Result<Relay, Failed> {
+    Relay::start(binary, &folder.0, &imported(folder, conf)?).await
+}
+
+/// The operator's file that the importer makes of a configuration.
+pub(crate) fn imported(folder: &Folder, conf: &str) -> Result<String, Failed> {
     let file = folder.0.join("nginx.conf");
     std::fs::write(&file, conf)?;
-    let imported = import(&parse(&Disk, &file)?);
-    Relay::start(binary, &folder.0, &write::write(&imported, "nginx.conf")).await
+    Ok(write::write(&import(&parse(&Disk, &file)?), "nginx.conf"))
 }
 
 /// How many times each id took effect, over all partners.
--- a/crates/onyxstile-lab/src/lib.rs
+++ b/crates/onyxstile-lab/src/lib.rs
@@ -7,10 +7,12 @@
 //! * [`relay`] - a relay as a process of its own
 //! * [`load`] - clients that come at their times, whether they are answered or not
 //! * [`compare`] - the same traffic through proxy and relay
+//! * [`cost`] - what recording costs
 //! * [`chart`] - pictures of what was measured
 
 pub mod chart;
 pub mod compare;
+pub mod cost;
 pub mod demo;
 pub mod http;
 pub mod load;
--- a/crates/onyxstile-lab/src/main.rs
+++ b/crates/onyxstile-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The laboratory's command line.
 
 use argh::FromArgs;
-use onyxstile_lab::{Failed, compare, demo, load};
+use onyxstile_lab::{Failed, compare, cost, demo, load};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -21,6 +21,25 @@
     Compare(Compare),
     Failures(Failures),
     Load(LoadCommand),
+    Cost(Cost),
+}
+
+/// What recording costs: relays with the recorder off, on and sampled, side by side.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cost")]
+struct Cost {
+    /// the relay's binary
+    #[argh(option, default = "PathBuf::from(\"target/release/onyxstile\")")]
+    relay: PathBuf,
+    /// messages a second, for each relay
+    #[argh(option, default = "400.0")]
+    per_s: f64,
+    /// length of a round
+    #[argh(option, default = "15")]
+    seconds: u64,
+    /// rounds
+    #[argh(option, default = "4")]
+    rounds: u64,
 }
 
 /// Partners, a relay set up from an nginx configuration, and some seconds of load.
@@ -131,6 +150,22 @@
             println!("{}", serde_json::to_string(&load::run(load).await?)?);
             Ok(())
         }
+        Command::Cost(Cost { relay, per_s, seconds, rounds }) => {
+            let rows = cost::run(&relay, per_s, seconds, rounds).await?;
+            for row in &rows {
+                println!("{}", serde_json::to_string(row)?);
+            }
+            for way in ["off", "on", "sampled, one in ten"] {
+                let of = |f: fn(&cost::Row) -> f64| {
+                    cost::median(rows.iter().filter(|r| r.recorder == way).map(f).collect())
+                };
+                let (cpu, trace, bytes) = (of(|r| r.cpu_us), of(|r| r.cpu_trace_us), of(|r| r.bytes));
+                println!(
+                    "{way:20} {cpu:8.1} us a message, {trace:6.1} of it the recorder's thread, {bytes:6.1} bytes"
+                );
+            }
+            Ok(())
+        }
         Command::Compare(c) => compare_all(&c).await,
     }
 }
--- a/crates/onyxstile-lab/src/relay.rs
+++ b/crates/onyxstile-lab/src/relay.rs
@@ -96,6 +96,25 @@
         line.trim().strip_suffix("kB")?.trim().parse::<u64>().ok().map(|kb| kb * 1024)
     }
 
+    /// Its processor time so far, of all threads, and of the one that writes its trace.
+    ///
+    /// # Errors
+    /// The system does not say.
+    pub fn cpu(&self) -> Result<(Duration, Duration), Failed> {
+        let tasks = format!("/proc/{}/task", self.child.id().ok_or("the relay has ended")?);
+        let (mut all, mut trace) = (Duration::ZERO, Duration::ZERO);
+        for task in std::fs::read_dir(tasks)? {
+            let task = task?.path();
+            let ran = std::fs::read_to_string(task.join("schedstat"))?;
+            let ran = Duration::from_nanos(ran.split(' ').next().unwrap_or_default().parse()?);
+            all += ran;
+            if std::fs::read_to_string(task.join("comm"))?.trim() == "trace" {
+                trace += ran;
+            }
+        }
+        Ok((all, trace))
+    }
+
     /// Ends it at once.
     pub async fn kill(mut self) {
         let _ = self.child.kill().await;
--- a/examples/gateway.rs
+++ b/examples/gateway.rs
@@ -94,7 +94,8 @@
                 | Action::Release(_)
                 | Action::Probe(_)
                 | Action::Subscribe
-                | Action::Log(_) => {}
+                | Action::Log(_)
+                | Action::Note(_) => {}
             }
         }
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -416,6 +416,31 @@
     Subscribe,
     /// A line for the log.
     Log(String),
+    /// Nothing to be done: something that happened, for whoever keeps an account.
+    Note(Note),
+}
+
+/// What an endpoint is taken for. Down: only trials. Warming: back, or failing most calls, since then, and within
+/// the cold budget.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub enum Health {
+    /// It takes what it is sent.
+    #[default]
+    Well,
+    /// It does not.
+    Down,
+    /// It is cold, since this time.
+    Warming(Duration),
+}
+
+/// What happened inside the module.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Note {
+    /// An endpoint is taken for something else; after which outcome, or by its silence.
+    Health(EndpointId, Health, Health, Option<Outcome>),
+    /// The timer of a message that waits for another attempt fired: the how manieth time, and whether the roll by
+    /// the retransmission law was won.
+    Timer(MessageId, u32, bool),
 }
 
 /// Proposes an order of preference among the endpoints of a destination. The module disposes: it asks for a
--- a/src/bin/onyxstile-adapter/host.rs
+++ b/src/bin/onyxstile-adapter/host.rs
@@ -287,6 +287,7 @@
         Action::Release(endpoint) => writeln!(out, "release {}", addresses[endpoint.0 as usize]),
         Action::Probe(endpoint) => writeln!(out, "sample {}", addresses[endpoint.0 as usize]),
         Action::Subscribe => writeln!(out, "observe 1"),
+        Action::Note(_) => Ok(()),
         Action::Log(text) => writeln!(out, "write_log {}", text.replace(['\n', '\r'], " ")),
     };
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -150,15 +150,6 @@
     cancelled: bool,
 }
 
-/// Down: only trials. Warming: back, or failing most calls, since then, and within the cold budget.
-#[derive(Debug, Default, Clone, Copy, PartialEq)]
-enum Health {
-    #[default]
-    Well,
-    Down,
-    Warming(Duration),
-}
-
 #[derive(Debug, Default)]
 struct Endpoint {
     info: EndpointInfo,
@@ -303,7 +294,7 @@
         }
         self.expire(actions);
         self.notice_silence(actions);
-        self.fire_timers();
+        self.fire_timers(actions);
         self.make_room(actions);
         self.dispatch(actions);
         self.schedule(actions);
@@ -576,8 +567,7 @@
         if e.health != before {
             e.down_since = now;
             if std::mem::discriminant(&e.health) != std::mem::discriminant(&before) {
-                let line = format!("endpoint {} {before:?} -> {:?} after {outcome:?}", id.0, e.health);
-                actions.push(Action::Log(line));
+                actions.push(Action::Note(Note::Health(id, before, e.health, Some(outcome))));
             }
         }
         let told = limit.filter(|r| r.rate > 0.0 && !matches!(outcome, Outcome::Overloaded { .. }));
@@ -639,6 +629,7 @@
             let Some(e) = self.endpoints.get_mut(&c.endpoint).filter(silent) else { continue };
             if c.idle_for <= T1 / 2 && e.health == Health::Well {
                 (e.health, e.down_since) = (Health::Down, now);
+                actions.push(Action::Note(Note::Health(c.endpoint, Health::Well, e.health, None)));
             } else if c.idle_for > T1 / 2 && c.idle_for <= self.trusted {
                 self.trusted = c.idle_for.mul_f64(STALE_SHARE).max(T1 / 2);
                 self.doubt_until = self.doubt_until.max(now + STALE_DOUBT);
@@ -664,6 +655,7 @@
         let mute = |e: &&mut Endpoint| young && e.last_heard <= sent && e.health == Health::Well;
         if let Some(e) = self.endpoints.get_mut(&call.endpoint).filter(mute) {
             (e.health, e.down_since) = (Health::Down, now);
+            actions.push(Action::Note(Note::Health(call.endpoint, Health::Well, e.health, None)));
         }
         let its = self.flights.iter().filter(|(_, f)| f.0 == number);
         actions.extend(its.map(|((id, attempt), _)| Action::Cancel { id: *id, attempt: *attempt }));
@@ -683,7 +675,7 @@
 
     /// Fires the timers that are due. While nothing may go to the destination at all, a firing waits for
     /// that to end, as for a told wait.
-    fn fire_timers(&mut self) {
+    fn fire_timers(&mut self, actions: &mut Vec<Action>) {
         let due = |m: &Message| matches!(m.state, State::Backoff(at) if at <= self.now);
         let open = |m: &Message| self.live(m.destination).any(|e| self.open(e));
         let due = self.messages.iter().filter(|(_, m)| due(m) && open(m));
@@ -695,6 +687,7 @@
                 m.ready_since = self.now;
                 let next = self.now + pause(m.firings, self.settings.classes[m.class].aim);
                 m.state = if roll < chance { State::Ready } else { State::Backoff(next) };
+                actions.push(Action::Note(Note::Timer(id, m.firings, roll < chance)));
             }
         }
     }
@@ -1009,8 +1002,8 @@
     }
 
     /// Where messages wait for an endpoint judged down, a probe asks for them if probes are allowed.
-    /// Guards endpoints apart that fail some calls: shunned by what has one try, and with nothing else to carry,
-    /// none would ever be known to be well again. Of others the rest of their destination's traffic tells.
+    /// Guards endpoints apart that fail some calls: shunned by what has one try, and with nothing else to
+    /// carry, none would ever be known to be well again. Of others the rest of their traffic tells.
     fn probe_down(&mut self, waiting: &[DestinationId], actions: &mut Vec<Action>) {
         let down = |e: &&Endpoint| e.health == Health::Down && e.refused_run == 0 && !e.trial;
         let alone = |e: &&Endpoint| e.lane.1.is_some() && self.now > e.last_sent + SHUT_QUIET;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,7 +9,8 @@
 
 use crate::Controller;
 use crate::api::{
-    Action, AttemptEnd, ClassId, DestinationId, Event, LimitReport, NewMessage, Past, Proposer, TenantId,
+    Action, AttemptEnd, ClassId, DestinationId, Event, LimitReport, NewMessage, Note, Past, Proposer,
+    TenantId,
 };
 pub use crate::api::{
     EndpointId as ServerNo, EndpointInfo as ServiceEntry, MessageId as FlowNo, Outcome, Settings,
@@ -97,6 +98,8 @@
     Probe(ServerNo),
     /// A line for the log.
     Log(String),
+    /// Something that happened inside the module.
+    Note(Note),
 }
 
 #[derive(Debug)]
@@ -291,6 +294,7 @@
             // Every list comes unasked here: discovery keeps a watch of its own.
             Action::Subscribe => {}
             Action::Log(line) => effects.push(Effect::Log(line)),
+            Action::Note(note) => effects.push(Effect::Note(note)),
         }
     }
 
@@ -361,7 +365,9 @@
     fn step(core: &mut Core<&'static str>, after_ms: u64) -> Vec<Effect<&'static str>> {
         let mut effects = Vec::new();
         core.step(NOW + Duration::from_millis(after_ms), &mut effects);
-        effects.retain(|e| !matches!(e, Effect::Wake(_) | Effect::Log(_) | Effect::Release(_)));
+        effects.retain(|e| {
+            !matches!(e, Effect::Wake(_) | Effect::Log(_) | Effect::Note(_) | Effect::Release(_))
+        });
         effects
     }
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -4,6 +4,7 @@
 use super::listed::{ConfigError, FixedServer, RawList};
 use super::mail::MailSettings;
 use super::operator::OperatorFile;
+use super::trace::settings::{TraceSettings, shares};
 use crate::api::{DestinationId, Settings};
 use crate::plugin::Hooks;
 use crate::settings::{self, Names};
@@ -106,6 +107,8 @@
     pub fixed: Vec<FixedServer>,
     /// The routing table.
     pub routing: Option<RoutingConfig>,
+    /// What is recorded, if anything is.
+    pub trace: Option<TraceSettings>,
     /// The folder that lasts.
     pub state: PathBuf,
     /// Most bytes in it.
@@ -144,6 +147,13 @@
             file.add_routed_kind(&mut config.settings, &mut config.names);
             config.fixed = file.servers();
             config.routing = file.routing.clone();
+            if let Some(trace) = &file.trace {
+                let trace = trace.check(&config.state, config.disk)?;
+                // What lies in one folder counts against one limit.
+                let taken = if shares(&trace.folder, &config.state) { trace.total } else { 0 };
+                config.disk -= taken.min(config.disk);
+                config.trace = Some(trace);
+            }
             config.hooks =
                 Rc::new(Hooks::load(&file.plugins.scripts).map_err(|e| ConfigError(e.to_string()))?);
             if let Some(http) = &mut config.http {
@@ -188,6 +198,7 @@
             hooks: no_hooks()?,
             fixed: Vec::new(),
             routing: None,
+            trace: None,
             state,
             disk: (raw.limits.disk_mb.max(0.0) * 1e6) as u64,
             shares: Shares::of(raw.limits.sockets, raw.limits.memory_mb, settings.max_calls),
@@ -213,13 +224,14 @@
         });
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Config {
-            name: file.mail.as_ref().map_or_else(|| "onyxstile".into(), |_| "mail".into()),
+            name: relay.name.unwrap_or_else(|| file.mail.as_ref().map_or("onyxstile", |_| "mail").into()),
             http,
             discovery: None,
             mail: None,
             hooks: no_hooks()?,
             fixed: Vec::new(),
             routing: None,
+            trace: None,
             state: relay.state,
             disk: (relay.disk_mb.max(0.0) * 1e6) as u64,
             shares: Shares::of(relay.sockets, relay.memory_mb, settings.max_calls),
--- a/src/net/directory.rs
+++ b/src/net/directory.rs
@@ -18,6 +18,8 @@
     pub wire: Wire,
     /// Its kind.
     pub kind: KindId,
+    /// Its destination, once an entry has said so.
+    pub destination: DestinationId,
     state: ListState,
     /// Its idle connections lead nowhere any more.
     moved: bool,
@@ -43,8 +45,9 @@
         let no = ServerNo(self.next);
         self.next += 1;
         let (address, wire, kind) = (None, Wire::Http, KindId(usize::MAX));
+        let (uid_own, destination) = (uid.to_string(), DestinationId::default());
         let server =
-            Server { uid: uid.to_string(), address, wire, kind, state: ListState::Live, moved: false };
+            Server { uid: uid_own, address, wire, kind, destination, state: ListState::Live, moved: false };
         self.servers.insert(no, server);
         self.numbers.insert(uid.to_string(), no);
         no
@@ -65,6 +68,7 @@
         let (kind, zone) = (KindId(index(&names.kinds, &raw.model)), ZoneId(index(&names.zones, &raw.az)));
         if let Some(server) = self.servers.get_mut(&id) {
             (server.wire, server.kind, server.state) = (wire, kind, state);
+            server.destination = destination;
             match raw.endpoint.parse() {
                 Ok(address) => {
                     server.moved |= server.address.is_some_and(|old| old != address);
@@ -82,6 +86,11 @@
         self.servers.get(&no).map(|s| s.uid.clone()).unwrap_or_default()
     }
 
+    /// The destination of a real server.
+    pub fn destination(&self, no: ServerNo) -> DestinationId {
+        self.servers.get(&no).map(|s| s.destination).unwrap_or_default()
+    }
+
     /// The number that a name has, if it has one.
     pub fn find(&self, uid: &str) -> Option<ServerNo> {
         self.numbers.get(uid).copied()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,4 +18,5 @@
 pub mod pool;
 pub mod relay;
 pub mod routing;
+pub mod trace;
 pub mod upstream;
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -2,6 +2,7 @@
 
 use super::listed::{ConfigError, FixedServer, RawEntry, Wire};
 use super::mail::{self, Dialect, MailSettings, Times};
+use super::trace::settings::TraceTable;
 use crate::api::{DestinationId, Effect, Settings};
 use crate::settings::Names;
 use onyxstile_routing::config::UpstreamConfig;
@@ -32,6 +33,8 @@
     pub route: Vec<RouteTable>,
     /// Hosts, locations, groups of real servers and limits, as nginx words them.
     pub routing: Option<RoutingConfig>,
+    /// What is recorded.
+    pub trace: Option<TraceTable>,
     /// Scripts called at points of a flow's life.
     #[serde(default)]
     pub plugins: PluginsTable,
@@ -51,6 +54,8 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RelayTable {
+    /// Its name, as traces have it.
+    pub name: Option<String>,
     /// The folder that lasts.
     pub state: PathBuf,
     /// Its limit.
@@ -202,6 +207,9 @@
         if let Some(relay) = &mut file.relay {
             relay.state = folder.join(&relay.state);
         }
+        if let Some(trace) = &mut file.trace {
+            trace.folder = folder.join(&trace.folder);
+        }
         file.plugins.scripts.iter_mut().for_each(|s| *s = folder.join(&s));
         Ok(file)
     }
--- a/src/net/owner/drain.rs
+++ b/src/net/owner/drain.rs
@@ -26,6 +26,9 @@
     /// Follows the order to end; true once nothing is left that can still end in time.
     pub(super) fn drained(&mut self) -> bool {
         let now = self.clock.now();
+        if self.draining_since.is_none() {
+            self.witness_phase(Stage::Draining);
+        }
         let since = *self.draining_since.get_or_insert(now);
         if now >= since + DRAIN_CALLS {
             self.core.close();
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -4,6 +4,7 @@
 mod mail;
 mod offers;
 mod recovery;
+mod witness;
 
 use super::clock::Clock;
 use super::config::Config;
@@ -18,17 +19,20 @@
 use super::parcel::{Envelope, Parcel};
 use super::phase::{Phase, State};
 use super::routing::{Routing, Staged};
+use super::trace::recorder::Recorder;
 use super::upstream::{CallOrder, Switch, Upstream};
-use crate::api::{ClassId, DestinationId, KindId, Past, TenantId};
+use crate::api::{ClassId, DestinationId, KindId, Note, Past, TenantId};
 use crate::core::vigil::{Line, Vigil};
 use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo};
 use crate::plugin::{FlowView, Hooks};
 use crate::settings::Names;
+use onyxstile_trace::events::Stage;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
+pub use witness::Witness;
 
 /// Messages taken into one step, at most.
 const BATCH: usize = 256;
@@ -74,6 +78,9 @@
     fixed: Vec<FixedServer>,
     routing: Rc<Routing>,
     per_call: Vec<usize>,
+    /// Kinds whose real servers are each for themselves.
+    apart: Vec<bool>,
+    witness: Option<Witness>,
     /// What a repeat does and how long a flow lives, by class.
     classes: Vec<(crate::api::Effect, Duration)>,
     directory: Directory,
@@ -115,6 +122,8 @@
     pub mail_upstream: Option<MailUpstream>,
     /// The routing table; an empty one routes nothing.
     pub routing: Rc<Routing>,
+    /// Keeps the trace, where one is wanted.
+    pub witness: Option<Witness>,
     /// Takes batches of notices.
     pub notices: mpsc::Sender<Vec<(FlowNo, Owed)>>,
     /// Where everything comes in.
@@ -127,7 +136,8 @@
     /// # Errors
     /// Settings that cannot work.
     pub fn new(config: &Config, parts: Parts) -> Result<Self, crate::core::SettingsError> {
-        let Parts { journal, clock, phase, upstream, mail_upstream, routing, notices, queue } = parts;
+        let Parts { journal, clock, phase, upstream, mail_upstream, routing, witness, notices, queue } =
+            parts;
         let mut core = Core::new(config.settings.clone(), config.seed, clock.now())?;
         if !routing.is_empty() {
             core.set_proposer(routing.proposer());
@@ -148,6 +158,8 @@
             routing,
             classes: config.settings.classes.iter().map(|c| (c.effect, c.deadline)).collect(),
             per_call: config.settings.kinds.iter().map(|k| k.per_call).collect(),
+            apart: config.settings.kinds.iter().map(|k| k.routes_apart).collect(),
+            witness,
             directory: Directory::default(),
             calls: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -165,17 +177,20 @@
             last_offer: clock.now(),
             queue,
         };
+        owner.witness_phase(Stage::Serving);
         owner.take_list(&RawList { all: true, ..config.known.clone() });
         owner.recover();
         Ok(owner)
     }
 
-    /// Runs until the program has drained.
-    pub async fn run(mut self) {
+    /// Runs until the program has drained. What keeps the trace is handed back, to be closed when all else is done.
+    pub async fn run(mut self) -> Option<Recorder> {
         self.step();
         loop {
             if self.phase.state() >= State::Draining && self.drained() {
-                return;
+                self.witness_phase(Stage::Stopped);
+                self.witness_step();
+                return self.witness.map(|w| w.recorder);
             }
             let now = self.clock.now();
             let due = self.wake_at.into_iter().chain(self.drain_due()).min();
@@ -184,7 +199,7 @@
                 biased;
                 message = self.queue.recv() => match message {
                     Some(message) => self.take(message),
-                    None => return,
+                    None => return self.witness.map(|w| w.recorder),
                 },
                 () = sleep_until(due) => {}
                 () = self.phase.reached(State::Draining), if self.draining_since.is_none() => {}
@@ -204,8 +219,15 @@
     }
 
     fn take(&mut self, message: ToOwner) {
+        self.witness_in(&message);
         match message {
-            ToOwner::Offer(offer) => self.take_offer(offer),
+            ToOwner::Offer(offer) => match self.look_at(&offer) {
+                Some(verdict) => {
+                    self.witness_away(&offer, None, verdict);
+                    let _ = offer.reply.send(vec![verdict; offer.items.len()]);
+                }
+                None => self.take_offer(offer),
+            },
             ToOwner::CallEnded(end, detail) => {
                 let line = Line::CallEnded(end.attempt, outcome_name(end.outcome));
                 self.vigil.note(end.flow, self.clock.now(), line);
@@ -244,6 +266,10 @@
         let of_list = list.targets.iter().map(|raw| (raw, Wire::Http));
         // What the operator names is in no list of discovery's, and does not go with it.
         let own = self.fixed.iter().filter(|_| list.all).map(|f| (&f.entry, f.wire));
+        if let Some(Witness { scribe, .. }) = &mut self.witness {
+            let entries = of_list.clone().chain(own.clone()).map(|(raw, _)| raw);
+            scribe.listed(entries, list.all, self.clock.now());
+        }
         let entries =
             of_list.chain(own).map(|(raw, wire)| self.directory.entry(raw, wire, &self.names)).collect();
         self.core.take_entries(entries, list.all);
@@ -281,6 +307,9 @@
         });
         let gone: Vec<_> = gone.collect();
         let changed = self.fixed.iter().chain(&gone);
+        if let Some(Witness { scribe, .. }) = &mut self.witness {
+            scribe.listed(changed.clone().map(|f| &f.entry), false, self.clock.now());
+        }
         let entries = changed.map(|f| self.directory.entry(&f.entry, f.wire, &self.names)).collect();
         self.core.take_entries(entries, false);
         self.sweep_servers();
@@ -311,6 +340,7 @@
         }
         let now = self.clock.now();
         self.vigil.overdue(now).into_iter().for_each(|story| log::error!("{story}"));
+        self.witness_step();
     }
 
     /// Writes down first what the effects promise, then does them.
@@ -350,10 +380,11 @@
         } else {
             for record in &records {
                 if let Record::Bounced(_, no, flow) = record {
-                    self.take_up(*no, flow, Past::default(), now);
+                    self.take_up(*no, flow, None, now);
                 }
             }
         }
+        self.witness_out(&effects, lasting.is_ok(), now);
         for effect in effects {
             self.do_effect(effect, now, lasting.is_ok());
         }
@@ -465,6 +496,10 @@
                 }
             }
             Effect::Log(line) => log::info!("{line}"),
+            Effect::Note(Note::Health(server, from, to, after)) => {
+                log::info!("server {} {from:?} -> {to:?} after {after:?}", server.0);
+            }
+            Effect::Note(_) => {}
         }
     }
 
--- a/src/net/owner/offers.rs
+++ b/src/net/owner/offers.rs
@@ -4,57 +4,56 @@
 use super::*;
 
 impl Owner {
-    pub(super) fn take_offer(&mut self, offer: Offer) {
-        let Offer { class, tenant, deadline, items, together, reply } = offer;
+    /// What is to be said at once of an offer, if anything.
+    pub(super) fn look_at(&mut self, offer: &Offer) -> Option<Verdict> {
         self.last_offer = self.clock.now();
-        let known = position(&self.names.classes, &class);
-        let tenant_no = match &tenant {
-            None => Some(None),
-            Some(name) => position(&self.names.tenants, name).map(|t| Some(TenantId(t))),
-        };
-        let bytes = items.iter().map(|(_, p)| p.body.len() + 1024).sum();
-        let (Some(class_no), Some(tenant_no)) = (known, tenant_no) else {
-            let what = if known.is_none() { "the class" } else { "the account" };
-            let _ = reply.send(vec![Verdict::Unknown(what); items.len()]);
-            return;
+        let items = &offer.items;
+        let known = position(&self.names.classes, &offer.class);
+        let tenant = offer.tenant.as_ref().is_none_or(|t| position(&self.names.tenants, t).is_some());
+        let Some(class) = known.filter(|_| tenant) else {
+            return Some(Verdict::Unknown(if known.is_none() { "the class" } else { "the account" }));
         };
-        if let Some(what) = self.unusable(class_no, deadline, &items) {
-            let _ = reply.send(vec![Verdict::Unknown(what); items.len()]);
-            return;
+        if let Some(what) = self.unusable(class, offer.deadline, items) {
+            return Some(Verdict::Unknown(what));
         }
-        let verdict =
-            if items.iter().any(|(_, p)| self.ids.get(&p.id).is_some_and(|no| self.waiting.contains_key(no)))
-            {
-                // One of that id waits for its verdict; nothing can be promised in its name.
-                Some(Verdict::Unknown("the id"))
-            } else if items.iter().all(|(_, p)| self.ids.contains_key(&p.id)) {
-                // Taken on before, and the answer was lost on its way: it is not a second flow.
-                Some(Verdict::Taken)
-            } else if !self.takes_flows() {
-                Some(Verdict::Ending(come_back(self.draining_since, self.clock.now())))
-            } else if !self.core.has_room(items.len()) || !self.journal.has_room(items.len(), bytes) {
-                Some(Verdict::Full)
-            } else {
-                None
-            };
-        if let Some(verdict) = verdict {
-            let _ = reply.send(vec![verdict; items.len()]);
-            return;
+        let bytes = items.iter().map(|(_, p)| p.body.len() + 1024).sum();
+        if items.iter().any(|(_, p)| self.ids.get(&p.id).is_some_and(|no| self.waiting.contains_key(no))) {
+            // One of that id waits for its verdict; nothing can be promised in its name.
+            Some(Verdict::Unknown("the id"))
+        } else if items.iter().all(|(_, p)| self.ids.contains_key(&p.id)) {
+            // Taken on before, and the answer was lost on its way: it is not a second flow.
+            Some(Verdict::Taken)
+        } else if !self.takes_flows() {
+            Some(Verdict::Ending(come_back(self.draining_since, self.clock.now())))
+        } else if !self.core.has_room(items.len()) || !self.journal.has_room(items.len(), bytes) {
+            Some(Verdict::Full)
+        } else {
+            None
         }
+    }
+
+    /// Hands the flows of an offer to the core, but for those that scripts turn down.
+    pub(super) fn take_offer(&mut self, offer: Offer) {
+        let tenant_no = offer.tenant.as_ref().and_then(|t| position(&self.names.tenants, t)).map(TenantId);
+        let class_no = position(&self.names.classes, &offer.class).unwrap_or_default();
+        let mut turned_down = vec![None; offer.items.len()];
+        let mut views = Vec::new();
         // Scripts come after all that could refuse it and before anything is promised: they can only add a
         // turn-down. Where one verdict holds for all, so does that.
-        let mut views = Vec::new();
-        let mut turned_down = vec![None; items.len()];
         if !self.hooks.is_empty() {
-            for (i, (destination, parcel)) in items.iter().enumerate() {
-                let mut view = view(&class, tenant.as_deref(), *destination, parcel);
+            for (i, (destination, parcel)) in offer.items.iter().enumerate() {
+                let mut view = view(&offer.class, offer.tenant.as_deref(), *destination, parcel);
                 turned_down[i] = self.hooks.flow_taken(&mut view);
                 views.push(view);
             }
         }
-        if let Some(wait) = turned_down.iter().flatten().max().copied().filter(|_| together) {
+        if let Some(wait) = turned_down.iter().flatten().max().copied().filter(|_| offer.together) {
             turned_down.fill(Some(wait));
         }
+        for (i, wait) in turned_down.iter().enumerate().filter_map(|(i, w)| Some((i, (*w)?))) {
+            self.witness_away(&offer, Some(i), Verdict::TurnedDown(wait));
+        }
+        let Offer { class, tenant, deadline, items, together, reply } = offer;
         let group = self.next;
         // One moment for all: what was handed in together is as urgent and goes out in the order given.
         let remaining = deadline.saturating_sub(self.clock.now());
@@ -76,6 +75,7 @@
             let terms = FlowTerms { class: ClassId(class_no), tenant: tenant_no, destination, remaining };
             self.destinations.insert(no, destination);
             self.routing.flow_opens(no, &parcel);
+            self.witness_offer(no, &terms, deadline, &parcel);
             self.core.offer(no, terms, parcel.clone());
             let (class, tenant) = (class.clone(), tenant.clone());
             let flow = TakenFlow { deadline, class, tenant, destination: destination.0, parcel };
--- a/src/net/owner/recovery.rs
+++ b/src/net/owner/recovery.rs
@@ -13,13 +13,16 @@
             let risk = progress.risk.or(progress.out);
             let risk = risk.map(|r| (now.saturating_sub(r.at), self.directory.number(&r.server)));
             let past = Past { attempts: progress.attempts, risk };
-            if !self.take_up(no, &flow, past, now) {
+            if !self.take_up(no, &flow, Some(past), now) {
                 // The settings have lost its class: nothing can be decided for it but its end.
                 let owed = Owed { id: flow.parcel.id.clone(), returned_after: None };
                 lost.push(Record::Ended(no, Some(owed).filter(|_| flow.parcel.mail.is_none())));
                 continue;
             };
         }
+        if let Some(Witness { scribe, .. }) = &mut self.witness {
+            self.journal.ledger().owed.iter().for_each(|(no, owed)| scribe.owed_before(*no, &owed.id));
+        }
         if let Err(e) = self.journal.write(&lost) {
             log::error!("journal: {e}");
         }
@@ -30,8 +33,11 @@
         );
     }
 
-    /// Hands the core a flow that is lasting already; false if the settings do not know its class.
-    pub(super) fn take_up(&mut self, no: FlowNo, flow: &TakenFlow, past: Past, now: Duration) -> bool {
+    /// Hands the core a flow that is lasting already; false if the settings do not know its class. `past`: what an
+    /// earlier process did for it, if there was one.
+    pub(super) fn take_up(
+        &mut self, no: FlowNo, flow: &TakenFlow, past: Option<Past>, now: Duration,
+    ) -> bool {
         self.ids.insert(flow.parcel.id.clone(), no);
         let Some(class) = position(&self.names.classes, &flow.class) else { return false };
         let tenant = flow.tenant.as_ref().and_then(|t| position(&self.names.tenants, t)).map(TenantId);
@@ -47,7 +53,8 @@
         if flow.parcel.mail.is_none() {
             self.vigil.taken(no, &flow.parcel.id, now, flow.deadline, true);
         }
-        self.core.recover(no, terms, past, flow.parcel.clone());
+        self.witness_up(no, &terms, flow, past);
+        self.core.recover(no, terms, past.unwrap_or_default(), flow.parcel.clone());
         true
     }
 }
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -8,11 +8,15 @@
 use super::mail::Dialect;
 use super::mail::client::MailUpstream;
 use super::mail::server::MailEdge;
-use super::owner::{Owner, Parts};
+use super::owner::{Owner, Parts, Witness};
 use super::phase::{Phase, State};
 use super::routing::{Routing, Staged};
+use super::trace::recorder::{Recorder, Whose};
+use super::trace::scribe::{ClassTerms, Scribe};
+use super::trace::settings::TraceSettings;
 use super::upstream::Upstream;
 use super::{discovery, notices};
+use onyxstile_trace::events::Class;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -97,8 +101,10 @@
     let staged = Staged::build(config.routing.clone().unwrap_or_default());
     let staged = staged.map_err(|e| StartError(format!("routing: {e}")))?;
     let routing = Routing::new(staged, config.seed, clock.now());
+    let witness = config.trace.as_ref().map(|t| witness(config, t, clock.now())).transpose()?;
     let parts = Parts {
         journal,
+        witness,
         clock,
         phase: phase.clone(),
         upstream,
@@ -137,7 +143,27 @@
     // Whatever was answered in the last step is on its way to the edge connections.
     sleep(LAST_WORDS).await;
     phase.advance(State::Stopped);
-    ended.map_err(|e| StartError(format!("the owner failed: {e}")))
+    let recorder = ended.map_err(|e| StartError(format!("the owner failed: {e}")))?;
+    recorder.into_iter().for_each(Recorder::close);
+    Ok(())
+}
+
+/// What keeps the trace.
+fn witness(config: &Config, settings: &TraceSettings, now: Duration) -> Result<Witness, StartError> {
+    let classes = &config.settings.classes;
+    let terms = classes.iter().map(|c| ClassTerms { effect: c.effect, aim: c.aim, life: c.deadline });
+    let described = config.names.classes.iter().zip(classes).map(|(name, c)| Class {
+        name: name.clone(),
+        worth: (c.worth * 1e3) as u64,
+        late: (c.late_worth * 1e3) as u32,
+        aim_us: c.aim.as_micros() as u64,
+        life_us: c.deadline.as_micros() as u64,
+    });
+    let whose = Whose { relay: config.name.clone(), since: now, classes: described.collect() };
+    let recorder = Recorder::start(settings, whose).map_err(|e| StartError(format!("trace: {e}")))?;
+    let scribe = Scribe::new(settings.events, settings.sample, config.names.clone(), terms.collect());
+    log::info!("trace in {}", settings.folder.display());
+    Ok(Witness { scribe, recorder })
 }
 
 async fn listen(what: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -82,6 +82,11 @@
         until(text, || self.log.lock().unwrap().iter().find(|l| l.contains(text)).cloned())
     }
 
+    /// How many lines of the log hold `text`.
+    pub fn count(&self, text: &str) -> u64 {
+        self.log.lock().unwrap().iter().filter(|l| l.contains(text)).count() as u64
+    }
+
     /// Where one of its fronts listens.
     pub fn address(&self, front: &str) -> SocketAddr {
         let line = self.logged(&format!("{front} on "));
