--- a/crates/onyxstile-lab/src/lib.rs
+++ b/crates/onyxstile-lab/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`load`] - clients that come at their times, whether they are answered or not
 //! * [`compare`] - the same traffic through proxy and relay
 //! * [`cost`] - what recording costs
+//! * [`replay`](mod@replay) - a recorded day again, through a relay by another configuration
 //! * [`chart`] - pictures of what was measured
 
 pub mod chart;
@@ -19,6 +20,7 @@
 pub mod partner;
 pub mod proxy;
 pub mod relay;
+pub mod replay;
 
 /// How an experiment ends that could not be done.
 pub type Failed = Box<dyn std::error::Error>;
--- a/crates/onyxstile-lab/src/main.rs
+++ b/crates/onyxstile-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The laboratory's command line.
 
 use argh::FromArgs;
-use onyxstile_lab::{Failed, compare, cost, demo, load};
+use onyxstile_lab::{Failed, compare, cost, demo, load, replay};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -22,6 +22,25 @@
     Failures(Failures),
     Load(LoadCommand),
     Cost(Cost),
+    Replay(Replay),
+}
+
+/// A recorded day again, to stand-ins that behave as the trace says, through a relay by another configuration.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+struct Replay {
+    /// the trace
+    #[argh(positional)]
+    trace: PathBuf,
+    /// the operator's file, without real servers and [trace]
+    #[argh(option)]
+    config: PathBuf,
+    /// the relay's binary
+    #[argh(option, default = "PathBuf::from(\"target/release/onyxstile\")")]
+    relay: PathBuf,
+    /// so much of the day, from its beginning
+    #[argh(option, default = "u64::MAX")]
+    seconds: u64,
 }
 
 /// What recording costs: relays with the recorder off, on and sampled, side by side.
@@ -166,6 +185,14 @@
             }
             Ok(())
         }
+        Command::Replay(Replay { trace, config, relay, seconds }) => {
+            let day = replay::Day::read(&trace)?;
+            println!("{} s, so long does it take", day.length().as_secs().min(seconds));
+            let text = std::fs::read_to_string(&config).map_err(|e| format!("{}: {e}", config.display()))?;
+            let replayed = replay::replay(&relay, &day, &text, seconds).await?;
+            println!("{}", serde_json::to_string_pretty(&replayed)?);
+            Ok(())
+        }
         Command::Compare(c) => compare_all(&c).await,
     }
 }
--- a/crates/onyxstile-lab/src/partner.rs
+++ b/crates/onyxstile-lab/src/partner.rs
@@ -69,7 +69,7 @@
     pub mood: Cell<Mood>,
     /// What it saw.
     pub seen: RefCell<Vec<Seen>>,
-    ability: Ability,
+    ability: Cell<Ability>,
     /// Calls taken in the present span of its limit.
     taken: RefCell<VecDeque<Instant>>,
     back_since: Cell<Option<Instant>>,
@@ -90,7 +90,7 @@
             address: listener.local_addr()?,
             mood: Cell::new(Mood::Well),
             seen: RefCell::default(),
-            ability,
+            ability: Cell::new(ability),
             taken: RefCell::default(),
             back_since: Cell::new(None),
             probes: Cell::new(0),
@@ -115,6 +115,11 @@
         self.mood.set(mood);
     }
 
+    /// Changes what it can do.
+    pub fn able(&self, ability: Ability) {
+        self.ability.set(ability);
+    }
+
     /// How many calls it answered with 200.
     pub fn delivered(&self) -> usize {
         self.seen.borrow().iter().filter(|s| s.status == 200).count()
@@ -129,8 +134,8 @@
 
     /// Whether there is room under the limit now; if not, when there is.
     fn room(&self, now: Instant) -> Result<(), Duration> {
-        let Some((most, span)) = self.ability.limit else { return Ok(()) };
-        let warm = match (self.ability.cold, self.back_since.get()) {
+        let Some((most, span)) = self.ability.get().limit else { return Ok(()) };
+        let warm = match (self.ability.get().cold, self.back_since.get()) {
             (Some((from, time)), Some(since)) => {
                 let share = (now - since).as_secs_f64() / time.as_secs_f64();
                 (from + (1.0 - from) * share).min(1.0)
@@ -167,7 +172,7 @@
             let (status, wait) = match self.mood.get() {
                 Mood::Well => match self.room(now) {
                     Ok(()) => (200, None),
-                    Err(wait) if self.ability.tells => (429, Some(wait)),
+                    Err(wait) if self.ability.get().tells => (429, Some(wait)),
                     Err(_) => (503, None),
                 },
                 Mood::Refuses(Some(wait)) => (429, Some(wait)),
@@ -184,7 +189,7 @@
                 }
             };
             if status == 200 {
-                sleep(self.ability.pace).await;
+                sleep(self.ability.get().pace).await;
             }
             self.note(now, &id, &target, status, probe);
             let wait = wait.map_or(String::new(), |w| format!("Wait-Ms: {}\r\n", w.as_millis() + 1));
--- a/crates/onyxstile-lab/src/relay.rs
+++ b/crates/onyxstile-lab/src/relay.rs
@@ -115,6 +115,17 @@
         Ok((all, trace))
     }
 
+    /// Ends it in order.
+    ///
+    /// # Errors
+    /// It does not end.
+    pub async fn stop(mut self) -> Result<(), Failed> {
+        let id = self.child.id().ok_or("the relay has ended")?;
+        Command::new("kill").arg(id.to_string()).status().await?;
+        tokio::time::timeout(PATIENCE, self.child.wait()).await??;
+        Ok(())
+    }
+
     /// Ends it at once.
     pub async fn kill(mut self) {
         let _ = self.child.kill().await;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -1,39 +1,40 @@
-//! The program's logger: one line a record on standard error.
+//! The program's log: one line a record on standard error, for people or as JSON.
 
-use log::{LevelFilter, Log, Metadata, Record};
-use std::io::Write;
+use std::fmt;
+use std::io;
 use std::time::{SystemTime, UNIX_EPOCH};
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::filter::LevelFilter;
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::time::FormatTime;
 
-struct Logger;
+/// Unix time in seconds, with milliseconds: what clients, platform and traces count in too.
+struct UnixTime;
 
-impl Log for Logger {
-    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.level() <= log::max_level()
+impl FormatTime for UnixTime {
+    fn format_time(&self, w: &mut Writer<'_>) -> fmt::Result {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        write!(w, "{}.{:03}", at.as_secs(), at.subsec_millis())
     }
-
-    fn log(&self, record: &Record<'_>) {
-        if self.enabled(record.metadata()) {
-            let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-            // A log that cannot be written must not end the relay.
-            let _ = writeln!(
-                std::io::stderr(),
-                "{}.{:03} {:5} {}: {}",
-                at.as_secs(),
-                at.subsec_millis(),
-                record.level(),
-                record.target().rsplit("::").next().unwrap_or_default(),
-                record.args()
-            );
-        }
-    }
-
-    fn flush(&self) {}
 }
 
-/// Starts logging at the level that `ONYXSTILE_LOG` names, else `info`.
+/// Starts logging at what `ONYXSTILE_LOG` says: a level, or levels by module (`info,onyxstile::net::owner=debug`);
+/// else `info`. `ONYXSTILE_LOG_FORMAT=json` makes each line an object.
 pub fn start() {
-    let level = std::env::var("ONYXSTILE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(LevelFilter::Info);
-    if log::set_logger(&Logger).is_ok() {
-        log::set_max_level(level);
-    }
+    let filter = EnvFilter::builder()
+        .with_default_directive(LevelFilter::INFO.into())
+        .with_env_var("ONYXSTILE_LOG")
+        .from_env_lossy();
+    let lines = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_timer(UnixTime)
+        .with_ansi(false)
+        .with_writer(io::stderr)
+        // A log that cannot be written must not end the relay, nor be written about.
+        .log_internal_errors(false);
+    // A second start would only be refused.
+    let _ = match std::env::var("ONYXSTILE_LOG_FORMAT").as_deref() {
+        Ok("json") => lines.json().flatten_event(true).try_init(),
+        _ => lines.try_init(),
+    };
 }
--- a/src/net/directory.rs
+++ b/src/net/directory.rs
@@ -74,10 +74,16 @@
                     server.moved |= server.address.is_some_and(|old| old != address);
                     server.address = Some(address);
                 }
-                Err(_) => log::error!("discovery: `{:.60}` is no address", raw.endpoint),
+                Err(_) => tracing::error!("discovery: `{:.60}` is no address", raw.endpoint),
             }
         }
-        log::debug!("server {} is {} of destination {}: {}", id.0, raw.uid, raw.pod_group, raw.state);
+        tracing::debug!(
+            server = id.0,
+            uid = raw.uid,
+            destination = raw.pod_group,
+            state = raw.state,
+            "listed"
+        );
         ServiceEntry { id, destination, kind, zone, state, rate: raw.capacity_hint }
     }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -30,12 +30,12 @@
         let ended = tokio::select! {
             ended = watch(address, &mut rev, &owner) => ended,
             () = moved(&mut addresses) => {
-                log::info!("discovery: from {address} to {} at version {rev}", *addresses.borrow());
+                tracing::info!("discovery: from {address} to {} at version {rev}", *addresses.borrow());
                 pause = PAUSE;
                 continue;
             }
         };
-        log::info!(
+        tracing::info!(
             "discovery: the watch ended at version {rev}: {}",
             ended.err().map_or(String::new(), |e| e.to_string())
         );
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -142,7 +142,7 @@
                 }
                 Err(e) => {
                     // Out of descriptors, most likely: give open ones time to close.
-                    log::warn!("accept: {e}");
+                    tracing::warn!("accept: {e}");
                     sleep(Duration::from_millis(20)).await;
                 }
             }
@@ -358,7 +358,7 @@
             Some(Verdict::Ending(wait)) => Reply::closing(429, "Too Many Requests").after(wait),
             Some(Verdict::Failed) => Reply::new(500, "Internal Server Error"),
             Some(Verdict::Unknown(what)) => {
-                log::debug!("a request was turned away: {what}");
+                tracing::debug!("a request was turned away: {what}");
                 Reply::closing(400, "Bad Request")
             }
             Some(Verdict::Full) | None => Reply::new(503, "Service Unavailable").after(COME_BACK),
@@ -376,7 +376,7 @@
 fn fault(e: &HttpError) -> Option<Reply> {
     Some(match e {
         HttpError::Malformed(what) => {
-            log::debug!("an edge connection fails: {what}");
+            tracing::debug!("an edge connection fails: {what}");
             Reply::closing(400, "Bad Request")
         }
         HttpError::HeadTooLarge => Reply::closing(431, "Request Header Fields Too Large"),
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -203,7 +203,7 @@
         if !rest.is_empty() {
             // Guards against a tail torn by a kill in the middle of a write: what was not written whole was
             // never promised to anyone.
-            log::warn!("journal: cutting off {} bytes that are no whole record", rest.len());
+            tracing::warn!("journal: cutting off {} bytes that are no whole record", rest.len());
             journal.file.set_len(journal.length)?;
         }
         Ok(journal)
@@ -263,7 +263,7 @@
         if self.length > COMPACT_FROM.min(self.limit / 4) && self.length > 3 * self.live {
             // The old file stands if this fails, and the next write tries again.
             if let Err(e) = self.rewrite() {
-                log::warn!("journal: not rewritten: {e}");
+                tracing::warn!("journal: not rewritten: {e}");
             }
         }
         Ok(())
--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -152,7 +152,15 @@
                 Stage::Sent => (sent, None, what.clone()),
                 Stage::Done(outcome, finished, text) => (outcome, finished, text),
             };
-            log::debug!("flow {} attempt {} by mail: {outcome:?} {detail}", item.flow.0, item.attempt);
+            tracing::debug!(
+                flow = item.flow.0,
+                attempt = item.attempt,
+                server = call.server.0,
+                ?outcome,
+                elapsed_us = started.elapsed().as_micros() as u64,
+                detail,
+                "attempt ended"
+            );
             let (flow, attempt, server) = (item.flow, item.attempt, call.server);
             let elapsed = started.elapsed();
             let end = CallEnd { flow, attempt, server, outcome, finished, elapsed, limit: None };
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -105,7 +105,7 @@
                     });
                 }
                 Err(e) => {
-                    log::warn!("mail: accept: {e}");
+                    tracing::warn!("mail: accept: {e}");
                     sleep(Duration::from_millis(20)).await;
                 }
             }
@@ -160,7 +160,7 @@
             Err(Over::Failed(CodecError::TooLong)) => "500 5.5.2 too long",
             _ => return,
         };
-        log::info!("mail: a session with {} fails: {last}", self.peer);
+        tracing::info!("mail: a session with {} fails: {last}", self.peer);
         let _ = self.say(last).await;
     }
 
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -36,7 +36,7 @@
             // Not understood together: one faulty line must not hold up the others, nor come for ever.
             for one in batch.chunks(1) {
                 if !tell_all(&mut addresses, &mut connection, one).await {
-                    log::error!("the platform does not take the notice for {}", one[0].1.id);
+                    tracing::error!("the platform does not take the notice for {}", one[0].1.id);
                 }
             }
         }
@@ -49,7 +49,7 @@
 /// Where no platform is told: each end stands in the log, which is all that hears of it.
 pub async fn tell_log(mut due: mpsc::Receiver<Vec<(FlowNo, Owed)>>, owner: mpsc::Sender<ToOwner>) {
     while let Some(batch) = due.recv().await {
-        batch.iter().for_each(|(_, owed)| log::warn!("undelivered: {}", line(owed).trim_end()));
+        batch.iter().for_each(|(_, owed)| tracing::warn!("undelivered: {}", line(owed).trim_end()));
         let flows = batch.into_iter().map(|(no, _)| no).collect();
         if owner.send(ToOwner::NoticesHeard(flows)).await.is_err() {
             return;
@@ -81,11 +81,11 @@
         match told {
             Ok(Ok(204)) => return true,
             Ok(Ok(400)) => return false,
-            Ok(Ok(status)) => log::warn!("notices: the platform answers {status}"),
-            Ok(Err(e)) => log::warn!("notices: {e}"),
+            Ok(Ok(status)) => tracing::warn!("notices: the platform answers {status}"),
+            Ok(Err(e)) => tracing::warn!("notices: {e}"),
             Err(_) => {
                 // Silence says nothing of the platform yet: a new connection is tried at once.
-                log::warn!("notices: no answer within {patience:?}");
+                tracing::warn!("notices: no answer within {patience:?}");
                 *connection = None;
                 if patience < ANSWER_MAX {
                     patience = (patience * 2).min(ANSWER_MAX);
--- a/src/net/owner/mail.rs
+++ b/src/net/owner/mail.rs
@@ -16,10 +16,11 @@
         let Some(envelope) = &parcel.mail else {
             return Record::Ended(no, Some(Owed { id: parcel.id.clone(), returned_after }));
         };
-        log::info!(
-            "mail: {} to <{}> ends undelivered: {}",
-            parcel.id,
-            envelope.to,
+        tracing::info!(
+            flow = no.0,
+            id = parcel.id,
+            to = envelope.to,
+            "mail ends undelivered: {}",
             said.as_deref().unwrap_or("-")
         );
         let bounce = self.mail.as_ref().and_then(|(s, _)| s.bounce.map(|to| (s.clone(), to)));
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -253,7 +253,7 @@
                 flows
                     .iter()
                     .filter_map(|no| self.vigil.kept(*no, now))
-                    .for_each(|story| log::error!("{story}"));
+                    .for_each(|story| tracing::error!("{story}"));
                 self.unwritten.extend(flows.into_iter().map(Record::Noticed));
             }
         }
@@ -339,7 +339,7 @@
             self.telling = self.notices.try_send(batch).is_ok();
         }
         let now = self.clock.now();
-        self.vigil.overdue(now).into_iter().for_each(|story| log::error!("{story}"));
+        self.vigil.overdue(now).into_iter().for_each(|story| tracing::error!("{story}"));
         self.witness_step();
     }
 
@@ -368,7 +368,7 @@
         }
         let lasting = self.journal.write(&records);
         if let Err(e) = &lasting {
-            log::error!("journal: {e}; new flows are turned down");
+            tracing::error!("journal: {e}; new flows are turned down");
             // Ends are written as soon as that works again; what was to be taken was not, nor was it sent.
             let not_taken = |no: &FlowNo| records.iter().any(|r| matches!(r, Record::Taken(n, _) if n == no));
             let keep = |r: &&Record| match r {
@@ -396,7 +396,7 @@
             Effect::Taken(no, parcel) if lasting => {
                 if let Some(w) = self.waiting.get(&no) {
                     let (class, to) = (&w.flow.class, w.flow.destination);
-                    log::debug!("flow {} ({}) taken: class {class}, destination {to}", no.0, parcel.id);
+                    tracing::debug!(flow = no.0, id = parcel.id, class, destination = to, "flow taken");
                     if parcel.mail.is_none() {
                         self.vigil.taken(no, &parcel.id, now, w.flow.deadline, false);
                     }
@@ -453,11 +453,11 @@
                 there.for_each(|c| c.switch.hold());
             }
             Effect::Ended(no, parcel, end) => {
-                log::debug!("flow {} ({}) ended: {end:?}", no.0, parcel.id);
+                tracing::debug!(flow = no.0, id = parcel.id, end = end_name(end), "flow ended");
                 let owed = parcel.mail.is_none() && matches!(end, End::Failed | End::Returned(_));
                 self.vigil.note(no, now, Line::Ended(end_name(end), owed));
                 if !owed && let Some(story) = self.vigil.kept(no, now) {
-                    log::error!("{story}");
+                    tracing::error!("{story}");
                 }
                 if let Some(view) = self.views.remove(&no) {
                     self.hooks.flow_ended(&view, end_name(end));
@@ -495,9 +495,10 @@
                     _ => self.core.probe_ended(server, Outcome::Void, None),
                 }
             }
-            Effect::Log(line) => log::info!("{line}"),
+            Effect::Log(line) => tracing::info!("{line}"),
             Effect::Note(Note::Health(server, from, to, after)) => {
-                log::info!("server {} {from:?} -> {to:?} after {after:?}", server.0);
+                let uid = self.directory.uid(server);
+                tracing::info!(server = server.0, uid, ?from, ?to, ?after, "health");
             }
             Effect::Note(_) => {}
         }
--- a/src/net/owner/recovery.rs
+++ b/src/net/owner/recovery.rs
@@ -24,9 +24,9 @@
             self.journal.ledger().owed.iter().for_each(|(no, owed)| scribe.owed_before(*no, &owed.id));
         }
         if let Err(e) = self.journal.write(&lost) {
-            log::error!("journal: {e}");
+            tracing::error!("journal: {e}");
         }
-        log::info!(
+        tracing::info!(
             "recovered {} open flows and {} notices owed",
             self.core.open_flows(),
             self.journal.ledger().owed.len()
--- a/src/net/phase.rs
+++ b/src/net/phase.rs
@@ -40,7 +40,7 @@
         if to <= from {
             return false;
         }
-        log::info!("{from:?} -> {to:?}");
+        tracing::info!("{from:?} -> {to:?}");
         self.0.0.set(to);
         self.0.1.notify_waiters();
         true
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -162,7 +162,7 @@
     let whose = Whose { relay: config.name.clone(), since: now, classes: described.collect() };
     let recorder = Recorder::start(settings, whose).map_err(|e| StartError(format!("trace: {e}")))?;
     let scribe = Scribe::new(settings.events, settings.sample, config.names.clone(), terms.collect());
-    log::info!("trace in {}", settings.folder.display());
+    tracing::info!("trace in {}", settings.folder.display());
     Ok(Witness { scribe, recorder })
 }
 
@@ -174,7 +174,7 @@
     socket.bind(address).map_err(failed)?;
     // Guards usual clients against a flood of others: what finds no place in the queue waits a second.
     let listener = socket.listen(WAITING_CONNECTIONS).map_err(failed)?;
-    log::info!("{what} on {}", listener.local_addr().map_err(failed)?);
+    tracing::info!("{what} on {}", listener.local_addr().map_err(failed)?);
     Ok(listener)
 }
 
@@ -197,7 +197,7 @@
     while hangup.recv().await.is_some() {
         match Config::load(operator.as_deref()) {
             Ok(config) => {
-                log::info!("the configuration was read again");
+                tracing::info!("the configuration was read again");
                 renew(&addresses.outcomes, config.http.and_then(|h| h.outcomes));
                 renew(&addresses.discovery, config.discovery);
                 let routing = config.routing.unwrap_or_default();
@@ -210,10 +210,10 @@
                         }
                     }
                     Ok(_) => {}
-                    Err(e) => log::error!("the routing table is not taken over: {e}"),
+                    Err(e) => tracing::error!("the routing table is not taken over: {e}"),
                 }
             }
-            Err(e) => log::error!("the configuration is not taken over: {e}"),
+            Err(e) => tracing::error!("the configuration is not taken over: {e}"),
         }
     }
 }
--- a/src/net/routing.rs
+++ b/src/net/routing.rs
@@ -118,7 +118,7 @@
         let host = head.only("host").map_err(|_| NoWay::Status(400))?;
         let request = Request::new(host, &head.first[0], &head.first[1], client, &header, body);
         let request = request.map_err(|e| {
-            log::debug!("a request was turned away: {e}");
+            tracing::debug!("a request was turned away: {e}");
             NoWay::Status(400)
         })?;
         let passed = match self.table.borrow().table.resolve(&request) {
@@ -131,7 +131,7 @@
         };
         let Passed { destination, path, key, limits, .. } = passed;
         if let Err(limited) = self.limits.borrow_mut().admit(&limits, now) {
-            log::debug!("a request was turned down by the limit of zone {}", limited.zone);
+            tracing::debug!("a request was turned down by the limit of zone {}", limited.zone);
             return Err(NoWay::Limited(limited.after));
         }
         let destination = DestinationId(destination);
--- a/src/net/trace/recorder.rs
+++ b/src/net/trace/recorder.rs
@@ -93,7 +93,7 @@
         (self.dropped, self.dropped_in_all) = (self.dropped + lost, self.dropped_in_all + lost);
         if self.told.is_none_or(|t| t.elapsed() > TOLD_EVERY) {
             self.told = Some(Instant::now());
-            log::warn!("trace: {} events dropped so far, the writer is behind", self.dropped_in_all);
+            tracing::warn!("trace: {} events dropped so far, the writer is behind", self.dropped_in_all);
         }
     }
 
@@ -227,7 +227,7 @@
         self.rest_until = Some(Instant::now() + Duration::from_secs(1));
         if self.told.is_none_or(|t| t.elapsed() > TOLD_EVERY) {
             self.told = Some(Instant::now());
-            log::error!("trace: {e}; {} events lost so far since the last that was written", self.lost);
+            tracing::error!("trace: {e}; {} events lost so far since the last that was written", self.lost);
         }
     }
 
@@ -284,13 +284,13 @@
 
     fn end_file(&mut self) -> io::Result<()> {
         let Some(open) = self.open.take() else { return Ok(()) };
-        log::debug!("trace: {} is full", open.path.display());
+        tracing::debug!("trace: {} is full", open.path.display());
         open.writer.finish().map(|_| ())
     }
 
     fn end(mut self) {
         if let Err(e) = self.end_file() {
-            log::error!("trace: {e}; the last file has no index");
+            tracing::error!("trace: {e}; the last file has no index");
         }
     }
 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -162,13 +162,13 @@
             (Some(Err(outcome)), _) => Answer::of(outcome),
             (None, Stage::Sent) => Answer::of(Outcome::TimedOut),
         };
-        log::debug!(
-            "flow {} attempt {} to {}: {:?} after {:?}",
-            order.flow.0,
-            order.attempt,
-            order.server.0,
-            answer.outcome,
-            started.elapsed()
+        tracing::debug!(
+            flow = order.flow.0,
+            attempt = order.attempt,
+            server = order.server.0,
+            outcome = ?answer.outcome,
+            elapsed_us = started.elapsed().as_micros() as u64,
+            "attempt ended"
         );
         let Answer { outcome, mut finished, limit } = answer;
         // Guards the one end of a flow that is answered after its time. A thread that was kept from running
@@ -211,7 +211,7 @@
         match self.0.idle.take(server) {
             Some((connection, idle)) => Ok((connection, Some(idle))),
             None => self.dial(address).await.map(|new| (new, None)).map_err(|e| {
-                log::debug!("real server {}: {e}", server.0);
+                tracing::debug!(server = server.0, "no connection: {e}");
                 Outcome::Unreachable
             }),
         }
@@ -302,7 +302,7 @@
                 Ok(Err(outcome)) => (outcome, None),
                 Err(_) => (Outcome::TimedOut, None),
             };
-            log::debug!("probe of {}: {outcome:?}", server.0);
+            tracing::debug!(server = server.0, ?outcome, "probed");
             let _ = this.0.owner.send(ToOwner::Probed(server, outcome, report)).await;
         });
     }
--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -117,8 +117,8 @@
             .set_max_expr_depths(64, 32)
             .set_max_variables(64)
             .disable_symbol("eval")
-            .on_print(|text| log::info!("{text}"))
-            .on_debug(|text, _, at| log::debug!("{at}: {text}"));
+            .on_print(|text| tracing::info!("{text}"))
+            .on_debug(|text, _, at| tracing::debug!("{at}: {text}"));
         let script = |(name, text): &(String, String)| {
             let ast = engine.compile(text).map_err(|e| PluginError(format!("{name}: {e}")))?;
             Ok(Script { name: name.clone(), ast })
@@ -153,7 +153,7 @@
                         heed(&map);
                     }
                 }
-                Err(e) => log::warn!("script {}, {point}: {e}", script.name),
+                Err(e) => tracing::warn!("script {}, {point}: {e}", script.name),
             }
         }
     }
--- a/tools/where-worth-went.awk
+++ b/tools/where-worth-went.awk
@@ -1,21 +1,19 @@
 # Where worth went, from relays' logs at debug level (ONYXSTILE_LOG=debug): each flow's worth (orders 2, notices 1)
 # by how it ended. A delivery after the aim (2.5 s, 3 s) counts as late.
 #   awk -f tools/where-worth-went.awk n0.log n1.log
-function at(  t) { t = $2; return t + 0 }
+function of(name,  m) { return match($0, " " name "=[^ ]*") ? substr($0, RSTART + length(name) + 2, RLENGTH - length(name) - 2) : "" }
+function at(  n) { for (n = 1; n <= NF; n++) if ($n ~ /^[0-9]+\.[0-9]+$/) return $n + 0; return 0 }
 FNR == 1 { files++ }
-{ key = 0 }
-/ owner: flow [0-9]+ .* taken: class / { f = files ":" $6; cls[f] = $10; sub(",", "", cls[f]); took[f] = at(); n[f] = 0 }
-/ upstream: flow [0-9]+ attempt / {
-  f = files ":" $6; n[f]++; out = $11; sub("{.*", "", out); last[f] = out; lasted[f] = at()
-}
-/ owner: flow [0-9]+ .* ended: / {
-  f = files ":" $6
+{ f = files ":" of("flow") }
+/ flow taken / { cls[f] = of("class"); gsub("\"", "", cls[f]); took[f] = at(); n[f] = 0 }
+/ attempt ended / { n[f]++; last[f] = of("outcome"); lasted[f] = at() }
+/ flow ended / {
   if (!(f in cls)) next
   w = cls[f] == "orders" ? 2 : 1; aim = cls[f] == "orders" ? 2.5 : 3; took_s = at() - took[f]
-  e = $9; sub("\\(.*", "", e)
-  if (e == "Delivered") why = took_s <= aim ? "delivered in time" : "delivered late"
-  else if (n[f] == 0) why = (e == "Returned" ? "returned" : "failed") ", never sent"
-  else why = (e == "Returned" ? "returned" : "failed") " after " last[f]
+  e = of("end"); gsub("\"", "", e)
+  if (e == "delivered") why = took_s <= aim ? "delivered in time" : "delivered late"
+  else if (n[f] == 0) why = e ", never sent"
+  else why = e " after " last[f]
   worth[cls[f] " " why] += w; all += w; delete cls[f]
 }
 END {
