--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What the project's people run; .ci/run calls `make check` and nothing else.
-.PHONY: build run check fmt lint test doc demo compare failures bench fuzz hunt
+.PHONY: build run check fmt lint test doc demo compare failures bench trace-figures fuzz hunt
 
 build:
 	cargo build --release --locked
@@ -39,9 +39,15 @@
 bench:
 	cargo bench --locked -p onyxstile-routing
 
-# The importer's broken configurations, at length.
+# What recording costs, and what a large trace costs to write, read and search (some minutes).
+trace-figures: build
+	cargo run --release --locked --quiet -p onyxstile-lab -- cost
+	cargo run --release --locked --quiet -p onyxstile-trace --example measure -- $${TMPDIR:-/tmp} 1000
+
+# The importer's broken configurations and broken traces, at length.
 fuzz:
 	FUZZ_RUNS=1000000 cargo test --release --locked -p onyxstile-nginx --test fuzz -- --nocapture
+	FUZZ_RUNS=300000 cargo test --release --locked -p onyxstile-trace --test cuts hostile -- --nocapture
 
 # The day on which servers fail, again and again (HUNT times) until a rule breaks.
 HUNT ?= 20
--- a/crates/onyxstile-plot/src/draw.rs
+++ b/crates/onyxstile-plot/src/draw.rs
@@ -63,21 +63,12 @@
     if rows.is_empty() {
         return Err("no real server changed its health in this trace".into());
     }
-    let names = rows.to_vec();
     let mut chart = ChartBuilder::on(area)
         .margin(10)
         .x_label_area_size(36)
-        .y_label_area_size(180)
+        .y_label_area_size(10)
         .build_cartesian_2d(0.0..end.max(0.001), 0.0..rows.len() as f64)?;
-    let label = |y: &f64| names.get(*y as usize).filter(|_| y.fract() < 0.01).cloned().unwrap_or_default();
-    chart
-        .configure_mesh()
-        .x_desc("seconds")
-        .disable_y_mesh()
-        .y_labels(rows.len() + 1)
-        .y_label_formatter(&label)
-        .light_line_style(WHITE)
-        .draw()?;
+    chart.configure_mesh().x_desc("seconds").disable_y_mesh().y_labels(0).light_line_style(WHITE).draw()?;
     for (state, (colour, name)) in STATES.iter().enumerate() {
         let its = bars.iter().filter(|b| b.state == state);
         let rectangles = its.map(|b| {
@@ -89,6 +80,10 @@
             .label(*name)
             .legend(move |(x, y)| Rectangle::new([(x, y - 5), (x + 14, y + 5)], colour.filled()));
     }
+    for (row, name) in rows.iter().enumerate() {
+        let at = (end * 0.004, row as f64 + 0.7);
+        chart.draw_series([Text::new(name.clone(), at, ("sans-serif", 13))])?;
+    }
     chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3)).draw()?;
     Ok(())
 }
--- a/crates/onyxstile-trace/src/format.rs
+++ b/crates/onyxstile-trace/src/format.rs
@@ -38,6 +38,8 @@
 pub const TRAILER: usize = 32;
 /// Bytes before each event that are not its length: the low half of its checksum.
 const CHECK: usize = 2;
+/// How hard deflate tries; another level gives other bytes for the same content, and so would need a codec of its own.
+const LEVEL: Compression = Compression::new(1);
 
 /// How a block's content is stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,10 +76,7 @@
         match self {
             Codec::None => Ok(raw.to_vec()),
             Codec::Deflate => {
-                let mut out = flate2::write::DeflateEncoder::new(
-                    Vec::with_capacity(raw.len() / 3),
-                    Compression::new(5),
-                );
+                let mut out = flate2::write::DeflateEncoder::new(Vec::with_capacity(raw.len() / 3), LEVEL);
                 out.write_all(raw)?;
                 out.finish()
             }
--- a/crates/onyxstile-trace/src/sample.rs
+++ b/crates/onyxstile-trace/src/sample.rs
@@ -56,18 +56,21 @@
 ];
 const DESTINATIONS: u64 = 12;
 const SERVERS: u64 = 3;
+/// After so long an attempt is given up, microseconds.
+const HANG: u64 = 2_000_000;
 
 /// Something that will happen.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Arrives,
-    Answered(u64, u32, u64, bool),
+    Answered(u64, u32, u64, u64),
     Timer(u64),
     WaitOver(String),
     Drains(u64),
     Returns(u64),
     Restarts,
     Heard(u64),
+    Well(u64),
 }
 
 struct Open {
@@ -202,7 +205,7 @@
             self.now = self.now.max(at);
             match due {
                 Due::Arrives => self.arrive()?,
-                Due::Answered(flow, attempt, server, hung) => self.answered((flow, attempt), server, hung)?,
+                Due::Answered(flow, attempt, server, time) => self.answered((flow, attempt), server, time)?,
                 Due::Timer(flow) => self.timer(flow)?,
                 Due::WaitOver(destination) => {
                     self.event(What::WaitEnded(WaitEnded { destination, server: String::new() }))?;
@@ -217,6 +220,13 @@
                     self.list(n, Listed::Up)?;
                 }
                 Due::Restarts => self.restart()?,
+                Due::Well(n) => {
+                    self.partners.get_mut(&(n / SERVERS)).map(|p| p.down.remove(&n));
+                    let (from, to) = (State::Down as i32, State::Well as i32);
+                    let (server, destination) = (server_name(n), destination_name(n / SERVERS));
+                    let after = Outcome::Success as i32;
+                    self.event(What::Health(Health { server, destination, from, to, after }))?;
+                }
                 Due::Heard(number) => self.event(What::NoticeHeard(NoticeHeard { number }))?,
             }
         }
@@ -288,17 +298,18 @@
         if let Some(open) = self.open.get_mut(&number) {
             (open.attempts, open.out) = (open.attempts + 1, true);
         }
-        let time = if hangs { 2_000_000 } else { 4000 + self.roll(30_000) };
-        self.at(now + time, Due::Answered(number, attempt, server, hangs));
+        let time = if hangs { HANG } else { 4000 + self.roll(30_000) };
+        self.at(now + time, Due::Answered(number, attempt, server, time));
         Ok(())
     }
 
-    fn answered(&mut self, (number, attempt): (u64, u32), server: u64, hangs: bool) -> io::Result<()> {
+    fn answered(&mut self, (number, attempt): (u64, u32), server: u64, elapsed_us: u64) -> io::Result<()> {
         // A process that was killed hears no answer.
         let Some(open) = self.open.get(&number).filter(|o| o.out && o.attempts == attempt + 1) else {
             return Ok(());
         };
         let (flow, now, dice) = (open.flow.clone(), self.now, self.roll(200));
+        let hangs = elapsed_us >= HANG;
         let Some(partner) = self.partners.get_mut(&(server / SERVERS)) else { return Ok(()) };
         partner.calls.1 += 1;
         let outcome = if hangs {
@@ -316,8 +327,9 @@
         if tells {
             partner.wait_until = now + wait;
         }
-        let (was_down, destination) = (partner.down.contains(&server), flow.destination.clone());
-        let elapsed_us = if hangs { 2_000_000 } else { 4000 + dice * 100 };
+        // It is down until it answers again.
+        let (was_down, back) = (!hangs || !partner.down.insert(server), partner.hangs.1 + 500_000);
+        let destination = flow.destination.clone();
         let report = (outcome == Outcome::Success && server.is_multiple_of(2)).then(|| Report {
             left: 1_000_000 - (partner.calls.1 * 1_000_000 / partner.limit.max(1)).min(1_000_000) as u32,
             per_1000_s: partner.limit * 1000,
@@ -332,7 +344,8 @@
             report,
         };
         self.event(What::AttemptEnded(ended))?;
-        if hangs && !was_down {
+        if !was_down {
+            self.at(back.max(now + 500_000), Due::Well(server));
             let (from, to) = (State::Well as i32, State::Down as i32);
             let health = Health {
                 server: name.clone(),
--- a/crates/onyxstile-trace/src/summary.rs
+++ b/crates/onyxstile-trace/src/summary.rs
@@ -277,8 +277,8 @@
         self.all.close();
     }
 
-    /// All rows: what they are by, the name, the counts.
-    fn rows(&self) -> Vec<(&'static str, String, &Counts)> {
+    /// Rows: what they are by, the name, the counts; all if nothing is said of what they are to be by.
+    fn rows(&self, wanted: &[String]) -> Vec<(&'static str, String, &Counts)> {
         let mut rows = vec![("all", String::new(), &self.all)];
         let named = [
             ("class", &self.classes),
@@ -290,14 +290,15 @@
             rows.extend(map.iter().map(|(name, c)| (by, name.clone(), c)));
         }
         rows.extend(self.windows.iter().map(|(at, c)| ("window", crate::text::time(*at), c)));
+        rows.retain(|(by, ..)| *by == "all" || wanted.is_empty() || wanted.iter().any(|w| w == by));
         rows
     }
 
-    /// As lines of comma-separated values (RFC 4180).
-    pub fn csv(&self) -> String {
+    /// As lines of comma-separated values (RFC 4180); by what rows are wanted, or all.
+    pub fn csv(&self, wanted: &[String]) -> String {
         let heads: Vec<_> = self.all.columns().iter().map(|(name, _)| *name).collect();
         let mut out = format!("by,name,{}\r\n", heads.join(","));
-        for (by, name, counts) in self.rows() {
+        for (by, name, counts) in self.rows(wanted) {
             let quoted = name.contains([',', '"', '\r', '\n']);
             let name = if quoted { format!("\"{}\"", name.replace('"', "\"\"")) } else { name };
             let values: Vec<_> = counts.columns().iter().map(|(_, v)| v.to_string()).collect();
@@ -306,8 +307,8 @@
         out
     }
 
-    /// As a table for people.
-    pub fn text(&self) -> String {
+    /// As a table for people; by what rows are wanted, or all.
+    pub fn text(&self, wanted: &[String]) -> String {
         let mut out = format!(
             "{} to {}: {} events{}{}\n",
             crate::text::time(self.from_us),
@@ -339,7 +340,7 @@
             "p50 ms",
             "p99 ms"
         );
-        for (by, name, c) in self.rows() {
+        for (by, name, c) in self.rows(wanted) {
             let [p50, _, p99, _] = if by == "server" { c.attempt_us } else { c.delivery_us };
             let _ = writeln!(
                 out,
--- a/crates/onyxstile-trace/tests/tools.rs
+++ b/crates/onyxstile-trace/tests/tools.rs
@@ -67,7 +67,7 @@
     // A name that needs quotes stays one field.
     let flow = Some(Flow { customer: "a,\"b\"".into(), ..Flow::default() });
     let odd = summary(&file(&FileHeader::default(), &[What::Taken(Taken { flow })]), 10);
-    assert!(odd.csv().contains("\r\ncustomer,\"a,\"\"b\"\"\",0,1,"), "{}", odd.csv());
+    assert!(odd.csv(&[]).contains("\r\ncustomer,\"a,\"\"b\"\"\",0,1,"), "{}", odd.csv(&[]));
 }
 
 fn flow(number: u64) -> Option<Flow> {
--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -97,6 +97,9 @@
     /// only of this customer
     #[argh(option, default = "String::new()")]
     customer: String,
+    /// only rows by this: class, customer, destination, server or window (text and csv); may be given again
+    #[argh(option)]
+    by: Vec<String>,
 }
 
 /// Write a part of a trace: a piece by numbers or times, which can be merged again, or an extract of some flows.
@@ -379,8 +382,8 @@
         summary.close();
         let written = match self.format.as_str() {
             "json" => serde_json::to_string_pretty(&summary)? + "\n",
-            "csv" => summary.csv(),
-            "text" => summary.text(),
+            "csv" => summary.csv(&self.by),
+            "text" => summary.text(&self.by),
             other => return Err(Failed::unreadable(format!("`{other}` is none of `text`, `json`, `csv`"))),
         };
         unless_closed(std::io::stdout().write_all(written.as_bytes()).map_err(Error::from))?;
@@ -544,7 +547,7 @@
         }
         let status = command
             .status()
-            .map_err(|e| Failed::unreadable(format!("{}: {e}; `make plot` builds it", program.display())))?;
+            .map_err(|e| Failed::unreadable(format!("{}: {e}; `make build` builds it", program.display())))?;
         Ok(ExitCode::from(status.code().and_then(|c| u8::try_from(c).ok()).unwrap_or(1)))
     }
 }
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -193,7 +193,7 @@
                 return self.witness.map(|w| w.recorder);
             }
             let now = self.clock.now();
-            let due = self.wake_at.into_iter().chain(self.drain_due()).min();
+            let due = self.wake_at.into_iter().chain(self.drain_due()).chain(self.witness_due()).min();
             let due = self.clock.instant(due.unwrap_or(now + Duration::from_secs(1)));
             tokio::select! {
                 biased;
--- a/src/net/owner/witness.rs
+++ b/src/net/owner/witness.rs
@@ -134,12 +134,17 @@
         }
     }
 
+    /// When the recorder has to be given what it has.
+    pub(super) fn witness_due(&self) -> Option<Duration> {
+        self.witness.as_ref().and_then(|w| w.recorder.due())
+    }
+
     /// The end of a step: what was made of it is handed over.
     pub(super) fn witness_step(&mut self) {
         let now = self.clock.now();
         if let Some(Witness { scribe, recorder }) = &mut self.witness {
             scribe.pass(now);
-            recorder.hand_over(scribe.take());
+            recorder.take(scribe.take(), now);
         }
     }
 }
--- a/src/net/trace/recorder.rs
+++ b/src/net/trace/recorder.rs
@@ -18,6 +18,8 @@
 
 /// Batches that may wait; what they hold is bounded by the count of events.
 const BATCHES: usize = 1024;
+/// Events of a batch, at least, unless they have waited long enough.
+const BATCH: usize = 256;
 /// How long the end of the program waits for the last events.
 const LAST: Duration = Duration::from_millis(120);
 /// How often a disk that fails is told of.
@@ -38,6 +40,10 @@
 #[derive(Debug)]
 pub struct Recorder {
     to: Option<SyncSender<Vec<Event>>>,
+    /// What the next batch holds, and since when: a batch for each step would wake the thread as often.
+    pending: Vec<Event>,
+    since: Duration,
+    patience: Duration,
     waiting: Arc<AtomicUsize>,
     most: usize,
     dropped: u64,
@@ -62,6 +68,9 @@
             std::thread::Builder::new().name("trace".into()).spawn(move || write(&from, &count, files))?;
         Ok(Recorder {
             to: Some(to),
+            pending: Vec::new(),
+            since: Duration::ZERO,
+            patience: settings.flush / 4,
             waiting,
             most,
             dropped: 0,
@@ -71,8 +80,26 @@
         })
     }
 
+    /// When what is pending has to go, by the clock of [`Recorder::take`].
+    pub fn due(&self) -> Option<Duration> {
+        (!self.pending.is_empty()).then_some(self.since + self.patience)
+    }
+
+    /// Takes what a step made. It is handed over once there is enough, or the first of it has waited long enough.
+    pub fn take(&mut self, events: Vec<Event>, now: Duration) {
+        if self.pending.is_empty() {
+            (self.pending, self.since) = (events, now);
+        } else {
+            self.pending.extend(events);
+        }
+        if self.pending.len() >= BATCH.min(self.most) || self.due().is_some_and(|due| due <= now) {
+            let events = std::mem::take(&mut self.pending);
+            self.hand_over(events);
+        }
+    }
+
     /// Hands events over; never waits. What finds no room is counted, and the count goes before the next that do.
-    pub fn hand_over(&mut self, mut events: Vec<Event>) {
+    fn hand_over(&mut self, mut events: Vec<Event>) {
         let (Some(to), Some(first)) = (&self.to, events.first()) else { return };
         if self.dropped > 0 {
             let what = Some(What::Dropped(Dropped { events: self.dropped, disk: false }));
@@ -99,6 +126,8 @@
 
     /// Writes what there is and ends the file, if that can be done in time.
     pub fn close(mut self) {
+        let events = std::mem::take(&mut self.pending);
+        self.hand_over(events);
         drop(self.to.take());
         let end = Instant::now() + LAST;
         if let Some(thread) = self.thread.take() {
@@ -152,6 +181,8 @@
 
 impl Files {
     fn new(settings: TraceSettings, whose: Whose) -> Files {
+        // The rest of the interval passes before events come here.
+        let settings = TraceSettings { flush: settings.flush * 3 / 4, ..settings };
         Files { settings, whose, sequence: 0, open: None, lost: 0, told: None, rest_until: None }
     }
 
