Read events once, and keep what recording needs out of a relay that records nothing

From a reading of the whole change: cut, repair and merge split each block twice, or decoded by themselves (Block::both does both); the loop that fills a buffer and the rule of who is owed a notice stood twice; an index's trouble was sorted out and put back; the chart's spans had a wrapper; the owner read the clock for a recorder that was not there.

--- a/crates/onyxstile-lab/src/cost.rs
+++ b/crates/onyxstile-lab/src/cost.rs
@@ -31,8 +31,8 @@
     pub peak_bytes: u64,
 }
 
-/// The ways a recorder is set.
-const WAYS: [(&str, &str); 3] = [
+/// The ways a recorder is set: a name, and what the operator's file says of it.
+pub const WAYS: [(&str, &str); 3] = [
     ("off", ""),
     ("on", "[trace]\nfolder = \"traces\"\n"),
     ("sampled, one in ten", "[trace]\nfolder = \"traces\"\nsample = 0.1\n"),
--- a/crates/onyxstile-lab/src/main.rs
+++ b/crates/onyxstile-lab/src/main.rs
@@ -174,7 +174,7 @@
             for row in &rows {
                 println!("{}", serde_json::to_string(row)?);
             }
-            for way in ["off", "on", "sampled, one in ten"] {
+            for (way, _) in cost::WAYS {
                 let of = |f: fn(&cost::Row) -> f64| {
                     cost::median(rows.iter().filter(|r| r.recorder == way).map(f).collect())
                 };
--- a/crates/onyxstile-plot/src/series.rs
+++ b/crates/onyxstile-plot/src/series.rs
@@ -15,7 +15,7 @@
 
 /// Something summed up by spans of time.
 #[derive(Debug)]
-struct Spans<T> {
+pub struct Spans<T> {
     start: Option<u64>,
     width: u64,
     spans: Vec<T>,
@@ -120,21 +120,17 @@
 #[derive(Debug)]
 pub enum Chart {
     /// Worth a second: handed in, and delivered.
-    Worth(Spans2<Worth>, BTreeMap<String, onyxstile_trace::events::Class>),
+    Worth(Spans<Worth>, BTreeMap<String, onyxstile_trace::events::Class>),
     /// Bands of the time to delivery.
-    Latency(Spans2<Latency>),
+    Latency(Spans<Latency>),
     /// Attempts turned away, by destination.
-    Refusals(BTreeMap<String, Spans2<u64>>),
+    Refusals(BTreeMap<String, Spans<u64>>),
     /// What real servers were taken for.
     Health(Health),
     /// One flow.
     Ladder(Ladder, u64),
 }
 
-/// Spans, as the chart keeps them.
-#[derive(Debug)]
-pub struct Spans2<T>(Spans<T>);
-
 /// What real servers were taken for.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -152,9 +148,9 @@
         match name {
             "worth" => {
                 let classes = header.classes.iter().map(|c| (c.name.clone(), c.clone())).collect();
-                Ok(Chart::Worth(Spans2(Spans::new()), classes))
+                Ok(Chart::Worth(Spans::new(), classes))
             }
-            "latency" => Ok(Chart::Latency(Spans2(Spans::new()))),
+            "latency" => Ok(Chart::Latency(Spans::new())),
             "refusals" => Ok(Chart::Refusals(BTreeMap::new())),
             "health" => Ok(Chart::Health(Health::default())),
             "ladder" if flow.is_none() => Err("a ladder needs --flow".into()),
@@ -174,7 +170,7 @@
                     (a.offered, a.delivered) = (a.offered + b.offered, a.delivered + b.delivered);
                 };
                 match &event.what {
-                    Some(What::Offered(_)) => spans.0.at(at, join).offered += full,
+                    Some(What::Offered(_)) => spans.at(at, join).offered += full,
                     Some(What::Ended(e)) if e.end == End::Delivered as i32 => {
                         // Down by a line from the aim to the end of its time.
                         let part = class(classes).filter(|c| e.elapsed_us > c.aim_us).map_or(1.0, |c| {
@@ -182,7 +178,7 @@
                             let whole = c.life_us.saturating_sub(c.aim_us).max(1) as f64;
                             1.0 - (1.0 - f64::from(c.late) / 1e3) * (over / whole).min(1.0)
                         });
-                        spans.0.at(at, join).delivered += full * part;
+                        spans.at(at, join).delivered += full * part;
                     }
                     _ => {}
                 }
@@ -194,7 +190,7 @@
                     let join = |a: &mut Latency, b: Latency| {
                         let _ = a.0.add(&b.0);
                     };
-                    spans.0.at(at, join).0.saturating_record(e.elapsed_us);
+                    spans.at(at, join).0.saturating_record(e.elapsed_us);
                 }
             }
             Chart::Refusals(by) => {
@@ -204,8 +200,8 @@
                     let destination = about(event).destination;
                     let known = by.len() < 12 || by.contains_key(destination);
                     let name = if known { destination } else { "(others)" };
-                    let spans = by.entry(name.to_string()).or_insert_with(|| Spans2(Spans::new()));
-                    *spans.0.at(at, |a, b| *a += b) += 1;
+                    let spans = by.entry(name.to_string()).or_insert_with(Spans::new);
+                    *spans.at(at, |a, b| *a += b) += 1;
                 }
             }
             Chart::Health(health) => {
@@ -232,14 +228,14 @@
     /// What is to be drawn.
     pub fn close(self) -> Picture {
         match self {
-            Chart::Worth(Spans2(s), _) => {
+            Chart::Worth(s, _) => {
                 let seconds = s.width as f64 / 1e6;
                 let line = |name: &str, points| Line { name: name.into(), points };
                 let offered = line("handed in", s.points(|w| w.offered / seconds));
                 let delivered = line("delivered", s.points(|w| w.delivered / seconds));
                 Picture::Lines { what: "worth a second", lines: vec![offered, delivered] }
             }
-            Chart::Latency(Spans2(s)) => {
+            Chart::Latency(s) => {
                 let band = |(name, q): (&str, f64)| Line {
                     name: name.into(),
                     points: s.points(|h| h.0.value_at_quantile(q).min(h.0.max()) as f64 / 1e3),
@@ -249,8 +245,8 @@
             }
             Chart::Refusals(by) => {
                 // All begin where the first does.
-                let start = by.values().filter_map(|s| s.0.start).min().unwrap_or(0);
-                let line = |(name, Spans2(s)): (String, Spans2<u64>)| {
+                let start = by.values().filter_map(|s| s.start).min().unwrap_or(0);
+                let line = |(name, s): (String, Spans<u64>)| {
                     let shift = (s.start.unwrap_or(start) - start) as f64 / 1e6;
                     let seconds = s.width as f64 / 1e6;
                     let points = s.points(|n| *n as f64 / seconds).into_iter().map(|(x, y)| (x + shift, y));
--- a/crates/onyxstile-trace/src/cut.rs
+++ b/crates/onyxstile-trace/src/cut.rs
@@ -66,7 +66,7 @@
         let skipped = from.saturating_sub(first);
         let part = (block.head.part.0 + skipped as u32, block.head.part.1);
         writer.begin_part(first + skipped, part, block.codec)?;
-        for ((n, encoded), (_, event)) in block.encoded().zip(block.events()) {
+        for (n, encoded, event) in block.both() {
             if n >= from && n < to {
                 writer.push_encoded(encoded, &event)?;
                 done.events += 1;
@@ -86,7 +86,6 @@
 pub fn numbers_of_time<R: Read + Seek>(
     reader: &mut Reader<R>, from: Option<u64>, to: Option<u64>,
 ) -> Result<(u64, u64), Error> {
-    let (begin, end) = extent(reader)?;
     let wanted = Selection { from, to, ..Selection::default() };
     let mut found: Option<(u64, u64)> = None;
     each(reader, &wanted, &mut |_, _| {}, &mut |n, _, _| {
@@ -95,7 +94,10 @@
         Ok(())
     })?;
     reader.rewind();
-    Ok(found.unwrap_or((begin, begin.min(end))))
+    match found {
+        Some(found) => Ok(found),
+        None => extent(reader).map(|(begin, _)| (begin, begin)),
+    }
 }
 
 /// Writes what is asked for as a file of its own, whose events are numbered anew.
@@ -130,7 +132,7 @@
     let mut done = Done::default();
     while let Some(block) = reader.next_block()? {
         writer.begin_part(block.head.first, block.head.part, block.codec)?;
-        for ((_, encoded), (_, event)) in block.encoded().zip(block.events()) {
+        for (_, encoded, event) in block.both() {
             writer.push_encoded(encoded, &event)?;
             done.events += 1;
         }
--- a/crates/onyxstile-trace/src/format.rs
+++ b/crates/onyxstile-trace/src/format.rs
@@ -264,19 +264,30 @@
     bytes
 }
 
+/// Fills `bytes` as far as there is something to read; how far.
+///
+/// # Errors
+/// Those of what is read.
+pub fn fill(from: &mut impl Read, bytes: &mut [u8]) -> std::io::Result<usize> {
+    let mut have = 0;
+    while have < bytes.len() {
+        match from.read(&mut bytes[have..]) {
+            Ok(0) => break,
+            Ok(n) => have += n,
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(have)
+}
+
 /// Reads the header from the beginning of a file.
 ///
 /// # Errors
 /// It is no trace, of another major version, or spoilt.
 pub fn read_header(from: &mut impl Read) -> Result<(FileHeader, u64), Error> {
     let mut prelude = [0; PRELUDE];
-    let mut have = 0;
-    while have < PRELUDE {
-        match from.read(&mut prelude[have..])? {
-            0 => break,
-            n => have += n,
-        }
-    }
+    let have = fill(from, &mut prelude)?;
     if have < MAGIC.len() || prelude[..8] != MAGIC {
         return Err(Error::NoTrace);
     }
--- a/crates/onyxstile-trace/src/input.rs
+++ b/crates/onyxstile-trace/src/input.rs
@@ -4,7 +4,6 @@
 use crate::about::{NAMES, about, kind};
 use crate::events::Event;
 use crate::events::event::What;
-use crate::format;
 use crate::index::{self, Entry};
 use crate::reader::{Block, Reader};
 use std::collections::BTreeSet;
@@ -152,8 +151,7 @@
     block: &Block, from: &mut u64, (start, wanted, with_id): (u64, &Selection, &mut BTreeSet<u64>),
     to: Taker<'_>,
 ) -> Result<(), Error> {
-    for (number, encoded) in block.encoded() {
-        let event = format::decode(encoded).unwrap_or_default();
+    for (number, encoded, event) in block.both() {
         if number >= *from && wanted.wants(start, &event, with_id) {
             to(number, encoded, event)?;
         }
--- a/crates/onyxstile-trace/src/merge.rs
+++ b/crates/onyxstile-trace/src/merge.rs
@@ -2,7 +2,6 @@
 
 use crate::Error;
 use crate::events::{Event, FileHeader, Source};
-use crate::format::decode;
 use crate::input::Progress;
 use crate::reader::{Block, Reader, Trouble};
 use crate::text::time;
@@ -161,12 +160,12 @@
     let mut base = None;
     while let Some((block, skip, _)) = chain.next(&mut done)? {
         let its = (block.head.first - u64::from(block.head.part.0).min(block.head.first), block.head.part.1);
-        for (n, encoded) in block.encoded().skip(skip) {
+        for (n, encoded, event) in block.both().skip(skip) {
             // What follows the part before it goes into the same block again.
             if base != Some((its, n)) {
                 writer.begin_part(n, ((n - its.0) as u32, its.1), block.codec)?;
             }
-            writer.push_encoded(encoded, &decode(encoded).unwrap_or_default())?;
+            writer.push_encoded(encoded, &event)?;
             base = Some((its, n + 1));
             done.events += 1;
         }
--- a/crates/onyxstile-trace/src/reader.rs
+++ b/crates/onyxstile-trace/src/reader.rs
@@ -70,9 +70,14 @@
         format::split(&self.raw).take(self.head.events as usize).zip(self.head.first..).map(|(e, n)| (n, e))
     }
 
+    /// Its events with their numbers and their encoded form.
+    pub fn both(&self) -> impl Iterator<Item = (u64, &[u8], Event)> {
+        self.encoded().map(|(n, e)| (n, e, format::decode(e).unwrap_or_default()))
+    }
+
     /// Its events with their numbers.
     pub fn events(&self) -> impl Iterator<Item = (u64, Event)> {
-        self.encoded().map(|(n, e)| (n, format::decode(e).unwrap_or_default()))
+        self.both().map(|(n, _, event)| (n, event))
     }
 }
 
@@ -162,15 +167,7 @@
             self.from.seek(SeekFrom::Start(at))?;
             self.position = at;
         }
-        let mut have = 0;
-        while have < bytes.len() {
-            match self.from.read(&mut bytes[have..]) {
-                Ok(0) => break,
-                Ok(n) => have += n,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
+        let have = format::fill(&mut self.from, bytes)?;
         self.position += have as u64;
         self.read += have as u64;
         Ok(have)
--- a/crates/onyxstile-trace/src/verify.rs
+++ b/crates/onyxstile-trace/src/verify.rs
@@ -290,11 +290,10 @@
         Ok(())
     })?;
     let mut verdict = rules.done();
-    verdict.structure =
-        reader.troubles().iter().filter(|t| **t != Trouble::NoIndex).map(|t| t.to_string()).collect();
-    if reader.troubles().contains(&Trouble::NoIndex) {
-        verdict.structure.push(Trouble::NoIndex.to_string());
-    } else if let Some(wrong) = check_index(reader)? {
+    verdict.structure = reader.troubles().iter().map(Trouble::to_string).collect();
+    if !reader.troubles().contains(&Trouble::NoIndex)
+        && let Some(wrong) = check_index(reader)?
+    {
         verdict.structure.push(wrong);
     }
     if let Some(counted) = reader.counted()?
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -454,7 +454,7 @@
             }
             Effect::Ended(no, parcel, end) => {
                 tracing::debug!(flow = no.0, id = parcel.id, end = end_name(end), "flow ended");
-                let owed = parcel.mail.is_none() && matches!(end, End::Failed | End::Returned(_));
+                let owed = owes_notice(&parcel, end);
                 self.vigil.note(no, now, Line::Ended(end_name(end), owed));
                 if !owed && let Some(story) = self.vigil.kept(no, now) {
                     tracing::error!("{story}");
@@ -528,6 +528,11 @@
     }
 }
 
+/// Whether whoever handed a flow in is owed word of its end. Of mail a notification is a flow of its own.
+fn owes_notice(parcel: &Parcel, end: End) -> bool {
+    parcel.mail.is_none() && matches!(end, End::Failed | End::Returned(_))
+}
+
 fn end_name(end: End) -> &'static str {
     match end {
         End::Delivered => "delivered",
--- a/src/net/owner/witness.rs
+++ b/src/net/owner/witness.rs
@@ -18,8 +18,8 @@
 impl Owner {
     /// Something other than an offer came in.
     pub(super) fn witness_in(&mut self, message: &ToOwner) {
-        let now = self.clock.now();
         let Some(Witness { scribe, .. }) = &mut self.witness else { return };
+        let now = self.clock.now();
         match message {
             ToOwner::Offer(_) | ToOwner::List(_) => {}
             ToOwner::CallEnded(end, _) => {
@@ -48,10 +48,9 @@
             Verdict::Failed => (Why::GivenUp, Duration::ZERO),
             Verdict::Unknown(_) => (Why::NamesUnknown, Duration::ZERO),
         };
-        let (now, class, tenant) =
-            (self.clock.now(), position(&self.names.classes, &offer.class), offer.tenant.as_ref());
-        let tenant = tenant.and_then(|t| position(&self.names.tenants, t)).map(TenantId);
         let Some(Witness { scribe, .. }) = &mut self.witness else { return };
+        let (now, class) = (self.clock.now(), position(&self.names.classes, &offer.class));
+        let tenant = offer.tenant.as_ref().and_then(|t| position(&self.names.tenants, t)).map(TenantId);
         for (_, (destination, parcel)) in
             offer.items.iter().enumerate().filter(|(n, _)| which.is_none_or(|w| w == *n))
         {
@@ -71,8 +70,8 @@
     pub(super) fn witness_offer(
         &mut self, no: FlowNo, terms: &FlowTerms, deadline: Duration, parcel: &Parcel,
     ) {
-        let now = self.clock.now();
         if let Some(Witness { scribe, .. }) = &mut self.witness {
+            let now = self.clock.now();
             scribe.offered(no, &incoming(terms, deadline, parcel), now);
         }
     }
@@ -109,8 +108,7 @@
                 }
                 Effect::StopCall(flow, attempt) => scribe.stopped(*flow, *attempt, now),
                 Effect::Ended(no, parcel, end) => {
-                    let owed = parcel.mail.is_none() && matches!(end, End::Failed | End::Returned(_));
-                    scribe.ended(*no, *end, owed, now);
+                    scribe.ended(*no, *end, owes_notice(parcel, *end), now);
                 }
                 Effect::Probe(server) => {
                     let destination = self.directory.destination(*server);
@@ -141,8 +139,8 @@
 
     /// The end of a step: what was made of it is handed over.
     pub(super) fn witness_step(&mut self) {
-        let now = self.clock.now();
         if let Some(Witness { scribe, recorder }) = &mut self.witness {
+            let now = self.clock.now();
             scribe.pass(now);
             recorder.take(scribe.take(), now);
         }
