Keep messages that were given up, and send them again by rule

When a partner is shut for an hour its orders fail, and somebody gathers them by hand. With [undelivered] in the operator's file a relay keeps what fails in a durable store and sends it again once calls to the destination go well: one at first, one more at once for each delivery, none beside the decision module. What may have run goes only on a person's word.

--- a/crates/onyxstile-store/src/disk.rs
+++ b/crates/onyxstile-store/src/disk.rs
@@ -8,7 +8,7 @@
 /// A folder of files that only grow at their end. A test can fail, tear or lose any of these calls.
 pub trait Disk {
     /// An open file.
-    type File;
+    type File: std::fmt::Debug;
 
     /// The names there are.
     ///
--- a/crates/onyxstile-undelivered/src/kept.rs
+++ b/crates/onyxstile-undelivered/src/kept.rs
@@ -162,6 +162,9 @@
     /// A person let it go again though it may have run.
     #[prost(bool, tag = "17")]
     pub released: bool,
+    /// A person asked for its next resend: no rule's time is waited for.
+    #[prost(bool, tag = "18")]
+    pub asked: bool,
 }
 
 /// The rest of a kept message.
@@ -266,7 +269,7 @@
 
     /// Its resend ended without a delivery. `tries`, `pause`: its rule's.
     pub fn settle(&mut self, ran: Ran, tries: u32, pause: Duration, now: Stamp) {
-        (self.resend, self.begun) = (0, None);
+        (self.resend, self.begun, self.asked) = (0, None, false);
         self.tries += 1;
         if let Ran::MayHave(at, server) = ran {
             // What a person released ran, as far as anybody knows, before and now.
@@ -308,7 +311,7 @@
             self.set_state(State::MayHaveRun);
             self.note(now, "the store was damaged; may-have-run", "");
         }
-        self.released = false;
+        (self.released, self.asked) = (false, false);
         if self.risk.is_none() {
             self.risk = Some(Risk { at: Moment::default(), server: String::new() });
         }
@@ -327,6 +330,7 @@
             return Err(Refused::MayHaveRun);
         }
         self.released |= risky;
+        self.asked = true;
         self.set_state(State::Waiting);
         (self.tries, self.not_before_ms) = (0, 0);
         let what = if risky { "released though it may have run" } else { "released" };
--- a/crates/onyxstile-undelivered/src/planner.rs
+++ b/crates/onyxstile-undelivered/src/planner.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// How long a lane stays closed after a failure, beyond its rule's time: at first, and at most.
-const BACK_OFF: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(300));
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(300));
 /// Lanes without a message are forgotten once nothing has failed there for so long.
 const FORGET: Duration = Duration::from_secs(3600);
 const DAY_MS: u64 = 86_400_000;
@@ -63,6 +63,7 @@
     state: State,
     queue: Queue,
     not_before: u64,
+    asked: bool,
 }
 
 #[derive(Debug, Default)]
@@ -87,6 +88,8 @@
 #[derive(Debug)]
 pub struct Planner {
     rules: Rules,
+    /// For what a person asked for and no rule is for.
+    by_hand: Rule,
     lanes: BTreeMap<u64, Lane>,
     known: BTreeMap<u64, Known>,
     names: Vec<String>,
@@ -108,8 +111,21 @@
     /// One that knows nothing yet. No lane opens before its rule's time has passed from `now` on: what failed before
     /// the process began is not known.
     pub fn new(rules: Rules, now: Duration) -> Planner {
+        let by_hand = Rule {
+            classes: Vec::new(),
+            destinations: Vec::new(),
+            keep: true,
+            rank: 0,
+            when: When::Hand,
+            per_s: 1.0,
+            at_once: 1,
+            order: Order::Oldest,
+            tries: 1,
+            pause: Duration::ZERO,
+        };
         Planner {
             rules,
+            by_hand,
             lanes: BTreeMap::new(),
             known: BTreeMap::new(),
             names: Vec::new(),
@@ -197,6 +213,7 @@
             state: kept.is(),
             queue: Queue::None,
             not_before: kept.not_before_ms,
+            asked: kept.asked,
         };
         self.place(kept.key, known);
     }
@@ -209,7 +226,8 @@
     fn place(&mut self, key: u64, mut known: Known) {
         let rule = self.rules.of(&self.names[known.class], known.destination);
         let newest = rule.is_some_and(|r| r.order == Order::Newest);
-        let fits = rule.is_some();
+        // Without a rule nothing goes by itself.
+        let fits = rule.is_some() || known.asked;
         let lane = self.lanes.entry(known.destination).or_insert_with(|| Lane {
             window: 1,
             trouble_at: self.since,
@@ -222,13 +240,17 @@
                 self.open += 1;
                 Queue::Open
             }
-            // Without a rule nothing goes by itself.
             State::Waiting if fits && known.not_before > 0 => {
                 lane.paused.insert((known.not_before, key));
                 Queue::Paused(known.not_before)
             }
             State::Waiting if fits => {
-                let order = if newest { u64::MAX - key } else { key };
+                // What a person asked for goes first; no flow has the number 0.
+                let order = match (known.asked, newest) {
+                    (true, _) => 0,
+                    (false, true) => u64::MAX - key,
+                    (false, false) => key,
+                };
                 lane.ready.insert((order, key));
                 Queue::Ready(order)
             }
@@ -326,12 +348,12 @@
         let (destination, key) = after
             .filter_map(|(destination, lane)| {
                 let (_, key) = lane.ready.first()?;
-                let rule = self.rule_of(*key)?;
-                (opens(lane, rule, now) <= Some(now)?).then_some((*destination, *key))
+                let (rule, asked) = self.rule_of(*key)?;
+                (opens(lane, rule, asked, now) <= now).then_some((*destination, *key))
             })
             .next()?;
         self.served = destination;
-        let per_s = self.rule_of(key)?.per_s;
+        let per_s = self.rule_of(key)?.0.per_s;
         let lane = self.lanes.get_mut(&destination)?;
         lane.next_begin = now + Duration::from_secs_f64(1.0 / per_s);
         Some(Pick { key, destination })
@@ -348,7 +370,8 @@
     pub fn due(&self, now: Duration) -> Option<Duration> {
         let lane = |lane: &Lane| {
             let ready = lane.ready.first().and_then(|(_, key)| self.rule_of(*key));
-            let ready = ready.map(|rule| opens(lane, rule, now)).filter(|t| *t < Duration::MAX);
+            let ready =
+                ready.map(|(rule, asked)| opens(lane, rule, asked, now)).filter(|t| *t < Duration::MAX);
             let paused = lane.paused.first().map(|(until, _)| Duration::from_millis(*until));
             ready.into_iter().chain(paused).min()
         };
@@ -368,9 +391,11 @@
         self.lanes.len()
     }
 
-    fn rule_of(&self, key: u64) -> Option<&Rule> {
+    /// A message's rule, and whether a person asked for it.
+    fn rule_of(&self, key: u64) -> Option<(&Rule, bool)> {
         let known = self.known.get(&key)?;
-        self.rules.of(&self.names[known.class], known.destination)
+        let rule = self.rules.of(&self.names[known.class], known.destination);
+        Some((rule.or(known.asked.then_some(&self.by_hand))?, known.asked))
     }
 
     fn wake_paused(&mut self, now: Duration) {
@@ -390,10 +415,13 @@
 }
 
 /// When a lane may begin a resend by a rule; the largest time: not before something else happens.
-fn opens(lane: &Lane, rule: &Rule, now: Duration) -> Duration {
+fn opens(lane: &Lane, rule: &Rule, asked: bool, now: Duration) -> Duration {
     if lane.open >= lane.window.min(rule.at_once) {
         return Duration::MAX;
     }
+    if asked {
+        return lane.closed_until.max(lane.next_begin);
+    }
     let (well, daily) = match rule.when {
         When::Hand => return Duration::MAX,
         When::Well(well) => (well, None),
@@ -490,7 +518,7 @@
             assert_eq!(begin(&mut p, now), Some(key + 1));
         }
         assert_eq!(closed, [s(10), s(10), s(10), s(10)], "the rule's time is longer at first");
-        for key in 8..14 {
+        for key in 8..16 {
             p.resend_ended(key, false, now);
             p.put(&kept(key, 7, State::MayHaveRun));
             now = p.due(now).unwrap();
@@ -529,12 +557,17 @@
         assert_eq!((p.pick(s(5 * 3600)), p.pick(s(8 * 3600))), (None, None));
         assert_eq!(p.pick(s(6 * 3600)).map(|k| k.key), Some(3));
         let at = s(10 * 3600);
-        let due = opens(&p.lanes[&7], &p.rules.rules[1], at);
+        let due = opens(&p.lanes[&7], &p.rules.rules[1], false, at);
         assert_eq!(due, s(30 * 3600), "tomorrow at six");
+        // A person's word goes before a rule's time, and before what is older.
+        p.put(&Kept { asked: true, ..kept(2, 7, State::Waiting) });
+        p.put(&Kept { asked: true, class: "none".into(), ..kept(4, 9, State::Waiting) });
+        let picks = [p.pick(at), p.pick(at)].map(|k| k.map(|k| k.key));
+        assert_eq!(picks, [Some(4), Some(2)]);
         // Over midnight.
         let night = Rule { when: When::Daily(s(23 * 3600), s(3600), s(0)), ..rule() };
         let lane = Lane { window: 1, ..Lane::default() };
-        let of = |hour: u64| opens(&lane, &night, s(hour * 3600));
+        let of = |hour: u64| opens(&lane, &night, false, s(hour * 3600));
         assert_eq!([of(0), of(12), of(23)], [s(0), s(23 * 3600), s(23 * 3600)]);
     }
 
--- a/crates/onyxstile-undelivered/src/rules.rs
+++ b/crates/onyxstile-undelivered/src/rules.rs
@@ -116,7 +116,7 @@
     at_once: usize,
     #[serde(default)]
     order: Order,
-    #[serde(default = "five")]
+    #[serde(default = "fifty")]
     tries: u32,
     #[serde(default = "thirty")]
     pause_s: f64,
@@ -140,8 +140,8 @@
 fn four() -> usize {
     4
 }
-fn five() -> u32 {
-    5
+fn fifty() -> u32 {
+    50
 }
 fn thirty() -> f64 {
     30.0
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -28,6 +28,10 @@
             Some(r) => println!("routing: {} hosts, {} groups", r.host.len(), r.upstream.len()),
             None => println!("routing: off"),
         }
+        match &config.undelivered {
+            Some(u) => println!("undelivered: {} rules, {}", u.rules.rules.len(), u.folder.display()),
+            None => println!("undelivered: off"),
+        }
         Ok(ExitCode::SUCCESS)
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 pub mod route;
 pub mod serve;
 pub mod trace;
+pub mod undelivered;
 pub mod version;
 
 use std::fmt::Display;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -177,8 +177,13 @@
 
     /// A flow was handed in; the next step says whether it is taken.
     pub fn offer(&mut self, flow: FlowNo, terms: FlowTerms, payload: P) {
+        self.offer_again(flow, terms, Past::default(), payload);
+    }
+
+    /// The same for one that was sent before, as another flow.
+    pub fn offer_again(&mut self, flow: FlowNo, terms: FlowTerms, past: Past, payload: P) {
         self.fresh.push(flow);
-        self.insert(flow, terms, Past::default(), payload);
+        self.insert(flow, terms, past, payload);
     }
 
     /// A flow that an earlier process had taken.
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,7 @@
     Import(cli::import_nginx::Import),
     Route(cli::route::Route),
     Trace(cli::trace::Trace),
+    Undelivered(cli::undelivered::Undelivered),
     Version(cli::version::Version),
 }
 
@@ -31,6 +32,7 @@
         Command::Import(options) => options.run(),
         Command::Route(options) => options.run(),
         Command::Trace(options) => options.run(),
+        Command::Undelivered(options) => options.run(),
         Command::Version(options) => options.run(),
     };
     done.unwrap_or_else(|e| {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,6 +5,7 @@
 use super::mail::MailSettings;
 use super::operator::OperatorFile;
 use super::trace::settings::{TraceSettings, shares};
+use super::undelivered::settings::UndeliveredSettings;
 use crate::api::{DestinationId, Settings};
 use crate::plugin::Hooks;
 use crate::settings::{self, Names};
@@ -109,6 +110,8 @@
     pub routing: Option<RoutingConfig>,
     /// What is recorded, if anything is.
     pub trace: Option<TraceSettings>,
+    /// What is kept of what fails, if anything is.
+    pub undelivered: Option<UndeliveredSettings>,
     /// The folder that lasts.
     pub state: PathBuf,
     /// Most bytes in it.
@@ -154,6 +157,12 @@
                 config.disk -= taken.min(config.disk);
                 config.trace = Some(trace);
             }
+            if let Some(table) = &file.undelivered {
+                let kept = table.check(&config.state, config.disk)?;
+                let taken = if shares(&kept.folder, &config.state) { kept.store.limit } else { 0 };
+                config.disk -= taken.min(config.disk);
+                config.undelivered = Some(kept);
+            }
             config.hooks =
                 Rc::new(Hooks::load(&file.plugins.scripts).map_err(|e| ConfigError(e.to_string()))?);
             if let Some(http) = &mut config.http {
@@ -199,6 +208,7 @@
             fixed: Vec::new(),
             routing: None,
             trace: None,
+            undelivered: None,
             state,
             disk: (raw.limits.disk_mb.max(0.0) * 1e6) as u64,
             shares: Shares::of(raw.limits.sockets, raw.limits.memory_mb, settings.max_calls),
@@ -232,6 +242,7 @@
             fixed: Vec::new(),
             routing: None,
             trace: None,
+            undelivered: None,
             state: relay.state,
             disk: (relay.disk_mb.max(0.0) * 1e6) as u64,
             shares: Shares::of(relay.sockets, relay.memory_mb, settings.max_calls),
--- a/src/net/inbox.rs
+++ b/src/net/inbox.rs
@@ -1,6 +1,7 @@
 //! What reaches the owner, and what it answers to an offer. Everything that speaks to the owner depends on this
 //! and not on the owner itself.
 
+use super::control::{Answer, Order};
 use super::listed::{FixedServer, RawList};
 use super::parcel::Parcel;
 use super::routing::Staged;
@@ -21,6 +22,10 @@
     Probed(ServerNo, Outcome, Option<LimitReport>),
     /// What the operator's file says anew: all of its real servers, and its routing table.
     Operator(Vec<FixedServer>, Option<Box<Staged>>),
+    /// An operator's order, and where its answer goes.
+    Control(Order, oneshot::Sender<Answer>),
+    /// Other rules for what fails.
+    Rules(onyxstile_undelivered::Rules),
     /// News of discovery's list.
     List(RawList),
     /// Notices were heard.
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -37,6 +37,8 @@
     pub destination: u64,
     /// What is delivered.
     pub parcel: Rc<Parcel>,
+    /// For a resend: the flow that had failed, by whose number it is kept. Nobody is owed word of a resend's end.
+    pub resend_of: Option<FlowNo>,
 }
 
 /// A send: when, Unix time, and to which real server, by its lasting name.
@@ -367,9 +369,19 @@
     match record {
         Record::Taken(no, flow) => {
             let routed = flow.parcel.routed.as_ref();
-            // Two forms, so that what earlier programs wrote can be read.
-            out.push(if routed.is_some() { 9 } else { 1 });
+            // Several forms, so that what earlier programs wrote can be read.
+            out.push(if flow.resend_of.is_some() {
+                10
+            } else if routed.is_some() {
+                9
+            } else {
+                1
+            });
             put_u64(out, no.0);
+            if let Some(of) = flow.resend_of {
+                put_u64(out, of.0);
+                out.push(u8::from(routed.is_some()));
+            }
             if let Some(routed) = routed {
                 put_bytes(out, routed.path.as_bytes());
                 put_bytes(out, &routed.key);
@@ -485,7 +497,7 @@
         let key = self.maybe(Self::text)?;
         let mail = self.maybe(|p| Some(Envelope { from: p.text()?, to: p.text()? }))?;
         let parcel = Rc::new(Parcel { id, key, mail, routed, body: self.bytes()?.into() });
-        Some(TakenFlow { deadline, class, tenant, destination, parcel })
+        Some(TakenFlow { deadline, class, tenant, destination, parcel, resend_of: None })
     }
 
     fn record(&mut self) -> Option<Record> {
@@ -497,6 +509,11 @@
                 let routed = Routed { path: self.text()?, key: self.bytes()? };
                 Record::Taken(no, self.flow(Some(routed))?)
             }
+            10 => {
+                let resend_of = Some(FlowNo(self.u64()?));
+                let routed = self.maybe(|p| Some(Routed { path: p.text()?, key: p.bytes()? }))?;
+                Record::Taken(no, TakenFlow { resend_of, ..self.flow(routed)? })
+            }
             2 => Record::Sent(no, self.sent()?),
             3 => Record::CallEnded(no, self.flag()?),
             4 => Record::Ended(
@@ -533,7 +550,9 @@
         let parcel =
             Parcel { id: format!("f{no}"), key: Some("k".into()), mail, routed, body: vec![7; size].into() };
         let (deadline, class) = (Duration::from_secs(1_000_000 + no), "orders".to_string());
-        let flow = TakenFlow { deadline, class, tenant: None, destination: 3, parcel: Rc::new(parcel) };
+        let resend_of = Some(FlowNo(no + 100)).filter(|_| no.is_multiple_of(4));
+        let flow =
+            TakenFlow { deadline, class, tenant: None, destination: 3, parcel: Rc::new(parcel), resend_of };
         Record::Taken(FlowNo(no), flow)
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod config;
+pub mod control;
 pub mod directory;
 pub mod discovery;
 pub mod edge;
@@ -19,4 +20,5 @@
 pub mod relay;
 pub mod routing;
 pub mod trace;
+pub mod undelivered;
 pub mod upstream;
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -3,6 +3,7 @@
 use super::listed::{ConfigError, FixedServer, RawEntry, Wire};
 use super::mail::{self, Dialect, MailSettings, Times};
 use super::trace::settings::TraceTable;
+use super::undelivered::settings::UndeliveredTable;
 use crate::api::{DestinationId, Effect, Settings};
 use crate::settings::Names;
 use onyxstile_routing::config::UpstreamConfig;
@@ -35,6 +36,8 @@
     pub routing: Option<RoutingConfig>,
     /// What is recorded.
     pub trace: Option<TraceTable>,
+    /// What is kept of what fails, and sent again.
+    pub undelivered: Option<UndeliveredTable>,
     /// Scripts called at points of a flow's life.
     #[serde(default)]
     pub plugins: PluginsTable,
@@ -210,6 +213,9 @@
         if let Some(trace) = &mut file.trace {
             trace.folder = folder.join(&trace.folder);
         }
+        if let Some(kept) = file.undelivered.as_mut().and_then(|u| u.folder.as_mut()) {
+            *kept = folder.join(&*kept);
+        }
         file.plugins.scripts.iter_mut().for_each(|s| *s = folder.join(&s));
         Ok(file)
     }
--- /dev/null
+++ b/src/net/owner/control.rs
@@ -0,0 +1,121 @@
+//! An operator's orders to the owner. Each does a bounded part of what is asked, and says where to go on.
+
+use super::*;
+use crate::net::control::{Answer, Order, What};
+use crate::net::undelivered::shelf::Filter;
+use onyxstile_undelivered::{Kept, State};
+use serde_json::json;
+
+/// Messages of one answer, at most, and with bodies.
+const ITEMS: (usize, usize) = (200, 8);
+
+impl Owner {
+    pub(super) fn control(&mut self, order: Order) -> Answer {
+        let now = self.clock.now();
+        let Some(keeper) = &mut self.keeper else {
+            return Answer::error("nothing is kept: the operator's file has no [undelivered]");
+        };
+        match order {
+            Order::List { filter, after, bodies } => {
+                let most = if bodies { ITEMS.1 } else { ITEMS.0 };
+                let (kept, next) = keeper.shelf.look(&filter, after, most);
+                let items = kept.iter().map(|k| {
+                    let body = bodies.then(|| keeper.shelf.body(k.key).ok().flatten()).flatten();
+                    item(k, body.as_ref().map(|b| &b.body[..]))
+                });
+                Answer { items: items.collect(), next, ..Answer::default() }
+            }
+            Order::Change { filter, after, what, by } => self.change(&filter, after, what, &by, now),
+            Order::Stats => {
+                let (messages, bytes, open) = keeper.planner.totals();
+                let states = State::ALL.map(|s| (s.name().to_string(), keeper.shelf.by_state(s).count()));
+                let store = &keeper.shelf.store;
+                let stats = json!({
+                    "messages": messages,
+                    "bytes": bytes,
+                    "resends_open": open,
+                    "states": states.into_iter().collect::<BTreeMap<_, _>>(),
+                    "destinations": keeper.planner.lanes(),
+                    "store": {
+                        "live_bytes": store.live_bytes(),
+                        "used_bytes": store.used_bytes(),
+                        "capacity_bytes": store.capacity(),
+                        "takes_writes": store.writes(),
+                    },
+                    "since_start": keeper.counts,
+                });
+                Answer { items: vec![stats], ..Answer::default() }
+            }
+        }
+    }
+
+    fn change(&mut self, filter: &Filter, after: Option<u64>, what: What, by: &str, now: Duration) -> Answer {
+        let Some(keeper) = &mut self.keeper else { return Answer::default() };
+        let stamp = keeper.machine.stamp(now);
+        let (found, next) = keeper.shelf.look(filter, after, ITEMS.0);
+        let mut answer = Answer { next, ..Answer::default() };
+        for mut kept in found {
+            let changed = match what {
+                What::Resend => kept.release(false, by, stamp).is_ok(),
+                What::ResendMayHaveRun => kept.release(true, by, stamp).is_ok(),
+                What::Hold => kept.hold(by, stamp).is_ok(),
+                What::Discard if kept.is() == State::Resending => false,
+                What::Discard => {
+                    tracing::info!(key = kept.key, id = kept.id, by, "undelivered: discarded");
+                    keeper.remove(kept.key);
+                    answer.done += 1;
+                    continue;
+                }
+            };
+            if changed {
+                tracing::info!(key = kept.key, id = kept.id, by, ?what, "undelivered: changed");
+                keeper.put(&kept);
+                answer.done += 1;
+            } else {
+                answer.left += 1;
+            }
+        }
+        // What a person orders has to be there when it is answered.
+        match keeper.write(std::mem::take(&mut self.resend_ends), true) {
+            Ok(ends) => {
+                for no in ends {
+                    self.resends.remove(&no);
+                    self.unwritten.push(Record::Ended(no, None));
+                }
+                answer
+            }
+            Err(e) => Answer::error(format!("the store: {e}; it is tried again")),
+        }
+    }
+}
+
+/// A kept message, for people and programs.
+pub fn item(kept: &Kept, body: Option<&[u8]>) -> serde_json::Value {
+    let mut item = json!({
+        "key": kept.key,
+        "id": kept.id,
+        "class": kept.class,
+        "customer": kept.customer,
+        "destination": crate::net::mail::written(DestinationId(kept.destination)),
+        "bytes": kept.bytes,
+        "failed_ms": kept.failed.wall_ms,
+        "state": kept.is().name(),
+        "tries": kept.tries,
+        "not_before_ms": kept.not_before_ms,
+        "history": kept.history.iter()
+            .map(|s| json!({"at_ms": s.at_ms, "what": s.what, "by": s.by})).collect::<Vec<_>>(),
+    });
+    if !kept.recipient.is_empty() {
+        item["recipient"] = kept.recipient.clone().into();
+    }
+    if let Some(risk) = &kept.risk {
+        item["may_have_run"] = json!({"at_ms": risk.at.wall_ms, "server": risk.server});
+    }
+    if let Some(body) = body {
+        match std::str::from_utf8(body) {
+            Ok(text) => item["body"] = text.into(),
+            Err(_) => item["body_hex"] = body.iter().map(|b| format!("{b:02x}")).collect::<String>().into(),
+        }
+    }
+    item
+}
--- a/src/net/owner/mail.rs
+++ b/src/net/owner/mail.rs
@@ -56,7 +56,11 @@
         let parcel =
             Rc::new(Parcel { id: id.clone(), key: None, mail, routed: None, body: report.message().into() });
         let (deadline, class) = (now + settings.deadline, settings.class.clone());
-        Record::Bounced(no, dsn, TakenFlow { deadline, class, tenant: None, destination: to.0, parcel })
+        Record::Bounced(
+            no,
+            dsn,
+            TakenFlow { deadline, class, tenant: None, destination: to.0, parcel, resend_of: None },
+        )
     }
 
     /// Hands the mail calls of this step out: what goes to one real server shares calls as far as its kind
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -1,9 +1,11 @@
 //! The one task that owns the module, the core and the journal. All else reaches it by one bounded queue.
 
+mod control;
 mod drain;
 mod mail;
 mod offers;
 mod recovery;
+mod undelivered;
 mod witness;
 
 use super::clock::Clock;
@@ -16,16 +18,18 @@
 use super::mail::client::{Item, MailCall, MailUpstream};
 use super::mail::dsn::Report;
 use super::notices;
-use super::parcel::{Envelope, Parcel};
+use super::parcel::{Envelope, Parcel, Routed};
 use super::phase::{Phase, State};
 use super::routing::{Routing, Staged};
 use super::trace::recorder::Recorder;
+use super::undelivered::keeper::Keeper;
 use super::upstream::{CallOrder, Switch, Upstream};
 use crate::api::{ClassId, DestinationId, KindId, Note, Past, TenantId};
 use crate::core::vigil::{Line, Vigil};
 use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo};
 use crate::plugin::{FlowView, Hooks};
 use crate::settings::Names;
+pub use control::item;
 use onyxstile_trace::events::Stage;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -102,6 +106,13 @@
     notices: mpsc::Sender<Vec<(FlowNo, Owed)>>,
     telling: bool,
     draining_since: Option<Duration>,
+    /// Keeps what fails, where that is wanted.
+    keeper: Option<Keeper>,
+    resends: BTreeMap<FlowNo, undelivered::Resend>,
+    /// Resends that ended in this step, or in one whose changes could not be written.
+    resend_ends: Vec<FlowNo>,
+    max_calls: usize,
+    most_held: usize,
     /// When a client last handed something in.
     last_offer: Duration,
     queue: mpsc::Receiver<ToOwner>,
@@ -124,6 +135,8 @@
     pub routing: Rc<Routing>,
     /// Keeps the trace, where one is wanted.
     pub witness: Option<Witness>,
+    /// Keeps what fails, where that is wanted.
+    pub keeper: Option<Keeper>,
     /// Takes batches of notices.
     pub notices: mpsc::Sender<Vec<(FlowNo, Owed)>>,
     /// Where everything comes in.
@@ -136,8 +149,18 @@
     /// # Errors
     /// Settings that cannot work.
     pub fn new(config: &Config, parts: Parts) -> Result<Self, crate::core::SettingsError> {
-        let Parts { journal, clock, phase, upstream, mail_upstream, routing, witness, notices, queue } =
-            parts;
+        let Parts {
+            journal,
+            clock,
+            phase,
+            upstream,
+            mail_upstream,
+            routing,
+            witness,
+            keeper,
+            notices,
+            queue,
+        } = parts;
         let mut core = Core::new(config.settings.clone(), config.seed, clock.now())?;
         if !routing.is_empty() {
             core.set_proposer(routing.proposer());
@@ -174,6 +197,11 @@
             notices,
             telling: false,
             draining_since: None,
+            keeper,
+            resends: BTreeMap::new(),
+            resend_ends: Vec::new(),
+            max_calls: config.settings.max_calls,
+            most_held: config.settings.max_held,
             last_offer: clock.now(),
             queue,
         };
@@ -193,7 +221,9 @@
                 return self.witness.map(|w| w.recorder);
             }
             let now = self.clock.now();
-            let due = self.wake_at.into_iter().chain(self.drain_due()).chain(self.witness_due()).min();
+            let kept = self.keeper.as_ref().map(Keeper::due);
+            let due =
+                self.wake_at.into_iter().chain(self.drain_due()).chain(self.witness_due()).chain(kept).min();
             let due = self.clock.instant(due.unwrap_or(now + Duration::from_secs(1)));
             tokio::select! {
                 biased;
@@ -232,6 +262,7 @@
                 let line = Line::CallEnded(end.attempt, outcome_name(end.outcome));
                 self.vigil.note(end.flow, self.clock.now(), line);
                 self.calls.remove(&(end.flow, end.attempt));
+                self.keeper_sees(&end);
                 // Should this never be written, a restart takes the call for one that may have run.
                 self.unwritten.push(Record::CallEnded(end.flow, end.outcome.never_ran()));
                 if let Some(view) = self.views.get(&end.flow) {
@@ -246,6 +277,15 @@
             }
             ToOwner::Probed(server, outcome, limit) => self.core.probe_ended(server, outcome, limit),
             ToOwner::Operator(servers, routing) => self.take_operator(servers, routing),
+            ToOwner::Control(order, reply) => {
+                let _ = reply.send(self.control(order));
+            }
+            ToOwner::Rules(rules) => {
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.planner.set_rules(rules);
+                    keeper.look_soon();
+                }
+            }
             ToOwner::List(list) => self.take_list(&list),
             ToOwner::NoticesHeard(flows) => {
                 self.telling = false;
@@ -323,6 +363,7 @@
 
     /// Steps the core until it has nothing left to work on, and carries out what it asks for.
     fn step(&mut self) {
+        self.begin_resends();
         let mut effects = Vec::new();
         loop {
             self.core.step(self.clock.now(), &mut effects);
@@ -348,12 +389,17 @@
         let now = self.clock.now();
         let effects = self.keep_together(effects);
         let mut records = std::mem::take(&mut self.unwritten);
+        let mut resent = BTreeSet::new();
         for effect in &effects {
             match effect {
                 Effect::Taken(no, _) => {
-                    if let Some(w) = self.waiting.get(no) {
-                        records.push(Record::Taken(*no, w.flow.clone()));
-                    }
+                    let flow = self.waiting.get(no).map(|w| &w.flow);
+                    let flow = flow.or_else(|| self.resends.get(no).map(|r| &r.flow));
+                    records.extend(flow.map(|f| Record::Taken(*no, f.clone())));
+                }
+                Effect::TurnedDown(no, ..) if self.resends.contains_key(no) => {
+                    resent.insert(*no);
+                    self.settle_resend(*no, None, false, now);
                 }
                 Effect::Call { flow, server, .. } => {
                     let server = self.directory.uid(*server);
@@ -361,11 +407,19 @@
                 }
                 Effect::Ended(no, parcel, end) => {
                     let refused = records.contains(&Record::CallEnded(*no, true));
+                    if self.resends.contains_key(no) {
+                        resent.insert(*no);
+                        self.settle_resend(*no, Some(*end), refused, now);
+                        continue;
+                    }
+                    self.keep_if_wanted(*no, *end, refused, now);
                     records.push(self.end_record(*no, parcel, *end, refused, now));
                 }
                 _ => {}
             }
         }
+        // What is kept is on the shelf before the journal has that its flow is over, and a resend's end as well.
+        records.extend(self.write_shelf().into_iter().map(|no| Record::Ended(no, None)));
         let lasting = self.journal.write(&records);
         if let Err(e) = &lasting {
             tracing::error!("journal: {e}; new flows are turned down");
@@ -384,14 +438,16 @@
                 }
             }
         }
-        self.witness_out(&effects, lasting.is_ok(), now);
+        self.witness_out(&effects, lasting.is_ok(), now, &resent);
         for effect in effects {
-            self.do_effect(effect, now, lasting.is_ok());
+            self.do_effect(effect, now, lasting.is_ok(), &resent);
         }
         self.make_mail_calls();
     }
 
-    fn do_effect(&mut self, effect: Effect<Rc<Parcel>>, now: Duration, lasting: bool) {
+    fn do_effect(
+        &mut self, effect: Effect<Rc<Parcel>>, now: Duration, lasting: bool, resent: &BTreeSet<FlowNo>,
+    ) {
         match effect {
             Effect::Taken(no, parcel) if lasting => {
                 if let Some(w) = self.waiting.get(&no) {
@@ -406,6 +462,9 @@
             Effect::Taken(no, parcel) => {
                 // Guards the promise of a 202: what is not written down was not taken.
                 self.core.withdraw(no);
+                if self.resends.contains_key(&no) {
+                    self.settle_resend(no, None, false, now);
+                }
                 self.forget(no, &parcel.id);
                 self.settle(no, Verdict::Full);
             }
@@ -454,7 +513,7 @@
             }
             Effect::Ended(no, parcel, end) => {
                 tracing::debug!(flow = no.0, id = parcel.id, end = end_name(end), "flow ended");
-                let owed = owes_notice(&parcel, end);
+                let owed = owes_notice(&parcel, end) && !resent.contains(&no);
                 self.vigil.note(no, now, Line::Ended(end_name(end), owed));
                 if !owed && let Some(story) = self.vigil.kept(no, now) {
                     tracing::error!("{story}");
@@ -464,7 +523,10 @@
                 }
                 self.destinations.remove(&no);
                 self.routing.flow_over(no);
-                self.over.push_back(parcel.id.clone());
+                // A resend's id is that of the flow that failed, which has its own place here.
+                if self.ids.get(&parcel.id) == Some(&no) {
+                    self.over.push_back(parcel.id.clone());
+                }
                 if self.over.len() > REMEMBERED
                     && let Some(id) = self.over.pop_front()
                 {
@@ -508,7 +570,9 @@
         self.destinations.remove(&no);
         self.routing.flow_over(no);
         self.views.remove(&no);
-        self.ids.remove(id);
+        if self.ids.get(id) == Some(&no) {
+            self.ids.remove(id);
+        }
     }
 }
 
--- a/src/net/owner/offers.rs
+++ b/src/net/owner/offers.rs
@@ -78,7 +78,8 @@
             self.witness_offer(no, &terms, deadline, &parcel);
             self.core.offer(no, terms, parcel.clone());
             let (class, tenant) = (class.clone(), tenant.clone());
-            let flow = TakenFlow { deadline, class, tenant, destination: destination.0, parcel };
+            let flow =
+                TakenFlow { deadline, class, tenant, destination: destination.0, parcel, resend_of: None };
             self.waiting.insert(no, Waiting { group, index, flow });
         }
     }
--- a/src/net/owner/recovery.rs
+++ b/src/net/owner/recovery.rs
@@ -10,6 +10,27 @@
         let open: Vec<_> = self.journal.ledger().open.iter().map(|(no, f)| (*no, f.clone())).collect();
         let mut lost = Vec::new();
         for (no, (flow, progress)) in open {
+            if let Some(of) = flow.resend_of {
+                match &self.keeper {
+                    Some(keeper) if keeper.goes_on(no, of) => {
+                        self.resends.insert(no, undelivered::Resend { key: of.0, flow: flow.clone() });
+                    }
+                    // The shelf was written last, and knows how it ended.
+                    Some(_) => {
+                        lost.push(Record::Ended(no, None));
+                        continue;
+                    }
+                    None => {
+                        // Guards the message against a second effect, should it be kept again one day: the
+                        // journal goes on saying that its resend was open.
+                        tracing::warn!(
+                            flow = no.0,
+                            "a resend is open in the journal, and nothing is kept any more"
+                        );
+                        continue;
+                    }
+                }
+            }
             let risk = progress.risk.or(progress.out);
             let risk = risk.map(|r| (now.saturating_sub(r.at), self.directory.number(&r.server)));
             let past = Past { attempts: progress.attempts, risk };
@@ -38,7 +59,10 @@
     pub(super) fn take_up(
         &mut self, no: FlowNo, flow: &TakenFlow, past: Option<Past>, now: Duration,
     ) -> bool {
-        self.ids.insert(flow.parcel.id.clone(), no);
+        let resend = flow.resend_of.is_some();
+        if !resend {
+            self.ids.insert(flow.parcel.id.clone(), no);
+        }
         let Some(class) = position(&self.names.classes, &flow.class) else { return false };
         let tenant = flow.tenant.as_ref().and_then(|t| position(&self.names.tenants, t)).map(TenantId);
         let destination = DestinationId(flow.destination);
@@ -50,7 +74,7 @@
         }
         self.destinations.insert(no, destination);
         self.routing.flow_opens(no, &flow.parcel);
-        if flow.parcel.mail.is_none() {
+        if flow.parcel.mail.is_none() && !resend {
             self.vigil.taken(no, &flow.parcel.id, now, flow.deadline, true);
         }
         self.witness_up(no, &terms, flow, past);
--- /dev/null
+++ b/src/net/owner/undelivered.rs
@@ -0,0 +1,257 @@
+//! The owner's part in keeping messages that it gave up, and in sending them again.
+//!
+//! Order is all here. A message is on the shelf before its flow's end is in the journal. A resend is on the shelf as
+//! begun before its flow is in the journal, and that before its call goes out. A resend's end is on the shelf before it
+//! is in the journal. So whatever a kill leaves, either the journal has the flow, and the module decides as after any
+//! restart, or no call of it ever went out, or the shelf knows how it ended.
+
+use super::*;
+use crate::net::undelivered::MachineClock;
+use crate::net::undelivered::keeper::Keeper;
+use onyxstile_undelivered::{Body, Kept, Ran, State, Traffic};
+
+/// Part of the slots that resends may take, and of the flows held: one in so many.
+const SLOTS_SHARE: usize = 4;
+const HELD_SHARE: usize = 2;
+/// Resends that begin in one step, at most.
+const AT_ONCE: usize = 4;
+/// How long a destination is passed over that is not known, or has no room.
+const NOT_NOW: Duration = Duration::from_secs(2);
+
+/// A resend that is under way.
+#[derive(Debug)]
+pub(super) struct Resend {
+    /// The message that it is of.
+    pub key: u64,
+    /// As the journal has it.
+    pub flow: TakenFlow,
+}
+
+impl Owner {
+    /// A call ended, of whatever flow: what it shows of its destination.
+    pub(super) fn keeper_sees(&mut self, end: &CallEnd) {
+        let Some(keeper) = &mut self.keeper else { return };
+        let Some(destination) = self.destinations.get(&end.flow) else { return };
+        let what = match end.outcome {
+            Outcome::Success => Traffic::Well,
+            Outcome::Withdrawn | Outcome::Void => return,
+            _ => Traffic::Trouble,
+        };
+        keeper.planner.traffic(destination.0, what, self.clock.now());
+    }
+
+    /// What is known of whether a flow that ends has run. `refused`: the call that the ledger may show as out is
+    /// proved not to have.
+    fn ran(&self, no: FlowNo, refused: bool, now: Duration, machine: &MachineClock) -> Ran {
+        let progress = self.journal.ledger().open.get(&no).map(|(_, p)| p.clone()).unwrap_or_default();
+        match progress.risk.or(progress.out.filter(|_| !refused)) {
+            Some(sent) => Ran::MayHave(machine.stamp_of(sent.at, now), sent.server),
+            None => Ran::Never,
+        }
+    }
+
+    /// An ordinary flow ends: it is kept, if it failed and a rule says so.
+    pub(super) fn keep_if_wanted(&mut self, no: FlowNo, end: End, refused: bool, now: Duration) {
+        let Some(mut keeper) = self.keeper.take() else { return };
+        if end == End::Failed {
+            let of_ledger = self.journal.ledger().open.get(&no).map(|(f, _)| f.clone());
+            let flow = of_ledger.or_else(|| self.waiting.get(&no).map(|w| w.flow.clone()));
+            if let Some(flow) = flow {
+                let (kept, body) = self.kept(no, &flow, refused, now, &keeper);
+                keeper.keep(kept, &body);
+            }
+        } else {
+            keeper.not_failed(no);
+        }
+        self.keeper = Some(keeper);
+    }
+
+    fn kept(
+        &self, no: FlowNo, flow: &TakenFlow, refused: bool, now: Duration, keeper: &Keeper,
+    ) -> (Kept, Body) {
+        let parcel = &flow.parcel;
+        let class = position(&self.names.classes, &flow.class).and_then(|c| self.classes.get(c));
+        let window = match class.map(|c| c.0) {
+            Some(crate::api::Effect::Keyed { window, .. }) => window,
+            // Harmless at any time.
+            Some(crate::api::Effect::Repeatable) => Duration::from_secs(u64::MAX >> 32),
+            _ => Duration::ZERO,
+        };
+        let stamp = keeper.machine.stamp(now);
+        let mut kept = Kept {
+            key: no.0,
+            id: parcel.id.clone(),
+            class: flow.class.clone(),
+            customer: flow.tenant.clone().unwrap_or_default(),
+            destination: flow.destination,
+            bytes: parcel.body.len() as u32,
+            failed: stamp.into(),
+            window_ms: window.as_millis() as u64,
+            recipient: parcel.mail.as_ref().map(|m| m.to.clone()).unwrap_or_default(),
+            ..Kept::default()
+        };
+        kept.settle_first(self.ran(no, refused, now, &keeper.machine), stamp);
+        if self.said.get(&no).is_some_and(|s| s.starts_with('5')) && kept.is() == State::Waiting {
+            kept.set_state(State::GivenUp);
+            kept.note(stamp, "refused for good", "");
+        }
+        let body = Body {
+            body: parcel.body.to_vec(),
+            key: parcel.key.clone(),
+            mail_from: parcel.mail.as_ref().map(|m| m.from.clone()),
+            mail_to: parcel.mail.as_ref().map(|m| m.to.clone()),
+            routed_path: parcel.routed.as_ref().map(|r| r.path.clone()),
+            routed_key: parcel.routed.as_ref().map(|r| r.key.clone()),
+        };
+        (kept, body)
+    }
+
+    /// A resend ended, or was not taken on: what becomes of its message.
+    pub(super) fn settle_resend(&mut self, no: FlowNo, end: Option<End>, refused: bool, now: Duration) {
+        let (Some(mut keeper), Some(resend)) = (self.keeper.take(), self.resends.get(&no)) else { return };
+        let (key, stamp) = (resend.key, keeper.machine.stamp(now));
+        let delivered = matches!(end, Some(End::Delivered | End::Over));
+        // Held by the module to its end, it showed nothing of its destination, and was no try.
+        let sent = self.journal.ledger().open.get(&no).is_some_and(|(_, p)| p.attempts > 0);
+        if delivered || sent {
+            keeper.planner.resend_ended(key, delivered, now);
+        } else {
+            keeper.planner.not_now(resend.flow.destination, now + NOT_NOW);
+        }
+        if delivered {
+            keeper.remove(key);
+            keeper.counts.delivered += 1;
+            tracing::info!(flow = no.0, key, "undelivered: delivered by a resend");
+        } else if let Ok(Some(mut kept)) = keeper.shelf.get(key) {
+            let rule = keeper.planner.rules().of(&kept.class, kept.destination);
+            let (tries, pause) = rule.map_or((0, NOT_NOW), |r| (r.tries, r.pause));
+            if !sent {
+                kept.not_begun(NOT_NOW, stamp);
+            } else {
+                kept.settle(self.ran(no, refused, now, &keeper.machine), tries, pause, stamp);
+                match kept.is() {
+                    State::MayHaveRun => keeper.counts.may_have_run += 1,
+                    _ => keeper.counts.failed += 1,
+                }
+                tracing::info!(flow = no.0, key, state = kept.is().name(), "undelivered: a resend failed");
+            }
+            keeper.put(&kept);
+        } else {
+            tracing::error!(key, "undelivered: a message cannot be read; it is not sent again");
+            keeper.planner.remove(key);
+        }
+        self.keeper = Some(keeper);
+        self.resend_ends.push(no);
+    }
+
+    /// Writes what the step changed on the shelf; the resends whose ends may be written to the journal now.
+    pub(super) fn write_shelf(&mut self) -> Vec<FlowNo> {
+        let Some(keeper) = &mut self.keeper else { return Vec::new() };
+        let began = self.clock.now();
+        let done = keeper.write(std::mem::take(&mut self.resend_ends), false).unwrap_or_else(|e| {
+            tracing::error!("undelivered: {e}; tried again in the next step");
+            Vec::new()
+        });
+        for no in &done {
+            self.resends.remove(no);
+        }
+        let took = self.clock.now().saturating_sub(began);
+        if took > Duration::from_millis(100) {
+            tracing::warn!("undelivered: a write took {} ms", took.as_millis());
+        }
+        done
+    }
+
+    /// Begins what may go now. Each is on the shelf as begun before the core hears of it.
+    pub(super) fn begin_resends(&mut self) {
+        let now = self.clock.now();
+        let Some(mut keeper) = self.keeper.take() else { return };
+        if keeper.due() <= now && self.phase.state() == crate::net::phase::State::Serving {
+            keeper.tidy(now);
+            for _ in 0..AT_ONCE {
+                let slots = (self.max_calls / SLOTS_SHARE).max(1);
+                if keeper.is_late()
+                    || self.resends.len() >= slots
+                    || !self.core.has_room(self.most_held / HELD_SHARE)
+                {
+                    break;
+                }
+                let Some(pick) = keeper.planner.pick(now) else { break };
+                if !self.begin_resend(&mut keeper, pick.key, now) {
+                    keeper.planner.not_now(pick.destination, now + NOT_NOW);
+                }
+            }
+            keeper.looked(now);
+        }
+        self.keeper = Some(keeper);
+    }
+
+    /// Begins one; false: not now.
+    fn begin_resend(&mut self, keeper: &mut Keeper, key: u64, now: Duration) -> bool {
+        let stamp = keeper.machine.stamp(now);
+        let (mut kept, body) = match (keeper.shelf.get(key), keeper.shelf.body(key)) {
+            (Ok(Some(kept)), Ok(Some(body))) => (kept, body),
+            (kept, _) => {
+                tracing::error!(key, "undelivered: a message cannot be read; it is set aside");
+                let mut kept = kept.ok().flatten();
+                match kept.as_mut().map(|k| k.hold("the relay: it cannot be read", stamp)) {
+                    Some(Ok(())) => kept.iter().for_each(|k| keeper.put(k)),
+                    _ => keeper.planner.remove(key),
+                }
+                return true;
+            }
+        };
+        if !kept.may_go(stamp) {
+            // Its window has passed while it waited.
+            kept.set_state(State::MayHaveRun);
+            kept.note(stamp, "its window has passed; may-have-run", "");
+            keeper.put(&kept);
+            return true;
+        }
+        let destination = DestinationId(kept.destination);
+        let bytes = body.body.len() + 1024;
+        let class = position(&self.names.classes, &kept.class);
+        let (Some(class), true, true) =
+            (class, self.directory.knows(destination), self.journal.has_room(1, bytes))
+        else {
+            return false;
+        };
+        let no = self.number();
+        if !kept.begin(no.0, stamp) {
+            return false;
+        }
+        keeper.put(&kept);
+        if let Err(e) = keeper.write(Vec::new(), true) {
+            tracing::error!("undelivered: {e}; no resend begins");
+            keeper.take_back(&kept);
+            kept.not_begun(NOT_NOW, stamp);
+            keeper.planner.put(&kept);
+            return false;
+        }
+        keeper.counts.resends += 1;
+        let life = self.classes.get(class).map_or(Duration::ZERO, |c| c.1);
+        let mail = body.mail_to.map(|to| Envelope { from: body.mail_from.unwrap_or_default(), to });
+        let routed = body.routed_path.map(|path| Routed { path, key: body.routed_key.unwrap_or_default() });
+        let parcel =
+            Rc::new(Parcel { id: kept.id.clone(), key: body.key, mail, routed, body: body.body.into() });
+        let tenant = position(&self.names.tenants, &kept.customer).map(TenantId);
+        let terms = FlowTerms { class: ClassId(class), tenant, destination, remaining: life };
+        let risk = kept.past(stamp).map(|(age, server)| (age, server.to_string()));
+        let risk = risk.map(|(age, server)| (age, self.directory.number(&server)));
+        let flow = TakenFlow {
+            deadline: now + life,
+            class: kept.class.clone(),
+            tenant: Some(kept.customer.clone()).filter(|c| !c.is_empty()),
+            destination: kept.destination,
+            parcel: parcel.clone(),
+            resend_of: Some(FlowNo(key)),
+        };
+        tracing::info!(flow = no.0, key, id = parcel.id, "undelivered: a resend begins");
+        self.destinations.insert(no, destination);
+        self.routing.flow_opens(no, &parcel);
+        self.witness_offer(no, &terms, flow.deadline, &parcel);
+        self.resends.insert(no, Resend { key, flow });
+        self.core.offer_again(no, terms, Past { attempts: 0, risk }, parcel);
+        true
+    }
+}
--- a/src/net/owner/witness.rs
+++ b/src/net/owner/witness.rs
@@ -21,7 +21,7 @@
         let Some(Witness { scribe, .. }) = &mut self.witness else { return };
         let now = self.clock.now();
         match message {
-            ToOwner::Offer(_) | ToOwner::List(_) => {}
+            ToOwner::Offer(_) | ToOwner::List(_) | ToOwner::Control(..) | ToOwner::Rules(_) => {}
             ToOwner::CallEnded(end, _) => {
                 let server = self.directory.uid(end.server);
                 let destination = self.destinations.get(&end.flow).copied().unwrap_or_default();
@@ -91,7 +91,9 @@
     }
 
     /// The effects of a step, which are about to be carried out; `lasting`: their records are written.
-    pub(super) fn witness_out(&mut self, effects: &[Effect<Rc<Parcel>>], lasting: bool, now: Duration) {
+    pub(super) fn witness_out(
+        &mut self, effects: &[Effect<Rc<Parcel>>], lasting: bool, now: Duration, resent: &BTreeSet<FlowNo>,
+    ) {
         let Some(Witness { scribe, .. }) = &mut self.witness else { return };
         let there = |server: ServerNo| self.directory.get(server).is_some_and(|s| s.address.is_some());
         for effect in effects {
@@ -108,7 +110,8 @@
                 }
                 Effect::StopCall(flow, attempt) => scribe.stopped(*flow, *attempt, now),
                 Effect::Ended(no, parcel, end) => {
-                    scribe.ended(*no, *end, owes_notice(parcel, *end), now);
+                    let owed = owes_notice(parcel, *end) && !resent.contains(no);
+                    scribe.ended(*no, *end, owed, now);
                 }
                 Effect::Probe(server) => {
                     let destination = self.directory.destination(*server);
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -14,8 +14,9 @@
 use super::trace::recorder::{Recorder, Whose};
 use super::trace::scribe::{ClassTerms, Scribe};
 use super::trace::settings::TraceSettings;
+use super::undelivered::keeper::Keeper;
 use super::upstream::Upstream;
-use super::{discovery, notices};
+use super::{control, discovery, notices};
 use onyxstile_trace::events::Class;
 use std::fmt;
 use std::net::SocketAddr;
@@ -102,9 +103,16 @@
     let staged = staged.map_err(|e| StartError(format!("routing: {e}")))?;
     let routing = Routing::new(staged, config.seed, clock.now());
     let witness = config.trace.as_ref().map(|t| witness(config, t, clock.now())).transpose()?;
+    let keeper = config.undelivered.as_ref().map(|settings| {
+        let ledger = journal.ledger();
+        let open: Vec<_> = ledger.open.iter().map(|(no, (flow, _))| (*no, flow.resend_of)).collect();
+        Keeper::open(settings, clock.now(), &open, ledger.next == 0)
+    });
+    let keeper = keeper.transpose().map_err(|e| StartError(format!("undelivered: {e}")))?;
     let parts = Parts {
         journal,
         witness,
+        keeper,
         clock,
         phase: phase.clone(),
         upstream,
@@ -128,6 +136,10 @@
             spawn_local(edge.serve(listen("LMTP", address).await?, Dialect::Lmtp));
         }
     }
+    if config.undelivered.is_some() {
+        let listener = control::listen(&config.state).map_err(failed("the control socket"))?;
+        spawn_local(control::serve(listener, to_owner.clone()));
+    }
     spawn_local(reread(hangup, operator, addresses, to_owner));
     let owner = spawn_local(owner.run());
     phase.advance(State::Serving);
@@ -200,6 +212,11 @@
                 tracing::info!("the configuration was read again");
                 renew(&addresses.outcomes, config.http.and_then(|h| h.outcomes));
                 renew(&addresses.discovery, config.discovery);
+                if let Some(kept) = config.undelivered
+                    && owner.send(ToOwner::Rules(kept.rules)).await.is_err()
+                {
+                    return;
+                }
                 let routing = config.routing.unwrap_or_default();
                 let anew = Staged::build(routing)
                     .map(|staged| ToOwner::Operator(config.fixed, Some(Box::new(staged))));
