--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # What the project's people run; .ci/run calls `make check` and nothing else.
-.PHONY: build run check fmt lint test doc demo compare failures bench trace-figures fuzz hunt
+.PHONY: build run check fmt lint test doc demo compare failures bench trace-figures fuzz hunt \
+	kills outage store-figures store-histories
 
 build:
 	cargo build --release --locked
@@ -53,3 +54,21 @@
 HUNT ?= 20
 hunt: build
 	tools/until-broken.sh $(HUNT) $${TMPDIR:-/tmp}/onyxstile-hunt cargo run --release --locked --quiet -p onyxstile-lab -- failures --chart %d/failures.svg
+
+# A relay killed KILLS times while it resends to a partner that does everything wrong (a minute and more).
+KILLS ?= 504
+kills:
+	KILLS=$(KILLS) cargo test --locked --test undelivered no_order -- --nocapture
+
+# A partner shut for two minutes under load, three relays that keep what fails (five minutes).
+outage: build
+	cargo run --release --locked --quiet -p onyxstile-lab -- outage --chart docs/reports/undelivered.svg
+
+# The store beside others, and a million records (some minutes and 5 GB of disk).
+store-figures:
+	cargo run --release --locked --quiet -p onyxstile-lab --example stores -- 10000
+	cargo run --release --locked --quiet -p onyxstile-lab --example stores -- 1000000 onyxstile
+
+# A million histories of faults.
+store-histories:
+	STORE_RUNS=1000000 cargo test --release --locked -p onyxstile-store --test histories -- --nocapture
--- a/crates/onyxstile-lab/src/cost.rs
+++ b/crates/onyxstile-lab/src/cost.rs
@@ -52,6 +52,7 @@
         address: relay.address,
         host: "shop.example".into(),
         target: "/orders/new".into(),
+        fields: "",
         per_s,
         time: Duration::from_secs(time),
         seed,
--- a/crates/onyxstile-lab/src/lib.rs
+++ b/crates/onyxstile-lab/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`compare`] - the same traffic through proxy and relay
 //! * [`cost`] - what recording costs
 //! * [`replay`](mod@replay) - a recorded day again, through a relay by another configuration
+//! * [`outage`] - a partner shut under load, and what is kept and sent again
 //! * [`chart`] - pictures of what was measured
 
 pub mod chart;
@@ -17,6 +18,7 @@
 pub mod demo;
 pub mod http;
 pub mod load;
+pub mod outage;
 pub mod partner;
 pub mod proxy;
 pub mod relay;
--- a/crates/onyxstile-lab/src/load.rs
+++ b/crates/onyxstile-lab/src/load.rs
@@ -27,6 +27,8 @@
     pub host: String,
     /// The target.
     pub target: String,
+    /// Further fields of each request, each with its line's end.
+    pub fields: &'static str,
     /// Clients a second, in the mean; their distances are exponential.
     pub per_s: f64,
     /// For how long.
@@ -72,7 +74,7 @@
         let (load, histogram, seen, kept) = (load.clone(), histogram.clone(), seen.clone(), kept.clone());
         let id = format!("l{}-{}", load.seed, clients.len());
         clients.push(spawn_local(async move {
-            let request = post(&load.host, &load.target, &id, "");
+            let request = post(&load.host, &load.target, &id, load.fields);
             let wire = kept.borrow_mut().pop();
             let asked = async {
                 if let Some(mut wire) = wire
--- a/crates/onyxstile-lab/src/main.rs
+++ b/crates/onyxstile-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The laboratory's command line.
 
 use argh::FromArgs;
-use onyxstile_lab::{Failed, compare, cost, demo, load, replay};
+use onyxstile_lab::{Failed, compare, cost, demo, load, outage, replay};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -23,6 +23,37 @@
     Load(LoadCommand),
     Cost(Cost),
     Replay(Replay),
+    Outage(Outage),
+}
+
+/// A partner that is shut under load and comes back cold, and relays that keep what failed.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "outage")]
+struct Outage {
+    /// the relay's binary
+    #[argh(option, default = "PathBuf::from(\"target/release/onyxstile\")")]
+    relay: PathBuf,
+    /// relays
+    #[argh(option, default = "3")]
+    relays: usize,
+    /// messages a second, at all of them together
+    #[argh(option, default = "48.0")]
+    per_s: f64,
+    /// calls that the partner takes in a second
+    #[argh(option, default = "60")]
+    limit: usize,
+    /// seconds before the partner is shut
+    #[argh(option, default = "10")]
+    before: u64,
+    /// seconds for which it is shut
+    #[argh(option, default = "120")]
+    shut: u64,
+    /// seconds of load after its return
+    #[argh(option, default = "110")]
+    after: u64,
+    /// where the chart goes (SVG)
+    #[argh(option, default = "PathBuf::from(\"outage.svg\")")]
+    chart: PathBuf,
 }
 
 /// A recorded day again, to stand-ins that behave as the trace says, through a relay by another configuration.
@@ -164,8 +195,15 @@
             if !to.ip().is_loopback() {
                 return Err("loads go to loopback only".into());
             }
-            let load =
-                load::Load { address: to, host, target, per_s, time: Duration::from_secs(seconds), seed };
+            let load = load::Load {
+                address: to,
+                host,
+                target,
+                fields: "",
+                per_s,
+                time: Duration::from_secs(seconds),
+                seed,
+            };
             println!("{}", serde_json::to_string(&load::run(load).await?)?);
             Ok(())
         }
@@ -193,6 +231,12 @@
             println!("{}", serde_json::to_string_pretty(&replayed)?);
             Ok(())
         }
+        Command::Outage(o) => {
+            let seconds = [o.before, o.shut, o.after];
+            let outage = outage::Outage { relays: o.relays, per_s: o.per_s, limit: o.limit, seconds };
+            println!("{}", serde_json::to_string_pretty(&outage::run(&o.relay, outage, &o.chart).await?)?);
+            Ok(())
+        }
         Command::Compare(c) => compare_all(&c).await,
     }
 }
--- a/src/net/owner/undelivered.rs
+++ b/src/net/owner/undelivered.rs
@@ -43,6 +43,9 @@
     /// What is known of whether a flow that ends has run. `refused`: the call that the ledger may show as out is
     /// proved not to have.
     fn ran(&self, no: FlowNo, refused: bool, now: Duration, machine: &MachineClock) -> Ran {
+        if self.refused_for_good(no) {
+            return Ran::Never;
+        }
         let progress = self.journal.ledger().open.get(&no).map(|(_, p)| p.clone()).unwrap_or_default();
         match progress.risk.or(progress.out.filter(|_| !refused)) {
             Some(sent) => Ran::MayHave(machine.stamp_of(sent.at, now), sent.server),
@@ -50,6 +53,11 @@
         }
     }
 
+    /// A mail server's 5yz is its word that it did not take the message, and that it never will (RFC 5321, 4.2.1).
+    fn refused_for_good(&self, no: FlowNo) -> bool {
+        self.said.get(&no).is_some_and(|s| s.starts_with('5'))
+    }
+
     /// An ordinary flow ends: it is kept, if it failed and a rule says so.
     pub(super) fn keep_if_wanted(&mut self, no: FlowNo, end: End, refused: bool, now: Duration) {
         let Some(mut keeper) = self.keeper.take() else { return };
@@ -91,7 +99,7 @@
             ..Kept::default()
         };
         kept.settle_first(self.ran(no, refused, now, &keeper.machine), stamp);
-        if self.said.get(&no).is_some_and(|s| s.starts_with('5')) && kept.is() == State::Waiting {
+        if self.refused_for_good(no) {
             kept.set_state(State::GivenUp);
             kept.note(stamp, "refused for good", "");
         }
@@ -125,6 +133,7 @@
         } else if let Ok(Some(mut kept)) = keeper.shelf.get(key) {
             let rule = keeper.planner.rules().of(&kept.class, kept.destination);
             let (tries, pause) = rule.map_or((0, NOT_NOW), |r| (r.tries, r.pause));
+            let tries = if self.refused_for_good(no) { 0 } else { tries };
             if !sent {
                 kept.not_begun(NOT_NOW, stamp);
             } else {
@@ -140,6 +149,7 @@
             tracing::error!(key, "undelivered: a message cannot be read; it is not sent again");
             keeper.planner.remove(key);
         }
+        self.said.remove(&no);
         self.keeper = Some(keeper);
         self.resend_ends.push(no);
     }
--- a/tests/mail.rs
+++ b/tests/mail.rs
@@ -373,3 +373,45 @@
     relay.logged("attempt_ended: Too many operations");
     assert_eq!(taken.lock().unwrap().len(), 1);
 }
+
+/// What `onyxstile undelivered …` says.
+fn undelivered(folder: &Folder, words: &[&str]) -> String {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_onyxstile"));
+    let output = command.arg("undelivered").args(words).arg("--state").arg(state(folder)).output().unwrap();
+    String::from_utf8(output.stdout).unwrap()
+}
+
+#[test]
+fn recipients_that_were_not_served_are_kept_apart_and_a_resend_tells_no_sender_twice() {
+    let folder = Folder::new("mail-kept");
+    let (bounce, bounces) = stand_in(false, Fault::None);
+    let (server, taken) = stand_in(true, Fault::None);
+    let text = file(&folder, 100, &[("smtp", 0, bounce), ("lmtp", 1, server)])
+        + "[undelivered]\n[[undelivered.rule]]\nwhen = \"hand\"\n";
+    let relay = Relay::start(&folder, &text);
+    let to = ["ok@d1.example", "never@d1.example", "lost@d1.example"].map(String::from);
+    let said = hand_in(relay.address("LMTP"), true, "client@d0.example", &to, "Subject: a\r\n\r\nb\r\n");
+    assert!(said.iter().all(|r| r.starts_with("250")), "{said:?}");
+    until("both notifications", || (reports(&bounces).len() == 2).then_some(()));
+    let kept = || {
+        let list = undelivered(&folder, &["list", "--format", "json"]);
+        let items = list.lines().map(|l| serde_json::from_str::<serde_json::Value>(l).unwrap());
+        let parts = |i: serde_json::Value| {
+            (i["recipient"].as_str().unwrap().to_string(), i["state"].clone(), i["key"].to_string())
+        };
+        items.map(parts).collect::<Vec<_>>()
+    };
+    let states: BTreeMap<_, _> = kept().into_iter().map(|(to, state, _)| (to, state)).collect();
+    assert_eq!(states[&to[1]], "given-up", "refused for good: {states:?}");
+    assert_eq!(states[&to[2]], "may-have-run", "no reply for it came: {states:?}");
+    assert_eq!(states.len(), 2);
+    let key = kept().into_iter().find(|k| k.0 == to[2]).unwrap().2;
+    assert!(undelivered(&folder, &["resend", &key]).starts_with("0 changed, 1 left"));
+    let before = taken.lock().unwrap().len();
+    assert!(undelivered(&folder, &["resend", &key, "--may-have-run"]).starts_with("1 changed"));
+    until("the resend", || (taken.lock().unwrap().len() > before).then_some(()));
+    // Its reply is lost again, and nobody hears of that but the operator.
+    until("its end", || kept().iter().any(|k| k.0 == to[2] && k.1 == "may-have-run").then_some(()));
+    sleep(Duration::from_millis(300));
+    assert_eq!(reports(&bounces).values().sum::<usize>(), 2);
+}
