--- a/src/net/owner/recovery.rs
+++ b/src/net/owner/recovery.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Longer than any key's window.
+const LONG_AGO: Duration = Duration::from_secs(30 * 86_400);
+
 impl Owner {
     /// Takes up the flows that an earlier process left open. A call that was out may have run; what follows
     /// from that is for the module to say.
@@ -32,7 +35,9 @@
                 }
             }
             let risk = progress.risk.or(progress.out);
-            let risk = risk.map(|r| (now.saturating_sub(r.at), self.directory.number(&r.server)));
+            // Guards keyed flows against a clock that was set back: nobody can tell how old such a send is.
+            let age = |at| now.checked_sub(at).unwrap_or(LONG_AGO);
+            let risk = risk.map(|r| (age(r.at), self.directory.number(&r.server)));
             let past = Past { attempts: progress.attempts, risk };
             if !self.take_up(no, &flow, Some(past), now) {
                 // The settings have lost its class: nothing can be decided for it but its end.
