Make a trace's events of many facts at once, read shelves before the partner in the outage

The owner now puts down facts, and events are made of 128 of them or an eighth of the flush interval. The outage read the partner's calls before the shelves, so that a resend in between looked like a loss.

--- a/src/cli/undelivered.rs
+++ b/src/cli/undelivered.rs
@@ -286,10 +286,18 @@
     }
 }
 
-fn change(state: &Path, filter: Filter, what: What, by: Option<String>) -> Done {
+/// Which messages are to be changed; all of them takes a word.
+fn chosen(
+    keys: Vec<u64>, destination: Option<u64>, customer: Option<String>, state: Option<String>,
+) -> Result<Filter, Failed> {
+    let filter = Filter { keys, destination, customer, state: state_of(state)?, ..Filter::default() };
     if filter == Filter::default() {
         return Err(Failed::unreadable("name some keys, or a destination, customer or state"));
     }
+    Ok(filter)
+}
+
+fn change(state: &Path, filter: Filter, what: What, by: Option<String>) -> Done {
     let by = by.or_else(|| std::env::var("USER").ok()).unwrap_or_default();
     let mut source = Source::open(state, None)?;
     let (mut done, mut left) = (0, 0);
@@ -359,38 +367,14 @@
                 Ok(ExitCode::SUCCESS)
             }
             Command::Resend(o) => {
-                let state = state_of(o.in_state)?;
-                let filter = Filter {
-                    keys: o.keys,
-                    destination: o.destination,
-                    customer: o.customer,
-                    state,
-                    ..Filter::default()
-                };
                 let what = if o.may_have_run { What::ResendMayHaveRun } else { What::Resend };
-                change(&o.state, filter, what, o.by)
+                change(&o.state, chosen(o.keys, o.destination, o.customer, o.in_state)?, what, o.by)
             }
             Command::Hold(o) => {
-                let state = state_of(o.in_state)?;
-                let filter = Filter {
-                    keys: o.keys,
-                    destination: o.destination,
-                    customer: o.customer,
-                    state,
-                    ..Filter::default()
-                };
-                change(&o.state, filter, What::Hold, o.by)
+                change(&o.state, chosen(o.keys, o.destination, o.customer, o.in_state)?, What::Hold, o.by)
             }
             Command::Discard(o) => {
-                let state = state_of(o.in_state)?;
-                let filter = Filter {
-                    keys: o.keys,
-                    destination: o.destination,
-                    customer: o.customer,
-                    state,
-                    ..Filter::default()
-                };
-                change(&o.state, filter, What::Discard, o.by)
+                change(&o.state, chosen(o.keys, o.destination, o.customer, o.in_state)?, What::Discard, o.by)
             }
             Command::Export(o) => {
                 let state = state_of(o.in_state)?;
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -217,8 +217,8 @@
         loop {
             if self.phase.state() >= State::Draining && self.drained() {
                 self.witness_phase(Stage::Stopped);
-                self.witness_step();
-                return self.witness.map(|w| w.recorder);
+                self.witness_step(true);
+                return self.witness.map(Witness::into_recorder);
             }
             let now = self.clock.now();
             let kept = self.keeper.as_ref().map(Keeper::due);
@@ -229,7 +229,7 @@
                 biased;
                 message = self.queue.recv() => match message {
                     Some(message) => self.take(message),
-                    None => return self.witness.map(|w| w.recorder),
+                    None => return self.witness.map(Witness::into_recorder),
                 },
                 () = sleep_until(due) => {}
                 () = self.phase.reached(State::Draining), if self.draining_since.is_none() => {}
@@ -300,6 +300,7 @@
     }
 
     fn take_list(&mut self, list: &RawList) {
+        self.scribe();
         if list.all {
             self.directory.begin_whole();
         }
@@ -339,6 +340,7 @@
     }
 
     fn take_servers(&mut self, servers: Vec<FixedServer>) {
+        self.scribe();
         let old = std::mem::replace(&mut self.fixed, servers);
         let stays = |f: &FixedServer| self.fixed.iter().any(|n| n.entry.uid == f.entry.uid);
         let gone = old.into_iter().filter(|f| !stays(f)).map(|mut f| {
@@ -381,7 +383,7 @@
         }
         let now = self.clock.now();
         self.vigil.overdue(now).into_iter().for_each(|story| tracing::error!("{story}"));
-        self.witness_step();
+        self.witness_step(false);
     }
 
     /// Writes down first what the effects promise, then does them.
--- a/src/net/owner/recovery.rs
+++ b/src/net/owner/recovery.rs
@@ -46,6 +46,7 @@
                 continue;
             };
         }
+        self.scribe();
         if let Some(Witness { scribe, .. }) = &mut self.witness {
             self.journal.ledger().owed.iter().for_each(|(no, owed)| scribe.owed_before(*no, &owed.id));
         }
--- a/src/net/owner/undelivered.rs
+++ b/src/net/owner/undelivered.rs
@@ -116,7 +116,8 @@
 
     /// A resend ended, or was not taken on: what becomes of its message.
     pub(super) fn settle_resend(&mut self, no: FlowNo, end: Option<End>, refused: bool, now: Duration) {
-        let (Some(mut keeper), Some(resend)) = (self.keeper.take(), self.resends.get(&no)) else { return };
+        let Some(resend) = self.resends.get(&no) else { return };
+        let Some(mut keeper) = self.keeper.take() else { return };
         let (key, stamp) = (resend.key, keeper.machine.stamp(now));
         let delivered = matches!(end, Some(End::Delivered | End::Over));
         // Held by the module to its end, it showed nothing of its destination, and was no try.
--- a/src/net/owner/witness.rs
+++ b/src/net/owner/witness.rs
@@ -1,4 +1,7 @@
 //! What the owner tells the recorder: all that goes into a step, and all that comes out of it.
+//!
+//! What happens to each flow is put down as a [`Fact`], and events are made of many facts at once. A relay that is not
+//! busy sleeps between messages, and finds its caches cold: made one by one, events cost several times as much.
 
 use super::*;
 use crate::api::Note;
@@ -6,35 +9,111 @@
 use crate::net::trace::scribe::{Incoming, Scribe};
 use onyxstile_trace::events::{Stage, Why};
 
+/// Facts of which events are made at once, about.
+const FACTS: usize = 128;
+
+/// What happens to most flows.
+#[derive(Debug)]
+enum Fact {
+    Offered(FlowNo, FlowTerms, Duration, Rc<Parcel>),
+    Taken(FlowNo),
+    Sent(FlowNo, u32, ServerNo, Duration),
+    AttemptEnded(CallEnd, DestinationId),
+    Ended(FlowNo, End, bool),
+}
+
 /// A scribe, and where its events go.
 #[derive(Debug)]
 pub struct Witness {
-    /// Makes events.
-    pub scribe: Scribe,
-    /// Takes them.
-    pub recorder: Recorder,
+    pub(super) scribe: Scribe,
+    recorder: Recorder,
+    facts: Vec<(Duration, Fact)>,
+}
+
+impl Witness {
+    /// One that has seen nothing.
+    pub fn new(scribe: Scribe, recorder: Recorder) -> Witness {
+        Witness { scribe, recorder, facts: Vec::with_capacity(2 * FACTS) }
+    }
+
+    /// What takes the events.
+    pub fn into_recorder(self) -> Recorder {
+        self.recorder
+    }
+
+    /// When events have to be made, or handed over.
+    fn due(&self) -> Option<Duration> {
+        let first = self.facts.first().map(|(at, _)| *at + self.recorder.patience());
+        first.into_iter().chain(self.recorder.due()).min()
+    }
+
+    /// Makes events of all facts.
+    fn tell(&mut self, directory: &Directory, apart: &[bool]) {
+        let Witness { scribe, facts, .. } = self;
+        for (at, fact) in facts.drain(..) {
+            scribe.pass(at);
+            match fact {
+                Fact::Offered(no, terms, deadline, parcel) => {
+                    scribe.offered(no, &incoming(&terms, deadline, &parcel), at);
+                }
+                Fact::Taken(no) => scribe.taken(no, at),
+                Fact::Sent(no, attempt, server, patience) => {
+                    scribe.sent(no, attempt, directory.uid(server), patience, at);
+                }
+                Fact::AttemptEnded(end, destination) => {
+                    let kind = directory.get(end.server).map(|s| s.kind);
+                    let alone = kind.and_then(|k| apart.get(k.0)).copied().unwrap_or_default();
+                    scribe.attempt_ended(&end, directory.uid(end.server), destination, alone, at);
+                }
+                Fact::Ended(no, end, owed) => scribe.ended(no, end, owed, at),
+            }
+        }
+    }
 }
 
 impl Owner {
+    /// The scribe, for what does not happen with each flow: all facts before it are told first, so that events are in
+    /// their order and the directory still has the servers that they name.
+    pub(super) fn scribe(&mut self) -> Option<&mut Scribe> {
+        let witness = self.witness.as_mut()?;
+        witness.tell(&self.directory, &self.apart);
+        Some(&mut witness.scribe)
+    }
+
+    fn fact(&mut self, fact: Fact, at: Duration) {
+        if let Some(witness) = &mut self.witness {
+            witness.facts.push((at, fact));
+        }
+    }
+
     /// Something other than an offer came in.
     pub(super) fn witness_in(&mut self, message: &ToOwner) {
-        let Some(Witness { scribe, .. }) = &mut self.witness else { return };
+        if self.witness.is_none() {
+            return;
+        }
         let now = self.clock.now();
         match message {
             ToOwner::Offer(_) | ToOwner::List(_) | ToOwner::Control(..) | ToOwner::Rules(_) => {}
             ToOwner::CallEnded(end, _) => {
-                let server = self.directory.uid(end.server);
                 let destination = self.destinations.get(&end.flow).copied().unwrap_or_default();
-                let kind = self.directory.get(end.server).map(|s| s.kind);
-                let alone = kind.and_then(|k| self.apart.get(k.0)).copied().unwrap_or_default();
-                scribe.attempt_ended(end, server, destination, alone, now);
+                self.fact(Fact::AttemptEnded(*end, destination), now);
             }
             ToOwner::Probed(server, outcome, limit) => {
-                let destination = self.directory.destination(*server);
-                scribe.probed(self.directory.uid(*server), destination, Some((*outcome, *limit)), now);
+                let (uid, destination) = (self.directory.uid(*server), self.directory.destination(*server));
+                if let Some(scribe) = self.scribe() {
+                    scribe.probed(uid, destination, Some((*outcome, *limit)), now);
+                }
+            }
+            ToOwner::Operator(servers, _) => {
+                if let Some(scribe) = self.scribe() {
+                    scribe.configuration(servers.len(), now);
+                }
+            }
+            ToOwner::NoticesHeard(flows) => {
+                if let Some(scribe) = self.scribe() {
+                    scribe.heard(flows, now);
+                }
             }
-            ToOwner::Operator(servers, _) => scribe.configuration(servers.len(), now),
-            ToOwner::NoticesHeard(flows) => scribe.heard(flows, now),
         }
     }
 
@@ -48,9 +127,9 @@
             Verdict::Failed => (Why::GivenUp, Duration::ZERO),
             Verdict::Unknown(_) => (Why::NamesUnknown, Duration::ZERO),
         };
-        let Some(Witness { scribe, .. }) = &mut self.witness else { return };
         let (now, class) = (self.clock.now(), position(&self.names.classes, &offer.class));
         let tenant = offer.tenant.as_ref().and_then(|t| position(&self.names.tenants, t)).map(TenantId);
+        let Some(scribe) = self.scribe() else { return };
         for (_, (destination, parcel)) in
             offer.items.iter().enumerate().filter(|(n, _)| which.is_none_or(|w| w == *n))
         {
@@ -68,18 +147,18 @@
 
     /// A flow has its number: it is offered to the core.
     pub(super) fn witness_offer(
-        &mut self, no: FlowNo, terms: &FlowTerms, deadline: Duration, parcel: &Parcel,
+        &mut self, no: FlowNo, terms: &FlowTerms, deadline: Duration, parcel: &Rc<Parcel>,
     ) {
-        if let Some(Witness { scribe, .. }) = &mut self.witness {
-            let now = self.clock.now();
-            scribe.offered(no, &incoming(terms, deadline, parcel), now);
+        let now = self.clock.now();
+        if self.witness.is_some() {
+            self.fact(Fact::Offered(no, *terms, deadline, parcel.clone()), now);
         }
     }
 
     /// A flow was taken up: one that an earlier process left, or a notification that is a flow of its own.
     pub(super) fn witness_up(&mut self, no: FlowNo, terms: &FlowTerms, flow: &TakenFlow, past: Option<Past>) {
         let now = self.clock.now();
-        let Some(Witness { scribe, .. }) = &mut self.witness else { return };
+        let Some(scribe) = self.scribe() else { return };
         let incoming = incoming(terms, flow.deadline, &flow.parcel);
         match past {
             Some(past) => scribe.recovered(no, &incoming, past.attempts, past.risk.is_some(), now),
@@ -94,58 +173,76 @@
     pub(super) fn witness_out(
         &mut self, effects: &[Effect<Rc<Parcel>>], lasting: bool, now: Duration, resent: &BTreeSet<FlowNo>,
     ) {
-        let Some(Witness { scribe, .. }) = &mut self.witness else { return };
-        let there = |server: ServerNo| self.directory.get(server).is_some_and(|s| s.address.is_some());
+        if self.witness.is_none() {
+            return;
+        }
         for effect in effects {
             match effect {
-                Effect::Taken(no, _) if lasting => scribe.taken(*no, now),
-                Effect::Taken(no, _) => scribe.turned_down(*no, Why::Journal, Duration::ZERO, now),
-                Effect::TurnedDown(no, _, End::Returned(wait)) => {
-                    scribe.turned_down(*no, Why::Module, *wait, now)
+                Effect::Taken(no, _) if lasting => self.fact(Fact::Taken(*no), now),
+                Effect::Call { flow, attempt, server, give_up_at, .. } if lasting => {
+                    if self.directory.get(*server).is_some_and(|s| s.address.is_some()) {
+                        let patience = give_up_at.saturating_sub(now);
+                        self.fact(Fact::Sent(*flow, *attempt, *server, patience), now);
+                    }
                 }
-                Effect::TurnedDown(no, ..) => scribe.turned_down(*no, Why::GivenUp, Duration::ZERO, now),
-                Effect::Call { flow, attempt, server, give_up_at, .. } if lasting && there(*server) => {
-                    let patience = give_up_at.saturating_sub(now);
-                    scribe.sent(*flow, *attempt, self.directory.uid(*server), patience, now);
-                }
-                Effect::StopCall(flow, attempt) => scribe.stopped(*flow, *attempt, now),
                 Effect::Ended(no, parcel, end) => {
                     let owed = owes_notice(parcel, *end) && !resent.contains(no);
-                    scribe.ended(*no, *end, owed, now);
-                }
-                Effect::Probe(server) => {
-                    let destination = self.directory.destination(*server);
-                    scribe.probed(self.directory.uid(*server), destination, None, now);
-                }
-                Effect::Note(Note::Health(server, from, to, after)) => {
-                    let destination = self.directory.destination(*server);
-                    scribe.health(self.directory.uid(*server), destination, (*from, *to), *after, now);
+                    self.fact(Fact::Ended(*no, *end, owed), now);
                 }
-                Effect::Note(Note::Timer(no, firings, won)) => scribe.timer(*no, *firings, *won, now),
-                _ => {}
+                other => self.witness_rare(other, now),
+            }
+        }
+    }
+
+    fn witness_rare(&mut self, effect: &Effect<Rc<Parcel>>, now: Duration) {
+        let server = match effect {
+            Effect::Probe(server) | Effect::Note(Note::Health(server, ..)) => *server,
+            Effect::Taken(..)
+            | Effect::TurnedDown(..)
+            | Effect::StopCall(..)
+            | Effect::Note(Note::Timer(..)) => ServerNo::default(),
+            _ => return,
+        };
+        let (uid, destination) = (self.directory.uid(server), self.directory.destination(server));
+        let Some(scribe) = self.scribe() else { return };
+        match effect {
+            Effect::Taken(no, _) => scribe.turned_down(*no, Why::Journal, Duration::ZERO, now),
+            Effect::TurnedDown(no, _, End::Returned(wait)) => {
+                scribe.turned_down(*no, Why::Module, *wait, now)
             }
+            Effect::TurnedDown(no, ..) => scribe.turned_down(*no, Why::GivenUp, Duration::ZERO, now),
+            Effect::StopCall(flow, attempt) => scribe.stopped(*flow, *attempt, now),
+            Effect::Probe(_) => scribe.probed(uid, destination, None, now),
+            Effect::Note(Note::Health(_, from, to, after)) => {
+                scribe.health(uid, destination, (*from, *to), *after, now);
+            }
+            Effect::Note(Note::Timer(no, firings, won)) => scribe.timer(*no, *firings, *won, now),
+            _ => {}
         }
     }
 
     /// The program's phase.
     pub(super) fn witness_phase(&mut self, stage: Stage) {
         let now = self.clock.now();
-        if let Some(Witness { scribe, .. }) = &mut self.witness {
+        if let Some(scribe) = self.scribe() {
             scribe.phase(stage, now);
         }
     }
 
     /// When the recorder has to be given what it has.
     pub(super) fn witness_due(&self) -> Option<Duration> {
-        self.witness.as_ref().and_then(|w| w.recorder.due())
+        self.witness.as_ref().and_then(Witness::due)
     }
 
-    /// The end of a step: what was made of it is handed over.
-    pub(super) fn witness_step(&mut self) {
-        if let Some(Witness { scribe, recorder }) = &mut self.witness {
-            let now = self.clock.now();
-            scribe.pass(now);
-            recorder.take(scribe.made(), now);
+    /// The end of a step: once there is enough, or it has waited long enough, events are made and handed over; `last`:
+    /// in any case.
+    pub(super) fn witness_step(&mut self, last: bool) {
+        let Some(witness) = &mut self.witness else { return };
+        let now = self.clock.now();
+        if witness.facts.len() >= FACTS || last || witness.due().is_some_and(|due| due <= now) {
+            witness.tell(&self.directory, &self.apart);
+            witness.scribe.pass(now);
+            witness.recorder.take(witness.scribe.made(), now);
         }
     }
 }
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -175,7 +175,7 @@
     let recorder = Recorder::start(settings, whose).map_err(|e| StartError(format!("trace: {e}")))?;
     let scribe = Scribe::new(settings.events, settings.sample, config.names.clone(), terms.collect());
     tracing::info!("trace in {}", settings.folder.display());
-    Ok(Witness { scribe, recorder })
+    Ok(Witness::new(scribe, recorder))
 }
 
 async fn listen(what: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
--- a/src/net/trace/recorder.rs
+++ b/src/net/trace/recorder.rs
@@ -71,7 +71,7 @@
             to: Some(to),
             pending: Batch::default(),
             since: Duration::ZERO,
-            patience: settings.flush / 4,
+            patience: settings.flush / 8,
             waiting,
             most,
             dropped: 0,
@@ -81,6 +81,11 @@
         })
     }
 
+    /// How long whoever makes the events may keep what they are made of; as long may they wait here.
+    pub fn patience(&self) -> Duration {
+        self.patience
+    }
+
     /// When what is pending has to go, by the clock of [`Recorder::take`].
     pub fn due(&self) -> Option<Duration> {
         (!self.pending.is_empty()).then_some(self.since + self.patience)
