--- a/src/net/trace/recorder.rs
+++ b/src/net/trace/recorder.rs
@@ -449,16 +449,27 @@
     #[test]
     fn a_writer_that_is_behind_costs_events_which_are_counted_and_no_time() {
         let folder = Folder::new("behind");
-        let small = TraceSettings { buffer: 100, ..settings(&folder) };
+        // No file gives way to another here.
+        let small = TraceSettings { buffer: 100, total: 10_000_000, ..settings(&folder) };
         let mut recorder = Recorder::start(&small, whose()).unwrap();
         let began = Instant::now();
         for n in 0..200 {
             recorder.hand_over(batch((0..50).map(|m| event(n * 50 + m))));
         }
         assert!(began.elapsed() < Duration::from_secs(1));
-        std::thread::sleep(Duration::from_millis(100));
+        // However fast the thread is, this is more than the buffer holds.
+        recorder.hand_over(batch((0..150).map(|m| event(9000 + m))));
+        // A machine that is busy may keep the thread from its work for longer than the end of a program waits.
+        let end = Instant::now() + Duration::from_secs(20);
+        while recorder.waiting.load(Relaxed) > 0 && Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(5));
+        }
         recorder.hand_over(batch([event(10_000)]));
         recorder.close();
+        let last = |events: &[Event]| events.iter().any(|e| *e == event(10_000));
+        while !last(&read(&folder).0) && Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(5));
+        }
         let (events, ..) = read(&folder);
         let dropped = |e: &Event| match &e.what {
             Some(What::Dropped(d)) => d.events,
@@ -466,8 +477,8 @@
         };
         let lost: u64 = events.iter().map(dropped).sum();
         let kept = events.iter().filter(|e| matches!(e.what, Some(What::Sent(_)))).count() as u64;
-        assert!(lost > 0, "the buffer holds a hundredth of it");
-        assert_eq!(lost + kept, 10_001);
+        assert!(lost >= 150, "{lost}");
+        assert_eq!(lost + kept, 10_151);
     }
 
     #[test]
