Size the shelf's commits by what its store takes, at its start too

Read once more: the start wrote up to 64 changes by a path of its own, and both paths could hand a small store more than a segment holds, which kept a relay from starting or lost a change. There is one path, and the store says.

Measured: the store's, the keeper's and the relay's tests for undelivered messages pass, unchanged.

--- a/crates/onyxstile-store/src/store.rs
+++ b/crates/onyxstile-store/src/store.rs
@@ -191,6 +191,11 @@
         self.copied
     }
 
+    /// Bytes of one commit, at most, with what each change takes beside its value.
+    pub fn commit_max(&self) -> usize {
+        (FRAME_MAX / 2).min(self.options.segment as usize)
+    }
+
     /// Whether records of so many bytes more fit for good, whatever compaction needs.
     pub fn has_room(&self, records: usize, bytes: usize) -> bool {
         let more = (bytes + records * (frame::overhead(F) + FRAME)) as u64;
@@ -239,7 +244,7 @@
             });
         }
         frame::end(&mut frame, 0);
-        if frame.len() > FRAME_MAX / 2 || frame.len() as u64 > self.options.segment {
+        if frame.len() > self.commit_max() {
             return Err(Error::TooLarge(frame.len()));
         }
         if adds {
--- a/src/net/undelivered/keeper.rs
+++ b/src/net/undelivered/keeper.rs
@@ -14,7 +14,7 @@
 
 /// How soon a look is taken again that found nothing to do, at least.
 const LOOK: Duration = Duration::from_millis(50);
-/// Bytes of one commit, about: two messages of the largest size fit a frame beside it.
+/// Bytes of one commit, at most, where the store takes so many.
 const CHUNK: usize = 128 * 1024;
 /// Bytes of a message's records beside its body, about.
 const RECORDS: u32 = 512;
@@ -125,10 +125,11 @@
                 keeper.plan(&kept);
             }
             if keeper.staged.len() >= AT_ONCE {
-                keeper.write_now(Sync::Lasting)?;
+                keeper.write(Vec::new(), true)?;
             }
         }
-        keeper.write_now(Sync::Lasting)?;
+        keeper.write(Vec::new(), true)?;
+        keeper.shelf.store.sync()?;
         if report.damaged {
             tracing::error!(
                 "undelivered: the store was damaged ({report:?}); nothing in it is resent without a word"
@@ -142,11 +143,6 @@
         Ok(keeper)
     }
 
-    fn write_now(&mut self, sync: Sync) -> onyxstile_store::Result<()> {
-        let staged = std::mem::take(&mut self.staged);
-        self.shelf.store.commit(&staged, sync)
-    }
-
     /// Whether a resend's flow, which the journal has as open, is what the store says is under way.
     pub fn goes_on(&self, flow: FlowNo, of: FlowNo) -> bool {
         matches!(self.shelf.get(of.0), Ok(Some(kept)) if kept.is() == State::Resending && kept.resend == flow.0)
@@ -224,12 +220,18 @@
         let sync = if lasting { Sync::Lasting } else { Sync::Written };
         // One commit takes what fits a frame; both records of a message are in one.
         while !changes.is_empty() {
-            let mut bytes = 0;
-            let whole = changes.iter().position(|c| {
-                bytes += if let Change::Put { value, .. } = c { value.len() + 64 } else { 16 };
-                bytes > CHUNK && ends_a_message(c)
-            });
-            let rest = changes.split_off(whole.map_or(changes.len(), |n| n + 1));
+            let most = CHUNK.min(self.shelf.store.commit_max() - 64);
+            let (mut bytes, mut fits) = (0, 0);
+            for (n, change) in changes.iter().enumerate() {
+                bytes += if let Change::Put { value, .. } = change { value.len() + 64 } else { 16 };
+                if bytes > most && fits > 0 {
+                    break;
+                }
+                if ends_a_message(change) {
+                    fits = n + 1;
+                }
+            }
+            let rest = changes.split_off(if fits > 0 { fits } else { changes.len() });
             match self.shelf.store.commit(&changes, sync) {
                 Ok(()) => changes = rest,
                 Err(Error::TooLarge(bytes)) => {
