--- a/src/api.rs
+++ b/src/api.rs
@@ -3,42 +3,44 @@
 //! Nothing here decides anything. Every time is a [`Duration`] since one arbitrary epoch that the caller
 //! picks and keeps; the clock handed to the module must never go back.
 
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
 use std::time::Duration;
 
 /// A message, as the caller names it. Never used twice.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MessageId(pub u64);
 
 /// An endpoint: one address of a destination. The caller keeps the number for as long as the address is known.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub u32);
 
 /// A destination: the partner system that a message is for.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct DestinationId(pub u64);
 
 /// What an ordered message is about; messages with the same key take turns.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct OrderKey(pub u64);
 
 /// Index into [`Settings::classes`].
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClassId(pub usize);
 
 /// Index into [`Settings::tenants`].
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TenantId(pub usize);
 
 /// The number of a zone.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ZoneId(pub usize);
 
 /// Index into [`Settings::kinds`].
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct KindId(pub usize);
 
 /// Which endpoints of a destination drop the repeats of a keyed message.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RepeatGroup {
     /// Any endpoint of the destination.
     All,
@@ -49,7 +51,7 @@
 }
 
 /// What a repeat of a message does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// Safe to repeat.
     Repeatable,
@@ -66,7 +68,7 @@
 }
 
 /// A class of messages.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ClassSettings {
     /// Delivered within this time of being handed in, a message earns its full worth.
     pub aim: Duration,
@@ -83,7 +85,7 @@
 }
 
 /// A kind of destination.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KindSettings {
     /// Messages that may share one call.
     pub per_call: usize,
@@ -92,14 +94,14 @@
 }
 
 /// A tenant's quota.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct TenantSettings {
     /// Messages a second over all senders that count as within the tenant's share.
     pub quota_per_s: f64,
 }
 
 /// How worth falls once the aim has passed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LateWorth {
     /// Evenly, down to the late share at the deadline.
     Line,
@@ -108,7 +110,7 @@
 }
 
 /// What the rate of an endpoint ([`EndpointInfo::rate`]) says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RateSource {
     /// Nothing.
     None,
@@ -117,7 +119,7 @@
 }
 
 /// What a controller is told once, at its start.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Classes of messages, at least one.
     pub classes: Vec<ClassSettings>,
@@ -211,7 +213,7 @@
 impl std::error::Error for SettingsError {}
 
 /// What the list says of an endpoint. It never says anything of its health.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListState {
     /// Listed.
     Live,
@@ -223,7 +225,7 @@
 }
 
 /// One line of the endpoint list.
-#[derive(Debug, Default, Clone, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndpointInfo {
     /// The endpoint.
     pub id: EndpointId,
@@ -411,7 +413,7 @@
 
 /// What an endpoint is taken for. Down: only trials. Warming: back, or failing most calls, since then, and within
 /// the cold budget.
-#[derive(Debug, Default, Clone, Copy, PartialEq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Health {
     /// It takes what it is sent.
     #[default]
@@ -457,3 +459,34 @@
     /// This one was.
     Endpoint(EndpointId),
 }
+
+/// Where a controller keeps its proposer. It is never part of a controller's written state: whoever reads that back
+/// sets its own.
+#[derive(Debug, Default)]
+pub struct ProposerCell(RefCell<Option<Box<dyn Proposer>>>);
+
+impl std::ops::Deref for ProposerCell {
+    type Target = RefCell<Option<Box<dyn Proposer>>>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
+impl std::ops::DerefMut for ProposerCell {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        &mut self.0
+    }
+}
+
+impl Serialize for ProposerCell {
+    fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_unit()
+    }
+}
+
+impl<'de> Deserialize<'de> for ProposerCell {
+    fn deserialize<D: serde::Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        <()>::deserialize(from).map(|()| ProposerCell::default())
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,7 +7,6 @@
 use crate::api::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
-use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -93,7 +92,7 @@
 // ---- State ------------------------------------------------------------------------------------------------
 
 /// An exponentially decaying rate of events, a second.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, serde::Serialize, serde::Deserialize)]
 struct Rate {
     value: f64,
     at: Duration,
@@ -108,7 +107,7 @@
     }
 }
 
-#[derive(Debug, Default, Clone, Copy, PartialEq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
 enum State {
     #[default]
     Ready,
@@ -116,7 +115,7 @@
     InFlight,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 struct Message {
     class: usize,
     worth: f64,
@@ -133,7 +132,7 @@
 }
 
 /// Sends of one step that travel together: one slot until all outcomes are in.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 struct Call {
     destination: DestinationId,
     endpoint: EndpointId,
@@ -146,7 +145,7 @@
     cancelled: bool,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 struct Endpoint {
     info: EndpointInfo,
     lane: LaneId,
@@ -174,7 +173,7 @@
 /// What limits and waits bind: a destination, or one endpoint where routes are apart.
 type LaneId = (DestinationId, Option<EndpointId>);
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 struct Lane {
     wait_until: Duration,
     pace: f64,
@@ -196,7 +195,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 struct Destination {
     endpoints: Vec<EndpointId>,
     first_sends: Rate,
@@ -205,14 +204,14 @@
 }
 
 /// Messages of one key in the order taken, and what keeps the next one waiting.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 struct KeyQueue {
     queue: VecDeque<MessageId>,
     rest: Option<(Duration, MessageId)>,
 }
 
 /// The decisions of one sender. Instances share nothing.
-#[derive(Debug)]
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
 pub struct Controller {
     settings: Settings,
     rng: Pcg32,
@@ -241,7 +240,7 @@
     asks_failed: u32,
     ask_at: Option<Duration>,
     /// Whose order of preference is asked first, if there is one.
-    proposer: RefCell<Option<Box<dyn Proposer>>>,
+    proposer: ProposerCell,
 }
 
 impl Controller {
@@ -271,14 +270,14 @@
             wake_at: None,
             asks_failed: 0,
             ask_at: settings.ask_for_list.then_some(now),
-            proposer: RefCell::new(None),
+            proposer: ProposerCell::default(),
             settings,
         })
     }
 
     /// From now on choices go by the proposer's order, for the destinations on which it has an opinion.
     pub fn set_proposer(&mut self, proposer: Box<dyn Proposer>) {
-        self.proposer = RefCell::new(Some(proposer));
+        *self.proposer.get_mut() = Some(proposer);
     }
 
     /// Takes a whole batch of events at the clock `now` and appends what is to be done to `actions`.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
     EndpointId as ServerNo, EndpointInfo as ServiceEntry, MessageId as FlowNo, Outcome, Settings,
     SettingsError,
 };
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -110,6 +111,28 @@
     out: Option<u32>,
 }
 
+/// A flow, but for its payload.
+#[derive(Debug, Serialize, Deserialize)]
+struct Bare {
+    destination: DestinationId,
+    attempts: u32,
+    out: Option<u32>,
+}
+
+/// What another process needs to go on with a core: the payloads, which outlive a process anyway, are not in it.
+#[derive(Debug, Serialize)]
+pub struct Written<'a> {
+    module: &'a Controller,
+    flows: BTreeMap<FlowNo, Bare>,
+}
+
+/// The same, as it was read.
+#[derive(Debug, Deserialize)]
+pub struct Read {
+    module: Controller,
+    flows: BTreeMap<FlowNo, Bare>,
+}
+
 /// The open flows, and the module that decides about them.
 #[derive(Debug)]
 pub struct Core<P> {
@@ -145,6 +168,32 @@
         })
     }
 
+    /// What another process needs to go on; none while something has come in that was not decided on, or where no
+    /// call may go out any more, of which the module knows nothing.
+    pub fn written(&self) -> Option<Written<'_>> {
+        let settled = self.events.is_empty() && self.fresh.is_empty() && self.ended.is_empty();
+        let bare = |f: &Flow<P>| Bare { destination: f.destination, attempts: f.attempts, out: f.out };
+        let flows = || self.flows.iter().map(|(no, f)| (*no, bare(f))).collect();
+        (settled && !self.closing).then(|| Written { module: &self.module, flows: flows() })
+    }
+
+    /// The core that another process had, with the payloads of its flows. None if a flow has none.
+    pub fn from_read(
+        read: Read, most_held: usize, mut payload: impl FnMut(FlowNo) -> Option<P>,
+    ) -> Option<Self> {
+        let with = |(no, Bare { destination, attempts, out })| {
+            Some((no, Flow { payload: payload(no)?, destination, attempts, out }))
+        };
+        let flows = read.flows.into_iter().map(with).collect::<Option<_>>()?;
+        let (events, fresh, ended, told) = (Vec::new(), Vec::new(), Vec::new(), BTreeSet::new());
+        Some(Core { module: read.module, flows, most_held, events, fresh, ended, told, closing: false })
+    }
+
+    /// The flows that are open.
+    pub fn flows(&self) -> impl Iterator<Item = FlowNo> {
+        self.flows.keys().copied()
+    }
+
     /// From now on the module asks the proposer first (see [`Proposer`]).
     pub fn set_proposer(&mut self, proposer: Box<dyn Proposer>) {
         self.module.set_proposer(proposer);
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -3,6 +3,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
+/// A difference between two processes' clocks that no hand-over takes: the system's time was set.
+const SET_FROM: Duration = Duration::from_secs(2);
+
 /// Never runs backwards, whatever is done to the system's time meanwhile; what it says can be written down
 /// and read again by a later process.
 #[derive(Debug, Clone, Copy)]
@@ -18,6 +21,13 @@
         Clock { start: Instant::now(), unix }
     }
 
+    /// A clock that goes on from another process' `now`. The system's time serves both, unless it was set meanwhile.
+    pub fn continuing(now: Duration) -> Self {
+        let clock = Clock::start();
+        let apart = clock.unix.abs_diff(now);
+        if apart < SET_FROM { clock } else { Clock { unix: now, ..clock } }
+    }
+
     /// Now.
     pub fn now(&self) -> Duration {
         self.unix + self.start.elapsed()
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -50,6 +50,8 @@
     pub idle: usize,
     /// Bytes of requests' bodies that are coming in or wait for the owner.
     pub bodies: usize,
+    /// Sockets of clients and real servers that two processes may hold together, as one takes over from the other.
+    pub together: usize,
     /// Messages that may wait for the owner: one for each edge connection and call, and some.
     pub queue: usize,
 }
@@ -61,7 +63,8 @@
         let idle = sockets.saturating_sub(edges + EDGES_OVER + OWN_DESCRIPTORS + calls).clamp(8, 256);
         let bodies = ((memory_mb.max(0.0) * 1e6) as usize / BODIES_SHARE).max(BODY_MAX);
         let queue = edges + 2 * calls + QUEUE_OVER;
-        Shares { edges, idle, bodies, queue }
+        let together = sockets.saturating_sub(2 * OWN_DESCRIPTORS);
+        Shares { edges, idle, bodies, together, queue }
     }
 }
 
--- a/src/net/directory.rs
+++ b/src/net/directory.rs
@@ -5,11 +5,12 @@
 use crate::api::{DestinationId, KindId, ListState, ZoneId};
 use crate::core::{ServerNo, ServiceEntry};
 use crate::settings::Names;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 /// A real server.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Server {
     /// Its lasting name.
     pub uid: String,
@@ -36,7 +37,7 @@
 
 /// Real servers by their lasting names. One that has gone is kept until its last call is over; should its name
 /// come again, it is another real server.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
 pub struct Directory {
     numbers: BTreeMap<String, ServerNo>,
     servers: BTreeMap<ServerNo, Server>,
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -8,6 +8,7 @@
 use super::parcel::{Parcel, Routed};
 use super::phase::{Evacuation, Phase, State};
 use super::routing::{Held, NoWay, Routing};
+use super::upgrade::parking::{Busy, EdgeNote, ParkedEdge, Parking};
 use crate::api::DestinationId;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -72,6 +73,8 @@
     pub limits: EdgeLimits,
     /// Where requests without a destination go.
     pub routing: Rc<Routing>,
+    /// Where connections are left for another process.
+    pub parking: Parking,
 }
 
 /// What all edge connections share.
@@ -120,12 +123,45 @@
         Rc::new(Edge { parts, paths, classes, ids, open, last, bodies })
     }
 
-    /// Accepts connections until the program stops.
+    /// Goes on with a connection that was parked.
+    pub fn adopt(self: &Rc<Self>, parked: ParkedEdge) {
+        let ParkedEdge { stream, note } = parked;
+        let peer = stream.peer_addr().map(|a| a.ip());
+        if let (Ok(stream), Ok(peer)) = (TcpStream::from_std(stream), peer) {
+            self.begin(stream, peer, note);
+        }
+    }
+
+    fn begin(self: &Rc<Self>, stream: TcpStream, peer: IpAddr, note: EdgeNote) {
+        let number = self.last.get() + 1;
+        self.last.set(number);
+        let connection = Rc::new(Connection {
+            peer,
+            since: Instant::now(),
+            served: Cell::new(note.served),
+            bound: Cell::new(false),
+            close: Notify::new(),
+        });
+        self.open.borrow_mut().insert(number, connection.clone());
+        let (edge, busy) = (self.clone(), self.parts.parking.busy());
+        tokio::task::spawn_local(async move {
+            edge.attend(stream, note, &connection, busy).await;
+            edge.open.borrow_mut().remove(&number);
+        });
+    }
+
+    /// Accepts connections until the program stops, or another process is to go on with that.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let busy = self.parts.parking.busy();
         loop {
             let stream = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = self.parts.phase.reached(State::Stopped) => return,
+                () = self.parts.parking.opened() => {
+                    self.parts.parking.leave_listener(listener.into_std());
+                    drop(busy);
+                    return;
+                }
             };
             match stream {
                 Ok((stream, peer)) => {
@@ -138,21 +174,8 @@
                             sleep(Duration::from_millis(1)).await;
                         }
                     }
-                    let number = self.last.get() + 1;
-                    self.last.set(number);
-                    let connection = Rc::new(Connection {
-                        peer: peer.ip(),
-                        since: Instant::now(),
-                        served: Cell::new(false),
-                        bound: Cell::new(false),
-                        close: Notify::new(),
-                    });
-                    self.open.borrow_mut().insert(number, connection.clone());
-                    let edge = self.clone();
-                    tokio::task::spawn_local(async move {
-                        edge.attend(stream, &connection).await;
-                        edge.open.borrow_mut().remove(&number);
-                    });
+                    let note = EdgeNote { read: Vec::new(), served: false, left: REQUEST_TIME };
+                    self.begin(stream, peer.ip(), note);
                     // Guards usual clients against a flood of connections: each is looked at before the next
                     // is taken.
                     yield_now().await;
@@ -203,11 +226,18 @@
         self.open.borrow().len() > self.parts.limits.connections / 2
     }
 
-    async fn attend(&self, stream: TcpStream, connection: &Connection) {
+    async fn attend(&self, stream: TcpStream, note: EdgeNote, connection: &Connection, busy: Busy) {
+        let parking = &self.parts.parking;
         let _ = stream.set_nodelay(true);
-        let mut reader = Reader::new(stream);
-        let mut due = connection.since + REQUEST_TIME;
+        let mut due = connection.since + note.left;
+        let mut reader = Reader::rewinding(stream, note.read);
+        let park = |reader: Reader<TcpStream>, due: Instant| {
+            let ((stream, read), served) = (reader.into_parts(), connection.served.get());
+            let left = due.saturating_duration_since(Instant::now());
+            parking.leave_edge(stream.into_std(), EdgeNote { read, served, left });
+        };
         loop {
+            reader.forget();
             let (mut left, mut idle) = (due.saturating_duration_since(Instant::now()), Duration::ZERO);
             loop {
                 tokio::select! {
@@ -216,6 +246,7 @@
                     () = connection.close.notified() => return,
                     () = self.parts.phase.reached(State::Stopped) => return,
                     () = self.sent_away() => return,
+                    () = parking.opened() => return park(reader, due),
                     () = sleep(left) => {
                         idle += left;
                         // A client that never sent anything is not one that keeps its connection.
@@ -233,6 +264,8 @@
                 biased;
                 read = timeout_at(due, self.request(&mut reader, connection.peer)) => read,
                 () = connection.close.notified() => Ok(Ok(Request::Answered(Reply::closing(503, "Service Unavailable").after(COME_BACK)))),
+                // What has come of the request goes along.
+                () = parking.opened() => return park(reader, due),
             };
             // Guards the promise of an answer: from here on the request is whole, and nothing cuts it short.
             connection.bound.set(true);
@@ -261,6 +294,7 @@
                 // hold them all.
                 connection.served.set(false);
                 connection.bound.set(false);
+                drop(busy);
                 tokio::select! {
                     _ = timeout(LINGER, reader.discard(LINGER_BYTES)) => {}
                     () = connection.close.notified() => {}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -167,12 +167,41 @@
 pub struct Reader<R> {
     inner: R,
     buffer: Vec<u8>,
+    /// What was used up of the message that is being read, where that is kept.
+    tape: Option<Vec<u8>>,
 }
 
 impl<R: AsyncRead + Unpin> Reader<R> {
     /// Reads from `inner`.
     pub fn new(inner: R) -> Self {
-        Reader { inner, buffer: Vec::new() }
+        Reader { inner, buffer: Vec::new(), tape: None }
+    }
+
+    /// Reads from `inner`, of which so much has been read already, and keeps what it uses up of each message until
+    /// that is whole: see [`Reader::into_parts`].
+    pub fn rewinding(inner: R, buffer: Vec<u8>) -> Self {
+        Reader { inner, buffer, tape: Some(Vec::new()) }
+    }
+
+    /// The message before has been dealt with: nothing of it is kept.
+    pub fn forget(&mut self) {
+        self.tape = self.tape.take().map(|_| Vec::new());
+    }
+
+    /// The connection, and all that was read of the message that is not whole yet.
+    pub fn into_parts(self) -> (R, Vec<u8>) {
+        let mut read = self.tape.unwrap_or_default();
+        read.extend(self.buffer);
+        (self.inner, read)
+    }
+
+    /// Takes so many bytes from the buffer.
+    fn used(&mut self, length: usize) -> Vec<u8> {
+        let used: Vec<u8> = self.buffer.drain(..length).collect();
+        if let Some(tape) = &mut self.tape {
+            tape.extend(&used);
+        }
+        used
     }
 
     /// The connection.
@@ -254,7 +283,7 @@
         self.begun().await?;
         loop {
             if let Some((head, length)) = Head::parse(&self.buffer)? {
-                self.buffer.drain(..length);
+                self.used(length);
                 return Ok(head);
             }
             self.more().await?;
@@ -322,15 +351,16 @@
         if &self.buffer[length..length + 2] != b"\r\n" {
             return Err(HttpError::Malformed("the end of a chunk"));
         }
-        let chunk = self.buffer.drain(..length).collect();
-        self.buffer.drain(..2);
+        let chunk = self.used(length);
+        self.used(2);
         Ok(Some(chunk))
     }
 
     async fn line(&mut self, most: usize) -> Result<String, HttpError> {
         loop {
             if let Some(end) = self.buffer.windows(2).position(|w| w == b"\r\n").filter(|e| *e <= most) {
-                let line = self.buffer.drain(..end + 2).take(end).collect();
+                let mut line = self.used(end + 2);
+                line.truncate(end);
                 return String::from_utf8(line).map_err(|_| HttpError::Malformed("no text"));
             }
             if self.buffer.len() > most + 2 {
@@ -379,6 +409,28 @@
         }
     }
 
+    #[test]
+    fn what_was_read_of_a_message_that_is_not_whole_can_be_read_again() {
+        let text = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        for cut in 0..text.len() {
+            run(async {
+                let mut reader = Reader::rewinding(Pieces(vec![&text[..cut]]), Vec::new());
+                // It ends where the pieces do.
+                if let Ok(head) = reader.head().await {
+                    assert!(reader.body(head.framing(Framing::Length(0)).unwrap()).await.is_err());
+                }
+                let (_, read) = reader.into_parts();
+                assert_eq!(read, &text[..cut]);
+                let mut again = Reader::rewinding(Pieces(vec![&text[cut..]]), read);
+                let head = again.head().await.unwrap();
+                let body = again.body(head.framing(Framing::Length(0)).unwrap()).await.unwrap();
+                assert_eq!(body, b"abcde", "cut at {cut}");
+                again.forget();
+                assert!(again.into_parts().1.is_empty());
+            });
+        }
+    }
+
     #[test]
     fn bounds_and_contradictions_are_errors() {
         let bad = [
--- a/src/net/inbox.rs
+++ b/src/net/inbox.rs
@@ -6,6 +6,7 @@
 use super::listed::{FixedServer, RawList};
 use super::parcel::Parcel;
 use super::routing::Staged;
+use super::upgrade::wire::Peer;
 use crate::api::{DestinationId, LimitReport};
 use crate::core::{CallEnd, FlowNo, Outcome, ServerNo};
 use std::rc::Rc;
@@ -27,6 +28,8 @@
     Control(Order, oneshot::Sender<Answer>),
     /// A call at the operators' address, and where its answer goes: done, or why not.
     Admin(admin::codec::Order, oneshot::Sender<Result<(), String>>),
+    /// Another process asks for all that this one has.
+    HandOver(Peer),
     /// Other rules for what fails.
     Rules(onyxstile_undelivered::Rules),
     /// News of discovery's list.
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -211,6 +211,24 @@
 }
 
 impl Journal {
+    /// Reads the journal that another process has open and does not write meanwhile, and touches nothing.
+    ///
+    /// # Errors
+    /// The folder cannot be read, or holds another length than `length`, or what is no whole record.
+    pub fn beside(folder: &Path, limit: u64, length: u64) -> io::Result<Journal> {
+        let journal = Journal::read(folder, limit, |_| Err(io::Error::other("the journal's tail is torn")))?;
+        if journal.length == length {
+            Ok(journal)
+        } else {
+            Err(io::Error::other(format!("the journal has {} bytes, not {length}", journal.length)))
+        }
+    }
+
+    /// The length of the file.
+    pub fn length(&self) -> u64 {
+        self.length
+    }
+
     /// Opens the journal in `folder`, cutting off what a killed process left unfinished.
     ///
     /// # Errors
@@ -225,6 +243,12 @@
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(named(e)),
             _ => {}
         }
+        Journal::read(folder, limit, |journal| journal.file.set_len(journal.length))
+    }
+
+    fn read(folder: &Path, limit: u64, torn: impl FnOnce(&Journal) -> io::Result<()>) -> io::Result<Journal> {
+        let path = folder.join("journal");
+        let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
         let bytes = match fs::read(&path) {
             Ok(bytes) => bytes,
             Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
@@ -245,7 +269,7 @@
             // Guards against a tail torn by a kill in the middle of a write: what was not written whole was
             // never promised to anyone.
             tracing::warn!("journal: cutting off {} bytes that are no whole record", rest.len());
-            journal.file.set_len(journal.length)?;
+            torn(&journal)?;
         }
         Ok(journal)
     }
--- a/src/net/listed.rs
+++ b/src/net/listed.rs
@@ -1,7 +1,7 @@
 //! Real servers as discovery and the operator list them, and the error of a configuration that cannot work.
 
 use super::mail::Dialect;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// A configuration that cannot work.
@@ -17,7 +17,7 @@
 impl std::error::Error for ConfigError {}
 
 /// One entry of discovery's list.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RawEntry {
     /// Its lasting name.
     pub uid: String,
@@ -52,7 +52,7 @@
 }
 
 /// How a real server is spoken to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Wire {
     /// The platform's protocol.
     Http,
@@ -61,7 +61,7 @@
 }
 
 /// A real server that the operator names.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FixedServer {
     /// In discovery's form.
     pub entry: RawEntry,
--- a/src/net/mail/mod.rs
+++ b/src/net/mail/mod.rs
@@ -28,7 +28,7 @@
 }
 
 /// Which of the two protocols.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Dialect {
     /// One final reply for all recipients.
     Smtp,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,4 +23,5 @@
 pub mod routing;
 pub mod trace;
 pub mod undelivered;
+pub mod upgrade;
 pub mod upstream;
--- /dev/null
+++ b/src/net/owner/handover.rs
@@ -0,0 +1,232 @@
+//! The owner's part in an upgrade: it gives everything to another process, or goes on with what one gave.
+
+use super::*;
+use crate::net::upgrade::machine::{Give, Giver, ToGiver};
+use crate::net::upgrade::parking::{Parked, ParkedCall};
+use crate::net::upgrade::state::{STATE_MAX, State, read, write};
+use crate::net::upgrade::wire::Kind;
+use crate::net::upgrade::{PARK_TIME, READY_TIME};
+use std::os::fd::{AsFd, BorrowedFd};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// How long the owner waits for a task to leave its socket before it looks at its queue again.
+const LOOK: Duration = Duration::from_millis(10);
+
+impl Owner {
+    /// Hands all to another process. Returns it if it has gone on; if not, all here goes on as before.
+    pub(super) async fn hand_over(&mut self, mut peer: Peer) -> Option<Peer> {
+        let (mut giver, began) = (Giver::default(), Instant::now());
+        tracing::info!("another process asks for all that this one has");
+        if giver.on(ToGiver::Asked) != Give::Park {
+            return None;
+        }
+        self.parking.open();
+        let event = if self.parked(&mut peer).await { ToGiver::Parked } else { ToGiver::Late };
+        let mut parked = self.parking.close();
+        parked.idle = self.upstream.park_idle();
+        if giver.on(event) == Give::Offer {
+            self.trim(&mut parked);
+            let event = match self.state(&mut parked) {
+                Ok(state) => offer(&mut peer, &state, &parked).await,
+                Err(why) => {
+                    tracing::warn!("not handed over: {why}");
+                    let _ = timeout(READY_TIME, peer.say(Kind::Later, why.as_bytes())).await;
+                    ToGiver::Late
+                }
+            };
+            if giver.on(event) == Give::Commit {
+                // In this order: no connection is open twice when the other begins, and nobody decides in between.
+                drop(parked);
+                self.lock.take().into_iter().for_each(Lock::give_up);
+                let _ = timeout(READY_TIME, peer.say(Kind::Go, &[])).await;
+                tracing::info!("handed over within {:?}", began.elapsed());
+                return Some(peer);
+            }
+        }
+        // The other must know before anything is done here: without this word it would take us for dead.
+        let _ = timeout(READY_TIME, peer.say(Kind::Resumed, &[])).await;
+        tracing::warn!("not handed over; this process goes on");
+        self.take_up_parked(parked);
+        None
+    }
+
+    /// Waits until every task has left its socket or ended, and all that came of it is decided on.
+    async fn parked(&mut self, peer: &mut Peer) -> bool {
+        let until = Instant::now() + PARK_TIME;
+        loop {
+            while let Ok(message) = self.orders.try_recv() {
+                self.take(message);
+            }
+            while let Ok(message) = self.queue.try_recv() {
+                self.take(message);
+            }
+            if self.wake_at.is_some_and(|at| at <= self.clock.now()) {
+                self.wake_at = None;
+                self.core.wake();
+            }
+            self.step();
+            if self.parking.is_quiet() && self.queue.is_empty() {
+                return true;
+            }
+            if Instant::now() >= until {
+                tracing::warn!("not all sockets could be had in time");
+                let _ = timeout(READY_TIME, peer.say(Kind::Later, b"it is busy")).await;
+                return false;
+            }
+            tokio::select! {
+                biased;
+                Some(message) = self.queue.recv() => self.take(message),
+                () = self.parking.changed() => {}
+                () = sleep_until(Instant::now() + LOOK) => {}
+            }
+        }
+    }
+
+    /// Guards the descriptors: until the other has its word both processes hold every socket. What has no request on it
+    /// goes first.
+    fn trim(&self, parked: &mut Parked) {
+        let calls = parked.calls.iter().filter(|c| c.stream.is_some()).count();
+        let room = (self.sockets / 2).saturating_sub(calls);
+        if parked.edges.len() > room {
+            parked.edges.sort_by_key(|e| !e.note.served && e.note.read.is_empty());
+            parked.edges.truncate(room);
+        }
+        parked.idle.truncate(room - parked.edges.len());
+    }
+
+    fn state(&self, parked: &mut Parked) -> Result<State, &'static str> {
+        if !self.unwritten.is_empty() {
+            return Err("the journal cannot be written");
+        }
+        let core = self.core.written().ok_or("it is about to end")?;
+        let core = write(&core).map_err(|_| "the module's state cannot be written")?;
+        for call in &mut parked.calls {
+            if let Some(open) = self.calls.get(&(call.note.flow, call.note.attempt)) {
+                (call.note.held, call.note.stopped) = (open.switch.held(), open.switch.is_stopped());
+            }
+            if call.note.sent && call.stream.is_none() {
+                return Err("a socket cannot be had");
+            }
+        }
+        Ok(State {
+            now: self.clock.now(),
+            journal: self.journal.length(),
+            core,
+            directory: self.directory.clone(),
+            list_rev: self.list_rev,
+            fixed: self.fixed.clone(),
+            ids: self.ids.clone(),
+            over: self.over.clone(),
+            next: self.next,
+            wake_at: self.wake_at,
+            evacuated: self.evacuation.is_on(),
+            listener: parked.listener.is_some(),
+            edges: parked.edges.iter().map(|e| e.note.clone()).collect(),
+            calls: parked.calls.iter().map(|c| c.note.clone()).collect(),
+            idle: parked.idle.iter().map(|i| i.note.clone()).collect(),
+        })
+    }
+
+    /// Takes all sockets up that were parked: by another process, or here in vain.
+    pub fn take_up_parked(&mut self, parked: Parked) {
+        let Parked { listener, edges, calls, idle } = parked;
+        self.upstream.adopt_idle(idle);
+        for call in calls {
+            self.take_up_call(call);
+        }
+        let Some(edge) = &self.edge else { return };
+        edges.into_iter().for_each(|e| edge.adopt(e));
+        if let Some(listener) = listener.and_then(|l| tokio::net::TcpListener::from_std(l).ok()) {
+            tokio::task::spawn_local(edge.clone().serve(listener));
+        }
+    }
+
+    fn take_up_call(&mut self, call: ParkedCall) {
+        let (flow, attempt, server) = (call.note.flow, call.note.attempt, call.note.server);
+        let destination = self.directory.destination(server);
+        let parcel = self.journal.ledger().open.get(&flow).map(|(f, _)| f.parcel.clone());
+        // The flow of a call that is out may be over; of such a flow no other call begins to go out.
+        let Some(parcel) = parcel.or_else(|| call.note.sent.then(no_parcel)) else {
+            let (outcome, elapsed) = (Outcome::Void, call.note.elapsed);
+            let end = CallEnd { flow, attempt, server, outcome, finished: None, elapsed, limit: None };
+            self.calls.remove(&(flow, attempt));
+            return self.core.call_ended(end);
+        };
+        let switch = self.upstream.adopt(call, parcel);
+        self.calls.insert((flow, attempt), OpenCall { switch, destination, server });
+    }
+
+    /// Goes on with what another process had, but for the sockets. Nothing is written and nothing done yet.
+    pub(super) fn go_on(&mut self, config: &Config, state: State) -> Result<(), OwnerError> {
+        let now = self.clock.now();
+        let core = read(&state.core).map_err(|_| OwnerError::Handed("the module's state"))?;
+        let ledger = self.journal.ledger();
+        let payload = |no: FlowNo| ledger.open.get(&no).map(|(f, _)| f.parcel.clone());
+        self.core = Core::from_read(core, config.settings.max_held, payload)
+            .ok_or(OwnerError::Handed("the journal lacks a flow"))?;
+        if !self.routing.is_empty() {
+            self.core.set_proposer(self.routing.proposer());
+        }
+        self.directory = state.directory;
+        self.routing.name_servers(&self.directory);
+        self.list_rev = state.list_rev;
+        (self.ids, self.over, self.next) = (state.ids, state.over, state.next);
+        self.wake_at = state.wake_at;
+        self.evacuation.set(state.evacuated);
+        for no in self.core.flows().collect::<Vec<_>>() {
+            let Some((flow, _)) = self.journal.ledger().open.get(&no).cloned() else { continue };
+            let class = position(&self.names.classes, &flow.class)
+                .ok_or(OwnerError::Handed("a class that is not known"))?;
+            let destination = DestinationId(flow.destination);
+            self.places.insert(no, Place { destination, class, resend: false });
+            if !self.hooks.is_empty() {
+                let view = view(&flow.class, flow.tenant.as_deref(), destination, &flow.parcel);
+                self.views.insert(no, view);
+            }
+            self.routing.flow_opens(no, &flow.parcel);
+            self.vigil.taken(no, &flow.parcel.id, now, flow.deadline, true);
+        }
+        // The operator's file may name other servers now.
+        let fixed = std::mem::replace(&mut self.fixed, state.fixed);
+        if self.fixed != fixed {
+            self.take_servers(fixed);
+        }
+        let (flows, calls) = (self.core.open_flows(), state.calls.len());
+        tracing::info!("goes on with {flows} open flows, {calls} calls and {} clients", state.edges.len());
+        Ok(())
+    }
+
+    /// This process decides from now on.
+    pub fn take_lock(&mut self, lock: Lock) {
+        self.lock = Some(lock);
+    }
+}
+
+/// Sends all and keeps it, and waits for the other to have built it.
+async fn offer(peer: &mut Peer, state: &State, parked: &Parked) -> ToGiver {
+    let Ok(bytes) = write(state) else { return ToGiver::Late };
+    if bytes.len() > STATE_MAX {
+        tracing::warn!("not handed over: the state has {} bytes", bytes.len());
+        return ToGiver::Late;
+    }
+    // In the order in which the state names them.
+    let listener = parked.listener.iter().map(AsFd::as_fd);
+    let edges = parked.edges.iter().map(|e| e.stream.as_fd());
+    let calls = parked.calls.iter().filter_map(|c| c.stream.as_ref()).map(AsFd::as_fd);
+    let idle = parked.idle.iter().map(|i| i.stream.as_fd());
+    let sockets: Vec<BorrowedFd<'_>> = listener.chain(edges).chain(calls).chain(idle).collect();
+    let sent = async {
+        peer.say(Kind::State, &bytes).await?;
+        peer.send_sockets(&sockets).await?;
+        peer.hear().await
+    };
+    match timeout_at(Instant::now() + READY_TIME, sent).await {
+        Ok(Ok(Some((Kind::Ready, _)))) => ToGiver::Ready,
+        Ok(Ok(Some(_)) | Err(_)) | Err(_) => ToGiver::Late,
+        Ok(Ok(None)) => ToGiver::PeerGone,
+    }
+}
+
+fn no_parcel() -> Rc<Parcel> {
+    Rc::new(Parcel { id: String::new(), key: None, mail: None, routed: None, body: Rc::from([]) })
+}
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod control;
 mod drain;
+mod handover;
 mod mail;
 mod offers;
 mod recovery;
@@ -12,6 +13,7 @@
 use super::clock::Clock;
 use super::config::Config;
 use super::directory::Directory;
+use super::edge::Edge;
 use super::figures::{Fate, Figures};
 use super::inbox::{Offer, ToOwner, Verdict};
 use super::journal::{Journal, Owed, Record, SentTo, TakenFlow};
@@ -25,6 +27,10 @@
 use super::routing::{Routing, Staged};
 use super::trace::recorder::Recorder;
 use super::undelivered::keeper::Keeper;
+use super::upgrade::lock::Lock;
+use super::upgrade::parking::Parking;
+use super::upgrade::state::State as HandedState;
+use super::upgrade::wire::Peer;
 use super::upstream::{CallOrder, Switch, Upstream};
 use crate::api::{ClassId, DestinationId, KindId, Note, Past, TenantId};
 use crate::core::vigil::{Line, Vigil};
@@ -99,6 +105,8 @@
     /// What a repeat does and how long a flow lives, by class.
     classes: Vec<(crate::api::Effect, Duration)>,
     directory: Directory,
+    /// The version of discovery's list.
+    list_rev: u64,
     calls: BTreeMap<(FlowNo, u32), OpenCall>,
     /// Offers that wait for the end of the present step.
     waiting: BTreeMap<FlowNo, Waiting>,
@@ -128,6 +136,12 @@
     /// When the figures of real servers were taken last.
     census_at: Duration,
     evacuation: Evacuation,
+    /// That this process decides and writes; given up when another one goes on.
+    lock: Option<Lock>,
+    parking: Parking,
+    edge: Option<Rc<Edge>>,
+    /// Sockets that two processes may hold together.
+    sockets: usize,
     /// When a client last handed something in.
     last_offer: Duration,
     queue: mpsc::Receiver<ToOwner>,
@@ -135,6 +149,41 @@
     orders: mpsc::Receiver<ToOwner>,
 }
 
+/// How an owner ended.
+#[derive(Debug)]
+pub enum Ended {
+    /// In order. What keeps the trace is to be closed when all else is done.
+    Drained(Option<Recorder>),
+    /// Another process goes on.
+    Handed(Peer),
+}
+
+/// Why there can be no owner.
+#[derive(Debug)]
+pub enum OwnerError {
+    /// The settings.
+    Settings(crate::core::SettingsError),
+    /// What another process handed over, which does not fit together.
+    Handed(&'static str),
+}
+
+impl std::fmt::Display for OwnerError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            OwnerError::Settings(e) => write!(f, "{e}"),
+            OwnerError::Handed(what) => write!(f, "what was handed over cannot be used: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for OwnerError {}
+
+impl From<crate::core::SettingsError> for OwnerError {
+    fn from(e: crate::core::SettingsError) -> Self {
+        OwnerError::Settings(e)
+    }
+}
+
 /// What the owner is made with.
 #[derive(Debug)]
 pub struct Parts {
@@ -156,6 +205,14 @@
     pub keeper: Option<Keeper>,
     /// Takes batches of notices.
     pub notices: mpsc::Sender<Vec<(FlowNo, Owed)>>,
+    /// The folder's lock, if it is held already.
+    pub lock: Option<Lock>,
+    /// Where sockets are left for another process.
+    pub parking: Parking,
+    /// The front, which takes connections up again that no other process has.
+    pub edge: Option<Rc<Edge>>,
+    /// What another process had, if one handed over.
+    pub handed: Option<HandedState>,
     /// What is reported of the relay.
     pub figures: Figures,
     /// Whether clients are sent away.
@@ -170,8 +227,8 @@
     /// An owner that has taken up what the journal holds.
     ///
     /// # Errors
-    /// Settings that cannot work.
-    pub fn new(config: &Config, parts: Parts) -> Result<Self, crate::core::SettingsError> {
+    /// Settings that cannot work, or a state that was handed over and does not fit.
+    pub fn new(config: &Config, parts: Parts) -> Result<Self, OwnerError> {
         let Parts {
             journal,
             clock,
@@ -182,6 +239,10 @@
             witness,
             keeper,
             notices,
+            lock,
+            parking,
+            edge,
+            handed,
             figures,
             evacuation,
             queue,
@@ -210,6 +271,7 @@
             apart: config.settings.kinds.iter().map(|k| k.routes_apart).collect(),
             witness,
             directory: Directory::default(),
+            list_rev: config.known.rev,
             calls: BTreeMap::new(),
             waiting: BTreeMap::new(),
             groups: BTreeMap::new(),
@@ -231,10 +293,18 @@
             figures,
             census_at: Duration::ZERO,
             evacuation,
+            lock,
+            parking,
+            edge,
+            sockets: config.shares.together,
             last_offer: clock.now(),
             queue,
             orders,
         };
+        if let Some(state) = handed {
+            owner.go_on(config, state)?;
+            return Ok(owner);
+        }
         owner.journal.ledger().bans.iter().for_each(|uid| {
             owner.directory.ban(uid, true);
         });
@@ -244,14 +314,14 @@
         Ok(owner)
     }
 
-    /// Runs until the program has drained. What keeps the trace is handed back, to be closed when all else is done.
-    pub async fn run(mut self) -> Option<Recorder> {
+    /// Runs until the program has drained, or another process goes on.
+    pub async fn run(mut self) -> Ended {
         self.step();
         loop {
             if self.phase.state() >= State::Draining && self.drained() {
                 self.witness_phase(Stage::Stopped);
                 self.witness_step(true);
-                return self.witness.map(Witness::into_recorder);
+                return Ended::Drained(self.witness.map(Witness::into_recorder));
             }
             let now = self.clock.now();
             let kept = self.keeper.as_ref().map(Keeper::due);
@@ -260,10 +330,17 @@
             let due = self.clock.instant(due.unwrap_or(now + Duration::from_secs(1)));
             tokio::select! {
                 biased;
-                Some(order) = self.orders.recv() => self.take(order),
+                Some(order) = self.orders.recv() => match order {
+                    ToOwner::HandOver(peer) => {
+                        if let Some(peer) = self.hand_over(peer).await {
+                            return Ended::Handed(peer);
+                        }
+                    }
+                    order => self.take(order),
+                },
                 message = self.queue.recv() => match message {
                     Some(message) => self.take(message),
-                    None => return self.witness.map(Witness::into_recorder),
+                    None => return Ended::Drained(self.witness.map(Witness::into_recorder)),
                 },
                 () = sleep_until(due) => {}
                 () = self.phase.reached(State::Draining), if self.draining_since.is_none() => {}
@@ -323,6 +400,8 @@
             ToOwner::Admin(order, reply) => {
                 let _ = reply.send(self.admin(order));
             }
+            // Only at the top of the loop can all be handed over; whoever asks at another time asks again.
+            ToOwner::HandOver(_) => {}
             ToOwner::Rules(rules) => {
                 if let Some(keeper) = &mut self.keeper {
                     keeper.planner.set_rules(rules);
@@ -343,6 +422,7 @@
     }
 
     fn take_list(&mut self, list: &RawList) {
+        self.list_rev = list.rev;
         self.scribe();
         if list.all {
             self.directory.begin_whole();
--- a/src/net/owner/witness.rs
+++ b/src/net/owner/witness.rs
@@ -97,7 +97,8 @@
             | ToOwner::List(_)
             | ToOwner::Control(..)
             | ToOwner::Admin(..)
-            | ToOwner::Rules(_) => {}
+            | ToOwner::Rules(_)
+            | ToOwner::HandOver(_) => {}
             ToOwner::CallEnded(end, _) => {
                 let destination = self.places.get(&end.flow).map(|p| p.destination).unwrap_or_default();
                 self.fact(Fact::AttemptEnded(*end, destination), now);
--- a/src/net/phase.rs
+++ b/src/net/phase.rs
@@ -15,6 +15,8 @@
     Serving,
     /// Told to end: no longer ready, takes flows on for a while yet, and leaves what is open to the next process.
     Draining,
+    /// Another process has everything; told to end, this one does.
+    Handed,
     /// About to exit.
     Stopped,
 }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -89,12 +89,25 @@
 
     /// Keeps a connection whose call is over.
     pub fn put(&self, server: ServerNo, connection: C) {
+        self.put_aged(server, connection, Duration::ZERO);
+    }
+
+    /// Keeps a connection that has been idle for so long.
+    pub fn put_aged(&self, server: ServerNo, connection: C, age: Duration) {
         let mut idle = self.idle.borrow_mut();
         if !connection.has_more() && idle.values().map(Vec::len).sum::<usize>() < self.most {
-            idle.entry(server).or_default().push(Idle { connection, since: Instant::now() });
+            idle.entry(server).or_default().push(Idle { connection, since: Instant::now() - age });
         }
     }
 
+    /// Takes all out that still stand, each with how long it has been idle.
+    pub fn take_all(&self) -> Vec<(ServerNo, C, Duration)> {
+        let all = self.idle.take().into_iter().flat_map(|(no, list)| list.into_iter().map(move |i| (no, i)));
+        let all =
+            all.filter_map(|(no, mut i)| i.stands(self.keep).then(|| (no, i.connection, i.since.elapsed())));
+        all.collect()
+    }
+
     /// Closes the idle connections to a real server.
     pub fn release(&self, server: ServerNo) {
         self.idle.borrow_mut().remove(&server);
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -10,13 +10,18 @@
 use super::mail::Dialect;
 use super::mail::client::MailUpstream;
 use super::mail::server::MailEdge;
-use super::owner::{Owner, Parts, Witness};
+use super::owner::{Ended, Owner, Parts, Witness};
 use super::phase::{Evacuation, Phase, State};
 use super::routing::{Routing, Staged};
 use super::trace::recorder::{Recorder, Whose};
 use super::trace::scribe::{ClassTerms, Scribe};
 use super::trace::settings::TraceSettings;
 use super::undelivered::keeper::Keeper;
+use super::upgrade::ask::{self, AskError, Begun};
+use super::upgrade::machine::{Give, Giver, ToGiver};
+use super::upgrade::parking::{Parked, Parking};
+use super::upgrade::wire::{Kind, Peer};
+use super::upgrade::{self, give, state};
 use super::upstream::Upstream;
 use super::{control, discovery, notices};
 use onyxstile_trace::events::Class;
@@ -27,11 +32,13 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
 
 /// Connections that may wait to be accepted.
 const WAITING_CONNECTIONS: u32 = 1024;
+/// How often a process that could not take over starts again.
+const TRIES: u32 = 3;
 /// Time for the last answers to leave.
 const LAST_WORDS: Duration = Duration::from_millis(50);
 
@@ -62,26 +69,40 @@
     let failed = |what: &'static str| move |e: std::io::Error| StartError(format!("{what}: {e}"));
     let (phase, evacuation) = (Phase::new(), Evacuation::default());
     let figures = Figures::new(&config.names.classes);
-    let clock = Clock::start();
     let mut terminated = signal(SignalKind::terminate()).map_err(failed("signals"))?;
     let mut interrupted = signal(SignalKind::interrupt()).map_err(failed("signals"))?;
     // Guards against the end that SIGHUP means to a program that does not listen for it.
     let hangup = signal(SignalKind::hangup()).map_err(failed("signals"))?;
     phase.advance(State::Recovering);
-    let journal = Journal::open(&config.state, config.disk).map_err(failed("journal"))?;
     let shares = config.shares;
-    let (to_owner, queue) = mpsc::channel(shares.queue);
     let (to_owner_first, orders) = mpsc::channel(ORDERS);
     if let Some(address) = config.admin {
-        let admin = Admin { owner: to_owner_first, figures: figures.clone(), phase: phase.clone() };
+        let owner = to_owner_first.clone();
+        let admin = Admin { owner, figures: figures.clone(), phase: phase.clone() };
         spawn_local(admin.serve(listen("admin", address).await?));
     }
+    let terms = state::write(&(&config.settings, &config.names));
+    let terms = terms.map_err(|e| StartError(format!("settings: {e}")))?;
+    let named = |e: AskError| StartError(format!("{}: {e}", config.state.display()));
+    let (lock, mut handed) = match ask::begin(config, &terms).await.map_err(named)? {
+        Begun::Alone(lock) => (Some(lock), None),
+        Begun::Handed(handed) => (None, Some(handed)),
+    };
+    let clock = handed.as_ref().map_or_else(Clock::start, |h| Clock::continuing(h.state.now));
+    let journal = match &handed {
+        None => Journal::open(&config.state, config.disk),
+        Some(handed) => Journal::beside(&config.state, config.disk, handed.state.journal),
+    };
+    let journal = journal.map_err(failed("journal"))?;
+    let (to_owner, queue) = mpsc::channel(shares.queue);
+    let parking = Parking::default();
     let upstream = Upstream::new(
         config.settings.connect_timeout,
         config.settings.keepalive,
         shares.idle,
         to_owner.clone(),
         figures.clone(),
+        parking.clone(),
     );
     spawn_local(upstream.clone().sweep());
     let mail_upstream = config.mail.as_ref().map(|m| {
@@ -97,17 +118,6 @@
         spawn_local(mail.clone().sweep());
     }
     let (due, told) = mpsc::channel(1);
-    let outcomes = config.http.as_ref().and_then(|http| http.outcomes).map(watch::Sender::new);
-    if let Some(outcomes) = &outcomes {
-        spawn_local(notices::tell(outcomes.subscribe(), told, to_owner.clone()));
-    } else if config.http.is_some() {
-        spawn_local(notices::tell_log(told, to_owner.clone()));
-    }
-    let discovery = config.discovery.map(watch::Sender::new);
-    if let Some(discovery) = &discovery {
-        spawn_local(discovery::follow(discovery.subscribe(), config.known.rev, to_owner.clone()));
-    }
-    let addresses = Addresses { discovery, outcomes };
     let staged = Staged::build(config.routing.clone().unwrap_or_default());
     let staged = staged.map_err(|e| StartError(format!("routing: {e}")))?;
     let routing = Routing::new(staged, config.seed, clock.now());
@@ -118,6 +128,24 @@
         Keeper::open(settings, clock.now(), &open, ledger.next == 0)
     });
     let keeper = keeper.transpose().map_err(|e| StartError(format!("undelivered: {e}")))?;
+    let edge = config.http.as_ref().map(|http| {
+        let parts = EdgeParts {
+            owner: to_owner.clone(),
+            phase: phase.clone(),
+            evacuation: evacuation.clone(),
+            figures: figures.clone(),
+            clock,
+            limits: EdgeLimits { connections: shares.edges, bodies: shares.bodies },
+            routing: routing.clone(),
+            parking: parking.clone(),
+        };
+        Edge::new(parts, http)
+    });
+    let rev = handed.as_ref().map_or(config.known.rev, |h| h.state.list_rev);
+    let (state, mut parked, mut handover) = match handed.take().map(|h| h.split()) {
+        Some((state, parked, handover)) => (Some(state), parked, Some(handover)),
+        None => (None, Parked::default(), None),
+    };
     let parts = Parts {
         journal,
         witness,
@@ -126,28 +154,52 @@
         phase: phase.clone(),
         upstream,
         mail_upstream,
-        routing: routing.clone(),
+        routing,
         notices: due,
+        lock,
+        parking,
+        edge: edge.clone(),
+        handed: state,
         figures: figures.clone(),
-        evacuation: evacuation.clone(),
+        evacuation,
         queue,
         orders,
     };
-    let owner = Owner::new(config, parts).map_err(|e| StartError(e.to_string()))?;
-    if let Some(http) = &config.http {
-        let limits = EdgeLimits { connections: shares.edges, bodies: shares.bodies };
-        let edge = EdgeParts {
-            owner: to_owner.clone(),
-            phase: phase.clone(),
-            evacuation,
-            figures,
-            clock,
-            limits,
-            routing,
+    let mut owner = Owner::new(config, parts).map_err(|e| StartError(e.to_string()))?;
+    if let Some(handover) = &mut handover {
+        match handover.confirm(&config.state).await.map_err(failed("the lock"))? {
+            Some(lock) => owner.take_lock(lock),
+            // The old process took longer than it may, or we did, and it goes on: all over again.
+            None if upgrade::tries() < TRIES => return Err(start_again()),
+            None => return Err(StartError("the relay that runs did not hand over".into())),
+        }
+    }
+    if let (Some(edge), Some(http)) = (edge, &config.http) {
+        // One that was handed over has clients in its queue; but the address may be another now.
+        let stays = |l: &std::net::TcpListener| {
+            l.local_addr().is_ok_and(|at| {
+                at.ip() == http.listen.ip() && (at.port() == http.listen.port() || http.listen.port() == 0)
+            })
         };
-        let edge = Edge::new(edge, http);
-        spawn_local(edge.serve(listen("HTTP", http.listen).await?));
+        parked.listener = parked.listener.filter(stays);
+        match &parked.listener {
+            Some(listener) => tracing::info!("HTTP on {}", listener.local_addr().map_err(failed("HTTP"))?),
+            None => drop(spawn_local(edge.serve(listen("HTTP", http.listen).await?))),
+        }
     }
+    owner.take_up_parked(parked);
+    let mut ours = Vec::new();
+    let outcomes = config.http.as_ref().and_then(|http| http.outcomes).map(watch::Sender::new);
+    if let Some(outcomes) = &outcomes {
+        ours.push(spawn_local(notices::tell(outcomes.subscribe(), told, to_owner.clone())));
+    } else if config.http.is_some() {
+        ours.push(spawn_local(notices::tell_log(told, to_owner.clone())));
+    }
+    let discovery = config.discovery.map(watch::Sender::new);
+    if let Some(discovery) = &discovery {
+        ours.push(spawn_local(discovery::follow(discovery.subscribe(), rev, to_owner.clone())));
+    }
+    let addresses = Addresses { discovery, outcomes };
     if let Some(mail) = &config.mail {
         let edge = MailEdge::new(mail.clone(), to_owner.clone(), phase.clone(), clock);
         if let Some(address) = mail.smtp {
@@ -161,11 +213,13 @@
         let listener = control::listen(&config.state).map_err(failed("the control socket"))?;
         spawn_local(control::serve(listener, to_owner.clone()));
     }
-    spawn_local(reread(hangup, operator, addresses, to_owner));
+    let asked = give::listen(config).map_err(failed("the socket for upgrades"))?;
+    ours.push(spawn_local(give::serve(asked, terms, give::never(config), to_owner_first)));
+    ours.push(spawn_local(reread(hangup, operator, addresses, to_owner)));
     let owner = spawn_local(owner.run());
     phase.advance(State::Serving);
     let order = phase.clone();
-    spawn_local(async move {
+    let told_to_end = spawn_local(async move {
         tokio::select! {
             _ = terminated.recv() => {}
             _ = interrupted.recv() => {}
@@ -173,14 +227,48 @@
         order.advance(State::Draining);
     });
     let ended = owner.await;
+    let recorder = match ended.map_err(|e| StartError(format!("the owner failed: {e}")))? {
+        Ended::Drained(recorder) => recorder,
+        Ended::Handed(peer) => {
+            phase.advance(State::Handed);
+            figures.in_flight(0);
+            ours.iter().for_each(|task| task.abort());
+            return stand_by(peer, told_to_end).await;
+        }
+    };
     // Whatever was answered in the last step is on its way to the edge connections.
     sleep(LAST_WORDS).await;
     phase.advance(State::Stopped);
-    let recorder = ended.map_err(|e| StartError(format!("the owner failed: {e}")))?;
     recorder.into_iter().for_each(Recorder::close);
+    if let Some(handover) = handover {
+        // The old process may still be there: it must not take this for a death.
+        let _ = timeout(LAST_WORDS, handover.into_peer().say(Kind::Bye, &[])).await;
+    }
     Ok(())
 }
 
+/// Waits for the order to end, or for the end of the process that has everything. Should that die without a word, this
+/// one starts again from the journal, as after any kill: nobody else would.
+async fn stand_by(mut peer: Peer, told_to_end: JoinHandle<()>) -> Result<(), StartError> {
+    let word = tokio::select! {
+        _ = told_to_end => return Ok(()),
+        word = peer.hear() => word,
+    };
+    match word {
+        Ok(Some(_)) => Ok(()),
+        Ok(None) | Err(_) => {
+            tracing::warn!("the process that took over is gone");
+            let mut giver = Giver::Given;
+            if giver.on(ToGiver::PeerGone) == Give::Restart { Err(start_again()) } else { Ok(()) }
+        }
+    }
+}
+
+fn start_again() -> StartError {
+    tracing::info!("starts again");
+    StartError(format!("cannot start again: {}", upgrade::start_again(upgrade::tries() + 1)))
+}
+
 /// What keeps the trace.
 fn witness(config: &Config, settings: &TraceSettings, now: Duration) -> Result<Witness, StartError> {
     let classes = &config.settings.classes;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -5,6 +5,7 @@
 use super::inbox::ToOwner;
 use super::parcel::Parcel;
 use super::pool::{Pool, Pooled};
+use super::upgrade::parking::{CallNote, IdleNote, ParkedCall, ParkedIdle, Parking};
 use crate::api::LimitReport;
 use crate::core::{CallEnd, End, FlowNo, Outcome, ServerNo};
 use std::cell::Cell;
@@ -86,6 +87,11 @@
         self.0.hold.get()
     }
 
+    /// Whether it is to be stopped.
+    pub fn is_stopped(&self) -> bool {
+        self.0.stop.get()
+    }
+
     /// Returns once it is to be stopped.
     pub async fn stopped(&self) {
         while !self.0.stop.get() {
@@ -119,6 +125,22 @@
     dial_timeout: Duration,
     owner: mpsc::Sender<ToOwner>,
     figures: Figures,
+    parking: Parking,
+}
+
+/// Why an exchange came to no answer.
+#[derive(Debug)]
+enum Cut {
+    /// It ended so.
+    Ended(Outcome),
+    /// Another process is to go on with it; if its request is written, on this connection.
+    Parked(Option<Reader<TcpStream>>),
+}
+
+impl From<Outcome> for Cut {
+    fn from(outcome: Outcome) -> Cut {
+        Cut::Ended(outcome)
+    }
 }
 
 /// Makes calls and keeps connections.
@@ -129,40 +151,87 @@
     /// A pool with no connections, for so many idle ones. Ends of calls go to `owner`.
     pub fn new(
         dial_timeout: Duration, keepalive: Duration, idle: usize, owner: mpsc::Sender<ToOwner>,
-        figures: Figures,
+        figures: Figures, parking: Parking,
     ) -> Self {
         let keep = keepalive.mul_f64(KEEP_SHARE);
-        Upstream(Rc::new(Inner { idle: Pool::new(keep, idle), dial_timeout, owner, figures }))
+        Upstream(Rc::new(Inner { idle: Pool::new(keep, idle), dial_timeout, owner, figures, parking }))
     }
 
     /// Starts a call.
     pub fn call(&self, order: CallOrder) -> Switch {
         let switch = Switch::default();
-        tokio::task::spawn_local(self.clone().run(order, switch.clone()));
+        self.begin(order, None, Duration::ZERO, &switch);
+        switch
+    }
+
+    /// Goes on with a call that was parked.
+    pub fn adopt(&self, call: ParkedCall, parcel: Rc<Parcel>) -> Switch {
+        let (switch, now) = (Switch::default(), Instant::now());
+        let ParkedCall { stream, note } = call;
+        let CallNote { flow, attempt, server, address, left, flow_left, elapsed, held, stopped, .. } = note;
+        if held {
+            switch.hold();
+        }
+        if stopped {
+            switch.stop();
+        }
+        let (give_up_at, over_at) = (now + left, now + flow_left);
+        let order = CallOrder { flow, attempt, server, address, give_up_at, over_at, parcel };
+        let connection = stream.and_then(|s| TcpStream::from_std(s).ok()).map(Reader::new);
+        // A socket that cannot be had any more had a call on it all the same.
+        if note.sent && connection.is_none() {
+            let end = ended(&order, Answer::of(Outcome::Broken), elapsed);
+            let (owner, busy) = (self.0.owner.clone(), self.0.parking.busy());
+            tokio::task::spawn_local(async move {
+                let _ = owner.send(ToOwner::CallEnded(end, None)).await;
+                drop(busy);
+            });
+            return switch;
+        }
+        self.begin(order, connection, elapsed, &switch);
         switch
     }
 
-    async fn run(self, order: CallOrder, switch: Switch) {
-        let started = Instant::now();
-        let stage = Cell::new(Stage::Unsent);
+    fn begin(
+        &self, order: CallOrder, connection: Option<Reader<TcpStream>>, before: Duration, switch: &Switch,
+    ) {
+        let (this, busy, switch) = (self.clone(), self.0.parking.busy(), switch.clone());
+        tokio::task::spawn_local(async move {
+            this.run(order, connection, before, switch).await;
+            drop(busy);
+        });
+    }
+
+    /// Makes a call, or goes on with one whose request is written on `connection`, `before` later.
+    async fn run(
+        self, order: CallOrder, connection: Option<Reader<TcpStream>>, before: Duration, switch: Switch,
+    ) {
+        let started = Instant::now() - before;
+        let stage = Cell::new(if connection.is_some() { Stage::Sent } else { Stage::Unsent });
         let made = {
             // Dropping the exchange closes its connection, before the end is told: no second call of the flow
             // can go out while this one is still open.
-            let exchange = self.exchange(&order, &switch, &stage);
+            let exchange = self.exchange(&order, connection, &switch, &stage);
             tokio::select! {
                 biased;
                 answer = timeout_at(order.give_up_at, exchange) => answer.ok(),
-                () = switch.stopped() => Some(Err(Outcome::Withdrawn)),
+                () = switch.stopped() => Some(Err(Cut::Ended(Outcome::Withdrawn))),
             }
         };
         let answer = match (made, stage.get()) {
+            (Some(Err(Cut::Parked(connection))), _) => {
+                let note = note(&order, started.elapsed(), connection.is_some());
+                // If the socket cannot be had any more, whoever goes on takes the call for broken.
+                let stream = connection.and_then(|c| c.into_parts().0.into_std().ok());
+                return self.0.parking.leave_call(ParkedCall { stream, note });
+            }
             (Some(Ok(answer)), _) => answer,
             // Called off or out of time before its last byte was written: it never ran.
-            (Some(Err(Outcome::Withdrawn)), Stage::Unsent) => Answer::of(Outcome::Void),
+            (Some(Err(Cut::Ended(Outcome::Withdrawn))), Stage::Unsent) => Answer::of(Outcome::Void),
             (None, Stage::Unsent) => Answer::of(Outcome::Unreachable),
             // Whatever became of the rest of the answer, its first line was true.
             (_, Stage::Delivered(_)) => Answer::of(Outcome::Success),
-            (Some(Err(outcome)), _) => Answer::of(outcome),
+            (Some(Err(Cut::Ended(outcome))), _) => Answer::of(outcome),
             (None, Stage::Sent) => Answer::of(Outcome::TimedOut),
         };
         tracing::debug!(
@@ -173,33 +242,51 @@
             elapsed_us = started.elapsed().as_micros() as u64,
             "attempt ended"
         );
-        let Answer { outcome, mut finished, limit } = answer;
+        let mut end = ended(&order, answer, started.elapsed());
         // Guards the one end of a flow that is answered after its time. A thread that was kept from running
         // finds answer and time-out together; what it reads then was written when the flow was over for
         // whoever handed it in, and its end is still owed.
         if matches!(stage.get(), Stage::Delivered(at) if at + LAST_MOMENT > order.over_at) {
-            finished = Some(End::Failed);
+            end.finished = Some(End::Failed);
         }
-        let CallOrder { flow, attempt, server, .. } = order;
-        let end = CallEnd { flow, attempt, server, outcome, finished, elapsed: started.elapsed(), limit };
         // The owner outlives all calls but at exit.
         let _ = self.0.owner.send(ToOwner::CallEnded(end, None)).await;
     }
 
     async fn exchange(
-        &self, order: &CallOrder, switch: &Switch, stage: &Cell<Stage>,
-    ) -> Result<Answer, Outcome> {
-        let (connection, idle) = self.connection(order.server, order.address).await?;
+        &self, order: &CallOrder, written_on: Option<Reader<TcpStream>>, switch: &Switch, stage: &Cell<Stage>,
+    ) -> Result<Answer, Cut> {
+        let parking = Some(&self.0.parking);
+        if let Some(connection) = written_on {
+            let (status, head, _) = self.answer(order.server, connection, stage, parking).await?;
+            return Ok(Answer::read(status, head.as_ref()));
+        }
+        let (connection, idle) = tokio::select! {
+            biased;
+            connection = self.connection(order.server, order.address) => connection?,
+            () = self.0.parking.opened() => return Err(Cut::Parked(None)),
+        };
         if switch.held() {
             // Guards told waits: while this connection came up, another call was told to wait.
             self.0.idle.put(order.server, connection);
-            return Err(Outcome::Void);
+            return Err(Outcome::Void.into());
+        }
+        if self.0.parking.is_open() {
+            self.0.idle.put(order.server, connection);
+            return Err(Cut::Parked(None));
         }
         let written = Instant::now();
         let request = request(order, written);
-        let counted = || self.0.figures.sent();
-        let asked = self.ask(order.server, connection, &request, stage, &counted).await;
-        if let (Err(Outcome::Broken), Some(idle)) = (&asked, idle)
+        let asked = tokio::select! {
+            biased;
+            connection = self.write(connection, &request, stage) => connection,
+            // Its connection closes before its last byte is written: it never ran.
+            () = self.0.parking.opened() => return Err(Cut::Parked(None)),
+        };
+        let connection = asked?;
+        self.0.figures.sent();
+        let asked = self.answer(order.server, connection, stage, parking).await;
+        if let (Err(Cut::Ended(Outcome::Broken)), Some(idle)) = (&asked, idle)
             && written.elapsed() < AT_ONCE
         {
             self.0.idle.broke(idle);
@@ -221,22 +308,38 @@
         }
     }
 
-    /// Writes a request and reads its answer; the connection is kept if it can be used again.
+    async fn write(
+        &self, mut connection: Reader<TcpStream>, request: &[u8], stage: &Cell<Stage>,
+    ) -> Result<Reader<TcpStream>, Cut> {
+        // Broken before the last byte is written, it never ran; the real server begins with the last byte.
+        connection.get_mut().write_all(request).await.map_err(|_| Outcome::Unreachable)?;
+        stage.set(Stage::Sent);
+        Ok(connection)
+    }
+
+    /// Reads the answer to what was written; the connection is kept if it can be used again. With a `parking`, the
+    /// connection may have to be left there as long as nothing of the answer has come.
     ///
     /// Guards against spoilt answers. One whose first line says 200 has delivered, whatever comes after it.
     /// Any other counts for what it says only if it comes whole and can be read: the call has run, and a
     /// spoilt 503 proves nothing.
-    async fn ask(
-        &self, server: ServerNo, mut connection: Reader<TcpStream>, request: &[u8], stage: &Cell<Stage>,
-        sent: &dyn Fn(),
-    ) -> Result<(u16, Option<Head>, Vec<u8>), Outcome> {
-        // Broken before the last byte is written, it never ran; the real server begins with the last byte.
-        connection.get_mut().write_all(request).await.map_err(|_| Outcome::Unreachable)?;
-        stage.set(Stage::Sent);
-        sent();
+    async fn answer(
+        &self, server: ServerNo, mut connection: Reader<TcpStream>, stage: &Cell<Stage>,
+        parking: Option<&Parking>,
+    ) -> Result<(u16, Option<Head>, Vec<u8>), Cut> {
         let mut others = 0;
         let status = loop {
-            connection.begun().await.map_err(|_| Outcome::Broken)?;
+            let parked = async {
+                match parking {
+                    Some(parking) => parking.opened().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                begun = connection.begun() => begun.map_err(|_| Outcome::Broken)?,
+                () = parked => return Err(Cut::Parked(Some(connection))),
+            }
             // What has begun and does not go on is noise, and holds its slot no longer than that.
             let line = timeout(TAIL_TIME, connection.first_line()).await;
             let status = line.ok().and_then(Result::ok).ok_or(Outcome::Broken)?;
@@ -246,7 +349,7 @@
             let head = timeout(TAIL_TIME, connection.head()).await;
             others += 1;
             if others > EARLY_MAX || !matches!(head, Ok(Ok(_))) {
-                return Err(Outcome::Broken);
+                return Err(Outcome::Broken.into());
             }
         };
         if status != 200 {
@@ -263,7 +366,7 @@
                 ))
             };
             let Ok(Ok((again, head, body))) = timeout(TAIL_TIME, whole).await else {
-                return Err(Outcome::Broken);
+                return Err(Outcome::Broken.into());
             };
             if again {
                 self.0.idle.put(server, connection);
@@ -299,13 +402,23 @@
                 let (connection, _) = this.connection(server, address).await?;
                 let what = if foreign { "OPTIONS *" } else { "GET /stats" };
                 let request = format!("{what} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-                this.ask(server, connection, request.as_bytes(), &Cell::new(Stage::Unsent), &|| {}).await
+                let stage = Cell::new(Stage::Unsent);
+                let connection = this.write(connection, request.as_bytes(), &stage).await?;
+                this.answer(server, connection, &stage, None).await
+            };
+            // Another process asks for itself.
+            let asked = async {
+                tokio::select! {
+                    asked = asked => asked,
+                    () = this.0.parking.opened() => Err(Outcome::Void.into()),
+                }
             };
             let (outcome, report) = match timeout(this.0.dial_timeout, asked).await {
                 // What it makes of such a request is its own matter: it answers.
                 Ok(Ok((..500, ..))) if foreign => (Outcome::Success, None),
                 Ok(Ok((status, head, body))) => probed(status, head.as_ref(), &body),
-                Ok(Err(outcome)) => (outcome, None),
+                Ok(Err(Cut::Ended(outcome))) => (outcome, None),
+                Ok(Err(Cut::Parked(_))) => (Outcome::Void, None),
                 Err(_) => (Outcome::TimedOut, None),
             };
             tracing::debug!(server = server.0, ?outcome, "probed");
@@ -324,6 +437,25 @@
         self.0.idle.release(server);
     }
 
+    /// Takes all idle connections out, with how long each has been idle.
+    pub fn park_idle(&self) -> Vec<ParkedIdle> {
+        let idle = self.0.idle.take_all().into_iter();
+        let idle = idle.filter_map(|(server, connection, age)| {
+            let stream = connection.into_parts().0.into_std().ok()?;
+            Some(ParkedIdle { stream, note: IdleNote { server, age } })
+        });
+        idle.collect()
+    }
+
+    /// Takes idle connections in that were taken out elsewhere.
+    pub fn adopt_idle(&self, idle: Vec<ParkedIdle>) {
+        for ParkedIdle { stream, note } in idle {
+            if let Ok(stream) = TcpStream::from_std(stream) {
+                self.0.idle.put_aged(note.server, Reader::new(stream), note.age);
+            }
+        }
+    }
+
     /// Closes idle connections in time, for as long as the program runs.
     pub async fn sweep(self) {
         self.0.idle.sweep().await;
@@ -340,6 +472,23 @@
     }
 }
 
+fn ended(order: &CallOrder, answer: Answer, elapsed: Duration) -> CallEnd {
+    let Answer { outcome, finished, limit } = answer;
+    let CallOrder { flow, attempt, server, .. } = *order;
+    CallEnd { flow, attempt, server, outcome, finished, elapsed, limit }
+}
+
+/// What goes with a call that is parked.
+fn note(order: &CallOrder, elapsed: Duration, sent: bool) -> CallNote {
+    let CallOrder { flow, attempt, server, address, give_up_at, over_at, .. } = *order;
+    let now = Instant::now();
+    let (left, flow_left) =
+        (give_up_at.saturating_duration_since(now), over_at.saturating_duration_since(now));
+    // What its switch says may change until it is handed over: the owner, who has that, puts it in.
+    let (held, stopped) = (false, false);
+    CallNote { flow, attempt, server, address, left, flow_left, elapsed, sent, held, stopped }
+}
+
 fn request(order: &CallOrder, now: Instant) -> Vec<u8> {
     let left = order.give_up_at.saturating_duration_since(now).as_millis();
     let parcel = &order.parcel;
@@ -433,7 +582,8 @@
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let (owner, mut ends) = mpsc::channel(8);
             let second = Duration::from_secs(1);
-            let upstream = Upstream::new(second, second * 9, 8, owner, Figures::default());
+            let upstream =
+                Upstream::new(second, second * 9, 8, owner, Figures::default(), Parking::default());
             let mut seen = Vec::new();
             for flow in 1..=2 {
                 let body: Rc<[u8]> = b"ab"[..].into();
@@ -505,7 +655,8 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let (owner, mut ends) = mpsc::channel(8);
-            let upstream = Upstream::new(ms(1000), ms(9000), 8, owner, Figures::default());
+            let upstream =
+                Upstream::new(ms(1000), ms(9000), 8, owner, Figures::default(), Parking::default());
             // Of a flow with time left, and of one whose time is up as the thread does not get to run.
             for (time, finished) in [(2000, None), (100, Some(End::Failed))] {
                 let parcel = Rc::new(Parcel {
@@ -553,7 +704,8 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let (owner, mut ends) = mpsc::channel(8);
-            let upstream = Upstream::new(ms(9000), ms(9000), 8, owner, Figures::default());
+            let upstream =
+                Upstream::new(ms(9000), ms(9000), 8, owner, Figures::default(), Parking::default());
             // Nobody reads: what is larger than the sockets' buffers is never written whole.
             for (bytes, called_off, outcome) in [
                 (64 << 20, true, Outcome::Void),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -127,7 +127,7 @@
 }
 
 /// The names that settings give, by which later lines refer to them.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, serde::Serialize)]
 pub struct Names {
     /// Classes of messages, by [`ClassId`].
     pub classes: Vec<String>,
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -7,28 +7,6 @@
 use peers::*;
 use std::time::{Duration, Instant};
 
-/// One call, and the whole of its answer; none if it did not come within an operator's patience.
-fn call(relay: &Relay, line: &str) -> String {
-    let mut talk = Talk::to(relay.address("admin"));
-    let asked = Instant::now();
-    talk.write(&format!("{line}\n"));
-    let mut all = String::new();
-    while let Some(line) = talk.line() {
-        all += &format!("{line}\n");
-    }
-    assert!(asked.elapsed() < Duration::from_secs(1), "`{line}` took {:?}", asked.elapsed());
-    all
-}
-
-fn says(relay: &Relay, line: &str, begins: &str) {
-    let said = call(relay, line);
-    assert!(said.starts_with(begins), "`{line}` is answered `{said}`");
-}
-
-fn with_admin(config: &str) -> String {
-    config.replacen('{', r#"{"admin":"127.0.0.1:0","#, 1)
-}
-
 #[test]
 fn a_ban_holds_over_list_and_kill_and_one_call_ends_it() {
     let folder = Folder::new("ban");
--- a/tests/peers/front.rs
+++ b/tests/peers/front.rs
@@ -115,3 +115,25 @@
 pub fn hand_in(relay: &Relay, class: &str, id: &str) -> String {
     ask(&mut Talk::to(relay.address("HTTP")), &flow(class, id))
 }
+
+/// An operator's call, and the whole of its answer, which has to come within an operator's patience.
+pub fn call(relay: &Relay, line: &str) -> String {
+    let mut talk = Talk::to(relay.address("admin"));
+    let asked = Instant::now();
+    talk.write(&format!("{line}\n"));
+    let mut all = String::new();
+    while let Some(line) = talk.line() {
+        all += &format!("{line}\n");
+    }
+    assert!(asked.elapsed() < Duration::from_secs(1), "`{line}` took {:?}", asked.elapsed());
+    all
+}
+
+pub fn says(relay: &Relay, line: &str, begins: &str) {
+    let said = call(relay, line);
+    assert!(said.starts_with(begins), "`{line}` is answered `{said}`");
+}
+
+pub fn with_admin(config: &str) -> String {
+    config.replacen('{', r#"{"admin":"127.0.0.1:0","#, 1)
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -80,13 +80,24 @@
     }
 
     fn launch(command: &mut Command) -> Relay {
+        let relay = Relay::spawn(command);
+        relay.logged("-> Serving");
+        relay
+    }
+
+    /// Starts a relay of the platform's beside one that runs, and waits for nothing.
+    pub fn beside(folder: &Folder) -> Relay {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxstile"));
+        let command = command.arg("serve").env("GW_CONFIG", folder.0.join("config.json"));
+        Relay::spawn(command.env("GW_STATE", folder.0.join("state")))
+    }
+
+    fn spawn(command: &mut Command) -> Relay {
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, to) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
         thread::spawn(move || lines.map_while(Result::ok).for_each(|l| to.lock().unwrap().push(l)));
-        let relay = Relay { child, log };
-        relay.logged("-> Serving");
-        relay
+        Relay { child, log }
     }
 
     /// The first line of the log that holds `text`.
@@ -99,9 +110,12 @@
         self.log.lock().unwrap().iter().filter(|l| l.contains(text)).count() as u64
     }
 
-    /// Where one of its fronts listens.
+    /// Where one of its fronts listens, since it last began to.
     pub fn address(&self, front: &str) -> SocketAddr {
-        let line = self.logged(&format!("{front} on "));
+        let text = format!("{front} on ");
+        self.logged(&text);
+        let log = self.log.lock().unwrap();
+        let line = log.iter().rfind(|l| l.contains(&text)).unwrap();
         line.rsplit(' ').next().unwrap().parse().unwrap()
     }
 
@@ -116,6 +130,12 @@
         self.child.wait().unwrap();
     }
 
+    /// SIGKILL, and it stays to be asked about.
+    pub fn slay(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// Waits for it to end by itself; whether it did so in order.
     pub fn ended(&mut self) -> bool {
         until("the relay's end", || self.child.try_wait().unwrap()).success()
