Play bans and upgrades among the properties, and pin the form of the handed state

A test holds the form of what is handed over to its number. Stories: SIGHUP during an evacuation, another format, a ready that nobody asked for.

--- a/src/net/upgrade/state.rs
+++ b/src/net/upgrade/state.rs
@@ -21,20 +21,20 @@
     pub format: u32,
     /// Its version, for the log.
     pub version: String,
-    /// The settings and names that it goes by, as written by [`write`]: numbers of classes, kinds and tenants mean
+    /// The settings and names that it goes by, as written by [`write()`]: numbers of classes, kinds and tenants mean
     /// nothing under other ones.
     pub settings: Vec<u8>,
 }
 
 /// All that the new process needs beside the journal and the sockets, which come in the order of the notes here: the
 /// listener, clients' connections, calls whose request is written, idle connections.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct State {
     /// The giver's clock.
     pub now: Duration,
     /// Length of the journal's file.
     pub journal: u64,
-    /// The core with the module, as written by [`write`].
+    /// The core with the module, as written by [`write()`].
     pub core: Vec<u8>,
     /// Real servers, and bans.
     pub directory: Directory,
@@ -78,7 +78,7 @@
     postcard::to_allocvec(what)
 }
 
-/// Reads what [`write`] wrote, all of it.
+/// Reads what [`write()`] wrote, all of it.
 ///
 /// # Errors
 /// It is something else.
@@ -86,3 +86,56 @@
     let (what, rest) = postcard::take_from_bytes(bytes)?;
     if rest.is_empty() { Ok(what) } else { Err(postcard::Error::DeserializeBadEncoding) }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::{ClassId, DestinationId, ListState};
+    use crate::common::{line, ms, settings};
+    use crate::core::{Core, FlowTerms};
+
+    /// A state says nothing of its own form: another form under the same number would be read as something else. Where
+    /// this fails, [`FORMAT`] has to go up, and then the sum here has to follow.
+    #[test]
+    fn another_form_of_the_state_is_another_format() {
+        let mut core = Core::new(settings(), 7, ms(1000)).unwrap();
+        let to = DestinationId(7);
+        core.take_entries(vec![line(1, to, 0, ListState::Live), line(2, to, 0, ListState::Draining)], true);
+        for no in 1..4 {
+            let terms = FlowTerms { class: ClassId(0), tenant: None, destination: to, remaining: ms(5000) };
+            core.offer(FlowNo(no), terms, ());
+        }
+        core.step(ms(1000), &mut Vec::new());
+        let bytes = write(&core.written().unwrap()).unwrap();
+        let call = CallNote {
+            flow: FlowNo(1),
+            attempt: 2,
+            server: Default::default(),
+            address: ([127, 0, 0, 1], 9).into(),
+            left: ms(1),
+            flow_left: ms(2),
+            elapsed: ms(3),
+            sent: true,
+            held: false,
+            stopped: false,
+        };
+        let state = State {
+            core: bytes.clone(),
+            edges: vec![EdgeNote { read: vec![7], served: true, left: ms(4) }],
+            calls: vec![call],
+            idle: vec![IdleNote { server: Default::default(), age: ms(5) }],
+            ids: [("f".to_string(), FlowNo(1))].into(),
+            ..State::default()
+        };
+        let whole = write(&state).unwrap();
+        assert_eq!((FORMAT, whole.len(), crc32fast::hash(&whole)), (1, 567, 4228435670));
+        assert_eq!(read::<State>(&whole).unwrap().sockets(), 3);
+        let again = Core::from_read(read(&bytes).unwrap(), 9, |_| Some(())).unwrap();
+        assert_eq!(write(&again.written().unwrap()).unwrap(), bytes);
+        assert!(
+            Core::from_read(read(&bytes).unwrap(), 9, |_| None::<()>).is_none(),
+            "a flow without its payload"
+        );
+        assert!(read::<State>(&bytes).is_err());
+    }
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -87,6 +87,8 @@
     used.write(one);
     says(&relay, "evacuate", "200");
     says(&relay, "evacuate", "200");
+    relay.signal("HUP");
+    relay.logged("the configuration was read again");
     assert!(ready().starts_with("503"));
     says(&relay, "readyz", "200");
     let began = Instant::now();
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -279,6 +279,8 @@
     waits: BTreeMap<Bound, Duration>,
     /// How a partner is away at the moment, and the wait that it tells, in ms.
     moods: BTreeMap<DestinationId, Option<(Away, u64)>>,
+    /// Banned by operators, whatever lists say.
+    banned: BTreeSet<u32>,
     probes: Vec<ServerNo>,
     ended: Vec<CallEnd>,
     killed: bool,
@@ -329,6 +331,7 @@
             listed: BTreeMap::new(),
             waits: BTreeMap::new(),
             moods: ALL.into_iter().map(|d| (d, None)).collect(),
+            banned: BTreeSet::new(),
             probes: vec![],
             ended: vec![],
             killed: false,
@@ -362,6 +365,8 @@
     }
 
     fn entry(&self, server: u32, destination: DestinationId, state: ListState) -> EndpointInfo {
+        let banned = state == ListState::Live && self.banned.contains(&server);
+        let state = if banned { ListState::Draining } else { state };
         line(server, destination, place(server).1, state)
     }
 
@@ -495,6 +500,34 @@
                 self.relay.core.call_ended(stage::end(FlowNo(flow), 77, ServerNo(99), outcome, ms(1)));
             }
             10 if self.dice.percent(50) => return self.kill(),
+            11 => {
+                // A ban begins or ends; the list has not changed.
+                let any = 1 + self.dice.below(u64::from(SERVERS)) as u32;
+                let server = self.banned.first().copied().unwrap_or(any);
+                let listed = self.listed.get(&ServerNo(server)).copied();
+                let began = self.banned.insert(server) || !self.banned.remove(&server);
+                if let Some((to, state)) = listed.filter(|l| l.1 != ListState::Gone) {
+                    self.saw(
+                        "banned with a call out",
+                        began && self.out.iter().any(|o| o.server.0 == server),
+                    );
+                    let state = if state == ListState::Draining && !began { ListState::Live } else { state };
+                    let entry = self.entry(server, to, state);
+                    self.list(vec![entry], false);
+                }
+            }
+            12 | 13 => {
+                self.step(None);
+                let upgraded = self.relay.upgrade();
+                self.saw("upgraded", upgraded);
+                self.saw("upgraded with calls out", upgraded && !self.out.is_empty());
+                self.saw("upgraded within a wait", upgraded && self.waits.values().any(|w| *w > self.now));
+                let held = self.listed.iter().any(|(s, l)| {
+                    self.banned.contains(&s.0)
+                        && self.owed.values().any(|f| f.taken && !f.over && f.to == l.0)
+                });
+                self.saw("upgraded with messages for one that is banned", upgraded && held);
+            }
             _ => {}
         }
         self.step(None);
@@ -744,6 +777,7 @@
             ("killed with a torn journal", 100),
             ("ended after a kill", 1000),
             ("time up while no process ran", 50),
+            ("upgraded", 1000),
         ],
     );
 }
@@ -759,6 +793,7 @@
             ("given up at once, as it may have run", 200),
             ("handed back", 100),
             ("killed with calls out", 100),
+            ("upgraded with calls out", 1000),
         ],
     );
 }
@@ -768,6 +803,7 @@
     property(
         Rule::SideBySide,
         &[
+            ("upgraded with calls out", 1000),
             ("resent", 1000),
             ("an old end while another attempt is out", 20),
             ("a call called off for its slot", 20),
@@ -783,6 +819,8 @@
         Rule::Drains,
         &[
             ("drained with messages waiting", 500),
+            ("banned with a call out", 50),
+            ("upgraded with messages for one that is banned", 100),
             ("gone with a call out", 50),
             ("moved to another destination", 100),
             ("sent while others drain", 1000),
@@ -795,6 +833,7 @@
     property(
         Rule::Waits,
         &[
+            ("upgraded within a wait", 200),
             ("a wait told while others wait", 500),
             ("sent soon after a wait", 60),
             ("sent while others are waited for", 200),
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -7,6 +7,7 @@
 use onyxstile::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, ServerNo};
 use onyxstile::net::journal::{Journal, Owed, Record, SentTo, TakenFlow};
 use onyxstile::net::parcel::Parcel;
+use onyxstile::net::upgrade::state;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeSet;
@@ -190,6 +191,18 @@
         }
     }
 
+    /// The next process takes over: it has the core as this one wrote it, and the journal as it is. False if not all is
+    /// decided on.
+    pub fn upgrade(&mut self) -> bool {
+        let Some(written) = self.core.written().filter(|_| self.unwritten.is_empty()) else { return false };
+        let bytes = state::write(&written).unwrap();
+        let journal = Journal::beside(&self.folder, self.limit, self.journal.length()).unwrap();
+        let parcel = |no: FlowNo| journal.ledger().open.get(&no).map(|(f, _)| f.parcel.clone());
+        self.core = Core::from_read(state::read(&bytes).unwrap(), self.settings.max_held, parcel).unwrap();
+        self.journal = journal;
+        true
+    }
+
     /// The next process: what the journal has goes on, as `net::owner::recovery` has it.
     pub fn restart(&mut self, entries: Vec<EndpointInfo>, now: Duration) {
         self.seed += 1;
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -3,7 +3,7 @@
 
 mod peers;
 
-use onyxstile::net::upgrade::state::{State, read};
+use onyxstile::net::upgrade::state::{FORMAT, Hello, State, read, write};
 use onyxstile::net::upgrade::wire::{Kind, Peer};
 use peers::front::*;
 use peers::*;
@@ -235,6 +235,18 @@
     let relay = Relay::platform(&folder, &text);
     let said = Relay::fails(&folder, &text.replace("\"maxAttempts\":6", "\"maxAttempts\":5"));
     assert!(said.contains("refuses to hand over: the settings differ"), "{said}");
+    // Another format, and one that claims to be ready without having been asked.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let socket = tokio::net::UnixStream::connect(folder.0.join("state/upgrade")).await.unwrap();
+        let mut peer = Peer::new(socket);
+        let hello = Hello { format: FORMAT + 1, version: "9".into(), settings: vec![] };
+        peer.say(Kind::Hello, &write(&hello).unwrap()).await.unwrap();
+        let (kind, why) = peer.hear().await.unwrap().unwrap();
+        assert_eq!((kind, &why[..]), (Kind::Never, &b"the state has another format"[..]));
+        let socket = tokio::net::UnixStream::connect(folder.0.join("state/upgrade")).await.unwrap();
+        Peer::new(socket).say(Kind::Ready, &[]).await.unwrap();
+    });
     // One that says nothing, one that says nonsense, and one that hangs up.
     for nonsense in ["", "GET / HTTP/1.1\r\n\r\n", "H\u{4}\0\0\0abcd", "H\0\0\0\u{1}"] {
         use std::io::Write;
