Let messages that one step sends to one server share a call over HTTP

Cause: where the settings let up to 5 messages share a call, the module counts such sends as one call and one slot; the HTTP front made a call of each, which took slots and limits that the module did not count. Ruled out: crashes, broken rules, memory, descriptors (none).

Change: a call carries one attempt or several (POST /inbox/bulk), with one outcome each; an answer that cannot be read or leaves a message out means that it may have run. A busy discovery (503) is asked from the version known, not for the whole list.

Rejected: a task of its own that gathers calls in the front; the step already says what travels together.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -62,6 +62,10 @@
     let request = format!("GET /registry/instances?watch=1&from={rev} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     reader.get_mut().write_all(request.as_bytes()).await.map_err(HttpError::Io)?;
     let head = timeout(SILENCE, reader.head()).await.map_err(late)??;
+    if matches!(head.first[1].as_str(), "429" | "503") {
+        // It has no time for us now, which says nothing of the version: the whole list would cost it more.
+        return Err(HttpError::Malformed("discovery is busy"));
+    }
     if head.first[1] != "200" || head.framing(Framing::UntilEnd)? != Framing::Chunked {
         // The version may be one that discovery no longer knows: from then on, the whole list.
         *rev = 0;
--- a/src/net/owner/handover.rs
+++ b/src/net/owner/handover.rs
@@ -101,7 +101,8 @@
         let core = self.core.written().ok_or("it is about to end")?;
         let core = write(&core).map_err(|_| "the module's state cannot be written")?;
         for call in &mut parked.calls {
-            if let Some(open) = self.calls.get(&(call.note.flow, call.note.attempt)) {
+            let first = call.note.items.first().map(|i| (i.flow, i.attempt));
+            if let Some(open) = first.and_then(|i| self.calls.get(&i)) {
                 (call.note.held, call.note.stopped) = (open.switch.held(), open.switch.is_stopped());
             }
             if call.note.sent && call.stream.is_none() {
@@ -141,19 +142,33 @@
         }
     }
 
-    fn take_up_call(&mut self, call: ParkedCall) {
-        let (flow, attempt, server) = (call.note.flow, call.note.attempt, call.note.server);
+    fn take_up_call(&mut self, mut call: ParkedCall) {
+        let server = call.note.server;
         let destination = self.directory.destination(server);
-        let parcel = self.journal.ledger().open.get(&flow).map(|(f, _)| f.parcel.clone());
-        // The flow of a call that is out may be over; of such a flow no other call begins to go out.
-        let Some(parcel) = parcel.or_else(|| call.note.sent.then(no_parcel)) else {
-            let (outcome, elapsed) = (Outcome::Void, call.note.elapsed);
-            let end = CallEnd { flow, attempt, server, outcome, finished: None, elapsed, limit: None };
-            self.calls.remove(&(flow, attempt));
-            return self.core.call_ended(end);
-        };
-        let switch = self.upstream.adopt(call, parcel);
-        self.calls.insert((flow, attempt), OpenCall { switch, destination, server });
+        let mut parcels = Vec::new();
+        let (sent, elapsed) = (call.note.sent, call.note.elapsed);
+        call.note.items.retain(|item| {
+            let (flow, attempt) = (item.flow, item.attempt);
+            let parcel = self.journal.ledger().open.get(&flow).map(|(f, _)| f.parcel.clone());
+            // The flow of a call that is out may be over; of such a flow no other call begins to go out.
+            let parcel = parcel.or_else(|| sent.then(no_parcel));
+            if parcel.is_none() {
+                let outcome = Outcome::Void;
+                let end = CallEnd { flow, attempt, server, outcome, finished: None, elapsed, limit: None };
+                self.calls.remove(&(flow, attempt));
+                self.core.call_ended(end);
+            }
+            parcels.extend(parcel.clone());
+            parcel.is_some()
+        });
+        let keys: Vec<_> = call.note.items.iter().map(|i| (i.flow, i.attempt)).collect();
+        if keys.is_empty() {
+            return;
+        }
+        let switch = self.upstream.adopt(call, parcels);
+        for key in keys {
+            self.calls.insert(key, OpenCall { switch: switch.clone(), destination, server });
+        }
     }
 
     /// Goes on with what another process had, but for the sockets. Nothing is written and nothing done yet.
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -31,7 +31,7 @@
 use super::upgrade::parking::Parking;
 use super::upgrade::state::State as HandedState;
 use super::upgrade::wire::Peer;
-use super::upstream::{CallOrder, Switch, Upstream};
+use super::upstream::{self, CallOrder, Switch, Upstream};
 use crate::api::{ClassId, DestinationId, KindId, Note, Past, TenantId};
 use crate::core::vigil::{Line, Vigil};
 use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo};
@@ -48,6 +48,8 @@
 
 /// Messages taken into one step, at most.
 const BATCH: usize = 256;
+/// Time for which the owner may be kept from its work before it says so: a notice is overdue after 300 ms.
+const STALL: Duration = Duration::from_millis(100);
 /// Ids of flows that are over, kept in case one is handed in twice.
 const REMEMBERED: usize = 4096;
 
@@ -115,6 +117,8 @@
     unwritten: Vec<Record>,
     /// What real servers last said of open mail flows.
     said: BTreeMap<FlowNo, String>,
+    /// Calls of the present step, as far as they can share no other.
+    http_calls: Vec<CallOrder>,
     /// Mail calls of the present step.
     mail_calls: Vec<(ServerNo, Duration, DestinationId, Item)>,
     places: BTreeMap<FlowNo, Place>,
@@ -277,6 +281,7 @@
             groups: BTreeMap::new(),
             unwritten: Vec::new(),
             said: BTreeMap::new(),
+            http_calls: Vec::new(),
             mail_calls: Vec::new(),
             places: BTreeMap::new(),
             ids: BTreeMap::new(),
@@ -327,7 +332,9 @@
             let kept = self.keeper.as_ref().map(Keeper::due);
             let due =
                 self.wake_at.into_iter().chain(self.drain_due()).chain(self.witness_due()).chain(kept).min();
-            let due = self.clock.instant(due.unwrap_or(now + Duration::from_secs(1)));
+            let due = due.unwrap_or(now + Duration::from_secs(1));
+            let late = move |clock: &Clock| clock.now().saturating_sub(due.max(now));
+            let due = self.clock.instant(due);
             tokio::select! {
                 biased;
                 Some(order) = self.orders.recv() => match order {
@@ -345,6 +352,10 @@
                 () = sleep_until(due) => {}
                 () = self.phase.reached(State::Draining), if self.draining_since.is_none() => {}
             }
+            let late = late(&self.clock);
+            if late >= STALL {
+                tracing::warn!("the thread did not get to run for {late:?}");
+            }
             for _ in 1..BATCH {
                 match self.queue.try_recv() {
                     Ok(message) => self.take(message),
@@ -546,7 +557,12 @@
         }
         // What is kept is on the shelf before the journal has that its flow is over, and a resend's end as well.
         records.extend(self.write_shelf().into_iter().map(|no| Record::Ended(no, None)));
+        let began = self.clock.now();
         let lasting = self.journal.write(&records);
+        let took = self.clock.now().saturating_sub(began);
+        if took >= STALL {
+            tracing::warn!("journal: a write took {took:?}; all else stood still");
+        }
         if let Err(e) = &lasting {
             tracing::error!("journal: {e}; new flows are turned down");
             // Ends are written as soon as that works again; what was to be taken was not, nor was it sent.
@@ -568,6 +584,7 @@
         for effect in effects {
             self.do_effect(effect, now, lasting.is_ok(), &resent);
         }
+        self.make_calls();
         self.make_mail_calls();
     }
 
@@ -625,10 +642,20 @@
                 let give_up_at = self.clock.instant(give_up_at);
                 let deadline = self.journal.ledger().open.get(&flow).map(|(f, _)| f.deadline);
                 let over_at = deadline.map_or(give_up_at, |d| self.clock.instant(d));
-                let order =
-                    CallOrder { flow, attempt, server, address, give_up_at, over_at, parcel: payload };
-                let switch = self.upstream.call(order);
-                self.calls.insert((flow, attempt), OpenCall { switch, destination, server });
+                let item = upstream::Item { flow, attempt, over_at, parcel: payload };
+                let kind = self.directory.get(server).map(|s| s.kind.0);
+                let most = kind.and_then(|k| self.per_call.get(k)).copied().unwrap_or(1);
+                // What one step sends to one real server travels together, as far as its kind allows.
+                let shared = self.http_calls.iter_mut().rev().find(|c| c.server == server);
+                match shared.filter(|c| c.takes(&item, most)) {
+                    Some(call) => {
+                        call.give_up_at = call.give_up_at.min(give_up_at);
+                        call.items.push(item);
+                    }
+                    None => {
+                        self.http_calls.push(CallOrder { items: vec![item], server, address, give_up_at })
+                    }
+                }
             }
             Effect::StopCall(flow, attempt) => {
                 self.vigil.note(flow, now, Line::Stopped(attempt));
@@ -696,6 +723,18 @@
         }
     }
 
+    /// Makes the calls of this step; one switch acts on all attempts of a call.
+    fn make_calls(&mut self) {
+        for order in std::mem::take(&mut self.http_calls) {
+            let (server, destination) = (order.server, self.directory.destination(order.server));
+            let keys: Vec<_> = order.items.iter().map(|i| (i.flow, i.attempt)).collect();
+            let switch = self.upstream.call(order);
+            for key in keys {
+                self.calls.insert(key, OpenCall { switch: switch.clone(), destination, server });
+            }
+        }
+    }
+
     fn forget(&mut self, no: FlowNo, id: &str) {
         self.places.remove(&no);
         self.routing.flow_over(no);
--- a/src/net/upgrade/parking.rs
+++ b/src/net/upgrade/parking.rs
@@ -44,18 +44,14 @@
 /// What goes with a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallNote {
-    /// The flow.
-    pub flow: FlowNo,
-    /// Number of the attempt.
-    pub attempt: u32,
+    /// The attempts that it carries.
+    pub items: Vec<ItemNote>,
     /// The real server.
     pub server: ServerNo,
     /// Its address.
     pub address: SocketAddr,
-    /// Time until it is given up, and until its flow's time is up.
+    /// Time until it is given up.
     pub left: Duration,
-    /// See `left`.
-    pub flow_left: Duration,
     /// Time since it was ordered.
     pub elapsed: Duration,
     /// All of its request is written.
@@ -66,6 +62,17 @@
     pub stopped: bool,
 }
 
+/// An attempt that a call carries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemNote {
+    /// The flow.
+    pub flow: FlowNo,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Time until the flow's time is up.
+    pub left: Duration,
+}
+
 /// An idle connection to a real server.
 #[derive(Debug)]
 pub struct ParkedIdle {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,14 +1,15 @@
 //! Calls to real servers over HTTP, one at a time on each connection, and the connections kept for them.
 
 use super::figures::Figures;
-use super::http::{Framing, Head, HttpError, Reader};
+use super::http::{BODY_MAX, Framing, Head, HttpError, Reader};
 use super::inbox::ToOwner;
 use super::parcel::Parcel;
 use super::pool::{Pool, Pooled};
-use super::upgrade::parking::{CallNote, IdleNote, ParkedCall, ParkedIdle, Parking};
+use super::upgrade::parking::{CallNote, IdleNote, ItemNote, ParkedCall, ParkedIdle, Parking};
 use crate::api::LimitReport;
 use crate::core::{CallEnd, End, FlowNo, Outcome, ServerNo};
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,29 +35,61 @@
 const LAST_MOMENT: Duration = Duration::from_millis(20);
 /// Answers of the 1xx kind before the real one, at most.
 const EARLY_MAX: usize = 16;
+/// What a message's line takes in a call that several share, beside its id: the key, lengths and line ends.
+const BULK_LINE: usize = 256;
 /// Longest told wait that is believed: no flow lives so long.
 const WAIT_MAX: Duration = Duration::from_secs(60);
 /// Calls a second and share left that a report may state; anything else is noise.
 const RATE_MAX: f64 = 1e6;
 const LEFT_MAX: f64 = 2.0;
 
-/// A call to be made.
+/// A flow's attempt, as part of a call.
 #[derive(Debug, Clone)]
-pub struct CallOrder {
+pub struct Item {
     /// The flow.
     pub flow: FlowNo,
     /// Number of the attempt.
     pub attempt: u32,
+    /// When the flow's time is up.
+    pub over_at: Instant,
+    /// What to send.
+    pub parcel: Rc<Parcel>,
+}
+
+/// A call to be made: one attempt, or several that share it where the real server's kind allows that.
+#[derive(Debug, Clone)]
+pub struct CallOrder {
+    /// The attempts, at least one; their ids differ.
+    pub items: Vec<Item>,
     /// The real server.
     pub server: ServerNo,
     /// Its address.
     pub address: SocketAddr,
     /// When to stop waiting.
     pub give_up_at: Instant,
-    /// When the flow's time is up.
-    pub over_at: Instant,
-    /// What to send.
-    pub parcel: Rc<Parcel>,
+}
+
+impl CallOrder {
+    /// What an answer says of each attempt.
+    fn answers(&self, (status, head, body): &Said) -> Vec<Answer> {
+        if self.items.len() == 1 {
+            return vec![Answer::read(*status, head.as_ref())];
+        }
+        let ids: Vec<_> = self.items.iter().map(|i| i.parcel.id.as_str()).collect();
+        Answer::read_bulk(&ids, *status, head.as_ref(), body)
+    }
+
+    /// Whether another attempt may share the call, of so many at most. Paths that a table gave are nobody's but one
+    /// flow's, and a body has its bound.
+    pub fn takes(&self, item: &Item, most: usize) -> bool {
+        let size = |i: &Item| i.parcel.body.len() + i.parcel.id.len() + BULK_LINE;
+        let plain = |i: &Item| i.parcel.routed.is_none();
+        let whole: usize = self.items.iter().map(size).sum();
+        self.items.len() < most
+            && plain(item)
+            && self.items.iter().all(|i| plain(i) && i.parcel.id != item.parcel.id)
+            && whole + size(item) <= BODY_MAX
+    }
 }
 
 #[derive(Debug, Default)]
@@ -108,6 +141,9 @@
     limit: Option<LimitReport>,
 }
 
+/// An answer as it was read: its status, its head if that could be read, and its body.
+type Said = (u16, Option<Head>, Vec<u8>);
+
 /// How far a call has come.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Stage {
@@ -115,7 +151,7 @@
     Unsent,
     /// It may run.
     Sent,
-    /// The first line of its answer says 200, and was read then.
+    /// The first line of its answer says 200 (or all of it, to a call that several share), and was read then.
     Delivered(Instant),
 }
 
@@ -164,26 +200,29 @@
         switch
     }
 
-    /// Goes on with a call that was parked.
-    pub fn adopt(&self, call: ParkedCall, parcel: Rc<Parcel>) -> Switch {
+    /// Goes on with a call that was parked, with what each of its flows delivers.
+    pub fn adopt(&self, call: ParkedCall, parcels: Vec<Rc<Parcel>>) -> Switch {
         let (switch, now) = (Switch::default(), Instant::now());
         let ParkedCall { stream, note } = call;
-        let CallNote { flow, attempt, server, address, left, flow_left, elapsed, held, stopped, .. } = note;
+        let CallNote { items, server, address, left, elapsed, held, stopped, sent } = note;
         if held {
             switch.hold();
         }
         if stopped {
             switch.stop();
         }
-        let (give_up_at, over_at) = (now + left, now + flow_left);
-        let order = CallOrder { flow, attempt, server, address, give_up_at, over_at, parcel };
+        let items = items.into_iter().zip(parcels).map(|(i, parcel)| {
+            let ItemNote { flow, attempt, left } = i;
+            Item { flow, attempt, over_at: now + left, parcel }
+        });
+        let order = CallOrder { items: items.collect(), server, address, give_up_at: now + left };
         let connection = stream.and_then(|s| TcpStream::from_std(s).ok()).map(Reader::new);
         // A socket that cannot be had any more had a call on it all the same.
-        if note.sent && connection.is_none() {
-            let end = ended(&order, Answer::of(Outcome::Broken), elapsed);
-            let (owner, busy) = (self.0.owner.clone(), self.0.parking.busy());
+        if sent && connection.is_none() {
+            let (this, busy) = (self.clone(), self.0.parking.busy());
             tokio::task::spawn_local(async move {
-                let _ = owner.send(ToOwner::CallEnded(end, None)).await;
+                let ends = order.items.iter().map(|i| ended(&order, i, Answer::of(Outcome::Broken), elapsed));
+                this.tell(ends.collect()).await;
                 drop(busy);
             });
             return switch;
@@ -192,6 +231,13 @@
         switch
     }
 
+    async fn tell(&self, ends: Vec<CallEnd>) {
+        for end in ends {
+            // The owner outlives all calls but at exit.
+            let _ = self.0.owner.send(ToOwner::CallEnded(end, None)).await;
+        }
+    }
+
     fn begin(
         &self, order: CallOrder, connection: Option<Reader<TcpStream>>, before: Duration, switch: &Switch,
     ) {
@@ -218,48 +264,54 @@
                 () = switch.stopped() => Some(Err(Cut::Ended(Outcome::Withdrawn))),
             }
         };
-        let answer = match (made, stage.get()) {
+        let all = |answer| vec![answer; order.items.len()];
+        let answers = match (made, stage.get()) {
             (Some(Err(Cut::Parked(connection))), _) => {
                 let note = note(&order, started.elapsed(), connection.is_some());
                 // If the socket cannot be had any more, whoever goes on takes the call for broken.
                 let stream = connection.and_then(|c| c.into_parts().0.into_std().ok());
                 return self.0.parking.leave_call(ParkedCall { stream, note });
             }
-            (Some(Ok(answer)), _) => answer,
+            (Some(Ok(answers)), _) => answers,
             // Called off or out of time before its last byte was written: it never ran.
-            (Some(Err(Cut::Ended(Outcome::Withdrawn))), Stage::Unsent) => Answer::of(Outcome::Void),
-            (None, Stage::Unsent) => Answer::of(Outcome::Unreachable),
+            (Some(Err(Cut::Ended(Outcome::Withdrawn))), Stage::Unsent) => all(Answer::of(Outcome::Void)),
+            (None, Stage::Unsent) => all(Answer::of(Outcome::Unreachable)),
             // Whatever became of the rest of the answer, its first line was true.
-            (_, Stage::Delivered(_)) => Answer::of(Outcome::Success),
-            (Some(Err(Cut::Ended(outcome))), _) => Answer::of(outcome),
-            (None, Stage::Sent) => Answer::of(Outcome::TimedOut),
+            (_, Stage::Delivered(_)) => all(Answer::of(Outcome::Success)),
+            (Some(Err(Cut::Ended(outcome))), _) => all(Answer::of(outcome)),
+            (None, Stage::Sent) => all(Answer::of(Outcome::TimedOut)),
         };
-        tracing::debug!(
-            flow = order.flow.0,
-            attempt = order.attempt,
-            server = order.server.0,
-            outcome = ?answer.outcome,
-            elapsed_us = started.elapsed().as_micros() as u64,
-            "attempt ended"
-        );
-        let mut end = ended(&order, answer, started.elapsed());
-        // Guards the one end of a flow that is answered after its time. A thread that was kept from running
-        // finds answer and time-out together; what it reads then was written when the flow was over for
-        // whoever handed it in, and its end is still owed.
-        if matches!(stage.get(), Stage::Delivered(at) if at + LAST_MOMENT > order.over_at) {
-            end.finished = Some(End::Failed);
+        let mut ends = Vec::with_capacity(answers.len());
+        for (item, answer) in order.items.iter().zip(answers) {
+            tracing::debug!(
+                flow = item.flow.0,
+                attempt = item.attempt,
+                server = order.server.0,
+                outcome = ?answer.outcome,
+                elapsed_us = started.elapsed().as_micros() as u64,
+                "attempt ended"
+            );
+            let mut end = ended(&order, item, answer, started.elapsed());
+            // Guards the one end of a flow that is answered after its time. A thread that was kept from running
+            // finds answer and time-out together; what it reads then was written when the flow was over for
+            // whoever handed it in, and its end is still owed.
+            if matches!(stage.get(), Stage::Delivered(at) if at + LAST_MOMENT > item.over_at)
+                && end.outcome == Outcome::Success
+            {
+                end.finished = Some(End::Failed);
+            }
+            ends.push(end);
         }
-        // The owner outlives all calls but at exit.
-        let _ = self.0.owner.send(ToOwner::CallEnded(end, None)).await;
+        self.tell(ends).await;
     }
 
     async fn exchange(
         &self, order: &CallOrder, written_on: Option<Reader<TcpStream>>, switch: &Switch, stage: &Cell<Stage>,
-    ) -> Result<Answer, Cut> {
-        let parking = Some(&self.0.parking);
+    ) -> Result<Vec<Answer>, Cut> {
+        let (parking, alone) = (Some(&self.0.parking), order.items.len() == 1);
         if let Some(connection) = written_on {
-            let (status, head, _) = self.answer(order.server, connection, stage, parking).await?;
-            return Ok(Answer::read(status, head.as_ref()));
+            let said = self.answer(order.server, connection, stage, parking, alone).await?;
+            return Ok(self.answers(order, said));
         }
         let (connection, idle) = tokio::select! {
             biased;
@@ -284,15 +336,28 @@
             () = self.0.parking.opened() => return Err(Cut::Parked(None)),
         };
         let connection = asked?;
-        self.0.figures.sent();
-        let asked = self.answer(order.server, connection, stage, parking).await;
+        order.items.iter().for_each(|_| self.0.figures.sent());
+        let asked = self.answer(order.server, connection, stage, parking, alone).await;
         if let (Err(Cut::Ended(Outcome::Broken)), Some(idle)) = (&asked, idle)
             && written.elapsed() < AT_ONCE
         {
             self.0.idle.broke(idle);
         }
-        let (status, head, _) = asked?;
-        Ok(Answer::read(status, head.as_ref()))
+        let said = asked?;
+        Ok(self.answers(order, said))
+    }
+
+    /// What an answer says of each attempt. A wait that it tells binds, also where it refuses none of them.
+    fn answers(&self, order: &CallOrder, said: Said) -> Vec<Answer> {
+        let answers = order.answers(&said);
+        let told = said.1.as_ref().and_then(|h| h.field("wait-ms")).and_then(told_wait);
+        let bound = answers.iter().any(|a| matches!(a.outcome, Outcome::Overloaded { .. }));
+        if told.is_some() && !bound && answers.len() > 1 && said.0 == 200 {
+            let wait = Outcome::Overloaded { wait: told };
+            // Without a wait of our own: what was read must not be cut off here.
+            let _ = self.0.owner.try_send(ToOwner::Probed(order.server, wait, None));
+        }
+        answers
     }
 
     /// A connection, and how long it was idle if it is not a new one.
@@ -320,13 +385,13 @@
     /// Reads the answer to what was written; the connection is kept if it can be used again. With a `parking`, the
     /// connection may have to be left there as long as nothing of the answer has come.
     ///
-    /// Guards against spoilt answers. One whose first line says 200 has delivered, whatever comes after it.
-    /// Any other counts for what it says only if it comes whole and can be read: the call has run, and a
+    /// Guards against spoilt answers. One to a call of one flow (`alone`) whose first line says 200 has delivered,
+    /// whatever comes after it. Any other counts for what it says only if it comes whole and can be read: the call has run, and a
     /// spoilt 503 proves nothing.
     async fn answer(
         &self, server: ServerNo, mut connection: Reader<TcpStream>, stage: &Cell<Stage>,
-        parking: Option<&Parking>,
-    ) -> Result<(u16, Option<Head>, Vec<u8>), Cut> {
+        parking: Option<&Parking>, alone: bool,
+    ) -> Result<Said, Cut> {
         let mut others = 0;
         let status = loop {
             let parked = async {
@@ -352,7 +417,7 @@
                 return Err(Outcome::Broken.into());
             }
         };
-        if status != 200 {
+        if status != 200 || !alone {
             let whole = async {
                 let head = connection.head().await?;
                 // RFC 9112, 6.3: a 204 and a 304 end with their heads.
@@ -371,6 +436,9 @@
             if again {
                 self.0.idle.put(server, connection);
             }
+            if status == 200 {
+                stage.set(Stage::Delivered(Instant::now()));
+            }
             return Ok((status, Some(head), body));
         }
         stage.set(Stage::Delivered(Instant::now()));
@@ -404,7 +472,7 @@
                 let request = format!("{what} HTTP/1.1\r\nHost: {address}\r\n\r\n");
                 let stage = Cell::new(Stage::Unsent);
                 let connection = this.write(connection, request.as_bytes(), &stage).await?;
-                this.answer(server, connection, &stage, None).await
+                this.answer(server, connection, &stage, None, true).await
             };
             // Another process asks for itself.
             let asked = async {
@@ -472,26 +540,28 @@
     }
 }
 
-fn ended(order: &CallOrder, answer: Answer, elapsed: Duration) -> CallEnd {
+fn ended(order: &CallOrder, item: &Item, answer: Answer, elapsed: Duration) -> CallEnd {
     let Answer { outcome, finished, limit } = answer;
-    let CallOrder { flow, attempt, server, .. } = *order;
-    CallEnd { flow, attempt, server, outcome, finished, elapsed, limit }
+    let (Item { flow, attempt, .. }, server) = (item, order.server);
+    CallEnd { flow: *flow, attempt: *attempt, server, outcome, finished, elapsed, limit }
 }
 
 /// What goes with a call that is parked.
 fn note(order: &CallOrder, elapsed: Duration, sent: bool) -> CallNote {
-    let CallOrder { flow, attempt, server, address, give_up_at, over_at, .. } = *order;
-    let now = Instant::now();
-    let (left, flow_left) =
-        (give_up_at.saturating_duration_since(now), over_at.saturating_duration_since(now));
+    let (now, server, address) = (Instant::now(), order.server, order.address);
+    let left = order.give_up_at.saturating_duration_since(now);
+    let items = order.items.iter().map(|i| {
+        let left = i.over_at.saturating_duration_since(now);
+        ItemNote { flow: i.flow, attempt: i.attempt, left }
+    });
     // What its switch says may change until it is handed over: the owner, who has that, puts it in.
-    let (held, stopped) = (false, false);
-    CallNote { flow, attempt, server, address, left, flow_left, elapsed, sent, held, stopped }
+    let (items, held, stopped) = (items.collect(), false, false);
+    CallNote { items, server, address, left, elapsed, sent, held, stopped }
 }
 
 fn request(order: &CallOrder, now: Instant) -> Vec<u8> {
     let left = order.give_up_at.saturating_duration_since(now).as_millis();
-    let parcel = &order.parcel;
+    let [Item { parcel, .. }] = &order.items[..] else { return bulk_request(order, left) };
     let path = parcel.routed.as_ref().map_or("/inbox", |r| r.path.as_str());
     let mut text =
         format!("POST {path} HTTP/1.1\r\nHost: {}\r\nX-Correlation-Id: {}\r\n", order.address, parcel.id);
@@ -504,6 +574,23 @@
     bytes
 }
 
+/// Several messages in one call: for each a line with id, key and length, and its bytes.
+fn bulk_request(order: &CallOrder, left: u128) -> Vec<u8> {
+    let mut body = Vec::new();
+    for Item { parcel, .. } in &order.items {
+        let key = parcel.key.as_deref().unwrap_or("-");
+        body.extend(format!("{} {key} {}\r\n", parcel.id, parcel.body.len()).into_bytes());
+        body.extend_from_slice(&parcel.body);
+        body.extend(b"\r\n");
+    }
+    let head = format!(
+        "POST /inbox/bulk HTTP/1.1\r\nHost: {}\r\nX-Time-Left-Ms: {left}\r\nContent-Length: {}\r\n\r\n",
+        order.address,
+        body.len()
+    );
+    [head.into_bytes(), body].concat()
+}
+
 /// What the answer to a probe says. Its report may stand in the head or be the body.
 fn probed(status: u16, head: Option<&Head>, body: &[u8]) -> (Outcome, Option<LimitReport>) {
     let outcome = match status {
@@ -520,15 +607,48 @@
         Answer { outcome, finished: None, limit: None }
     }
 
+    /// What one answer says of each of several messages. A message that it leaves out, or of which it says two things,
+    /// may have run.
+    fn read_bulk(ids: &[&str], status: u16, head: Option<&Head>, body: &[u8]) -> Vec<Self> {
+        let whole = Answer::read(status, head);
+        match status {
+            200 => {}
+            // It could not be read, or has too many: none has run.
+            400 | 413 => {
+                tracing::warn!("a call for {} messages is answered {status}", ids.len());
+                return vec![Answer::of(Outcome::Void); ids.len()];
+            }
+            429 | 503 => return vec![whole; ids.len()],
+            _ => return vec![Answer::of(Outcome::Failure); ids.len()],
+        }
+        let wait = head.and_then(|h| h.field("wait-ms")).and_then(told_wait);
+        let mut said: BTreeMap<&str, Option<&str>> = BTreeMap::new();
+        for line in std::str::from_utf8(body).unwrap_or_default().lines() {
+            let mut words = line.split_ascii_whitespace();
+            if let (Some(id), Some(word), None) = (words.next(), words.next(), words.next()) {
+                let same = said.get(id).is_none_or(|before| *before == Some(word));
+                said.insert(id, Some(word).filter(|_| same));
+            }
+        }
+        let of = |id: &&str| {
+            let (outcome, finished) = match said.get(id).copied().flatten() {
+                Some("delivered") => (Outcome::Success, None),
+                Some("failed") => (Outcome::Failure, None),
+                Some("refused") => (Outcome::Overloaded { wait }, None),
+                Some("over") => (Outcome::Void, Some(End::Over)),
+                Some("spent") => (Outcome::Void, None),
+                _ => (Outcome::Broken, None),
+            };
+            Answer { outcome, finished, limit: whole.limit }
+        };
+        ids.iter().map(of).collect()
+    }
+
     fn read(status: u16, head: Option<&Head>) -> Self {
         let field = |name: &str| head.and_then(|h| h.field(name));
         let outcome = match status {
             200 => Outcome::Success,
-            429 => {
-                let wait = field("wait-ms").and_then(|v| v.parse::<f64>().ok());
-                let wait = wait.and_then(crate::settings::duration_ms).filter(|w| !w.is_zero());
-                Outcome::Overloaded { wait: wait.map(|w| w.min(WAIT_MAX)) }
-            }
+            429 => Outcome::Overloaded { wait: field("wait-ms").and_then(told_wait) },
             503 if field("slots-taken").is_some() => Outcome::Void,
             503 => Outcome::Overloaded { wait: None },
             504 | 410 => Outcome::Void,
@@ -539,6 +659,12 @@
     }
 }
 
+/// How long to send nothing, as an answer words it.
+fn told_wait(text: &str) -> Option<Duration> {
+    let wait = text.parse::<f64>().ok().and_then(crate::settings::duration_ms).filter(|w| !w.is_zero());
+    wait.map(|w| w.min(WAIT_MAX))
+}
+
 /// Reads `x0=0.4,x1=25`.
 fn limit(text: &str) -> Option<LimitReport> {
     let value = |name: &str| {
@@ -590,15 +716,8 @@
                 let parcel =
                     Rc::new(Parcel { id: format!("f{flow}"), key: None, mail: None, routed: None, body });
                 let (flow, give_up_at) = (FlowNo(flow), Instant::now() + second * 3);
-                upstream.call(CallOrder {
-                    flow,
-                    attempt: 0,
-                    server: ServerNo(1),
-                    address,
-                    give_up_at,
-                    over_at: give_up_at,
-                    parcel,
-                });
+                let items = vec![Item { flow, attempt: 0, over_at: give_up_at, parcel }];
+                upstream.call(CallOrder { items, server: ServerNo(1), address, give_up_at });
                 match timeout(second * 9, ends.recv()).await.unwrap() {
                     Some(ToOwner::CallEnded(end, _)) => seen.push(end),
                     other => panic!("{other:?}"),
@@ -667,15 +786,8 @@
                     body: b"ab"[..].into(),
                 });
                 let over_at = Instant::now() + ms(time);
-                upstream.call(CallOrder {
-                    flow: FlowNo(1),
-                    attempt: 0,
-                    server: ServerNo(1),
-                    address,
-                    give_up_at: over_at,
-                    over_at,
-                    parcel,
-                });
+                let items = vec![Item { flow: FlowNo(1), attempt: 0, over_at, parcel }];
+                upstream.call(CallOrder { items, server: ServerNo(1), address, give_up_at: over_at });
                 tokio::time::sleep(ms(50)).await;
                 thread::sleep(ms(250));
                 match timeout(ms(9000), ends.recv()).await.unwrap() {
@@ -688,6 +800,55 @@
         });
     }
 
+    #[test]
+    fn a_shared_answer_says_of_each_message_what_became_of_it_or_it_may_have_run() {
+        let head = |fields: &str| {
+            let text = format!("HTTP/1.1 200 OK\r\n{fields}\r\n");
+            Head::parse(text.as_bytes()).unwrap().unwrap().0
+        };
+        let read = |status, fields: &str, body: &[u8]| {
+            let answers = Answer::read_bulk(&["a", "b"], status, Some(&head(fields)), body);
+            answers.iter().map(|a| (a.outcome, a.finished)).collect::<Vec<_>>()
+        };
+        let (well, failed) = ((Outcome::Success, None), (Outcome::Failure, None));
+        let (lost, void) = ((Outcome::Broken, None), (Outcome::Void, None));
+        let refused =
+            |ms| (Outcome::Overloaded { wait: (ms > 0).then_some(Duration::from_millis(ms)) }, None);
+        for (body, ends) in [
+            (&b"a delivered\r\nb failed\r\n"[..], [well, failed]),
+            (b"b spent\na over", [(Outcome::Void, Some(End::Over)), void]),
+            // Unknown, doubled, contradictory, left out, and no text at all.
+            (b"c delivered\r\nb refused\r\nb refused\r\n", [lost, refused(0)]),
+            (b"a delivered\r\na refused\r\nb delivered\r\n", [lost, well]),
+            (b"a delivered now\r\nb\r\n", [lost, lost]),
+            (b"a DELIVERED\r\n\r\n: :", [lost, lost]),
+            (b"a delivered\r\n\xff", [lost, lost]),
+            (b"", [lost, lost]),
+        ] {
+            assert_eq!(read(200, "", body), ends, "{}", String::from_utf8_lossy(body));
+        }
+        assert_eq!(read(200, "Wait-Ms: 70\r\n", b"a refused\r\nb delivered"), [refused(70), well]);
+        assert_eq!(read(429, "Wait-Ms: 70\r\n", b""), [refused(70); 2]);
+        assert_eq!(read(503, "", b"a delivered"), [refused(0); 2]);
+        assert_eq!(read(413, "", b""), [void; 2]);
+        assert_eq!((read(500, "", b""), read(302, "", b"")), (vec![failed; 2], vec![failed; 2]));
+    }
+
+    #[test]
+    fn only_what_fits_and_is_nobody_s_own_shares_a_call() {
+        let item = |id: &str, bytes: usize, routed: bool| {
+            let routed = routed.then(|| crate::net::parcel::Routed { path: "/a".into(), key: vec![] });
+            let body: Rc<[u8]> = vec![7; bytes].into();
+            let parcel = Rc::new(Parcel { id: id.into(), key: None, mail: None, routed, body });
+            Item { flow: FlowNo(1), attempt: 0, over_at: Instant::now(), parcel }
+        };
+        let (address, give_up_at) = (([127, 0, 0, 1], 9).into(), Instant::now());
+        let call = CallOrder { items: vec![item("a", 9, false)], server: ServerNo(1), address, give_up_at };
+        assert!(call.takes(&item("b", 9, false), 2) && !call.takes(&item("b", 9, false), 1));
+        assert!(!call.takes(&item("a", 9, false), 5), "one message twice");
+        assert!(!call.takes(&item("b", 9, true), 5) && !call.takes(&item("b", BODY_MAX - 9, false), 5));
+    }
+
     #[test]
     fn a_report_that_cannot_be_true_is_none() {
         for noise in ["", "x0", "x0=a,x1=1", "x0=NaN,x1=1", "x0=0.5,x1=1e300", "x0=-1,x1=2", "x0=0.5"] {
@@ -717,8 +878,8 @@
                 let parcel = Rc::new(Parcel { id: "f".into(), key: None, mail: None, routed: None, body });
                 let over_at = Instant::now() + ms(300);
                 let (flow, attempt, server) = (FlowNo(1), 0, ServerNo(1));
-                let give_up_at = over_at;
-                let order = CallOrder { flow, attempt, server, address, give_up_at, over_at, parcel };
+                let (give_up_at, items) = (over_at, vec![Item { flow, attempt, over_at, parcel }]);
+                let order = CallOrder { items, server, address, give_up_at };
                 let switch = upstream.call(order);
                 tokio::time::sleep(ms(100)).await;
                 if called_off {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -172,6 +172,52 @@
 
 type TimedHeard = Arc<Mutex<Vec<(Instant, String)>>>;
 
+#[test]
+fn messages_that_one_step_sends_to_one_server_share_a_call_and_each_has_its_end() {
+    let folder = Folder::new("bulk");
+    let (platform, notices) = platform();
+    let calls = Heard::default();
+    let to = calls.clone();
+    let address = listen(move |mut talk| {
+        while let Some((first, _, body)) = request(&mut talk) {
+            if first.starts_with("GET") {
+                answer(&mut talk, "200 OK");
+                continue;
+            }
+            let target = first.split(' ').nth(1).unwrap();
+            let mut calls = to.lock().unwrap();
+            calls.push(format!("{target} {}", body.replace("\r\n", "|")));
+            // Of the first call one is delivered, one refused, and nothing is said of the third.
+            let said = match (target, calls.len()) {
+                ("/inbox/bulk", 1) => "n0 delivered\r\nn1 refused\r\n".to_string(),
+                ("/inbox/bulk", _) => {
+                    let ids = body.split("\r\n").filter_map(|l| l.split_once(" k 2")).map(|(id, _)| id);
+                    ids.map(|id| format!("{id} delivered\r\n")).collect()
+                }
+                _ => String::new(),
+            };
+            talk.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{said}", said.len()));
+        }
+    });
+    let text = with_admin(&config(platform, address, 50))
+        .replace("\"maxCalls\":8", "\"maxCalls\":8,\"perCall\":[3]");
+    let relay = Relay::platform(&folder, &text);
+    says(&relay, "exclude s", "200");
+    for n in 0..3 {
+        assert!(hand_in(&relay, "notices", &format!("n{n}")).starts_with("202"));
+    }
+    says(&relay, "include s", "200");
+    until("all ends", || {
+        call(&relay, "telemetry").contains("svc_served{class=\"notices\"} 3\n").then_some(())
+    });
+    let calls = calls.lock().unwrap();
+    assert_eq!(calls[0], "/inbox/bulk n0 k 2|ab|n1 k 2|ab|n2 k 2|ab|");
+    let again = calls[1..].join(" ");
+    assert!(again.contains("n1") || calls.iter().any(|c| c == "/inbox ab"), "{calls:?}");
+    assert!(call(&relay, "telemetry").contains("svc_attempts 5\n"), "{calls:?}");
+    assert!(notices.lock().unwrap().is_empty());
+}
+
 /// A platform on which every second exchange of a connection, and all after it, find nobody.
 fn platform_falling_silent() -> (SocketAddr, TimedHeard) {
     let heard = TimedHeard::default();
