--- a/src/net/control/mod.rs
+++ b/src/net/control/mod.rs
@@ -5,9 +5,9 @@
 
 use super::inbox::ToOwner;
 use super::undelivered::shelf::Filter;
+use super::unix;
 use serde::{Deserialize, Serialize};
 use std::io;
-use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -108,15 +108,7 @@
 /// # Errors
 /// It cannot be made.
 pub fn listen(state: &Path) -> io::Result<UnixListener> {
-    let path = path(state);
-    // One that a killed process left; two processes never share the folder.
-    match std::fs::remove_file(&path) {
-        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
-        _ => {}
-    }
-    let listener = UnixListener::bind(&path)?;
-    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o600))?;
-    Ok(listener)
+    unix::listen(&path(state))
 }
 
 /// Takes orders until the program ends.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,5 +23,6 @@
 pub mod routing;
 pub mod trace;
 pub mod undelivered;
+pub mod unix;
 pub mod upgrade;
 pub mod upstream;
--- a/src/net/owner/handover.rs
+++ b/src/net/owner/handover.rs
@@ -60,10 +60,7 @@
             while let Ok(message) = self.queue.try_recv() {
                 self.take(message);
             }
-            if self.wake_at.is_some_and(|at| at <= self.clock.now()) {
-                self.wake_at = None;
-                self.core.wake();
-            }
+            self.wake_if_due();
             self.step();
             if self.parking.is_quiet() && self.queue.is_empty() {
                 return true;
@@ -144,7 +141,6 @@
 
     fn take_up_call(&mut self, mut call: ParkedCall) {
         let server = call.note.server;
-        let destination = self.directory.destination(server);
         let mut parcels = Vec::new();
         let (sent, elapsed) = (call.note.sent, call.note.elapsed);
         call.note.items.retain(|item| {
@@ -166,9 +162,7 @@
             return;
         }
         let switch = self.upstream.adopt(call, parcels);
-        for key in keys {
-            self.calls.insert(key, OpenCall { switch: switch.clone(), destination, server });
-        }
+        self.note_call(keys, server, &switch);
     }
 
     /// Goes on with what another process had, but for the sockets. Nothing is written and nothing done yet.
@@ -190,16 +184,7 @@
         self.evacuation.set(state.evacuated);
         for no in self.core.flows().collect::<Vec<_>>() {
             let Some((flow, _)) = self.journal.ledger().open.get(&no).cloned() else { continue };
-            let class = position(&self.names.classes, &flow.class)
-                .ok_or(OwnerError::Handed("a class that is not known"))?;
-            let destination = DestinationId(flow.destination);
-            self.places.insert(no, Place { destination, class, resend: false });
-            if !self.hooks.is_empty() {
-                let view = view(&flow.class, flow.tenant.as_deref(), destination, &flow.parcel);
-                self.views.insert(no, view);
-            }
-            self.routing.flow_opens(no, &flow.parcel);
-            self.vigil.taken(no, &flow.parcel.id, now, flow.deadline, true);
+            self.know(no, &flow, now).ok_or(OwnerError::Handed("a class that is not known"))?;
         }
         // The operator's file may name other servers now.
         let fixed = std::mem::replace(&mut self.fixed, state.fixed);
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -333,8 +333,6 @@
             let due =
                 self.wake_at.into_iter().chain(self.drain_due()).chain(self.witness_due()).chain(kept).min();
             let due = due.unwrap_or(now + Duration::from_secs(1));
-            let late = move |clock: &Clock| clock.now().saturating_sub(due.max(now));
-            let due = self.clock.instant(due);
             tokio::select! {
                 biased;
                 Some(order) = self.orders.recv() => match order {
@@ -349,10 +347,10 @@
                     Some(message) => self.take(message),
                     None => return Ended::Drained(self.witness.map(Witness::into_recorder)),
                 },
-                () = sleep_until(due) => {}
+                () = sleep_until(self.clock.instant(due)) => {}
                 () = self.phase.reached(State::Draining), if self.draining_since.is_none() => {}
             }
-            let late = late(&self.clock);
+            let late = self.clock.now().saturating_sub(due.max(now));
             if late >= STALL {
                 tracing::warn!("the thread did not get to run for {late:?}");
             }
@@ -362,14 +360,19 @@
                     Err(_) => break,
                 }
             }
-            if self.wake_at.is_some_and(|at| at <= self.clock.now()) {
-                self.wake_at = None;
-                self.core.wake();
-            }
+            self.wake_if_due();
             self.step();
         }
     }
 
+    /// Wakes the core if that is due.
+    fn wake_if_due(&mut self) {
+        if self.wake_at.is_some_and(|at| at <= self.clock.now()) {
+            self.wake_at = None;
+            self.core.wake();
+        }
+    }
+
     fn take(&mut self, message: ToOwner) {
         self.witness_in(&message);
         match message {
@@ -726,12 +729,18 @@
     /// Makes the calls of this step; one switch acts on all attempts of a call.
     fn make_calls(&mut self) {
         for order in std::mem::take(&mut self.http_calls) {
-            let (server, destination) = (order.server, self.directory.destination(order.server));
+            let server = order.server;
             let keys: Vec<_> = order.items.iter().map(|i| (i.flow, i.attempt)).collect();
             let switch = self.upstream.call(order);
-            for key in keys {
-                self.calls.insert(key, OpenCall { switch: switch.clone(), destination, server });
-            }
+            self.note_call(keys, server, &switch);
+        }
+    }
+
+    /// A call to this server carries these attempts.
+    fn note_call(&mut self, keys: Vec<(FlowNo, u32)>, server: ServerNo, switch: &Switch) {
+        let destination = self.directory.destination(server);
+        for key in keys {
+            self.calls.insert(key, OpenCall { switch: switch.clone(), destination, server });
         }
     }
 
--- a/src/net/owner/recovery.rs
+++ b/src/net/owner/recovery.rs
@@ -62,11 +62,20 @@
         if !resend {
             self.ids.insert(flow.parcel.id.clone(), no);
         }
-        let Some(class) = position(&self.names.classes, &flow.class) else { return false };
+        let Some(class) = self.know(no, flow, now) else { return false };
         let tenant = flow.tenant.as_ref().and_then(|t| position(&self.names.tenants, t)).map(TenantId);
         let destination = DestinationId(flow.destination);
         let remaining = flow.deadline.saturating_sub(now);
         let terms = FlowTerms { class: ClassId(class), tenant, destination, remaining };
+        self.witness_up(no, &terms, flow, past);
+        self.core.recover(no, terms, past.unwrap_or_default(), flow.parcel.clone());
+        true
+    }
+
+    /// Takes in all that is kept of a lasting flow beside the core; its class, if the settings know that.
+    pub(super) fn know(&mut self, no: FlowNo, flow: &TakenFlow, now: Duration) -> Option<usize> {
+        let class = position(&self.names.classes, &flow.class)?;
+        let (destination, resend) = (DestinationId(flow.destination), flow.resend_of.is_some());
         if !self.hooks.is_empty() {
             let view = view(&flow.class, flow.tenant.as_deref(), destination, &flow.parcel);
             self.views.insert(no, view);
@@ -76,8 +85,6 @@
         if flow.parcel.mail.is_none() && !resend {
             self.vigil.taken(no, &flow.parcel.id, now, flow.deadline, true);
         }
-        self.witness_up(no, &terms, flow, past);
-        self.core.recover(no, terms, past.unwrap_or_default(), flow.parcel.clone());
-        true
+        Some(class)
     }
 }
--- a/src/net/upgrade/give.rs
+++ b/src/net/upgrade/give.rs
@@ -5,8 +5,8 @@
 use super::wire::{Kind, Peer};
 use crate::net::config::Config;
 use crate::net::inbox::ToOwner;
+use crate::net::unix;
 use std::io;
-use std::os::unix::fs::PermissionsExt;
 use std::time::Duration;
 use tokio::net::UnixListener;
 use tokio::sync::mpsc;
@@ -21,13 +21,7 @@
 /// The socket cannot be made.
 pub fn listen(config: &Config) -> io::Result<UnixListener> {
     let (path, _folder) = socket(&config.state)?;
-    match std::fs::remove_file(&path) {
-        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
-        _ => {}
-    }
-    let listener = UnixListener::bind(&path)?;
-    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o600))?;
-    Ok(listener)
+    unix::listen(&path)
 }
 
 /// What this process cannot hand over, if there is anything: it assumes that it has the folder for itself.
--- a/tests/peers/front.rs
+++ b/tests/peers/front.rs
@@ -58,6 +58,13 @@
 
 /// A real server: `script` says what the n-th call is answered with; `mute` and `cut` are no answer.
 pub fn server(script: impl Fn(usize) -> &'static str + Send + Sync + 'static) -> (SocketAddr, Heard) {
+    server_after(Duration::ZERO, script)
+}
+
+/// The same, which takes its time for each call.
+pub fn server_after(
+    time: Duration, script: impl Fn(usize) -> &'static str + Send + Sync + 'static,
+) -> (SocketAddr, Heard) {
     let heard = Heard::default();
     let (to, calls) = (heard.clone(), AtomicUsize::new(0));
     let address = listen(move |mut talk| {
@@ -67,6 +74,7 @@
                 continue;
             }
             to.lock().unwrap().push(field(&fields, "x-correlation-id").unwrap().to_string());
+            thread::sleep(time);
             match script(calls.fetch_add(1, SeqCst)) {
                 "mute" => while talk.line().is_some() {},
                 "cut" => return,
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -61,20 +61,23 @@
         )
     }
 
+    fn of_platform(folder: &Folder) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxstile"));
+        command.arg("serve").env("GW_CONFIG", folder.0.join("config.json"));
+        command.env("GW_STATE", folder.0.join("state"));
+        command
+    }
+
     /// Starts a relay of the platform's.
     pub fn platform(folder: &Folder, config: &str) -> Relay {
         std::fs::write(folder.0.join("config.json"), config).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxstile"));
-        let command = command.arg("serve").env("GW_CONFIG", folder.0.join("config.json"));
-        Relay::launch(command.env("GW_STATE", folder.0.join("state")))
+        Relay::launch(&mut Relay::of_platform(folder))
     }
 
     /// What a relay of the platform's says as it fails to start.
     pub fn fails(folder: &Folder, config: &str) -> String {
         std::fs::write(folder.0.join("config.json"), config).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxstile"));
-        let command = command.arg("serve").env("GW_CONFIG", folder.0.join("config.json"));
-        let done = command.env("GW_STATE", folder.0.join("state")).output().unwrap();
+        let done = Relay::of_platform(folder).output().unwrap();
         assert!(!done.status.success());
         String::from_utf8_lossy(&done.stderr).into_owned()
     }
@@ -87,9 +90,7 @@
 
     /// Starts a relay of the platform's beside one that runs, and waits for nothing.
     pub fn beside(folder: &Folder) -> Relay {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxstile"));
-        let command = command.arg("serve").env("GW_CONFIG", folder.0.join("config.json"));
-        Relay::spawn(command.env("GW_STATE", folder.0.join("state")))
+        Relay::spawn(&mut Relay::of_platform(folder))
     }
 
     fn spawn(command: &mut Command) -> Relay {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -11,22 +11,8 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-/// A real server that takes its time for each call; all ids in the order in which they came.
 fn slow_server(time: Duration) -> (std::net::SocketAddr, Heard) {
-    let heard = Heard::default();
-    let to = heard.clone();
-    let address = listen(move |mut talk| {
-        while let Some((first, fields, _)) = request(&mut talk) {
-            if first.starts_with("GET /stats") {
-                answer(&mut talk, "200 OK");
-                continue;
-            }
-            to.lock().unwrap().push(field(&fields, "x-correlation-id").unwrap().to_string());
-            sleep(time);
-            answer(&mut talk, "200 OK");
-        }
-    });
-    (address, heard)
+    server_after(time, |_| "200 OK")
 }
 
 fn ready(relay: &Relay) {
