Let every wake that the module asked for come: an earlier one swallowed the next

To blame: net/owner/mod.rs, Effect::Wake and wake_if_due. The owner kept the earliest wake only. The module schedules a new one once its own has passed (control.rs, schedule); the owner's copy runs a little later, so a step between the two asks for the next, which was merged into the earlier and cleared with it. Then nothing moved the relay until a message came or the loop's second was over. A busy relay hides it. Now core::wakes keeps each. Test: a core driven by wakes alone sleeps 973 ms past a flow's end with the earliest only. The format of a handed state is 3.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! knows no wire; what a payload is and how a real server is called is the business of the fronts.
 
 pub mod vigil;
+pub mod wakes;
 
 use crate::Controller;
 use crate::api::{
@@ -372,10 +373,10 @@
     use super::*;
     use crate::api::{ClassSettings, KindSettings, LateWorth, ListState, RateSource};
 
-    const NOW: Duration = Duration::from_secs(1_000_000);
+    pub(super) const NOW: Duration = Duration::from_secs(1_000_000);
     const TO: DestinationId = DestinationId(7);
 
-    fn core(most_held: usize) -> Core<&'static str> {
+    pub(super) fn core(most_held: usize) -> Core<&'static str> {
         let ms = Duration::from_millis;
         let (aim, deadline, worth, late_worth) = (ms(1000), ms(9000), 1.0, 0.5);
         let class = |effect| ClassSettings { aim, deadline, worth, late_worth, effect, ordered: false };
@@ -411,7 +412,7 @@
         core
     }
 
-    fn terms(class: usize) -> FlowTerms {
+    pub(super) fn terms(class: usize) -> FlowTerms {
         let remaining = Duration::from_secs(9);
         FlowTerms { class: ClassId(class), tenant: None, destination: TO, remaining }
     }
--- a/src/net/owner/handover.rs
+++ b/src/net/owner/handover.rs
@@ -116,7 +116,7 @@
             ids: self.ids.clone(),
             over: self.over.clone(),
             next: self.next,
-            wake_at: self.wake_at,
+            wakes: self.wakes.clone(),
             evacuated: self.evacuation.is_on(),
             listener: parked.listener.is_some(),
             edges: parked.edges.iter().map(|e| e.note.clone()).collect(),
@@ -180,7 +180,7 @@
         self.routing.name_servers(&self.directory);
         self.list_rev = state.list_rev;
         (self.ids, self.over, self.next) = (state.ids, state.over, state.next);
-        self.wake_at = state.wake_at;
+        self.wakes = state.wakes;
         self.evacuation.set(state.evacuated);
         for no in self.core.flows().collect::<Vec<_>>() {
             let Some((flow, _)) = self.journal.ledger().open.get(&no).cloned() else { continue };
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -34,6 +34,7 @@
 use super::upstream::{self, CallOrder, Switch, Upstream};
 use crate::api::{ClassId, DestinationId, KindId, Note, Past, TenantId};
 use crate::core::vigil::{Line, Vigil};
+use crate::core::wakes::Wakes;
 use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo};
 use crate::plugin::{FlowView, Hooks};
 use crate::settings::Names;
@@ -125,7 +126,7 @@
     ids: BTreeMap<String, FlowNo>,
     over: VecDeque<String>,
     next: u64,
-    wake_at: Option<Duration>,
+    wakes: Wakes,
     notices: mpsc::Sender<Vec<(FlowNo, Owed)>>,
     telling: bool,
     draining_since: Option<Duration>,
@@ -286,7 +287,7 @@
             places: BTreeMap::new(),
             ids: BTreeMap::new(),
             over: VecDeque::new(),
-            wake_at: None,
+            wakes: Wakes::default(),
             notices,
             telling: false,
             draining_since: None,
@@ -330,8 +331,14 @@
             }
             let now = self.clock.now();
             let kept = self.keeper.as_ref().map(Keeper::due);
-            let due =
-                self.wake_at.into_iter().chain(self.drain_due()).chain(self.witness_due()).chain(kept).min();
+            let due = self
+                .wakes
+                .next()
+                .into_iter()
+                .chain(self.drain_due())
+                .chain(self.witness_due())
+                .chain(kept)
+                .min();
             let due = due.unwrap_or(now + Duration::from_secs(1));
             tokio::select! {
                 biased;
@@ -367,8 +374,7 @@
 
     /// Wakes the core if that is due.
     fn wake_if_due(&mut self) {
-        if self.wake_at.is_some_and(|at| at <= self.clock.now()) {
-            self.wake_at = None;
+        if self.wakes.take_due(self.clock.now()) {
             self.core.wake();
         }
     }
@@ -699,10 +705,7 @@
                     mail.release(server);
                 }
             }
-            Effect::Wake(after) => {
-                let at = now + after;
-                self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
-            }
+            Effect::Wake(after) => self.wakes.add(now + after),
             Effect::Probe(server) => {
                 let foreign =
                     |kind: KindId| self.names.kinds.get(kind.0).is_some_and(|k| k == super::routing::KIND);
--- a/src/net/upgrade/state.rs
+++ b/src/net/upgrade/state.rs
@@ -1,7 +1,7 @@
 //! What goes from the old process to the new one, beside the sockets.
 
 use super::parking::{CallNote, EdgeNote, IdleNote};
-use crate::core::FlowNo;
+use crate::core::{FlowNo, wakes::Wakes};
 use crate::net::directory::Directory;
 use crate::net::listed::FixedServer;
 use serde::{Deserialize, Serialize};
@@ -10,7 +10,7 @@
 
 /// The format of all that follows, the module's own state included. A change of any of it is another format: what was
 /// written in one cannot be read in another, and the state says of itself only this number.
-pub const FORMAT: u32 = 2;
+pub const FORMAT: u32 = 3;
 /// Bytes of a state, at most. Without a bound one process could make the other outgrow its memory.
 pub const STATE_MAX: usize = 16 << 20;
 
@@ -49,7 +49,7 @@
     /// The next flow's number.
     pub next: u64,
     /// When the core wants to be woken.
-    pub wake_at: Option<Duration>,
+    pub wakes: Wakes,
     /// Clients are sent away.
     pub evacuated: bool,
     /// Whether the socket comes where clients connect.
