See scarce connections in refusals that tell no limit, and hand back the unsent

No relay saw a connect refused. To blame: control.rs, release_idle. It learns only from Unreachable that a kind is short of connections, and its first 15 s (keepalive) are a grace after which every relay keeps one for 12.75 s at each endpoint. Now a refusal without a limit, on a fresh connection, at a destination that tells its limit, counts as one of a connection. Mail and kept messages ([undelivered]) fail as before, in net/owner/undelivered.rs: nobody comes again with them.

--- a/src/control.rs
+++ b/src/control.rs
@@ -453,9 +453,8 @@
         }
         // A doubt is right if a call is answered while an earlier one on a doubted connection is out; wrong
         // if that is answered too. Unanswered, a doubted connection tells nothing of the endpoint.
-        let trusted = self.trusted;
-        let doubted = |c: &Call| c.endpoint == endpoint && c.idle_for > trusted && c.sent < sent;
-        if ok && idle_for > trusted {
+        let doubted = |c: &Call| c.endpoint == endpoint && c.idle_for > self.trusted && c.sent < sent;
+        if ok && idle_for > self.trusted {
             (self.trusted, self.doubt_until) = (self.settings.keepalive, self.now);
         } else if ok && self.calls.values().any(doubted) {
             self.doubt_until = self.now + CROWD_MEMORY;
@@ -463,12 +462,13 @@
         let refused = matches!(outcome, Outcome::Overloaded { .. });
         // What breaks at once on a connection that was idle tells of that connection only.
         let stale = outcome == Outcome::Broken && !idle_for.is_zero() && elapsed < BREAKS_AT_ONCE;
-        if refused || first && !stale && (!outcome.may_still_run() || idle_for <= trusted) {
+        if refused || first && !stale && (!outcome.may_still_run() || idle_for <= self.trusted) {
             self.judge(endpoint, outcome, sent, limit, actions);
         }
         let weight = if first && attempt == 0 { REFUSED_WEIGHT } else { 0.0 };
         self.refused_share += weight * (f64::from(u8::from(refused)) - self.refused_share);
-        self.release_idle(endpoint, outcome, actions);
+        let mute = outcome == Outcome::Overloaded { wait: None } && limit.is_none() && idle_for.is_zero();
+        self.release_idle(endpoint, outcome, mute, actions);
         if terminal {
             return self.forget(id);
         }
@@ -608,10 +608,11 @@
     /// Closes a connection that is idle most of its time, at kinds of destination that refused one lately.
     /// Guards endpoints that take few connections against many senders that each keep one. A full table stays
     /// full for the idle time, so a kind not known yet is spared at first. It costs handshakes after a crash.
-    fn release_idle(&mut self, id: EndpointId, outcome: Outcome, actions: &mut Vec<Action>) {
+    /// A refusal on a fresh connection that tells no limit, though answers there do, is one of a connection.
+    fn release_idle(&mut self, id: EndpointId, outcome: Outcome, mute: bool, actions: &mut Vec<Action>) {
         let Some(e) = self.endpoints.get_mut(&id) else { return };
         let until = self.refused_connection.entry(e.info.kind).or_insert(self.now + self.settings.keepalive);
-        if outcome == Outcome::Unreachable {
+        if outcome == Outcome::Unreachable || mute && self.lanes.get(&e.lane).is_some_and(|l| l.told > 0.0) {
             *until = self.now + CROWD_MEMORY;
         }
         let latency = self.destinations.get(&e.info.destination).map_or(0.0, |d| d.latency);
@@ -792,12 +793,13 @@
     }
 
     /// Gives up at once what can never go again, and the rest a little before its time is up. What is given
-    /// up early is handed back, with when to come again, if that is harmless.
+    /// up early, or was never sent, is handed back, with when to come again, if that is harmless.
     fn expire(&mut self, actions: &mut Vec<Action>) {
         let (edge, wait) = (self.now + self.settings.tick * 2, self.settings.max_client_wait);
         let over = |m: &Message| m.state != State::InFlight && (m.deadline <= edge || !self.may_retry(m));
         let free = |m: &Message| self.settings.classes[m.class].effect == Effect::Repeatable;
-        let again = |m: &Message| (m.risk.is_none() || free(m)) && m.deadline > edge + wait;
+        let again =
+            |m: &Message| (m.risk.is_none() || free(m)) && (m.attempts == 0 || m.deadline > edge + wait);
         let over = self.messages.iter().filter(|(_, m)| over(m)).map(|(id, m)| (*id, again(m)));
         for (id, again) in over.collect::<Vec<_>>() {
             actions.push(if again { Action::Refuse { id, wait } } else { Action::Fail(id) });
@@ -907,9 +909,8 @@
     /// The cheapest endpoint that may take the message: price of the way, and calls already there.
     fn choose(&self, id: MessageId, m: &Message) -> Option<EndpointId> {
         let s = &self.settings;
-        let trusted = self.trusted;
         let cost = |e: &Endpoint| {
-            let old = e.idle.first().is_some_and(|since| self.now <= *since + trusted);
+            let old = e.idle.first().is_some_and(|since| self.now <= *since + self.trusted);
             let fresh = if old { 0.0 } else { s.handshake_cost };
             let ill = e.fail_share + f64::from(e.hard_run + e.refused_run);
             fresh + ill + QUEUE_COST * (e.calls_out * e.calls_out) as f64
--- a/src/net/owner/undelivered.rs
+++ b/src/net/owner/undelivered.rs
@@ -59,6 +59,23 @@
     }
 
     /// An ordinary flow ends: it is kept, if it failed and a rule says so.
+    /// Where nobody comes again with a flow whose time is up, being handed back is no end: mail has its
+    /// notification, and what is kept goes again by itself, which would make two of it.
+    pub(super) fn end_at_its_time(
+        &self, effects: Vec<Effect<Rc<Parcel>>>, now: Duration,
+    ) -> Vec<Effect<Rc<Parcel>>> {
+        let end = |effect: Effect<Rc<Parcel>>| match effect {
+            Effect::Ended(no, parcel, End::Returned(wait)) => {
+                let deadline = self.journal.ledger().open.get(&no).map(|(f, _)| f.deadline);
+                let up = deadline.is_some_and(|d| d <= now + wait);
+                let stays = up && (self.keeper.is_some() || parcel.mail.is_some());
+                Effect::Ended(no, parcel, if stays { End::Failed } else { End::Returned(wait) })
+            }
+            other => other,
+        };
+        effects.into_iter().map(end).collect()
+    }
+
     pub(super) fn keep_if_wanted(&mut self, no: FlowNo, end: End, refused: bool, now: Duration) {
         let Some(mut keeper) = self.keeper.take() else { return };
         if end == End::Failed {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -288,6 +288,7 @@
                 attempt = item.attempt,
                 server = order.server.0,
                 outcome = ?answer.outcome,
+                limit = ?answer.limit,
                 elapsed_us = started.elapsed().as_micros() as u64,
                 "attempt ended"
             );
