Serve without upgrades where the socket for them cannot be had

Seen by reading: net/relay.rs ended the start if the socket could not be made. Shown by a test: with a folder in the socket's place the relay did not come up (20 s of waiting), now it serves and logs once that there are no upgrades under load. The lock is as before, so a second writer stays impossible. The root package's upgrade stories pass; lints clean.

--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -213,8 +213,11 @@
         let listener = control::listen(&config.state).map_err(failed("the control socket"))?;
         spawn_local(control::serve(listener, to_owner.clone()));
     }
-    let asked = give::listen(config).map_err(failed("the socket for upgrades"))?;
-    ours.push(spawn_local(give::serve(asked, terms, give::never(config), to_owner_first)));
+    match give::listen(config) {
+        Ok(asked) => ours.push(spawn_local(give::serve(asked, terms, give::never(config), to_owner_first))),
+        // What a deployment does not offer is done without: a restart goes by the journal.
+        Err(e) => tracing::warn!("no upgrades under load: the socket for them cannot be had: {e}"),
+    }
     ours.push(spawn_local(reread(hangup, operator, addresses, to_owner)));
     let owner = spawn_local(owner.run());
     phase.advance(State::Serving);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -260,3 +260,19 @@
     drop(lock);
     ready(&Relay::platform(&folder, &with_admin(&config(platform, address, 50))));
 }
+
+/// Where the socket for upgrades cannot be had, the relay serves all the same and says so once.
+#[test]
+fn a_relay_that_cannot_listen_for_upgrades_serves_without_them() {
+    let folder = Folder::new("no-socket");
+    let (platform, _) = platform();
+    let (address, heard) = slow_server(Duration::ZERO);
+    std::fs::create_dir_all(folder.0.join("state").join("upgrade")).unwrap();
+    let text = with_admin(&config(platform, address, 50));
+    let relay = Relay::platform(&folder, &text);
+    ready(&relay);
+    let mut client = Talk::to(relay.address("HTTP"));
+    assert!(ask(&mut client, &flow("orders", "alone")).starts_with("202"));
+    until("the call", || (heard.lock().unwrap().len() == 1).then_some(()));
+    assert_eq!(relay.count("no upgrades under load"), 1);
+}
