--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -533,8 +533,8 @@
     /// Writes down first what the effects promise, then does them.
     fn carry_out(&mut self, effects: Vec<Effect<Rc<Parcel>>>) {
         let now = self.clock.now();
-        let effects = self.keep_together(effects);
-        let effects = self.end_at_its_time(effects, now);
+        let mut effects = self.keep_together(effects);
+        self.end_at_its_time(&mut effects, now);
         let mut records = std::mem::take(&mut self.unwritten);
         let mut resent = BTreeSet::new();
         for effect in &effects {
--- a/src/net/owner/undelivered.rs
+++ b/src/net/owner/undelivered.rs
@@ -61,19 +61,16 @@
     /// An ordinary flow ends: it is kept, if it failed and a rule says so.
     /// Where nobody comes again with a flow whose time is up, being handed back is no end: mail has its
     /// notification, and what is kept goes again by itself, which would make two of it.
-    pub(super) fn end_at_its_time(
-        &self, effects: Vec<Effect<Rc<Parcel>>>, now: Duration,
-    ) -> Vec<Effect<Rc<Parcel>>> {
-        let end = |effect: Effect<Rc<Parcel>>| match effect {
-            Effect::Ended(no, parcel, End::Returned(wait)) => {
-                let deadline = self.journal.ledger().open.get(&no).map(|(f, _)| f.deadline);
-                let up = deadline.is_some_and(|d| d <= now + wait);
-                let stays = up && (self.keeper.is_some() || parcel.mail.is_some());
-                Effect::Ended(no, parcel, if stays { End::Failed } else { End::Returned(wait) })
+    pub(super) fn end_at_its_time(&self, effects: &mut [Effect<Rc<Parcel>>], now: Duration) {
+        for effect in effects {
+            let Effect::Ended(no, parcel, end) = effect else { continue };
+            let End::Returned(wait) = *end else { continue };
+            let stays = self.keeper.is_some() || parcel.mail.is_some();
+            let flow = self.journal.ledger().open.get(no).filter(|_| stays);
+            if flow.is_some_and(|(f, _)| f.deadline <= now + wait) {
+                *end = End::Failed;
             }
-            other => other,
-        };
-        effects.into_iter().map(end).collect()
+        }
     }
 
     pub(super) fn keep_if_wanted(&mut self, no: FlowNo, end: End, refused: bool, now: Duration) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -110,6 +110,14 @@
 
     pub fn outcome(
         &mut self, id: MessageId, attempt: u32, endpoint: EndpointId, outcome: Outcome,
+    ) -> Vec<Action> {
+        self.reported(id, attempt, endpoint, outcome, None)
+    }
+
+    /// An outcome whose answer tells of a limit, or not.
+    pub fn reported(
+        &mut self, id: MessageId, attempt: u32, endpoint: EndpointId, outcome: Outcome,
+        limit: Option<LimitReport>,
     ) -> Vec<Action> {
         let terminal = outcome == Outcome::Success;
         let elapsed = ms(100);
@@ -120,7 +128,7 @@
             outcome,
             elapsed,
             terminal,
-            limit: None,
+            limit,
         })])
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -162,10 +162,7 @@
         let call = |bed: &mut Bed, outcome, limit: Option<LimitReport>| {
             bed.pass(ms(11_000));
             let (id, actions) = bed.message(0, None);
-            let (endpoint, elapsed) = (sends(&actions)[0].1, ms(100));
-            let terminal = outcome == Outcome::Success;
-            let end = AttemptEnd { id, attempt: 0, endpoint, outcome, elapsed, terminal, limit };
-            let actions = bed.step(vec![Event::Outcome(end)]);
+            let actions = bed.reported(id, 0, sends(&actions)[0].1, outcome, limit);
             bed.step(vec![Event::Withdrawn(id)]);
             actions.iter().any(|a| matches!(a, Action::Release(_)))
         };
