--- /dev/null
+++ b/src/net/upstream/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Calls against scripted endpoints, and what answers say.
+
+mod answers;
+mod calls;
+mod early;
