--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -115,7 +115,11 @@
 ) -> Result<u16, HttpError> {
     let mut reader = match connection.take() {
         Some(reader) => reader,
-        None => Reader::new(TcpStream::connect(address).await.map_err(HttpError::Io)?),
+        None => {
+            let stream = TcpStream::connect(address).await.map_err(HttpError::Io)?;
+            stream.set_nodelay(true).map_err(HttpError::Io)?;
+            Reader::new(stream)
+        }
     };
     let head = format!(
         "POST /v1/outcomes HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/x-ndjson\r\nContent-Length: {}\r\n\r\n",
