Keep late connections from carrying what was forbidden meanwhile, and hear waits that cross

Cause in the relay's log: 17.981 call ended flow=222 attempt=0 to=14 outcome=Withdrawn; 18.213 call flow=177 to the same destination, 0.36 s before its wait was over. The 429 with its wait was on its way as the call was given up for its slot; the connection closed over it. An answer that is in the socket as its call is called off counts as the answer. By reading: a list's drain did not hold calls that were still connecting (take.rs; operators' bans did), probes were held by nothing, and a wait told beside a call's end held no dialling call.

--- a/src/control.rs
+++ b/src/control.rs
@@ -740,12 +740,13 @@
         !once || !self.ready_twice.contains(&m.destination)
     }
 
-    /// Whether another attempt can ever be sent: in its window it has to be written, on whatever connection.
+    /// Whether another attempt can ever be sent. Whoever writes it sees to its window at that moment.
     fn may_retry(&self, m: &Message) -> bool {
-        let written_by = self.now + self.settings.connect_timeout;
         let allowed = match (m.risk, self.settings.classes[m.class].effect) {
             (None, _) | (_, Effect::Repeatable) => true,
-            (Some((sent, _)), Effect::Keyed { window, .. }) => written_by < sent + window,
+            (Some((sent, _)), Effect::Keyed { window, .. }) => {
+                self.now + self.settings.tick * 2 < sent + window
+            }
             (Some(_), Effect::Once) => false,
         };
         allowed && m.attempts < self.settings.max_attempts
--- a/src/net/directory.rs
+++ b/src/net/directory.rs
@@ -32,6 +32,13 @@
     moved: bool,
 }
 
+impl Server {
+    /// Whether anything new may go there, as far as the list and operators say.
+    pub fn takes_calls(&self) -> bool {
+        self.state == ListState::Live
+    }
+}
+
 /// Names that were listed and are not any more, kept so that they can be banned or put back.
 const REMEMBERED: usize = 4096;
 
--- a/src/net/owner/admin.rs
+++ b/src/net/owner/admin.rs
@@ -42,8 +42,7 @@
         tracing::info!(uid, "{}", if on { "excluded by an operator" } else { "put back by an operator" });
         if let Some((no, entry)) = self.directory.ban(uid, on) {
             // Of a call that has not begun to go out, nothing goes out any more.
-            let there = self.calls.values().filter(|c| on && c.server == no);
-            there.for_each(|c| c.switch.hold());
+            self.hold_unsent(|to| on && to == no);
             self.core.take_entries(vec![entry], false);
             self.sweep_servers();
         }
--- a/src/net/owner/effects.rs
+++ b/src/net/owner/effects.rs
@@ -60,6 +60,7 @@
                 let give_up_at = self.clock.instant(give_up_at);
                 let deadline = self.journal.ledger().open.get(&flow).map(|(f, _)| f.deadline);
                 let over_at = deadline.map_or(give_up_at, |d| self.clock.instant(d));
+                let write_by = self.write_by(flow).map_or(over_at, |at| self.clock.instant(at).min(over_at));
                 let item = upstream::Item { flow, attempt, over_at, parcel: payload };
                 let kind = self.directory.get(server).map(|s| s.kind.0);
                 let most = kind.and_then(|k| self.per_call.get(k)).copied().unwrap_or(1);
@@ -68,10 +69,12 @@
                 match shared.filter(|c| c.takes(&item, most)) {
                     Some(call) => {
                         call.give_up_at = call.give_up_at.min(give_up_at);
+                        call.write_by = call.write_by.min(write_by);
                         call.items.push(item);
                     }
                     None => {
-                        self.http_calls.push(CallOrder { items: vec![item], server, address, give_up_at })
+                        let items = vec![item];
+                        self.http_calls.push(CallOrder { items, server, address, give_up_at, write_by })
                     }
                 }
             }
@@ -82,8 +85,7 @@
                 }
             }
             Effect::HoldUnsent(destination) => {
-                let there = self.calls.values().filter(|c| c.destination == destination);
-                there.for_each(|c| c.switch.hold());
+                self.hold_unsent(|no| self.directory.destination(no) == destination);
             }
             Effect::Ended(no, parcel, end) => {
                 tracing::debug!(flow = no.0, id = parcel.id, end = end_name(end), "flow ended");
@@ -130,7 +132,9 @@
                 let to = self.directory.get(server).and_then(|s| Some((s.address?, s.wire, foreign(s.kind))));
                 match (to, &self.mail) {
                     (Some((address, Wire::Http, foreign)), _) => {
-                        self.upstream.probe(server, address, foreign)
+                        let switch = self.upstream.probe(server, address, foreign);
+                        self.probes.retain(|(_, s)| s.is_used());
+                        self.probes.push((server, switch));
                     }
                     (Some((address, Wire::Mail(dialect), _)), Some((_, mail))) => {
                         mail.probe(server, address, dialect)
@@ -147,6 +151,23 @@
         }
     }
 
+    /// Of what has not begun to go out to these real servers, nothing goes out any more.
+    pub(super) fn hold_unsent(&self, to: impl Fn(ServerNo) -> bool) {
+        let calls = self.calls.values().map(|c| (c.server, &c.switch));
+        let all = calls.chain(self.probes.iter().map(|(no, switch)| (*no, switch)));
+        all.filter(|(no, _)| to(*no)).for_each(|(_, switch)| switch.hold());
+    }
+
+    /// Until when a keyed flow that may have run may be written again.
+    fn write_by(&self, flow: FlowNo) -> Option<Duration> {
+        let (_, progress) = self.journal.ledger().open.get(&flow)?;
+        let (effect, _) = self.classes.get(self.places.get(&flow)?.class)?;
+        match effect {
+            crate::api::Effect::Keyed { window, .. } => progress.risk.as_ref().map(|sent| sent.at + *window),
+            _ => None,
+        }
+    }
+
     /// Makes the calls of this step; one switch acts on all attempts of a call.
     pub(super) fn make_calls(&mut self) {
         for order in std::mem::take(&mut self.http_calls) {
@@ -159,9 +180,8 @@
 
     /// A call to this server carries these attempts.
     pub(super) fn note_call(&mut self, keys: Vec<(FlowNo, u32)>, server: ServerNo, switch: &Switch) {
-        let destination = self.directory.destination(server);
         for key in keys {
-            self.calls.insert(key, OpenCall { switch: switch.clone(), destination, server });
+            self.calls.insert(key, OpenCall { switch: switch.clone(), server });
         }
     }
 }
--- a/src/net/owner/mail.rs
+++ b/src/net/owner/mail.rs
@@ -95,9 +95,8 @@
                 let give_up_at = self.clock.instant(give_up_at);
                 let switch =
                     upstream.call(MailCall { server: no, address, dialect, give_up_at, transactions });
-                for (_, destination, item) in orders {
-                    let (switch, destination) = (switch.clone(), *destination);
-                    let call = OpenCall { switch, destination, server: no };
+                for (_, _, item) in orders {
+                    let call = OpenCall { switch: switch.clone(), server: no };
                     self.calls.insert((item.flow, item.attempt), call);
                 }
             }
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -69,7 +69,6 @@
 #[derive(Debug)]
 struct OpenCall {
     switch: Switch,
-    destination: DestinationId,
     server: ServerNo,
 }
 
@@ -123,6 +122,8 @@
     /// The version of discovery's list.
     list_rev: u64,
     calls: BTreeMap<(FlowNo, u32), OpenCall>,
+    /// Probes that are out.
+    probes: Vec<(ServerNo, Switch)>,
     /// Offers that wait for the end of the present step.
     waiting: BTreeMap<FlowNo, Waiting>,
     groups: BTreeMap<u64, Group>,
--- a/src/net/owner/new.rs
+++ b/src/net/owner/new.rs
@@ -57,6 +57,7 @@
             directory: Directory::default(),
             list_rev: config.known.rev,
             calls: BTreeMap::new(),
+            probes: Vec::new(),
             waiting: BTreeMap::new(),
             groups: BTreeMap::new(),
             unwritten: Vec::new(),
--- a/src/net/owner/take.rs
+++ b/src/net/owner/take.rs
@@ -50,7 +50,14 @@
                 }
                 self.core.call_ended(end);
             }
-            ToOwner::Probed(server, outcome, limit) => self.core.probe_ended(server, outcome, limit),
+            ToOwner::Probed(server, outcome, limit) => {
+                if matches!(outcome, Outcome::Overloaded { wait: Some(_) }) {
+                    // Told beside a call's end, a wait binds as much.
+                    let to = self.directory.destination(server);
+                    self.hold_unsent(|no| self.directory.destination(no) == to);
+                }
+                self.core.probe_ended(server, outcome, limit);
+            }
             ToOwner::Operator(servers, routing) => self.take_operator(servers, routing),
             ToOwner::Control(order, reply) => {
                 let _ = reply.send(self.control(order));
@@ -96,6 +103,7 @@
         let entries =
             of_list.chain(own).flat_map(|(raw, wire)| self.directory.entry(raw, wire, &self.names)).collect();
         self.core.take_entries(entries, list.all);
+        self.hold_leaving();
         self.sweep_servers();
         self.routing.name_servers(&self.directory);
         if self.comeback.is_some() {
@@ -104,6 +112,12 @@
         }
     }
 
+    /// Guards drains: a connection that was being made when the news came may come up long after the time that a drain
+    /// grants, and the call was chosen before.
+    fn hold_leaving(&self) {
+        self.hold_unsent(|no| !self.directory.get(no).is_some_and(|s| s.takes_calls()));
+    }
+
     pub(super) fn sweep_servers(&mut self) {
         let calls = &self.calls;
         for no in self.directory.sweep(|no| calls.values().any(|c| c.server == no)) {
@@ -140,6 +154,7 @@
         }
         let entries = changed.flat_map(|f| self.directory.entry(&f.entry, f.wire, &self.names)).collect();
         self.core.take_entries(entries, false);
+        self.hold_leaving();
         self.sweep_servers();
         self.routing.name_servers(&self.directory);
     }
--- a/src/net/upgrade/parking.rs
+++ b/src/net/upgrade/parking.rs
@@ -52,6 +52,8 @@
     pub address: SocketAddr,
     /// Time until it is given up.
     pub left: Duration,
+    /// Time until all of it has to be written.
+    pub write_left: Duration,
     /// Time since it was ordered.
     pub elapsed: Duration,
     /// All of its request is written.
--- a/src/net/upstream/call.rs
+++ b/src/net/upstream/call.rs
@@ -1,13 +1,17 @@
 //! One call, from its connection to its end.
 
 use super::answer::{Answer, Said, told_wait};
+use super::read::Asked;
 use super::request::request;
 use super::*;
 use crate::core::End;
 use std::io;
+use tokio::time::{sleep, sleep_until};
 
 /// Time within which a call breaks whose connection was gone before it.
 const AT_ONCE: Duration = Duration::from_millis(20);
+/// How long an answer that has come by the end of its call may take to be read.
+const LATE_ANSWER: Duration = Duration::from_millis(100);
 /// A delivery this shortly before the end of a flow's time counts as too late: that time began before the relay
 /// read of it, and the platform goes by its own clock. Such a flow ends by a notice, which does no harm.
 const LAST_MOMENT: Duration = Duration::from_millis(20);
@@ -30,6 +34,8 @@
     Ended(Outcome),
     /// Another process is to go on with it; if its request is written, on this connection.
     Parked(Option<Reader<TcpStream>>),
+    /// Nobody waits for it any more, for this reason; nothing of its answer had come on this connection.
+    GivenUp(Outcome, Reader<TcpStream>),
 }
 
 impl From<Outcome> for Cut {
@@ -49,28 +55,39 @@
             // Dropping the exchange closes its connection, before the end is told: no second call of the flow
             // can go out while this one is still open.
             let exchange = self.exchange(&order, connection, &switch, &stage);
+            let over = async {
+                let outcome = given_up(&order, &switch).await;
+                // Once all is written, the exchange itself looks whether an answer has come by now.
+                if stage.get() != Stage::Unsent {
+                    sleep(LATE_ANSWER).await;
+                }
+                outcome
+            };
             tokio::select! {
                 biased;
-                answer = timeout_at(order.give_up_at, exchange) => answer.ok(),
-                () = switch.stopped() => Some(Err(Cut::Ended(Outcome::Withdrawn))),
+                made = exchange => made,
+                outcome = over => Err(Cut::Ended(outcome)),
             }
         };
         let all = |answer| vec![answer; order.items.len()];
         let answers = match (made, stage.get()) {
-            (Some(Err(Cut::Parked(connection))), _) => {
+            (Err(Cut::Parked(connection)), _) => {
                 let note = note(&order, started.elapsed(), connection.is_some());
                 // If the socket cannot be had any more, whoever goes on takes the call for broken.
                 let stream = connection.and_then(|c| c.into_parts().0.into_std().ok());
                 return self.0.parking.leave_call(ParkedCall { stream, note });
             }
-            (Some(Ok(answers)), _) => answers,
+            (Err(Cut::GivenUp(outcome, connection)), _) => {
+                self.listen_on(order.server, connection, order.items.len() == 1);
+                all(Answer::of(outcome))
+            }
+            (Ok(answers), _) => answers,
             // Called off or out of time before its last byte was written: it never ran.
-            (Some(Err(Cut::Ended(Outcome::Withdrawn))), Stage::Unsent) => all(Answer::of(Outcome::Void)),
-            (None, Stage::Unsent) => all(Answer::of(Outcome::Unreachable)),
+            (Err(Cut::Ended(Outcome::Withdrawn)), Stage::Unsent) => all(Answer::of(Outcome::Void)),
+            (Err(Cut::Ended(Outcome::TimedOut)), Stage::Unsent) => all(Answer::of(Outcome::Unreachable)),
             // Whatever became of the rest of the answer, its first line was true.
             (_, Stage::Delivered(_)) => all(Answer::of(Outcome::Success)),
-            (Some(Err(Cut::Ended(outcome))), _) => all(Answer::of(outcome)),
-            (None, Stage::Sent) => all(Answer::of(Outcome::TimedOut)),
+            (Err(Cut::Ended(outcome)), _) => all(Answer::of(outcome)),
         };
         let mut ends = Vec::with_capacity(answers.len());
         for (item, answer) in order.items.iter().zip(answers) {
@@ -100,9 +117,11 @@
     async fn exchange(
         &self, order: &CallOrder, written_on: Option<Reader<TcpStream>>, switch: &Switch, stage: &Cell<Stage>,
     ) -> Result<Vec<Answer>, Cut> {
-        let (parking, alone) = (Some(&self.0.parking), order.items.len() == 1);
+        let alone = order.items.len() == 1;
+        let given_up = given_up(order, switch);
+        let asked = Asked { server: order.server, alone, parking: Some(&self.0.parking), keep: true };
         if let Some(connection) = written_on {
-            let said = self.answer(order.server, connection, stage, parking, alone).await?;
+            let said = self.answer(asked, connection, stage, given_up).await?;
             return Ok(self.answers(order, said));
         }
         let (connection, idle) = tokio::select! {
@@ -120,23 +139,29 @@
             return Err(Cut::Parked(None));
         }
         let written = Instant::now();
+        if written >= order.write_by {
+            // Guards the window for repeats: this connection took longer to come up than was left of it.
+            self.0.idle.put(order.server, connection);
+            return Err(Outcome::Void.into());
+        }
         let request = request(order, written);
-        let asked = tokio::select! {
+        let connection = tokio::select! {
             biased;
             connection = self.write(connection, &request, stage) => connection,
+            // The connection goes before its last byte is written: it never ran.
+            () = sleep_until(order.write_by) => return Err(Outcome::Unreachable.into()),
             // Its connection closes before its last byte is written: it never ran.
             () = self.0.parking.opened() => return Err(Cut::Parked(None)),
         };
-        let connection = asked?;
+        let connection = connection?;
         order.items.iter().for_each(|_| self.0.figures.sent());
-        let asked = self.answer(order.server, connection, stage, parking, alone).await;
-        if let (Err(Cut::Ended(Outcome::Broken)), Some(idle)) = (&asked, idle)
+        let said = self.answer(asked, connection, stage, given_up).await;
+        if let (Err(Cut::Ended(Outcome::Broken)), Some(idle)) = (&said, idle)
             && written.elapsed() < AT_ONCE
         {
             self.0.idle.broke(idle);
         }
-        let said = asked?;
-        Ok(self.answers(order, said))
+        Ok(self.answers(order, said?))
     }
 
     /// What an answer says of each attempt. A wait that it tells binds, also where it refuses none of them.
@@ -187,15 +212,25 @@
     CallEnd { flow: *flow, attempt: *attempt, server, outcome, finished, elapsed, limit }
 }
 
+/// Returns once nobody waits for a call any more, and why.
+async fn given_up(order: &CallOrder, switch: &Switch) -> Outcome {
+    tokio::select! {
+        biased;
+        () = switch.stopped() => Outcome::Withdrawn,
+        () = sleep_until(order.give_up_at) => Outcome::TimedOut,
+    }
+}
+
 /// What goes with a call that is parked.
 fn note(order: &CallOrder, elapsed: Duration, sent: bool) -> CallNote {
     let (now, server, address) = (Instant::now(), order.server, order.address);
     let left = order.give_up_at.saturating_duration_since(now);
+    let write_left = order.write_by.saturating_duration_since(now);
     let items = order.items.iter().map(|i| {
         let left = i.over_at.saturating_duration_since(now);
         ItemNote { flow: i.flow, attempt: i.attempt, left }
     });
     // What its switch says may change until it is handed over: the owner, who has that, puts it in.
     let (items, held, stopped) = (items.collect(), false, false);
-    CallNote { items, server, address, left, elapsed, sent, held, stopped }
+    CallNote { items, server, address, left, write_left, elapsed, sent, held, stopped }
 }
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -24,7 +24,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
 /// Share of the platform's keep-alive time for which an idle connection is kept: a request that crosses the
 /// other side's closing ends as a reset, which may have run.
@@ -37,6 +37,8 @@
     owner: mpsc::Sender<ToOwner>,
     figures: Figures,
     parking: Parking,
+    /// Calls that were given up and are listened to.
+    listened: Cell<usize>,
 }
 
 /// Makes calls and keeps connections.
@@ -50,7 +52,14 @@
         figures: Figures, parking: Parking,
     ) -> Self {
         let keep = keepalive.mul_f64(KEEP_SHARE);
-        Upstream(Rc::new(Inner { idle: Pool::new(keep, idle), dial_timeout, owner, figures, parking }))
+        Upstream(Rc::new(Inner {
+            idle: Pool::new(keep, idle),
+            dial_timeout,
+            owner,
+            figures,
+            parking,
+            listened: Cell::new(0),
+        }))
     }
 
     /// Starts a call.
@@ -64,7 +73,7 @@
     pub fn adopt(&self, call: ParkedCall, parcels: Vec<Rc<Parcel>>) -> Switch {
         let (switch, now) = (Switch::default(), Instant::now());
         let ParkedCall { stream, note } = call;
-        let CallNote { items, server, address, left, elapsed, held, stopped, sent } = note;
+        let CallNote { items, server, address, left, write_left, elapsed, held, stopped, sent } = note;
         if held {
             switch.hold();
         }
@@ -75,7 +84,8 @@
             let ItemNote { flow, attempt, left } = i;
             Item { flow, attempt, over_at: now + left, parcel }
         });
-        let order = CallOrder { items: items.collect(), server, address, give_up_at: now + left };
+        let (give_up_at, write_by) = (now + left, now + write_left);
+        let order = CallOrder { items: items.collect(), server, address, give_up_at, write_by };
         let connection = stream.and_then(|s| TcpStream::from_std(s).ok()).map(Reader::new);
         // A socket that cannot be had any more had a call on it all the same.
         if sent && connection.is_none() {
--- a/src/net/upstream/order.rs
+++ b/src/net/upstream/order.rs
@@ -37,6 +37,9 @@
     pub address: SocketAddr,
     /// When to stop waiting.
     pub give_up_at: Instant,
+    /// When the whole of it has to be written, or it is not made: beyond that, one that repeats what may have run would
+    /// come after the time for which repeats are dropped.
+    pub write_by: Instant,
 }
 
 impl CallOrder {
@@ -77,7 +80,7 @@
     /// Stop waiting for it.
     pub fn stop(&self) {
         self.0.stop.set(true);
-        self.0.wake.notify_one();
+        self.0.wake.notify_waiters();
     }
 
     /// If nothing of it has been written, do not write it.
@@ -90,6 +93,11 @@
         self.0.hold.get()
     }
 
+    /// Whether the call that it acts on is still being made.
+    pub fn is_used(&self) -> bool {
+        Rc::strong_count(&self.0) > 1
+    }
+
     /// Whether it is to be stopped.
     pub fn is_stopped(&self) -> bool {
         self.0.stop.get()
--- a/src/net/upstream/tests/mod.rs
+++ b/src/net/upstream/tests/mod.rs
@@ -3,3 +3,5 @@
 mod answers;
 mod calls;
 mod early;
+mod given_up;
+mod late;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The relay as a process of its own, and scripted peers for it on loopback.
 #![allow(dead_code, missing_docs)]
 
+pub mod discovery;
 pub mod front;
 
 use std::io::{BufRead, BufReader, Read, Write};
@@ -74,6 +75,15 @@
         Relay::launch(&mut Relay::of_platform(folder))
     }
 
+    /// The same, where the kernel allows it so many descriptors.
+    pub fn platform_limited(folder: &Folder, config: &str, descriptors: usize) -> Relay {
+        std::fs::write(folder.0.join("config.json"), config).unwrap();
+        let run = format!("ulimit -n {descriptors} && exec {} serve", env!("CARGO_BIN_EXE_onyxstile"));
+        let mut command = Command::new("sh");
+        command.args(["-c", &run]).env("GW_CONFIG", folder.0.join("config.json"));
+        Relay::launch(command.env("GW_STATE", folder.0.join("state")))
+    }
+
     /// What a relay of the platform's says as it fails to start.
     pub fn fails(folder: &Folder, config: &str) -> String {
         std::fs::write(folder.0.join("config.json"), config).unwrap();
