Remember outages through a restart, and neither suspicions nor the last half of a cold time

At fault: what was remembered as ill for one failure, for silence alone (which any answer lifts without a ramp), and late in a cold time (view.rs, ailing).

--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -11,20 +11,25 @@
         listed.map(move |e| (e.info.id, e.health, e.last_heard, told(e)))
     }
 
-    /// Listed endpoints that are not well, or of which nothing better than a failure, or for some time than a refusal, was
-    /// heard: a process that begins anew and knows no more than that would take them for well. Outages mostly take all
-    /// endpoints that share a lane, so one that has answered nobody since another's failure is among them.
+    /// Listed endpoints that are down or in the first half of their cold time, or of which for some time nothing better
+    /// than a refusal was heard: a process that begins anew would take them for well. Outages mostly take all endpoints
+    /// that share a lane, so one that has answered nobody since another's failure is among them.
     pub fn ailing(&self) -> impl Iterator<Item = EndpointId> {
-        let quiet = |e: &Endpoint| self.now.saturating_sub(e.last_ok) >= SHUT_QUIET;
-        let doubtful = |e: &Endpoint| e.hard_run > 0 || e.refused_run > 0 && quiet(e);
+        let half = self.settings.cold_time / 2;
+        let ill = move |e: &Endpoint| match e.health {
+            // Silence alone is a suspicion, which any answer lifts.
+            Health::Down => e.hard_run + e.refused_run > 0,
+            Health::Warming(since) => self.now < since + half,
+            Health::Well => e.refused_run > 0 && self.now.saturating_sub(e.last_ok) >= SHUT_QUIET,
+        };
         let mut lanes: BTreeMap<LaneId, Duration> = BTreeMap::new();
-        for e in self.endpoints.values().filter(|e| e.health != Health::Well || doubtful(e)) {
+        for e in self.endpoints.values().filter(|e| ill(e)) {
             let since = lanes.entry(e.lane).or_default();
             *since = e.last_failed.max(e.down_since).max(*since);
         }
         let listed = self.endpoints.values().filter(|e| e.info.state != ListState::Gone);
         let shares = move |e: &&Endpoint| lanes.get(&e.lane).is_some_and(|since| e.last_ok < *since);
-        listed.filter(move |e| e.health != Health::Well || e.hard_run > 0 || shares(e)).map(|e| e.info.id)
+        listed.filter(move |e| ill(e) || shares(e)).map(|e| e.info.id)
     }
 
     /// Endpoints that are listed and get nothing now, by the module's choice: down but for trials, or told to wait.
