--- a/src/core/terms.rs
+++ b/src/core/terms.rs
@@ -56,7 +56,7 @@
     Taken(FlowNo, P),
     /// The flow was not taken: it ended in the step that brought it.
     TurnedDown(FlowNo, P, End),
-    /// Call the real server; report its end once by [`Core::call_ended`].
+    /// Call the real server; report its end once by [`super::Core::call_ended`].
     Call {
         /// The flow.
         flow: FlowNo,
@@ -77,7 +77,7 @@
     Ended(FlowNo, P, End),
     /// Close idle connections to the real server.
     Release(ServerNo),
-    /// Call [`Core::wake`] and step once this time has passed.
+    /// Call [`super::Core::wake`] and step once this time has passed.
     Wake(Duration),
     /// Check whether the real server answers, if that can be done.
     Probe(ServerNo),
