Ask sockets and connect in one place, and split what was touched by concern

From a read-through of this work, no change of behaviour. net::socket asks a socket what has come (three copies before: pool, closes, calls given up) and connects with TCP_NODELAY (four). Ledger::illness and Core::take_for_cold serve the owner and the test stage. The tests of calls share one bench.

--- /dev/null
+++ b/src/core/step.rs
@@ -0,0 +1,80 @@
+//! A step: what the module decides, as effects.
+
+use super::*;
+use crate::api::Action;
+
+impl<P: Clone> Core<P> {
+    /// Lets the module decide on all that has come in and appends what has to be done.
+    pub fn step(&mut self, now: Duration, effects: &mut Vec<Effect<P>>) {
+        let mut actions = Vec::new();
+        let events = std::mem::take(&mut self.events);
+        self.module.step(now, &events, &mut actions);
+        for (flow, end) in std::mem::take(&mut self.ended) {
+            if let Some(f) = self.flows.remove(&flow) {
+                effects.push(Effect::Ended(flow, f.payload, end));
+            }
+        }
+        // Guards the promise that no call of a flow begins before whoever handed it in can be told: what is
+        // taken comes before all calls, and what ends in its first step was never taken.
+        let over = |a: &Action| match a {
+            Action::Refuse { id, .. } | Action::Fail(id) => Some(*id),
+            _ => None,
+        };
+        let over: BTreeSet<FlowNo> = actions.iter().filter_map(over).collect();
+        let fresh: BTreeSet<FlowNo> = std::mem::take(&mut self.fresh).into_iter().collect();
+        for flow in fresh.iter().filter(|f| !over.contains(f)) {
+            if let Some(f) = self.flows.get(flow) {
+                effects.push(Effect::Taken(*flow, f.payload.clone()));
+            }
+        }
+        effects.extend(std::mem::take(&mut self.told).into_iter().map(Effect::HoldUnsent));
+        for action in actions {
+            self.carry(action, &fresh, effects);
+        }
+    }
+
+    fn carry(&mut self, action: Action, fresh: &BTreeSet<FlowNo>, effects: &mut Vec<Effect<P>>) {
+        match action {
+            Action::Send { id, endpoint, give_up_at } => {
+                let Some(f) = self.flows.get_mut(&id) else { return };
+                let attempt = f.attempts;
+                f.attempts += 1;
+                // Guards the attempts of flows that wait for the next process: told that its call did not go
+                // out, the module would try again and again until the flow had none left. It never hears.
+                if self.closing {
+                    return;
+                }
+                // Guards against two calls of one flow side by side, whatever the module asks for.
+                if f.out.is_some() {
+                    let (outcome, elapsed) = (Outcome::Void, Duration::ZERO);
+                    let end =
+                        AttemptEnd { id, attempt, endpoint, outcome, elapsed, terminal: false, limit: None };
+                    self.events.push(Event::Outcome(end));
+                    return;
+                }
+                f.out = Some(attempt);
+                let payload = f.payload.clone();
+                effects.push(Effect::Call { flow: id, attempt, server: endpoint, give_up_at, payload });
+            }
+            Action::Refuse { id, wait } => self.finish(id, End::Returned(wait), fresh, effects),
+            Action::Fail(id) => self.finish(id, End::Failed, fresh, effects),
+            Action::Cancel { id, attempt } => effects.push(Effect::StopCall(id, attempt)),
+            Action::Wake { after, .. } => effects.push(Effect::Wake(after)),
+            Action::Release(server) => effects.push(Effect::Release(server)),
+            Action::Probe(server) => effects.push(Effect::Probe(server)),
+            // Every list comes unasked here: discovery keeps a watch of its own.
+            Action::Subscribe => {}
+            Action::Log(line) => effects.push(Effect::Log(line)),
+            Action::Note(note) => effects.push(Effect::Note(note)),
+        }
+    }
+
+    fn finish(&mut self, id: FlowNo, end: End, fresh: &BTreeSet<FlowNo>, effects: &mut Vec<Effect<P>>) {
+        let Some(f) = self.flows.remove(&id) else { return };
+        effects.push(if fresh.contains(&id) {
+            Effect::TurnedDown(id, f.payload, end)
+        } else {
+            Effect::Ended(id, f.payload, end)
+        });
+    }
+}
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,7 +1,7 @@
 //! The core, step by step.
 
 use super::*;
-use crate::api::{ClassId, ClassSettings, KindSettings, LateWorth, ListState, RateSource};
+use crate::api::{ClassId, ClassSettings, KindSettings, LateWorth, RateSource};
 
 pub(super) const NOW: Duration = Duration::from_secs(1_000_000);
 const TO: DestinationId = DestinationId(7);
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -5,9 +5,10 @@
 
 use super::http::{Framing, HttpError, Reader};
 use super::inbox::ToOwner;
+use super::socket::connect;
 use lists::{Judged, Lists, Versions};
+pub use pace::Pace;
 use pace::SILENCE;
-pub use pace::{Pace, TOLD_MOVED_MS, TOLD_MS};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -72,9 +73,7 @@
 
 /// Asks for a watch; its answer has begun once this returns.
 async fn open(address: SocketAddr, known: &mut Known) -> Result<Reader<TcpStream>, HttpError> {
-    let stream = TcpStream::connect(address).await.map_err(HttpError::Io)?;
-    stream.set_nodelay(true).map_err(HttpError::Io)?;
-    let mut reader = Reader::new(stream);
+    let mut reader = Reader::new(connect(address).await.map_err(HttpError::Io)?);
     let from = known.rev;
     let request = format!("GET /registry/instances?watch=1&from={from} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     reader.get_mut().write_all(request.as_bytes()).await.map_err(HttpError::Io)?;
--- a/src/net/discovery/pace.rs
+++ b/src/net/discovery/pace.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 /// A change counts as told this long after discovery had it and could be reached, or a watch fell silent.
-pub const TOLD_MS: u64 = 6000;
+pub(super) const TOLD_MS: u64 = 6000;
 /// The same after SIGHUP has named another discovery.
-pub const TOLD_MOVED_MS: u64 = 4000;
+pub(super) const TOLD_MOVED_MS: u64 = 4000;
 /// What of these times is left for the call that brings the change, and for this thread to get to run.
 const MARGIN_MS: u64 = 800;
 /// A sign of life comes every 2 s; one missed, and some slack, mean that the watch is dead.
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -1,6 +1,7 @@
 //! When discovery is asked, and what is made of what it says.
 
 use super::lists::{Judged, Lists, Versions};
+use super::pace::{TOLD_MOVED_MS, TOLD_MS};
 use super::*;
 use std::collections::VecDeque;
 use std::time::Instant;
--- a/src/net/edge/accept.rs
+++ b/src/net/edge/accept.rs
@@ -47,7 +47,8 @@
                 Ok((stream, peer)) => {
                     while !self.has_place() {
                         let crowded = self.open.borrow().len() >= self.parts.limits.connections;
-                        if if crowded { self.make_room() } else { self.cut_closing() } {
+                        let one_goes = if crowded { self.make_room() } else { self.cut_closing() };
+                        if one_goes {
                             // Let it close.
                             yield_now().await;
                         } else {
@@ -55,8 +56,7 @@
                             sleep(Duration::from_millis(1)).await;
                         }
                     }
-                    let note = EdgeNote { read: Vec::new(), served: false, left: REQUEST_TIME };
-                    self.begin(stream, peer.ip(), note);
+                    self.begin(stream, peer.ip(), fresh());
                     // Guards usual clients against a flood of connections: each is looked at before the next
                     // is taken.
                     yield_now().await;
@@ -78,8 +78,7 @@
             && let Ok((stream, peer)) = listener.accept()
         {
             let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-            let note = EdgeNote { read: Vec::new(), served: false, left: REQUEST_TIME };
-            stream.into_iter().for_each(|stream| self.begin(stream, peer.ip(), note.clone()));
+            stream.into_iter().for_each(|stream| self.begin(stream, peer.ip(), fresh()));
         }
     }
 
@@ -108,3 +107,8 @@
         first.is_some()
     }
 }
+
+/// Of a connection that has just come.
+fn fresh() -> EdgeNote {
+    EdgeNote { read: Vec::new(), served: false, left: REQUEST_TIME }
+}
--- a/src/net/edge/closing.rs
+++ b/src/net/edge/closing.rs
@@ -7,15 +7,14 @@
 //! the reset would take along answers that the client has not read yet.
 
 use super::*;
-use socket2::SockRef;
-use std::mem::MaybeUninit;
+use crate::net::socket::{Unread, unread};
 
 /// How long a client is listened to after the end, and how much of what it sends is read meanwhile.
 const LINGER: Duration = Duration::from_millis(200);
 const LINGER_BYTES: usize = 64 * 1024;
 /// The same for all of them together, once the program stops; and how long one that has just come may take to send
 /// what it came for.
-pub(super) const LAST_CLOSE: Duration = Duration::from_millis(100);
+const LAST_CLOSE: Duration = Duration::from_millis(100);
 const LAST_WORD: Duration = Duration::from_millis(50);
 
 /// How a connection's rest ended.
@@ -72,10 +71,10 @@
             let _ = timeout(LAST_WORD, reader.begun()).await;
             return Rested::Answer(Reply::turned_away());
         }
-        match unread(reader) {
-            false => Rested::Close,
-            true if why == Why::Idle => Rested::Begun,
-            true => Rested::Answer(Reply::turned_away()),
+        match unread(reader.get_mut()) {
+            Unread::Nothing | Unread::End => Rested::Close,
+            Unread::Bytes if why == Why::Idle => Rested::Begun,
+            Unread::Bytes => Rested::Answer(Reply::turned_away()),
         }
     }
 
@@ -123,10 +122,3 @@
         first.inspect(|c| c.close.notify_one()).is_some()
     }
 }
-
-/// Whether bytes have come that nobody has read. The socket itself is asked: the runtime hears of them at its next look.
-fn unread(reader: &mut Reader<TcpStream>) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    let seen = SockRef::from(&*reader.get_mut()).peek(&mut byte);
-    reader.has_more() || matches!(seen, Ok(n) if n > 0)
-}
--- a/src/net/journal/ledger.rs
+++ b/src/net/journal/ledger.rs
@@ -130,6 +130,13 @@
         }
     }
 
+    /// The records that make these the endpoints that are down or cold.
+    pub fn illness(&self, ill: &BTreeSet<String>) -> Vec<Record> {
+        let fell = ill.difference(&self.ill).map(|uid| Record::Ill(uid.clone(), true));
+        let rose = self.ill.difference(ill).map(|uid| Record::Ill(uid.clone(), false));
+        fell.chain(rose).collect()
+    }
+
     fn remember(&mut self, digest: u64, fate: Fate, at: Duration) {
         if at.is_zero() {
             return;
--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -9,6 +9,7 @@
 use crate::net::inbox::ToOwner;
 use crate::net::parcel::Parcel;
 use crate::net::pool::{Pool, Pooled};
+use crate::net::socket::connect;
 use crate::net::upstream::Switch;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -193,9 +194,8 @@
     }
 
     async fn connect(&self, address: SocketAddr, dialect: Dialect) -> Result<Connection, Stopped> {
-        let dialled = timeout(self.0.dial_timeout, TcpStream::connect(address)).await;
+        let dialled = timeout(self.0.dial_timeout, connect(address)).await;
         let stream = dialled.map_err(|_| Stopped::Late)??;
-        stream.set_nodelay(true)?;
         let mut c = Connection { lines: Lines::new(stream), eight_bit: false, size: false };
         let greeting = self.reply(&mut c, self.0.times.command).await?;
         if greeting.code != 220 {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,6 +25,7 @@
 mod reread;
 pub mod routing;
 pub mod shares;
+pub mod socket;
 pub mod trace;
 pub mod undelivered;
 pub mod unix;
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -4,6 +4,7 @@
 use super::http::{Framing, HttpError, Reader};
 use super::inbox::ToOwner;
 use super::journal::Owed;
+use super::socket::connect;
 use crate::core::FlowNo;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -115,11 +116,7 @@
 ) -> Result<u16, HttpError> {
     let mut reader = match connection.take() {
         Some(reader) => reader,
-        None => {
-            let stream = TcpStream::connect(address).await.map_err(HttpError::Io)?;
-            stream.set_nodelay(true).map_err(HttpError::Io)?;
-            Reader::new(stream)
-        }
+        None => Reader::new(connect(address).await.map_err(HttpError::Io)?),
     };
     let head = format!(
         "POST /v1/outcomes HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/x-ndjson\r\nContent-Length: {}\r\n\r\n",
--- a/src/net/owner/admin.rs
+++ b/src/net/owner/admin.rs
@@ -82,14 +82,8 @@
     /// processes share, against those that begin anew: they know nothing of an outage, and what the journal held for it
     /// all went out at once. Should it not be written, the next look tries again.
     fn write_ill(&mut self) {
-        let ill: BTreeSet<_> = self.core.ailing().map(|no| self.directory.uid(no)).collect();
-        let known = &self.journal.ledger().ill;
-        if ill == *known {
-            return;
-        }
-        let fell = ill.difference(known).map(|uid| Record::Ill(uid.clone(), true));
-        let rose = known.difference(&ill).map(|uid| Record::Ill(uid.clone(), false));
-        let records: Vec<_> = fell.chain(rose).collect();
+        let ill = self.core.ailing().map(|no| self.directory.uid(no)).collect();
+        let records = self.journal.ledger().illness(&ill);
         if let Err(e) = self.journal.write(&records) {
             tracing::debug!("journal: which endpoints are ill is not written: {e}");
         }
--- a/src/net/owner/comeback.rs
+++ b/src/net/owner/comeback.rs
@@ -335,8 +335,7 @@
     /// One that has been put back after a drain is cold; that is what the module is told of it.
     pub(super) fn take_for_cold(&mut self, no: ServerNo) {
         if let Some(entry) = self.directory.service_entry(no).filter(|e| e.state == ListState::Live) {
-            self.core.take_entries(vec![ServiceEntry { state: ListState::Draining, ..entry.clone() }], false);
-            self.core.take_entries(vec![entry], false);
+            self.core.take_for_cold(entry);
         }
     }
 
--- a/src/net/owner/effects.rs
+++ b/src/net/owner/effects.rs
@@ -85,7 +85,7 @@
                 }
             }
             Effect::HoldUnsent(destination) => {
-                self.hold_unsent(|no| self.directory.destination(no) == destination);
+                self.hold_destination(destination);
             }
             Effect::Ended(no, parcel, end) => {
                 tracing::debug!(flow = no.0, id = parcel.id, end = end_name(end), "flow ended");
@@ -158,6 +158,11 @@
         all.filter(|(no, _)| to(*no)).for_each(|(_, switch)| switch.hold());
     }
 
+    /// The same for all of a destination's.
+    pub(super) fn hold_destination(&self, destination: DestinationId) {
+        self.hold_unsent(|no| self.directory.destination(no) == destination);
+    }
+
     /// Until when a keyed flow that may have run may be written again.
     fn write_by(&self, flow: FlowNo) -> Option<Duration> {
         let (_, progress) = self.journal.ledger().open.get(&flow)?;
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -14,6 +14,7 @@
 mod offers;
 mod parts;
 mod recovery;
+mod run;
 mod step;
 mod take;
 mod undelivered;
@@ -45,7 +46,7 @@
 use crate::api::{ClassId, DestinationId, KindId, ListState, Note, Past, TenantId};
 use crate::core::vigil::{Line, Vigil};
 use crate::core::wakes::Wakes;
-use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo, ServiceEntry};
+use crate::core::{CallEnd, Core, Effect, End, FlowNo, FlowTerms, Outcome, ServerNo};
 use crate::plugin::{FlowView, Hooks};
 use crate::settings::Names;
 pub use control::item;
@@ -179,71 +180,6 @@
 }
 
 impl Owner {
-    /// Runs until the program has drained, or another process goes on.
-    pub async fn run(mut self) -> Ended {
-        self.step();
-        loop {
-            if self.phase.state() >= State::Draining && self.drained() {
-                self.close_journal();
-                self.witness_phase(Stage::Stopped);
-                self.witness_step(true);
-                return Ended::Drained(self.witness.map(Witness::into_recorder));
-            }
-            let now = self.clock.now();
-            let kept = self.keeper.as_ref().map(Keeper::due);
-            let due = self
-                .wakes
-                .next()
-                .into_iter()
-                .chain(self.drain_due())
-                .chain(self.witness_due())
-                .chain(kept)
-                .chain(self.fleet_due())
-                .chain(self.return_due())
-                .min();
-            let due = due.unwrap_or(now + Duration::from_secs(1));
-            tokio::select! {
-                biased;
-                Some(order) = self.orders.recv() => match order {
-                    ToOwner::HandOver(peer) => {
-                        if let Some(peer) = self.hand_over(peer).await {
-                            return Ended::Handed(peer);
-                        }
-                    }
-                    order => self.take(order),
-                },
-                Some(bytes) = self.datagrams.recv() => self.datagram(&bytes),
-                message = self.queue.recv() => match message {
-                    Some(message) => self.take(message),
-                    None => return Ended::Drained(self.witness.map(Witness::into_recorder)),
-                },
-                () = sleep_until(self.clock.instant(due)) => {}
-                () = self.phase.reached(State::Draining), if self.draining_since.is_none() => {}
-            }
-            let late = self.clock.now().saturating_sub(due.max(now));
-            if late >= STALL {
-                tracing::warn!("the thread did not get to run for {late:?}");
-            }
-            for _ in 1..BATCH {
-                match self.queue.try_recv() {
-                    Ok(message) => self.take(message),
-                    Err(_) => break,
-                }
-            }
-            self.wake_if_due();
-            self.tick_fleet();
-            self.step();
-            self.check_return();
-        }
-    }
-
-    /// Wakes the core if that is due.
-    fn wake_if_due(&mut self) {
-        if self.wakes.take_due(self.clock.now()) {
-            self.core.wake();
-        }
-    }
-
     fn number(&mut self) -> FlowNo {
         self.next += 1;
         FlowNo(self.next - 1)
--- /dev/null
+++ b/src/net/owner/run.rs
@@ -0,0 +1,70 @@
+//! The owner's loop: what comes in is taken, then a step is made.
+
+use super::*;
+
+impl Owner {
+    /// Runs until the program has drained, or another process goes on.
+    pub async fn run(mut self) -> Ended {
+        self.step();
+        loop {
+            if self.phase.state() >= State::Draining && self.drained() {
+                self.close_journal();
+                self.witness_phase(Stage::Stopped);
+                self.witness_step(true);
+                return Ended::Drained(self.witness.map(Witness::into_recorder));
+            }
+            let now = self.clock.now();
+            let kept = self.keeper.as_ref().map(Keeper::due);
+            let due = self
+                .wakes
+                .next()
+                .into_iter()
+                .chain(self.drain_due())
+                .chain(self.witness_due())
+                .chain(kept)
+                .chain(self.fleet_due())
+                .chain(self.return_due())
+                .min();
+            let due = due.unwrap_or(now + Duration::from_secs(1));
+            tokio::select! {
+                biased;
+                Some(order) = self.orders.recv() => match order {
+                    ToOwner::HandOver(peer) => {
+                        if let Some(peer) = self.hand_over(peer).await {
+                            return Ended::Handed(peer);
+                        }
+                    }
+                    order => self.take(order),
+                },
+                Some(bytes) = self.datagrams.recv() => self.datagram(&bytes),
+                message = self.queue.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return Ended::Drained(self.witness.map(Witness::into_recorder)),
+                },
+                () = sleep_until(self.clock.instant(due)) => {}
+                () = self.phase.reached(State::Draining), if self.draining_since.is_none() => {}
+            }
+            let late = self.clock.now().saturating_sub(due.max(now));
+            if late >= STALL {
+                tracing::warn!("the thread did not get to run for {late:?}");
+            }
+            for _ in 1..BATCH {
+                match self.queue.try_recv() {
+                    Ok(message) => self.take(message),
+                    Err(_) => break,
+                }
+            }
+            self.wake_if_due();
+            self.tick_fleet();
+            self.step();
+            self.check_return();
+        }
+    }
+
+    /// Wakes the core if that is due.
+    pub(super) fn wake_if_due(&mut self) {
+        if self.wakes.take_due(self.clock.now()) {
+            self.core.wake();
+        }
+    }
+}
--- a/src/net/owner/take.rs
+++ b/src/net/owner/take.rs
@@ -53,8 +53,7 @@
             ToOwner::Probed(server, outcome, limit) => {
                 if matches!(outcome, Outcome::Overloaded { wait: Some(_) }) {
                     // Told beside a call's end, a wait binds as much.
-                    let to = self.directory.destination(server);
-                    self.hold_unsent(|no| self.directory.destination(no) == to);
+                    self.hold_destination(self.directory.destination(server));
                 }
                 self.core.probe_ended(server, outcome, limit);
             }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,11 +1,9 @@
 //! Idle connections to real servers, the one used last first.
 
+use super::socket::{Unread, unread};
 use crate::core::ServerNo;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io;
-use std::mem::MaybeUninit;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
@@ -38,9 +36,7 @@
     /// the socket, and a close that came while this thread was busy is not among that; a call written to such
     /// a connection breaks, and may have run for all that anyone knows.
     fn stands(&mut self, keep: Duration) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let unread = SockRef::from(&*self.connection.stream()).peek(&mut byte);
-        self.since.elapsed() < keep && matches!(unread, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        self.since.elapsed() < keep && unread(self.connection.stream()) == Unread::Nothing
     }
 }
 
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Puts the parts of a relay together and runs them.
 
+mod end;
 mod start;
 
 use crate::net::admin::{Admin, ORDERS};
@@ -40,8 +41,6 @@
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
-/// Connections that may wait to be accepted.
-const WAITING_CONNECTIONS: u32 = 1024;
 /// How often a process that could not take over starts again.
 const TRIES: u32 = 3;
 /// Time for the last answers to leave.
@@ -62,8 +61,8 @@
     let failed = |what: &'static str| move |e: std::io::Error| StartError(format!("{what}: {e}"));
     let (phase, evacuation) = (Phase::new(), Evacuation::default());
     let figures = Figures::new(&config.names.classes);
-    let mut terminated = signal(SignalKind::terminate()).map_err(failed("signals"))?;
-    let mut interrupted = signal(SignalKind::interrupt()).map_err(failed("signals"))?;
+    let terminated = signal(SignalKind::terminate()).map_err(failed("signals"))?;
+    let interrupted = signal(SignalKind::interrupt()).map_err(failed("signals"))?;
     // Guards against the end that SIGHUP means to a program that does not listen for it.
     let hangup = signal(SignalKind::hangup()).map_err(failed("signals"))?;
     phase.advance(State::Recovering);
@@ -229,14 +228,7 @@
     ours.push(spawn_local(reread(hangup, operator, addresses, to_owner)));
     let owner = spawn_local(owner.run());
     phase.advance(State::Serving);
-    let order = phase.clone();
-    let told_to_end = spawn_local(async move {
-        tokio::select! {
-            _ = terminated.recv() => {}
-            _ = interrupted.recv() => {}
-        }
-        order.advance(State::Draining);
-    });
+    let told_to_end = end::when_told([terminated, interrupted], phase.clone());
     let ended = owner.await;
     let recorder = match ended.map_err(|e| StartError(format!("the owner failed: {e}")))? {
         Ended::Drained(recorder) => recorder,
@@ -247,12 +239,7 @@
             return stand_by(peer, told_to_end).await;
         }
     };
-    // Whatever was answered in the last step is on its way to the edge connections.
-    sleep(LAST_WORDS).await;
-    phase.advance(State::Stopped);
-    if let Some(front) = front {
-        front.closed().await;
-    }
+    end::last_words(&phase, front).await;
     recorder.into_iter().for_each(Recorder::close);
     if let Some(handover) = handover {
         // The old process may still be there: it must not take this for a death.
--- a/src/net/relay/start.rs
+++ b/src/net/relay/start.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Connections that may wait to be accepted.
+const WAITING_CONNECTIONS: u32 = 1024;
+
 /// Why a relay cannot start.
 #[derive(Debug)]
 pub struct StartError(pub(super) String);
--- a/src/net/upstream/call.rs
+++ b/src/net/upstream/call.rs
@@ -5,6 +5,7 @@
 use super::request::request;
 use super::*;
 use crate::core::End;
+use crate::net::socket::connect;
 use std::io;
 use tokio::time::{sleep, sleep_until};
 
@@ -200,9 +201,7 @@
     }
 
     async fn dial(&self, address: SocketAddr) -> io::Result<Reader<TcpStream>> {
-        let stream = timeout(self.0.dial_timeout, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
-        Ok(Reader::new(stream))
+        Ok(Reader::new(timeout(self.0.dial_timeout, connect(address)).await??))
     }
 }
 
--- a/src/net/upstream/read.rs
+++ b/src/net/upstream/read.rs
@@ -4,8 +4,7 @@
 use super::call::{Cut, Stage};
 use super::*;
 use crate::net::http::{Framing, HttpError};
-use socket2::SockRef;
-use std::mem::MaybeUninit;
+use crate::net::socket::{Unread, unread};
 use std::pin::pin;
 use tokio::time::timeout;
 
@@ -35,12 +34,6 @@
     pub(super) keep: bool,
 }
 
-/// Whether bytes have come, or the end, that the runtime may not have heard of.
-fn unread(connection: &mut Reader<TcpStream>) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    connection.has_more() || SockRef::from(&*connection.get_mut()).peek(&mut byte).is_ok_and(|n| n > 0)
-}
-
 impl Upstream {
     /// Ends the sending on the connection of a call that was given up, which is what tells the other side, and listens on
     /// for what had been under way.
@@ -99,7 +92,7 @@
                 begun = connection.begun() => begun.map_err(|_| Outcome::Broken)?,
                 () = parked, if !late => return Err(Cut::Parked(Some(connection))),
                 outcome = &mut given_up, if !late => {
-                    if !unread(&mut connection) {
+                    if unread(connection.get_mut()) != Unread::Bytes {
                         return Err(Cut::GivenUp(outcome, connection));
                     }
                     late = true;
--- a/src/net/upstream/tests/given_up.rs
+++ b/src/net/upstream/tests/given_up.rs
@@ -1,13 +1,11 @@
 //! Answers that cross the end of their call.
 
-use super::super::*;
-use crate::core::FlowNo;
+use super::*;
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::sync::mpsc as std_mpsc;
 use std::thread;
 
-const MS: Duration = Duration::from_millis(1);
 const WAIT: &str = "HTTP/1.1 429 no\r\nWait-Ms: 700\r\nContent-Length: 0\r\n\r\n";
 const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
@@ -45,41 +43,19 @@
     }
 }
 
-fn run(body: impl AsyncFnOnce(Upstream, mpsc::Receiver<ToOwner>)) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let (owner, ends) = mpsc::channel(8);
-        body(Upstream::new(MS * 900, MS * 9000, 8, owner, Figures::default(), Parking::default()), ends)
-            .await;
-    });
-}
-
 async fn asked(upstream: &Upstream, time: Duration) -> (Told, Switch) {
     let (address, told) = Told::new();
-    let parcel =
-        Rc::new(Parcel { id: "f".into(), key: None, mail: None, routed: None, body: b"ab"[..].into() });
-    let give_up_at = Instant::now() + time;
-    let items = vec![Item { flow: FlowNo(1), attempt: 0, over_at: give_up_at + MS * 9000, parcel }];
-    let switch =
-        upstream.call(CallOrder { items, server: ServerNo(1), address, give_up_at, write_by: give_up_at });
+    let switch = upstream.call(order(address, time));
     tokio::time::sleep(MS * 50).await;
     told.until("asked");
     (told, switch)
 }
 
-async fn next(ends: &mut mpsc::Receiver<ToOwner>) -> (&'static str, Outcome) {
-    match timeout(MS * 9000, ends.recv()).await.unwrap() {
-        Some(ToOwner::CallEnded(end, _)) => ("call", end.outcome),
-        Some(ToOwner::Probed(_, outcome, _)) => ("beside", outcome),
-        other => panic!("{other:?}"),
-    }
-}
-
 /// The answer is in the socket, and the runtime has not heard of it, as the call is called off.
 #[test]
 fn an_answer_that_is_there_as_its_call_is_called_off_counts() {
     for (text, outcome) in [(WAIT, Outcome::Overloaded { wait: Some(MS * 700) }), (GOOD, Outcome::Success)] {
-        run(async |upstream, mut ends| {
+        run(MS * 900, async |upstream, mut ends| {
             let (told, switch) = asked(&upstream, MS * 9000).await;
             told.answer(text);
             switch.stop();
@@ -91,7 +67,7 @@
 /// The same at the end of a call's time: the thread was kept from running until after it.
 #[test]
 fn an_answer_that_is_there_as_its_call_is_out_of_time_counts() {
-    run(async |upstream, mut ends| {
+    run(MS * 900, async |upstream, mut ends| {
         let (told, _switch) = asked(&upstream, MS * 150).await;
         told.answer(GOOD);
         thread::sleep(MS * 200);
@@ -104,7 +80,7 @@
 #[test]
 fn a_wait_that_crosses_the_end_of_its_call_is_heard() {
     for called_off in [true, false] {
-        run(async |upstream, mut ends| {
+        run(MS * 900, async |upstream, mut ends| {
             let (told, switch) = asked(&upstream, MS * if called_off { 9000 } else { 100 }).await;
             if called_off {
                 switch.stop();
@@ -122,7 +98,7 @@
 /// Nobody answers: it is listened to for a while and no longer.
 #[test]
 fn a_call_given_up_does_not_hold_its_connection_for_long() {
-    run(async |upstream, mut ends| {
+    run(MS * 900, async |upstream, mut ends| {
         let (told, switch) = asked(&upstream, MS * 9000).await;
         switch.stop();
         assert_eq!(next(&mut ends).await, ("call", Outcome::Withdrawn));
--- a/src/net/upstream/tests/late.rs
+++ b/src/net/upstream/tests/late.rs
@@ -1,12 +1,9 @@
 //! Connections that come up late, after the time or the news that forbids what was to be written on them.
 
-use super::super::*;
-use crate::core::FlowNo;
+use super::*;
 use std::io::{ErrorKind, Read};
 use std::net::{TcpListener, TcpStream as StdStream};
 
-const MS: Duration = Duration::from_millis(1);
-
 /// An endpoint whose places for connections are taken: those that come are up only once it lets them in.
 struct Crowded(TcpListener, Vec<StdStream>);
 
@@ -51,34 +48,9 @@
     }
 }
 
-fn run(body: impl AsyncFnOnce(Upstream, mpsc::Receiver<ToOwner>)) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let (owner, ends) = mpsc::channel(8);
-        body(Upstream::new(MS * 9000, MS * 9000, 8, owner, Figures::default(), Parking::default()), ends)
-            .await;
-    });
-}
-
-fn order(address: SocketAddr, write_by: Duration) -> CallOrder {
-    let parcel =
-        Rc::new(Parcel { id: "f".into(), key: None, mail: None, routed: None, body: b"ab"[..].into() });
-    let give_up_at = Instant::now() + MS * 9000;
-    let items = vec![Item { flow: FlowNo(1), attempt: 0, over_at: give_up_at, parcel }];
-    CallOrder { items, server: ServerNo(1), address, give_up_at, write_by: Instant::now() + write_by }
-}
-
-async fn outcome(ends: &mut mpsc::Receiver<ToOwner>) -> Outcome {
-    match timeout(MS * 9000, ends.recv()).await.unwrap() {
-        Some(ToOwner::CallEnded(end, _)) => end.outcome,
-        Some(ToOwner::Probed(_, outcome, _)) => outcome,
-        other => panic!("{other:?}"),
-    }
-}
-
 #[test]
 fn a_call_whose_connection_comes_up_in_time_is_written() {
-    run(async |upstream, _ends| {
+    run(MS * 9000, async |upstream, _ends| {
         let (address, crowded) = Crowded::new();
         upstream.call(order(address, MS * 9000));
         tokio::time::sleep(MS * 100).await;
@@ -88,38 +60,39 @@
 
 #[test]
 fn a_repeat_whose_connection_comes_up_after_its_window_is_not_written() {
-    run(async |upstream, mut ends| {
+    run(MS * 9000, async |upstream, mut ends| {
         let (address, crowded) = Crowded::new();
-        upstream.call(order(address, MS * 300));
+        let write_by = Instant::now() + MS * 300;
+        upstream.call(CallOrder { write_by, ..order(address, MS * 9000) });
         tokio::time::sleep(MS * 400).await;
         assert_eq!(crowded.let_in().await, b"");
-        assert_eq!(outcome(&mut ends).await, Outcome::Void, "it never ran");
+        assert_eq!(next(&mut ends).await.1, Outcome::Void, "it never ran");
     });
 }
 
 #[test]
 fn a_call_held_while_its_connection_comes_up_is_not_written_and_the_connection_is_kept() {
-    run(async |upstream, mut ends| {
+    run(MS * 9000, async |upstream, mut ends| {
         let (address, crowded) = Crowded::new();
         let switch = upstream.call(order(address, MS * 9000));
         tokio::time::sleep(MS * 100).await;
         switch.hold();
         assert_eq!(crowded.let_in().await, b"");
-        assert_eq!(outcome(&mut ends).await, Outcome::Void);
+        assert_eq!(next(&mut ends).await.1, Outcome::Void);
         assert!(!switch.is_used());
     });
 }
 
 #[test]
 fn a_probe_held_while_its_connection_comes_up_is_not_written() {
-    run(async |upstream, mut ends| {
+    run(MS * 9000, async |upstream, mut ends| {
         let (address, crowded) = Crowded::new();
         let switch = upstream.probe(ServerNo(1), address, false);
         tokio::time::sleep(MS * 100).await;
         assert!(switch.is_used());
         switch.hold();
         assert_eq!(crowded.let_in().await, b"");
-        assert_eq!(outcome(&mut ends).await, Outcome::Void);
+        assert_eq!(next(&mut ends).await.1, Outcome::Void);
     });
 }
 
@@ -127,7 +100,7 @@
 #[test]
 fn what_comes_up_after_its_call_is_over_carries_nothing() {
     for called_off in [true, false] {
-        run(async |upstream, mut ends| {
+        run(MS * 9000, async |upstream, mut ends| {
             let (address, crowded) = Crowded::new();
             let mut order = order(address, MS * 9000);
             order.give_up_at = Instant::now() + MS * 200;
@@ -136,7 +109,7 @@
             if called_off {
                 switch.stop();
             }
-            let ended = outcome(&mut ends).await;
+            let (_, ended) = next(&mut ends).await;
             assert_eq!(ended, if called_off { Outcome::Void } else { Outcome::Unreachable });
             // Nobody is there any more, or somebody who says nothing.
             let came = timeout(MS * 1500, crowded.let_in()).await;
--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -10,7 +10,8 @@
 mod stage;
 use common::*;
 use onyxstile::api::*;
-use stage::{Away, Dice, Fleet, Partner, START};
+use stage::dice::Dice;
+use stage::{Away, Fleet, Partner, START};
 use std::time::Duration;
 
 /// Who saw the outage, and what became of the processes.
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -8,7 +8,8 @@
 use onyxstile::core::{CallEnd, End, FlowNo, ServerNo};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use stage::{Away, Dice, Does, Fleet, Kill, Partner, Relay, START};
+use stage::dice::Dice;
+use stage::{Away, Does, Fleet, Kill, Partner, Relay, START};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/tests/stage/fleet.rs
+++ b/tests/stage/fleet.rs
@@ -1,6 +1,7 @@
 //! A partner that goes away and comes back cold, and several relays that call it.
 
 use super::*;
+use std::collections::BTreeSet;
 
 /// How a partner is away.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -2,6 +2,7 @@
 //! counts what reaches it. Time is the test's, and so is chance.
 #![allow(dead_code, missing_docs)]
 
+pub mod dice;
 mod fleet;
 
 use crate::common::ms;
@@ -12,9 +13,6 @@
 use onyxstile::net::journal::{Journal, Owed, Record, SentTo, TakenFlow};
 use onyxstile::net::parcel::Parcel;
 use onyxstile::net::upgrade::state;
-use rand_core::{RngCore, SeedableRng};
-use rand_pcg::Pcg32;
-use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -25,32 +23,6 @@
 /// Where every clock begins.
 pub const START: Duration = Duration::from_secs(1_000_000);
 
-/// Chance by a seed, which a failure prints.
-pub struct Dice(Pcg32, u64);
-
-impl Dice {
-    pub fn new(seed: u64) -> Dice {
-        Dice(Pcg32::seed_from_u64(seed), seed)
-    }
-    pub fn below(&mut self, n: u64) -> u64 {
-        self.0.next_u64() % n.max(1)
-    }
-    pub fn percent(&mut self, n: u64) -> bool {
-        self.below(100) < n
-    }
-    pub fn pick<T: Copy>(&mut self, of: &[T]) -> T {
-        of[self.below(of.len() as u64) as usize]
-    }
-}
-
-impl Drop for Dice {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            eprintln!("seed {}", self.1);
-        }
-    }
-}
-
 /// Where in a step a kill comes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Kill {
@@ -205,11 +177,8 @@
 
     /// Which endpoints are down or cold, as the owner has it.
     fn write_ill(&mut self) {
-        let ill: BTreeSet<_> = self.core.ailing().map(|no| no.0.to_string()).collect();
-        let known = &self.journal.ledger().ill;
-        let fell = ill.difference(known).map(|uid| Record::Ill(uid.clone(), true));
-        let rose = known.difference(&ill).map(|uid| Record::Ill(uid.clone(), false));
-        let records: Vec<_> = fell.chain(rose).collect();
+        let ill = self.core.ailing().map(|no| no.0.to_string()).collect();
+        let records = self.journal.ledger().illness(&ill);
         self.journal.write(&records).unwrap();
     }
 
@@ -238,8 +207,7 @@
         // What was down or cold is met as cold.
         let ill = |e: &&EndpointInfo| self.journal.ledger().ill.contains(&e.id.0.to_string());
         for entry in entries.iter().filter(ill) {
-            self.core.take_entries(vec![EndpointInfo { state: ListState::Draining, ..entry.clone() }], false);
-            self.core.take_entries(vec![entry.clone()], false);
+            self.core.take_for_cold(entry.clone());
         }
         let open: Vec<_> = self.journal.ledger().open.iter().map(|(no, f)| (*no, f.clone())).collect();
         for (no, (flow, progress)) in open {
