--- /dev/null
+++ b/tests/property/play/checks.rs
@@ -0,0 +1,176 @@
+//! Kills, steps, and what each effect has to keep to.
+
+use super::*;
+
+impl Play {
+    /// The process dies in the middle of a step, and another begins some time later.
+    pub(super) fn kill(&mut self) {
+        let how = match self.dice.below(3) {
+            0 => Kill::Unwritten,
+            1 => Kill::Torn(1 + self.dice.below(60)),
+            _ => Kill::Written,
+        };
+        self.saw("killed with calls out", !self.out.is_empty());
+        self.saw("killed with a torn journal", matches!(how, Kill::Torn(_)));
+        self.step(Some(how));
+        // Its connections break with it: what was out may have run.
+        for o in std::mem::take(&mut self.out) {
+            let f = self.owed.get_mut(&o.flow).unwrap();
+            (f.out, f.risk) = (None, f.risk.or(Some((o.sent, o.server))));
+        }
+        self.ended.clear();
+        self.probes.clear();
+        self.waits.clear();
+        self.now += ms(self.dice.below(3000));
+        let list: Vec<_> =
+            self.listed.iter().filter(|(_, l)| l.1 != ListState::Gone).map(|(s, l)| (s.0, *l)).collect();
+        let list = list.into_iter().map(|(s, l)| self.entry(s, l.0, l.1)).collect();
+        self.relay.restart(list, self.now);
+        // What the journal has is promised; what it has no word of any more never was, or is over.
+        let ledger = self.relay.journal.ledger();
+        let (open, told): (Vec<_>, Vec<_>) =
+            (ledger.open.keys().copied().collect(), ledger.owed.keys().copied().collect());
+        let mut lost = vec![];
+        for (no, f) in &mut self.owed {
+            f.taken |= open.contains(no);
+            f.survived |= open.contains(no);
+            // That it was called off was not written down: it goes on.
+            f.over &= !open.contains(no);
+            if !open.contains(no) && !f.over {
+                // Told by what is owed; or delivered in the step that died; or never taken.
+                let accounted = told.contains(no) || f.risk.is_some() || !f.taken;
+                if !accounted {
+                    lost.push(*no);
+                }
+                f.over = true;
+            }
+        }
+        self.law(Rule::OneAnswer, lost.is_empty(), || format!("{lost:?} lost in a kill"));
+        let due = self.owed.values().filter(|f| !f.over && f.deadline < self.now).count();
+        self.saw("time up while no process ran", due > 0);
+        self.killed = true;
+        self.step(None);
+    }
+
+    pub(super) fn step(&mut self, kill: Option<Kill>) {
+        let Some(effects) = self.relay.step(self.now, kill) else { return };
+        for effect in effects {
+            match effect {
+                Does::Taken(no, _) => {
+                    let f = self.owed.get_mut(&no).unwrap();
+                    assert!(!f.taken && !f.over, "taken twice: {no:?}");
+                    f.taken = true;
+                }
+                Does::TurnedDown(no, ..) => self.answered(no, false, "turned down"),
+                Does::Ended(no, _, how) => {
+                    let returned = matches!(how, End::Returned(_));
+                    let what = match how {
+                        End::Delivered => "delivered",
+                        End::Returned(_) => "handed back",
+                        _ => "failed",
+                    };
+                    self.answered(no, returned, what);
+                    if how != End::Delivered {
+                        self.relay.noticed(no);
+                    }
+                }
+                Does::Call { flow, attempt, server, give_up_at, .. } => {
+                    self.call(flow, attempt, server, give_up_at)
+                }
+                Does::StopCall(flow, attempt) => {
+                    let at = self.out.iter().position(|o| (o.flow, o.attempt) == (flow, attempt));
+                    if let Some(n) = at {
+                        self.saw("a call called off for its slot", true);
+                        self.end(n, Outcome::Withdrawn);
+                    }
+                }
+                Does::Probe(server) => {
+                    self.sent_to(server);
+                    self.probes.push(server);
+                }
+                _ => {}
+            }
+        }
+        if self.relay.core.has_events() {
+            return self.step(None);
+        }
+        let late: Vec<_> = self
+            .owed
+            .iter()
+            .filter(|(_, f)| f.taken && !f.over && self.now > f.deadline + ms(20))
+            .map(|(no, _)| *no)
+            .collect();
+        self.law(Rule::OneAnswer, late.is_empty(), || format!("{late:?} without an answer in time"));
+    }
+
+    pub(super) fn answered(&mut self, no: FlowNo, returned: bool, what: &'static str) {
+        let f = self.owed.get_mut(&no).unwrap();
+        let (over, risk, class) = (std::mem::replace(&mut f.over, true), f.risk, f.class);
+        let early = self.now + ms(30) < f.deadline;
+        self.law(Rule::OneAnswer, !over, || format!("{no:?} answered twice, now {what}"));
+        let keyed_to_all =
+            matches!(self.settings.classes[1].effect, Effect::Keyed { group: RepeatGroup::All, .. });
+        let harmless = risk.is_none() || class == 0 || class == 1 && keyed_to_all;
+        self.law(Rule::Bounds, !returned || harmless, || format!("{no:?} may have run and was handed back"));
+        self.saw(what, true);
+        self.saw(
+            "given up at once, as it may have run",
+            what == "failed" && class == 2 && risk.is_some() && early,
+        );
+        self.saw("ended after a kill", self.killed);
+    }
+
+    /// Whatever goes to a real server: drains and waits are kept.
+    pub(super) fn sent_to(&mut self, server: ServerNo) {
+        let listed = self.listed.get(&server).is_some_and(|l| l.1 == ListState::Live);
+        self.law(Rule::Drains, listed, || format!("{server:?} was sent to, and is not listed"));
+        let others = self.listed.values().filter(|l| l.1 == ListState::Draining).count();
+        self.saw("sent while others drain", others > 0);
+        let its = bound(server, self.listed.get(&server).map_or(ALL[0], |l| l.0));
+        let wait = self.waits.get(&its).copied().unwrap_or_default();
+        self.law(Rule::Waits, self.now >= wait, || format!("{server:?} was sent to within its wait"));
+        let ended = !wait.is_zero() && self.now < wait + ms(300);
+        self.saw("sent soon after a wait", ended);
+        let now = self.now;
+        let elsewhere = self.waits.iter().any(|(b, until)| *b != its && now < *until);
+        self.saw("sent while others are waited for", elsewhere);
+    }
+
+    pub(super) fn call(&mut self, flow: FlowNo, attempt: u32, server: ServerNo, give_up_at: Duration) {
+        self.sent_to(server);
+        let f = &self.owed[&flow];
+        let (class, risk, calls) = (f.class, f.risk, f.calls);
+        let s = &self.settings;
+        let open = f.taken && !f.over && self.now < f.deadline && give_up_at <= f.deadline;
+        self.law(Rule::OneAnswer, open, || format!("{flow:?} was sent when it was over, or beyond its time"));
+        self.law(Rule::SideBySide, f.out.is_none(), || format!("{flow:?} is out twice"));
+        self.law(Rule::Drains, self.listed[&server].0 == f.to, || {
+            format!("{flow:?} went to another's server")
+        });
+        let zone = |s: ServerNo| s.0 % 2;
+        let allowed = match (risk, s.classes[class].effect) {
+            (None, _) | (_, Effect::Repeatable) => true,
+            (Some(_), Effect::Once) => false,
+            (Some((sent, at)), Effect::Keyed { group, window }) => {
+                let known = match group {
+                    RepeatGroup::All => true,
+                    RepeatGroup::Zone => zone(at) == zone(server),
+                    RepeatGroup::Endpoint => at == server,
+                };
+                known && self.now < sent + window
+            }
+        };
+        let most = s.max_attempts;
+        self.law(Rule::Bounds, allowed && calls < most, || {
+            format!("{flow:?} sent again: {calls} calls, {risk:?}")
+        });
+        self.saw("once: resent after proof that it never ran", class == 2 && calls > 0);
+        self.saw("keyed: resent within its window", class == 1 && risk.is_some());
+        self.saw("repeatable: resent though it may have run", class == 0 && risk.is_some());
+        self.saw("resent", calls > 0);
+        self.saw("resent by another process", calls > 0 && self.owed[&flow].survived);
+        let f = self.owed.get_mut(&flow).unwrap();
+        (f.out, f.calls) = (Some(attempt), calls + 1);
+        self.out.push(Out { flow, attempt, server, sent: self.now, give_up_at });
+    }
+}
--- /dev/null
+++ b/tests/property/returns.rs
@@ -0,0 +1,77 @@
+//! Cold returns: what a fleet sends to a partner that is back.
+
+use crate::common::*;
+use crate::runs;
+use crate::stage::dice::Dice;
+use crate::stage::{self, Fleet, Partner, START};
+use onyxstile::api::*;
+use std::collections::BTreeMap;
+
+/// A partner goes away in one of five ways under load and comes back cold: in no window of the rule's length do
+/// the relays that saw it fail send more than it stands, though all have messages waiting.
+#[test]
+fn no_partner_that_returns_cold_is_pushed_over() {
+    // Beyond that lies the one below.
+    returns(0..runs(120).min(700), &[1, 2, 3], 2.5);
+}
+
+/// The smallest partner, three relays and two servers, errors: it once got a call too many.
+#[test]
+fn the_smallest_partner_gets_no_call_too_many() {
+    returns(789..790, &[1, 2, 3], 2.5);
+}
+
+/// The same with many relays, each with a message now and then, after silence and after told waits.
+#[test]
+fn no_partner_that_returns_cold_to_many_relays_is_pushed_over() {
+    for seed in [1, 3, 6, 8] {
+        returns(seed..seed + 1, &[60], 8.0);
+        returns(seed..seed + 1, &[300], 30.0);
+    }
+}
+
+/// Of 300 relays each sees one refused connection, at one of two servers, long before the return: the clock of the ramp
+/// begins with what is heard after it.
+#[test]
+fn many_relays_that_saw_one_connection_refused_stay_within_the_bound() {
+    returns(0..1, &[300], 30.0);
+    returns(0..1, &[60], 8.0);
+}
+
+/// A shut that tells nothing looks like a limit to a relay that saw one refusal.
+#[test]
+fn many_relays_that_saw_one_untold_refusal_stay_within_the_bound() {
+    returns(2..3, &[300], 30.0);
+}
+
+fn returns(seeds: std::ops::Range<u64>, fleets: &[u32], least: f64) {
+    let runs = seeds.end - seeds.start;
+    let (mut worst, mut tried, mut delivered) = (BTreeMap::new(), 0, 0);
+    for seed in seeds {
+        let mut dice = Dice::new(7_000_000 + seed);
+        let senders = dice.pick(fleets);
+        let probes = dice.percent(70);
+        let s = Settings { senders, probes, start_capacity: 0.17, cold_time: ms(14_000), ..settings() };
+        let how = stage::WAYS[(seed % 5) as usize];
+        let (rate, from) = (least + dice.below(5) as f64, START + ms(15_000));
+        let back = from + ms(5000 + dice.below(12_000));
+        let servers = dice.pick(&[1, 2]);
+        let mut fleet = Fleet::new(&s, Partner::new(rate, &s, (from, back, how)), servers, seed);
+        let load = rate * 0.8;
+        let mut hands_in = |f: &mut Fleet| {
+            if dice.below(1000) < (load * 5.0) as u64 {
+                let (relay, class) = (dice.below(u64::from(senders)) as usize, dice.pick(&[0, 2]));
+                f.offer(relay, class, ms(16_000));
+            }
+        };
+        fleet.pass(back - START + ms(16_000), &mut hands_in);
+        let over = fleet.partner.worst(&s);
+        let most: &mut f64 = worst.entry(format!("{how:?}")).or_default();
+        *most = most.max(over);
+        tried += fleet.partner.by_second(back, 16).iter().sum::<usize>();
+        delivered += fleet.delivered;
+        assert!(over <= 1.0, "{how:?}, {senders} senders, {rate} a second: {over:.2} of what it stands");
+    }
+    println!("cold: {runs} runs, {tried} calls after returns, worst windows {worst:?}");
+    assert!(tried as u64 > 20 * runs && delivered as u64 > 30 * runs, "{tried} calls, {delivered} delivered");
+}
