Stand between both processes of an upgrade before the new one is started, and bound the wait

A new process that was quicker than the test's thread asked the old process itself, and `listener.accept().await` in tests/upgrade.rs, which had no time limit, waited for ever. The program has no part in it.

Now the socket stands before the new process exists, the whole hand-over is bounded, and one that did not reach its step fails by name. `Relay::fails` waited without end for a relay that starts after all; it is bounded too.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,10 @@
 	cargo fmt --all --check
 	cargo clippy --locked --workspace --all-targets -- -D warnings
 
+# Bounded: a test that stands still fails the run, by the name that cargo prints last, and does not use up the day.
+TEST_S ?= 1800
 test:
-	cargo test --locked --workspace
+	timeout --kill-after=10 $(TEST_S) cargo test --locked --workspace
 
 doc:
 	RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --quiet
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -87,9 +87,12 @@
     /// What a relay of the platform's says as it fails to start.
     pub fn fails(folder: &Folder, config: &str) -> String {
         std::fs::write(folder.0.join("config.json"), config).unwrap();
-        let done = Relay::of_platform(folder).output().unwrap();
-        assert!(!done.status.success());
-        String::from_utf8_lossy(&done.stderr).into_owned()
+        let said = folder.0.join("said");
+        let mut command = Relay::of_platform(folder);
+        command.stderr(std::fs::File::create(&said).unwrap());
+        let mut relay = Relay { child: command.spawn().unwrap(), log: Arc::default() };
+        assert!(!relay.ended(), "it starts");
+        std::fs::read_to_string(&said).unwrap()
     }
 
     fn launch(command: &mut Command) -> Relay {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -125,11 +125,21 @@
 /// Steps of a hand-over between which a kill can come: each thing said, by the time it has and has not arrived.
 const STEPS: usize = 9;
 
-/// Stands between both processes, and kills one of them at a step; true once the new one has been told to go.
-async fn between(folder: &Folder, step: usize, kill: &mut dyn FnMut()) -> std::io::Result<bool> {
+/// Takes the old process' place at its socket. It has to stand there before the new process is started: one that is quicker
+/// asks the old process itself, and nobody ever comes here.
+fn stand_between(folder: &Folder) -> std::os::unix::net::UnixListener {
     let path = folder.0.join("state/upgrade");
-    std::fs::rename(&path, path.with_extension("real"))?;
-    let listener = tokio::net::UnixListener::bind(&path)?;
+    std::fs::rename(&path, path.with_extension("real")).unwrap();
+    std::os::unix::net::UnixListener::bind(&path).unwrap()
+}
+
+/// Passes on what both processes say, and kills one of them at a step; true once the new one has been told to go.
+async fn between(
+    listener: std::os::unix::net::UnixListener, folder: &Folder, step: usize, kill: &mut dyn FnMut(),
+) -> std::io::Result<bool> {
+    let path = folder.0.join("state/upgrade");
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::UnixListener::from_std(listener)?;
     let mut new = Peer::new(listener.accept().await?.0);
     std::fs::remove_file(&path)?;
     std::fs::rename(path.with_extension("real"), &path)?;
@@ -181,14 +191,20 @@
             says(&old, "exclude nobody", "400");
             assert!(hand_in(&old, "orders", "out").starts_with("202"));
             until("the call", || (heard.lock().unwrap().len() == 1).then_some(()));
+            let listener = stand_between(&folder);
             let mut new = Relay::beside(&folder);
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-            let done = runtime.block_on(between(&folder, step, &mut || match killed {
-                Killed::Old => old.slay(),
-                Killed::New => new.slay(),
-            }));
+            let done = runtime.block_on(async {
+                let mut kill = || match killed {
+                    Killed::Old => old.slay(),
+                    Killed::New => new.slay(),
+                };
+                tokio::time::timeout(PATIENCE, between(listener, &folder, step, &mut kill)).await
+            });
             drop(runtime);
             let what = format!("{killed:?} killed at step {step}, {done:?}");
+            let done = done.unwrap_or_else(|_| panic!("the hand-over stands still: {what}"));
+            assert!(done.is_ok(), "nobody was killed: {what}");
             let left = if killed == Killed::Old { &new } else { &old };
             // An old process that had given all away starts again; until then it does not say that it is ready.
             until(&what, || {
