--- a/src/control.rs
+++ b/src/control.rs
@@ -556,7 +556,8 @@
                 lane.wait_until = lane.wait_until.max(until);
                 let quiet = now.saturating_sub(lane.recent.at) >= SHUT_QUIET;
                 let long = wait.is_some_and(|w| w >= self.settings.overload_span);
-                if long || (wait.is_some() && quiet && e.refused_run >= SHUT_AFTER) {
+                let shuts = e.refused_run >= SHUT_AFTER || e.health != Health::Well;
+                if long || (wait.is_some() && quiet && shuts) {
                     // Shut until the wait ends, and cold from then on, by whichever endpoint it is tried.
                     shut = Some(Health::Warming(until));
                     all = long.then_some((Health::Warming(until), false));
--- a/src/net/journal/decode.rs
+++ b/src/net/journal/decode.rs
@@ -130,6 +130,10 @@
             }
             17 => Record::OverFrom(Duration::from_micros(no.0)),
             18 => Record::Ill(self.text()?, no.0 != 0),
+            19 => {
+                let rate = Some(f64::from_bits(no.0)).filter(|rate| rate.is_finite() && *rate >= 0.0)?;
+                Record::Limit(self.text()?, rate)
+            }
             8 => Record::Bounced(no, FlowNo(self.u64()?), self.flow(None)?),
             _ => return None,
         })
--- a/src/net/journal/encode.rs
+++ b/src/net/journal/encode.rs
@@ -152,6 +152,11 @@
             put_u64(out, u64::from(*on));
             put_bytes(out, uid.as_bytes());
         }
+        Record::Limit(uid, rate) => {
+            out.push(19);
+            put_u64(out, rate.to_bits());
+            put_bytes(out, uid.as_bytes());
+        }
         Record::Banned(uid, on) => {
             out.push(11);
             put_u64(out, u64::from(*on));
--- a/src/net/journal/ledger.rs
+++ b/src/net/journal/ledger.rs
@@ -11,7 +11,7 @@
 /// within its time. Without a bound the file would grow with all that was ever delivered.
 const OVER_MOST: usize = 1024;
 const OVER_MEMORY: Duration = Duration::from_secs(120);
-/// Bytes of such a record, and of one of a wait, or of an illness, beside its name.
+/// Bytes of such a record, and of one of a wait, an illness or a limit, beside its name.
 const OVER_BYTES: u64 = 26;
 const WAIT_BYTES: u64 = 21;
 /// Bytes of a start's record and of the times in a rewritten file, at most.
@@ -28,6 +28,8 @@
     pub bans: BTreeSet<String>,
     /// Endpoints that were down or cold when that was last written down.
     pub ill: BTreeSet<String>,
+    /// Limits that endpoints told, calls a second.
+    pub limits: BTreeMap<String, f64>,
     /// The number of the next flow.
     pub next: u64,
     /// The latest start of a process, where starts are written down.
@@ -111,6 +113,12 @@
             Record::Ill(uid, false) => {
                 self.ill.remove(uid);
             }
+            Record::Limit(uid, rate) if *rate > 0.0 => {
+                self.limits.insert(uid.clone(), *rate);
+            }
+            Record::Limit(uid, _) => {
+                self.limits.remove(uid);
+            }
             Record::Next(no) => self.next = self.next.max(no.0),
             Record::Started(started) => {
                 self.moment = self.moment.max(started.at);
@@ -137,6 +145,14 @@
         fell.chain(rose).collect()
     }
 
+    /// The records that make these the limits that endpoints tell.
+    pub fn limits_told(&self, told: &BTreeMap<String, f64>) -> Vec<Record> {
+        let new = told.iter().filter(|(uid, rate)| self.limits.get(*uid) != Some(rate));
+        let new = new.map(|(uid, rate)| Record::Limit(uid.clone(), *rate));
+        let gone = self.limits.keys().filter(|uid| !told.contains_key(*uid));
+        new.chain(gone.map(|uid| Record::Limit(uid.clone(), 0.0))).collect()
+    }
+
     fn remember(&mut self, digest: u64, fate: Fate, at: Duration) {
         if at.is_zero() {
             return;
@@ -154,8 +170,9 @@
     pub(super) fn more_bytes(&self) -> u64 {
         let waits: u64 = self.waits.keys().map(|uid| uid.len() as u64 + WAIT_BYTES).sum();
         let start = if self.started.is_some() { START_BYTES } else { 0 };
-        let ill: u64 = self.ill.iter().map(|uid| uid.len() as u64 + WAIT_BYTES).sum();
-        start + waits + ill + self.over.len() as u64 * OVER_BYTES
+        let known = self.ill.iter().chain(self.limits.keys());
+        let known: u64 = known.map(|uid| uid.len() as u64 + WAIT_BYTES).sum();
+        start + waits + known + self.over.len() as u64 * OVER_BYTES
     }
 
     /// The shortest list of records that adds up to this.
@@ -175,6 +192,7 @@
         let last = Some(self.moment).filter(|at| !at.is_zero()).map(Record::Moment);
         let before = started.chain(over).chain(from);
         let now = before.chain([Record::Next(FlowNo(self.next))]).chain(bans).chain(open).chain(owed);
-        now.chain(ill).chain(last).chain(waits)
+        let limits = self.limits.iter().map(|(uid, rate)| Record::Limit(uid.clone(), *rate));
+        now.chain(ill).chain(limits).chain(last).chain(waits)
     }
 }
--- a/src/net/journal/record.rs
+++ b/src/net/journal/record.rs
@@ -78,6 +78,8 @@
     Banned(String, bool),
     /// An endpoint, by its lasting name, is down or cold, or (false) well: what a later process has to know of it.
     Ill(String, bool),
+    /// The limit that an endpoint, by its lasting name, last told, calls a second; 0: it tells none any more.
+    Limit(String, f64),
     /// In a rewritten file: what the records of an open flow added up to.
     Progress(FlowNo, Progress),
     /// In a rewritten file: the next flow's number.
--- a/src/net/journal/tests.rs
+++ b/src/net/journal/tests.rs
@@ -128,3 +128,38 @@
     assert_eq!((progress.attempts, &progress.out, &progress.risk), (2, &None, &Some(at(1))));
     fs::remove_dir_all(folder).unwrap();
 }
+
+#[test]
+fn what_was_seen_of_endpoints_is_kept_through_rewrites_until_it_changes() {
+    let folder = folder("seen");
+    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    let told = [("a".to_string(), 4.0), ("b".to_string(), 2.5)].into();
+    let mut records = journal.ledger.limits_told(&told);
+    records.extend(journal.ledger.illness(&["a".to_string()].into()));
+    journal.write(&records).unwrap();
+    assert!(journal.ledger.limits_told(&told).is_empty(), "nothing has changed");
+    for no in 1..2000 {
+        journal.write(&[taken(no, 900), Record::Ended(FlowNo(no), None)]).unwrap();
+    }
+    assert!(journal.length < 200_000, "it was rewritten");
+    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    assert_eq!((&journal.ledger.limits, &journal.ledger.ill), (&told, &["a".to_string()].into()));
+    // One is lowered, and the other tells none any more.
+    let lowered = [("b".to_string(), 1.0)].into();
+    let records = journal.ledger.limits_told(&lowered);
+    assert_eq!(records, [Record::Limit("b".into(), 1.0), Record::Limit("a".into(), 0.0)]);
+    journal.write(&records).unwrap();
+    let journal = Journal::open(&folder, 1 << 20).unwrap();
+    assert_eq!(journal.ledger.limits, lowered);
+    fs::remove_dir_all(folder).unwrap();
+}
+
+/// A record of a limit that is no number is no record: nothing is read from there on, as of any other damage.
+#[test]
+fn a_limit_that_is_no_number_is_no_record() {
+    for rate in [f64::NAN, f64::INFINITY, -1.0] {
+        let mut bytes = Vec::new();
+        encode(&Record::Limit("a".into(), rate), &mut bytes);
+        assert!(decode(&bytes).is_none(), "{rate}");
+    }
+}
--- a/src/net/owner/admin.rs
+++ b/src/net/owner/admin.rs
@@ -78,34 +78,13 @@
         }
     }
 
-    /// Writes down which endpoints are down or cold, where that has changed. Guards the budget of a cold endpoint, which all
-    /// processes share, against those that begin anew: they know nothing of an outage, and what the journal held for it
-    /// all went out at once. Should it not be written, the next look tries again.
-    fn write_ill(&mut self) {
-        let ill = self.core.ailing().map(|no| self.directory.uid(no)).collect();
-        let records = self.journal.ledger().illness(&ill);
-        if let Err(e) = self.journal.write(&records) {
-            tracing::debug!("journal: which endpoints are ill is not written: {e}");
-        }
-    }
-
-    /// Takes those for cold that were ill when the process before ended: whatever became of them since, it was not long ago.
-    pub(super) fn meet_ill(&mut self) {
-        let ill: Vec<_> =
-            self.journal.ledger().ill.iter().filter_map(|uid| self.directory.find(uid)).collect();
-        if !ill.is_empty() {
-            tracing::info!(endpoints = ill.len(), "were down or cold for the process before");
-        }
-        ill.into_iter().for_each(|no| self.take_for_cold(no));
-    }
-
     /// What is counted anew, and not fed by what happens.
     pub(super) fn take_census(&mut self, now: Duration) {
         self.figures.in_flight(self.core.open_flows());
         if now >= self.census_at + CENSUS {
             self.census_at = now;
             self.figures.servers(self.directory.census(&self.core.avoided()));
-            self.write_ill();
+            self.write_sights();
         }
     }
 }
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -15,6 +15,7 @@
 mod parts;
 mod recovery;
 mod run;
+mod sights;
 mod step;
 mod take;
 mod undelivered;
--- a/src/net/owner/new.rs
+++ b/src/net/owner/new.rs
@@ -103,7 +103,7 @@
         });
         owner.witness_phase(Stage::Serving);
         owner.take_list(&RawList { all: true, ..config.known.clone() });
-        owner.meet_ill();
+        owner.meet_sights();
         if !owner.times_written {
             let all = owner.journal.ledger().open.keys().copied().collect();
             owner.recover(&all, Loss::Nothing);
--- /dev/null
+++ b/src/net/owner/sights.rs
@@ -0,0 +1,39 @@
+//! What a process has seen of endpoints, left in the journal for the next one.
+
+use super::*;
+use crate::api::LimitReport;
+
+impl Owner {
+    /// Writes down which endpoints are down or cold, and what limits are told, where that has changed. Guards the budget of a
+    /// cold endpoint, which all processes share, against those that begin anew: they know nothing of an outage, and what the
+    /// journal held for it all went out at once; and where the limit is not known, a cold endpoint is taken for the smallest
+    /// one and gets next to nothing. Should it not be written, the next look tries again.
+    pub(super) fn write_sights(&mut self) {
+        let ill = self.core.ailing().map(|no| self.directory.uid(no)).collect();
+        let told = self.core.seen().filter(|(_, _, _, limit)| *limit > 0.0);
+        let told = told.map(|(no, _, _, limit)| (self.directory.uid(no), limit)).collect();
+        let ledger = self.journal.ledger();
+        let mut records = ledger.illness(&ill);
+        records.extend(ledger.limits_told(&told));
+        if let Err(e) = self.journal.write(&records) {
+            tracing::debug!("journal: what was seen of endpoints is not written: {e}");
+        }
+    }
+
+    /// Takes those for cold that were ill when the process before ended: whatever became of them since, it was not long ago.
+    /// Limits are as they were told last; the first answer tells them anew.
+    pub(super) fn meet_sights(&mut self) {
+        let ledger = self.journal.ledger();
+        let ill: Vec<_> = ledger.ill.iter().filter_map(|uid| self.directory.find(uid)).collect();
+        let limits = ledger.limits.iter().filter_map(|(uid, rate)| Some((self.directory.find(uid)?, *rate)));
+        let limits: Vec<_> = limits.collect();
+        if !ill.is_empty() || !limits.is_empty() {
+            let (ill, limits) = (ill.len(), limits.len());
+            tracing::info!(ill, limits, "endpoints as the process before knew them");
+        }
+        ill.into_iter().for_each(|no| self.take_for_cold(no));
+        for (no, rate) in limits {
+            self.core.probe_ended(no, Outcome::Void, Some(LimitReport { left: 0.0, rate }));
+        }
+    }
+}
--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -132,3 +132,17 @@
 fn a_cold_partner_stands_what_three_hundred_relays_send() {
     fleets(&[300], &[30.0], 0..3);
 }
+
+/// Killed at the end of an outage, a fleet knows the partner's limit from before and uses its budget: all that is in the bound's
+/// expectation for the first 9 s is some 0.8 N a window. Without, the unknown limit is taken for that of the smallest partner.
+#[test]
+fn a_fleet_that_begins_anew_uses_its_budget_of_a_cold_partner() {
+    let mut tried = 0;
+    for (relays, seed) in [(20, 0), (20, 5), (30, 0), (30, 5), (50, 0)] {
+        let (most, _, calls) = play(relays, 16.0, Away::Refuses, Seen::KilledAtItsEnd, seed);
+        println!("{relays} relays, seed {seed}: {calls} calls, {most:.2} of the bound");
+        assert!(most <= 1.0, "{most}");
+        tried += calls;
+    }
+    assert!(tried >= 250, "{tried}");
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -167,7 +167,7 @@
             if kill.is_some() {
                 return None;
             }
-            self.write_ill();
+            self.write_sights();
             all.append(&mut effects);
             if !self.core.has_events() {
                 return Some(all);
@@ -175,10 +175,13 @@
         }
     }
 
-    /// Which endpoints are down or cold, as the owner has it.
-    fn write_ill(&mut self) {
+    /// Which endpoints are down or cold, and what limits are told, as `net::owner::sights` has it.
+    fn write_sights(&mut self) {
         let ill = self.core.ailing().map(|no| no.0.to_string()).collect();
-        let records = self.journal.ledger().illness(&ill);
+        let told = self.core.seen().filter(|s| s.3 > 0.0).map(|s| (s.0.0.to_string(), s.3)).collect();
+        let ledger = self.journal.ledger();
+        let mut records = ledger.illness(&ill);
+        records.extend(ledger.limits_told(&told));
         self.journal.write(&records).unwrap();
     }
 
@@ -209,6 +212,11 @@
         for entry in entries.iter().filter(ill) {
             self.core.take_for_cold(entry.clone());
         }
+        for entry in &entries {
+            if let Some(rate) = self.journal.ledger().limits.get(&entry.id.0.to_string()) {
+                self.core.probe_ended(entry.id, Outcome::Void, Some(LimitReport { left: 0.0, rate: *rate }));
+            }
+        }
         let open: Vec<_> = self.journal.ledger().open.iter().map(|(no, f)| (*no, f.clone())).collect();
         for (no, (flow, progress)) in open {
             let past = progress.past(now, |server| ServerNo(server.parse().unwrap()));
