--- a/Makefile
+++ b/Makefile
@@ -89,4 +89,4 @@
 FLEET ?= 200
 SEED ?= 1
 fleet:
-	FLEET=$(FLEET) SEED=$(SEED) cargo test --locked --test fleet whatever_fails -- --ignored --nocapture
+	FLEET=$(FLEET) SEED=$(SEED) cargo test --locked --test fleet whatever_fails -- --nocapture
--- a/tests/fleet/check.rs
+++ b/tests/fleet/check.rs
@@ -102,8 +102,12 @@
                 if world.downs.iter().any(on_its_way) {
                     continue;
                 }
-                let early =
-                    |c: &&crate::partner::Call| c.relay == *relay && c.at > *from + WAY && c.at < *until;
+                // A wait binds who has heard it, and a call counts from when it left: a link may hold either.
+                let gate = &world.gates[*relay][p];
+                let Some(heard) = gate.heard(*from) else { continue };
+                let early = |c: &&crate::partner::Call| {
+                    c.relay == *relay && c.at < *until && gate.left(c.at) > heard + WAY && c.at > *from + WAY
+                };
                 let early = calls.iter().filter(early).count();
                 if early > 0 {
                     found.push(format!(
--- a/tests/fleet/histories.rs
+++ b/tests/fleet/histories.rs
@@ -1,4 +1,5 @@
-//! Seeded histories of traffic, link faults, kills and losses of power. FLEET says how many, SEED the first seed.
+//! Seeded histories of traffic, link faults, kills and losses of power. FLEET says how many, SEED the first seed,
+//! SIDE_BY_SIDE how many at a time.
 
 use crate::check::{Promise, broken, settle};
 use crate::world::World;
@@ -112,16 +113,13 @@
     found
 }
 
-/// Open: about one history in some 30 ends with messages that were answered 202 and have no end (docs/ROADMAP.md), so
-/// `make fleet` plays them and the tests do not, until the cause is found.
 #[test]
-#[ignore = "one history in some 30 breaks a promise; docs/ROADMAP.md"]
 fn whatever_fails_the_promises_hold() {
     let number = |name: &str, or: u64| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or);
     let (count, first) = (number("FLEET", HISTORIES), number("SEED", 1));
     let (next, found) = (AtomicU64::new(first), Mutex::new(Vec::new()));
     std::thread::scope(|s| {
-        for _ in 0..SIDE_BY_SIDE.min(count) {
+        for _ in 0..number("SIDE_BY_SIDE", SIDE_BY_SIDE).min(count) {
             s.spawn(|| {
                 loop {
                     let seed = next.fetch_add(1, Relaxed);
--- a/tests/fleet/links.rs
+++ b/tests/fleet/links.rs
@@ -61,6 +61,52 @@
 pub struct Gate {
     pub there: AtomicBool,
     pub back: AtomicBool,
+    /// What was held: on the way there or back, from when, and until when if it was passed on.
+    held: Mutex<Vec<Held>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    there: bool,
+    from: Instant,
+    until: Option<Instant>,
+}
+
+/// Between a write at one end of a gate and its being held, or its being passed on and its being read at the other.
+const NEAR: Duration = Duration::from_millis(100);
+
+impl Gate {
+    /// When what was answered at this moment reached the relay; none if it never did.
+    pub fn heard(&self, at: Instant) -> Option<Instant> {
+        let held = self.held.lock().unwrap();
+        let its = |h: &&Held| !h.there && h.from + NEAR > at && h.from < at + NEAR;
+        held.iter().filter(its).map(|h| h.until).min().unwrap_or(Some(at))
+    }
+
+    /// When what came at this moment had left the relay.
+    pub fn left(&self, at: Instant) -> Instant {
+        let held = self.held.lock().unwrap();
+        let its = |h: &&Held| h.there && h.until.is_some_and(|until| until + NEAR > at && until < at + NEAR);
+        held.iter().filter(its).map(|h| h.from).min().unwrap_or(at)
+    }
+
+    /// Stands until the way is free.
+    fn wait(&self, there: bool, over: &AtomicBool) {
+        let cut = if there { &self.there } else { &self.back };
+        if !cut.load(Relaxed) {
+            return;
+        }
+        let from = Instant::now();
+        let number = {
+            let mut held = self.held.lock().unwrap();
+            held.push(Held { there, from, until: None });
+            held.len() - 1
+        };
+        while cut.load(Relaxed) && !over.load(Relaxed) {
+            thread::sleep(LOOK);
+        }
+        self.held.lock().unwrap()[number].until = Some(Instant::now());
+    }
 }
 
 /// Opens a gate in front of an address.
@@ -77,15 +123,15 @@
             let Ok(server) = TcpStream::connect(to) else { continue };
             let (c, s) = (client.try_clone().unwrap(), server.try_clone().unwrap());
             let (g, o) = (gate.clone(), over.clone());
-            thread::spawn(move || pass(client, server, &g.there, &o));
+            thread::spawn(move || pass(client, server, &g, true, &o));
             let (g, o) = (gate.clone(), over.clone());
-            thread::spawn(move || pass(s, c, &g.back, &o));
+            thread::spawn(move || pass(s, c, &g, false, &o));
         }
     });
     address
 }
 
-fn pass(mut from: TcpStream, mut to: TcpStream, cut: &AtomicBool, over: &AtomicBool) {
+fn pass(mut from: TcpStream, mut to: TcpStream, gate: &Gate, there: bool, over: &AtomicBool) {
     from.set_nonblocking(false).unwrap();
     let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
     let _ = to.set_nodelay(true);
@@ -94,9 +140,7 @@
         match from.read(&mut bytes) {
             Ok(0) => break,
             Ok(length) => {
-                while cut.load(Relaxed) && !over.load(Relaxed) {
-                    thread::sleep(LOOK);
-                }
+                gate.wait(there, over);
                 if to.write_all(&bytes[..length]).is_err() {
                     break;
                 }
--- a/tests/fleet/stories.rs
+++ b/tests/fleet/stories.rs
@@ -218,7 +218,9 @@
 #[test]
 fn a_partner_comes_back_cold_at_the_same_moment() {
     let mut world = World::new("cold", 5, 1, 19);
-    world.partners[0].limit.store(12, Relaxed);
+    // So small that the law, the slots and the spread of the timers do not keep the budget by themselves.
+    let bears = 3;
+    world.partners[0].limit.store(bears, Relaxed);
     world.start_all();
     world.partners[0].shut.store(true, Relaxed);
     for n in 0..125 {
@@ -226,7 +228,7 @@
     }
     world.power_cut();
     world.partners[0].shut.store(false, Relaxed);
-    let cold = Cold { partner: 0, at: Instant::now(), capacity: 12.0 };
+    let cold = Cold { partner: 0, at: Instant::now(), capacity: bears as f64 };
     (0..5).for_each(|i| world.start(i));
     (0..5).for_each(|i| world.serving(i));
     must_hold(&world, &Promise { cold: vec![cold], ..kept() });
@@ -275,6 +277,9 @@
     world.members[2].shift = -2.5;
     (0..3).for_each(|i| world.start(i));
     (0..3).for_each(|i| world.serving(i));
+    // Each has had its effect already: what tells is what becomes of the flow that is still open.
+    let over = |id: &String| !world.notices(id).is_empty() || world.effects(id) > 1;
+    crate::process::until("the end of each flow", || ids.iter().all(over).then_some(()));
     must_hold(&world, &kept());
     assert!(ids.iter().all(|id| world.effects(id) == 1));
 }
@@ -384,3 +389,26 @@
     world.serving(0);
     must_hold(&world, &kept());
 }
+
+/// Killed, started again, and power is lost before that process has synced anything: what the one before had synced is on the
+/// disk. (A rig that forgot that cut promised messages away, and blamed the program for it.)
+#[test]
+fn power_lost_before_a_process_has_synced_anything() {
+    let mut world = World::new("unsynced", 3, 2, 28);
+    world.start_all();
+    world.gates.iter().flatten().for_each(|g| g.there.store(true, Relaxed));
+    let ids: Vec<_> = (0..12).map(|n| world.hand(n % 3, "orders", n % 2)).collect();
+    assert!(ids.iter().all(|(_, status)| *status == Some(202)));
+    (0..3).for_each(|i| world.kill(i));
+    for i in 0..3 {
+        let process = world.begin(i);
+        process.signal("STOP");
+        println!("relay {i} had synced: {}", process.last("journal synced").is_some());
+        world.members[i].process = Some(process);
+    }
+    world.power_cut();
+    world.gates.iter().flatten().for_each(|g| g.there.store(false, Relaxed));
+    (0..3).for_each(|i| world.start(i));
+    (0..3).for_each(|i| world.serving(i));
+    must_hold(&world, &kept());
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -178,8 +178,8 @@
         std::fs::write(m.folder.join("relay.toml"), file).unwrap();
     }
 
-    /// Starts a relay; the others reach it from then on.
-    pub fn start(&mut self, i: usize) {
+    /// Begins to start a relay, and waits for nothing.
+    pub fn begin(&mut self, i: usize) -> Process {
         self.members[i].starts += 1;
         self.write_config(i);
         let earlier = self.members[i].process.as_ref();
@@ -187,6 +187,12 @@
             .map_or(0, |p| p.last("journal synced").and_then(|s| s["bytes"].as_u64()).unwrap_or(p.before));
         let mut process = Process::start(&self.members[i].folder);
         process.before = before;
+        process
+    }
+
+    /// Starts a relay; the others reach it from then on.
+    pub fn start(&mut self, i: usize) {
+        let mut process = self.begin(i);
         let at = until("a relay's datagrams", || {
             assert!(!process.is_over(), "it ended at once: {:?}", process.log.lock().unwrap());
             process.address("peers")
