Read away what still comes as a mail session ends, so that its last reply is heard

Cause, by reading the ends of mail sessions for crossings (they had not been): a session that ended by QUIT, by 421 as the relay closes down, or by too many errors dropped its socket. Bytes that nobody had read, as a client sends that pipelines its commands, made that a reset, and the last reply went with it (MailEdge::serve). Now the sending side is shut and what comes is read away for 0.2 s and 64 KiB (net::socket::end). Test with real connections, tests/mail.rs: without the mend "an end, and no reset" fails.

--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -10,6 +10,7 @@
 use crate::net::inbox::{Offer, ToOwner, Verdict};
 use crate::net::parcel::{Envelope, Parcel};
 use crate::net::phase::{Phase, State};
+use crate::net::socket::end;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -28,6 +29,9 @@
 const TOLD_BUSY: usize = 16;
 /// Time for a reply to be taken.
 const WRITE_TIME: Duration = Duration::from_secs(30);
+/// How long, and for how many bytes, a session that is over is read away.
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_BYTES: usize = 64 * 1024;
 
 /// What all sessions share.
 #[derive(Debug)]
@@ -104,6 +108,8 @@
                         let mut session =
                             Session { edge: &edge, dialect, lines, peer, hello, mail, faults: 0 };
                         session.run(from).await;
+                        // A client that sends commands together may have more under way behind the one that ends all.
+                        end(session.lines.get_mut(), LINGER, LINGER_BYTES).await;
                         edge.left(from);
                     });
                 }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -4,7 +4,10 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// What has come on a connection and nobody has read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,3 +39,20 @@
     stream.set_nodelay(true)?;
     Ok(stream)
 }
+
+/// Ends a connection whose last words are written: the sending side is shut, and what still comes is read away, for so long and
+/// so many bytes at most. Closed over unread bytes it would be reset, and what the other side has not read yet be gone.
+pub async fn end(stream: &mut TcpStream, time: Duration, most: usize) {
+    let read_away = async {
+        let (mut bytes, mut seen) = ([0; 1024], 0);
+        stream.shutdown().await?;
+        while seen < most {
+            match stream.read(&mut bytes).await? {
+                0 => break,
+                n => seen += n,
+            }
+        }
+        Ok::<_, io::Error>(())
+    };
+    let _ = timeout(time, read_away).await;
+}
--- a/tests/mail.rs
+++ b/tests/mail.rs
@@ -415,3 +415,32 @@
     sleep(Duration::from_millis(300));
     assert_eq!(reports(&bounces).values().sum::<usize>(), 2);
 }
+
+/// Commands that a client sent behind the one that ends its session, or that come as the relay closes down, are read away: the
+/// last reply is heard, and the connection ends in order.
+#[test]
+fn a_session_that_ends_over_unread_commands_is_not_reset() {
+    let folder = Folder::new("mail-unread");
+    let (address, _) = stand_in(false, Fault::None);
+    let mut relay = Relay::start(&folder, &file(&folder, 100, &[("smtp", 0, address)]));
+    let more = "NOOP\r\n".repeat(2000);
+    for quits in [true, false] {
+        let mut talk = Talk::to(relay.address("SMTP"));
+        assert!(talk.reply().starts_with("220"));
+        if quits {
+            talk.write(&format!("QUIT\r\n{more}"));
+        } else {
+            relay.signal("TERM");
+            relay.logged("-> Draining");
+            assert!(talk.reply().starts_with("421"));
+            talk.write(&more);
+            sleep(Duration::from_millis(50));
+            assert!(talk.is_over(), "an end, and no reset");
+            continue;
+        }
+        assert!(talk.reply().starts_with("221"));
+        sleep(Duration::from_millis(50));
+        assert!(talk.is_over(), "an end, and no reset");
+    }
+    assert!(relay.ended());
+}
