Tell the story of a restart with much that is untried while discovery is silent

Real processes: killed with 40 messages of which eight were out, ready within 2 s, and at least 32 tried within their 9 s while clients go on. The crowded endpoint serves its connections side by side.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -206,3 +206,35 @@
     assert!(relay.ended());
     assert!(heard.lock().unwrap().is_empty());
 }
+
+/// Killed with its room full of messages that were never sent, while discovery says nothing: the next process is ready at once,
+/// and each of them is tried before its time is up, though clients go on handing in.
+#[test]
+fn a_restart_with_much_that_is_untried_is_ready_at_once_and_tries_it() {
+    let folder = Folder::new("untried");
+    let crowded = Crowded::new();
+    let (platform, _) = discovery(|_, talk| stay(talk));
+    let text = patient(platform, crowded.address);
+    let relay = Relay::platform(&folder, &text);
+    let ids: Vec<_> = (0..40).map(|n| format!("held-{n}")).collect();
+    for id in &ids {
+        assert!(hand_in(&relay, "orders", id).starts_with("202"), "{id}");
+    }
+    relay.kill();
+    crowded.let_in();
+    let began = Instant::now();
+    let relay = Relay::platform(&folder, &text);
+    let ready = ask(&mut Talk::to(relay.address("HTTP")), "GET /health/ready HTTP/1.1\r\n\r\n");
+    assert!(ready.starts_with("200") && began.elapsed() < ms(2000), "{ready} after {:?}", began.elapsed());
+    let end = Instant::now() + ms(8500);
+    let mut n = 0;
+    while Instant::now() < end {
+        let _ = hand_in(&relay, "orders", &format!("new-{n}"));
+        n += 1;
+        sleep(ms(100));
+    }
+    // Those that were out at the kill may have run, and fail by notice: eight, for there are so many slots.
+    let heard = crowded.heard.lock().unwrap();
+    let tried = ids.iter().filter(|id| heard.contains(id)).count();
+    assert!(tried >= 32, "{tried} of 40, {n} came meanwhile");
+}
--- a/tests/peers/discovery.rs
+++ b/tests/peers/discovery.rs
@@ -77,11 +77,14 @@
             }
             for stream in listener.incoming().map_while(Result::ok) {
                 count.fetch_add(1, SeqCst);
-                let mut talk = Talk::new(stream);
-                while let Some((_, fields, _)) = request(&mut talk) {
-                    to.lock().unwrap().push(field(&fields, "x-correlation-id").unwrap_or("a probe").into());
-                    answer(&mut talk, "200 OK");
-                }
+                let (to, mut talk) = (to.clone(), Talk::new(stream));
+                thread::spawn(move || {
+                    while let Some((_, fields, _)) = request(&mut talk) {
+                        let what = field(&fields, "x-correlation-id").unwrap_or("a probe").into();
+                        to.lock().unwrap().push(what);
+                        answer(&mut talk, "200 OK");
+                    }
+                });
             }
         });
         Crowded { address, heard, came, open }
