Keep histories that are played side by side from reaching each other's relays

Another history had handed its own m22 to a relay that it had killed, at a port that a relay of this one had got meanwhile.

--- a/tests/fleet/process.rs
+++ b/tests/fleet/process.rs
@@ -34,6 +34,8 @@
     reader: Option<JoinHandle<()>>,
     /// What earlier processes had synced of the journal, until this one has.
     pub before: u64,
+    /// It was killed: where it listened another world's relay may listen by now.
+    killed: bool,
 }
 
 impl Process {
@@ -55,7 +57,7 @@
             let parse = |l: String| serde_json::from_str(&l).unwrap_or(Value::String(l));
             lines.map_while(Result::ok).for_each(|l| to.lock().unwrap().push(parse(l)));
         });
-        Process { child, log, reader: Some(reader), before: 0 }
+        Process { child, log, reader: Some(reader), before: 0, killed: false }
     }
 
     /// The fields of the last line with this message.
@@ -98,8 +100,14 @@
         assert!(done.unwrap().success());
     }
 
+    /// Where it listens to clients, once it has said so and as long as it has not been killed.
+    pub fn http(&self) -> Option<SocketAddr> {
+        self.address("HTTP").filter(|_| !self.killed)
+    }
+
     /// SIGKILL; all that it said is read.
     pub fn kill(&mut self) {
+        self.killed = true;
         let _ = self.child.kill();
         let _ = self.child.wait();
         if let Some(reader) = self.reader.take() {
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -66,6 +66,7 @@
     pub dice: Dice,
     over: Arc<AtomicBool>,
     folder: Folder,
+    seed: u64,
     next: std::sync::atomic::AtomicU64,
 }
 
@@ -113,6 +114,7 @@
             dice: Dice::new(seed),
             over,
             folder,
+            seed,
             next: Default::default(),
         };
         world.publish(&(0..relays).collect::<Vec<_>>());
@@ -261,7 +263,8 @@
     }
 
     pub fn new_id(&self) -> String {
-        format!("m{}", self.next.fetch_add(1, Relaxed))
+        // No other world's: several are played side by side, on ports that one has left and another has got.
+        format!("m{}-{}", self.seed, self.next.fetch_add(1, Relaxed))
     }
 
     /// Hands a new message in at a relay.
@@ -277,7 +280,7 @@
     ) -> Option<u16> {
         let at = Instant::now();
         let process = self.members[i].process.as_ref()?;
-        let status = process.address("HTTP").and_then(|to| ask(to, class, partner, id, marked));
+        let status = process.http().and_then(|to| ask(to, class, partner, id, marked));
         let handed = Handed { id: id.to_string(), class, relay: i, partner, at, status };
         self.handed.lock().unwrap().push(handed);
         status
