Let an operator say which relays are gone for good, and take marked repeats on a life after that

A relay that is gone and stands in `addresses` held marked repeats back for ever: nobody could tell whether it had run them (claims::decide, MayKnow::Silent), and taking its address out moves the places of all others. Now `[peers] gone` names places, read at the start and at SIGHUP; such a relay counts as one that has taken nothing on since the word, and since it was last heard. What it held before stays refused for as long as it lives: it may have run.

Story in tests/fleet: refused before the word, what it ran is refused after it, a life later new ones are taken on, a relay without the word refuses on, and at its return its own word counts. Off without `[peers]`.

--- a/crates/onyxstile-peers/src/lib.rs
+++ b/crates/onyxstile-peers/src/lib.rs
@@ -7,6 +7,7 @@
 //! peer is owed. docs/design/power.md says which ways were weighed.
 
 pub mod book;
+mod door;
 pub mod exchange;
 pub mod facts;
 pub mod life;
@@ -15,9 +16,10 @@
 mod peers;
 pub mod roster;
 
+pub use door::{Counts, Effect, Own, Terms};
 pub use exchange::{Heard, Number};
 pub use facts::{Fact, Weighed};
 pub use life::{Life, NodeNo};
 pub use note::{About, Answer, DATAGRAM_MAX, Fate, Question};
-pub use peers::{Counts, Effect, Own, Peers, Terms};
+pub use peers::Peers;
 pub use roster::Seen;
--- a/crates/onyxstile-peers/src/peers.rs
+++ b/crates/onyxstile-peers/src/peers.rs
@@ -1,68 +1,18 @@
 //! All that one relay does about the others, behind one door: datagrams, questions and the clock in, datagrams and news
 //! out.
 
+use crate::door::{Counts, Effect, Own, Terms};
 use crate::exchange::{Exchange, Heard, Number};
-use crate::facts::Fact;
 use crate::life::{Comeback, Life, NodeNo};
 use crate::members::{Found, Members};
-use crate::note::{About, Answer, FACTS_MAX, Fate, Letter, Note, Question};
-use crate::roster::{Roster, Turn};
+use crate::note::{About, Answer, FACTS_MAX, Letter, Note, Question};
+use crate::roster::Roster;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Questions of one relay that are answered in a second, at most; more are dropped, and asked again if they matter.
 const ANSWERED_A_SECOND: f64 = 200.0;
 
-/// What there is to know at the start.
-#[derive(Debug, Clone, Copy)]
-pub struct Terms {
-    /// This relay's number.
-    pub node: NodeNo,
-    /// Its life.
-    pub life: Life,
-    /// How many relays there are, this one included.
-    pub relays: u16,
-    /// For chance.
-    pub seed: u64,
-}
-
-/// What this relay knows and others may ask for. Asked for at the moment of a question.
-pub trait Own {
-    /// Of itself; its life is filled in.
-    fn about(&self) -> About;
-    /// Of partners.
-    fn facts(&self) -> Vec<Fact>;
-    /// Of flows, by digest.
-    fn fate(&self, digest: u64) -> Option<Fate>;
-    /// For how many seconds back it knows them all.
-    fn whole_s(&self) -> u32;
-}
-
-/// What is to be done, or has become known.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Effect {
-    /// Send this datagram.
-    Send(NodeNo, Vec<u8>),
-    /// A question ended.
-    Heard(NodeNo, Number, Heard),
-    /// A relay came, went or came back.
-    Turn(NodeNo, Turn),
-    /// A peer knows of a later life of this relay: what this process holds is an old copy.
-    Overtaken(Life),
-}
-
-/// What came and went, for whoever reports it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Their bytes.
-    pub sent_bytes: u64,
-    /// Datagrams that came.
-    pub came: u64,
-    /// Of these, such as could not be read, were not for the fleet, or were too many.
-    pub dropped: u64,
-}
-
 /// What one relay knows of the others.
 #[derive(Debug)]
 pub struct Peers {
@@ -74,6 +24,8 @@
     /// Answers that may still be given in this second, by relay.
     allowance: Vec<(f64, Duration)>,
     counts: Counts,
+    /// Relays that are gone for good, by an operator's word, and since when that is known.
+    gone: BTreeMap<NodeNo, Duration>,
 }
 
 impl Peers {
@@ -87,9 +39,23 @@
             roster: Roster::default(),
             allowance: vec![(ANSWERED_A_SECOND, now); relays.into()],
             counts: Counts::default(),
+            gone: BTreeMap::new(),
         }
     }
 
+    /// By an operator's word these are gone for good, and no others.
+    pub fn set_gone(&mut self, gone: &BTreeSet<NodeNo>, now: Duration) {
+        let since = |node: &NodeNo| self.gone.get(node).copied().unwrap_or(now);
+        self.gone = gone.iter().map(|node| (*node, since(node))).collect();
+    }
+
+    /// How long a relay has been gone for good: since the word, and since it was last heard, for then it was not. What
+    /// is handed in after that it cannot have.
+    pub fn gone_for(&self, node: NodeNo, now: Duration) -> Option<Duration> {
+        let heard = self.roster.get(node).and_then(|s| s.heard).unwrap_or_default();
+        self.gone.get(&node).map(|since| now.saturating_sub(heard.max(*since)))
+    }
+
     /// All other relays.
     pub fn others(&self) -> impl Iterator<Item = NodeNo> + use<> {
         let me = self.terms.node;
--- a/src/net/inbox.rs
+++ b/src/net/inbox.rs
@@ -8,6 +8,8 @@
 use super::upgrade::wire::Peer;
 use crate::api::{DestinationId, LimitReport};
 use crate::core::{CallEnd, FlowNo, Outcome, ServerNo};
+use onyxstile_peers::NodeNo;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -31,6 +33,8 @@
     HandOver(Peer),
     /// Other rules for what fails.
     Rules(onyxstile_undelivered::Rules),
+    /// Relays that are gone for good, by the operator's file.
+    Gone(BTreeSet<NodeNo>),
     /// News of discovery's list.
     List(RawList),
     /// A sync of the journal was made, or was not.
--- a/src/net/owner/claims.rs
+++ b/src/net/owner/claims.rs
@@ -64,15 +64,27 @@
         Ok(())
     }
 
+    /// By the operator's file these relays are gone for good: once a message's life has passed since, their silence holds no
+    /// claim back any more. What they took on before may have run, and stays theirs for as long as it lives.
+    pub(super) fn know_gone(&mut self, gone: BTreeSet<NodeNo>) {
+        if let Some(fleet) = &mut self.fleet {
+            tracing::info!(nodes = ?gone.iter().map(|n| n.0).collect::<Vec<_>>(), "relays that are gone for good");
+            fleet.peers.set_gone(&gone, self.clock.now());
+        }
+    }
+
     pub(super) fn heard_of_claim(&mut self, node: NodeNo, number: Number, heard: Heard) {
+        let now = self.clock.now();
         let Some(fleet) = &mut self.fleet else { return };
         let Some(claim) = fleet.claims.asked.remove(&number) else { return };
+        // One that is gone for good has taken nothing on since; if it answers all the same, its word counts.
+        let silent = fleet.peers.gone_for(node, now).map_or(MayKnow::Silent, MayKnow::Unknown);
         let knows = match heard {
             Heard::Answer(Answer::Ids(fates, whole_s)) => match fates.into_iter().flatten().max() {
                 Some(fate) => MayKnow::Fate(fate),
                 None => MayKnow::Unknown(Duration::from_secs(whole_s.into())),
             },
-            _ => MayKnow::Silent,
+            _ => silent,
         };
         if let Some(open) = fleet.claims.open.get_mut(&claim) {
             open.left -= 1;
--- a/src/net/owner/new.rs
+++ b/src/net/owner/new.rs
@@ -114,7 +114,9 @@
         let relays = config.peers.as_ref().map_or(1, |p| p.addresses.len() as u16);
         owner.fleet = peers.map(|(link, node)| {
             let terms = onyxstile_peers::Terms { node, life, relays, seed };
-            fleet::Fleet::new(terms, link, now, now)
+            let mut fleet = fleet::Fleet::new(terms, link, now, now);
+            config.peers.iter().for_each(|p| fleet.peers.set_gone(&p.gone, now));
+            fleet
         });
         owner.begin_return(config, life);
         Ok(owner)
--- a/src/net/owner/take.rs
+++ b/src/net/owner/take.rs
@@ -72,6 +72,7 @@
                     keeper.look_soon();
                 }
             }
+            ToOwner::Gone(gone) => self.know_gone(gone),
             ToOwner::List(list) => self.take_list(&list),
             ToOwner::NoticesHeard(flows) => {
                 self.telling = false;
--- a/src/net/owner/witness.rs
+++ b/src/net/owner/witness.rs
@@ -98,6 +98,7 @@
             | ToOwner::Control(..)
             | ToOwner::Admin(..)
             | ToOwner::Rules(_)
+            | ToOwner::Gone(_)
             | ToOwner::HandOver(_)
             | ToOwner::Synced(_) => {}
             ToOwner::CallEnded(end, _) => {
--- a/src/net/peers/settings.rs
+++ b/src/net/peers/settings.rs
@@ -4,6 +4,7 @@
 use onyxstile_peers::NodeNo;
 use onyxstile_recovery::Durability;
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -46,6 +47,9 @@
     addresses: Option<Vec<SocketAddr>>,
     /// This relay's place among them, from 0; where `listen` is among them without.
     number: Option<u16>,
+    /// Places of relays that are gone for good: they stay in `addresses`, and nobody waits for their word any more.
+    #[serde(default)]
+    gone: Vec<u16>,
 }
 
 /// What writes outlast.
@@ -68,6 +72,8 @@
     pub addresses: Vec<SocketAddr>,
     /// This one.
     pub number: NodeNo,
+    /// Those that are gone for good.
+    pub gone: BTreeSet<NodeNo>,
 }
 
 impl DurabilityTable {
@@ -94,7 +100,7 @@
     /// What it comes to, with what the platform says.
     ///
     /// # Errors
-    /// No address to listen on, or this relay is not among all.
+    /// No address to listen on, this relay is not among all, or one that is gone is not, or is this one.
     pub fn check(
         &self, platform_listen: Option<SocketAddr>, platform_peers: &[SocketAddr],
     ) -> Result<PeersSettings, ConfigError> {
@@ -106,7 +112,13 @@
         if addresses.len() > RELAYS_MOST || usize::from(number) >= addresses.len() {
             return Err(wrong("`number` is no place in `addresses`, or there are too many"));
         }
-        Ok(PeersSettings { listen, addresses, number: NodeNo(number) })
+        if let Some(gone) = self.gone.iter().find(|n| **n == number || usize::from(**n) >= addresses.len()) {
+            return Err(wrong(&format!(
+                "`gone` names {gone}, which is this relay or no place in `addresses`"
+            )));
+        }
+        let gone = self.gone.iter().copied().map(NodeNo).collect();
+        Ok(PeersSettings { listen, addresses, number: NodeNo(number), gone })
     }
 }
 
@@ -116,23 +128,4 @@
 pub const IDS_MOST: usize = 65_536;
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_relay_finds_its_place_or_is_told_it() {
-        let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        let read = |text: &str| toml::from_str::<PeersTable>(text).unwrap();
-        let s = read("").check(Some(at(2)), &[at(1), at(2), at(3)]).unwrap();
-        assert_eq!((s.number, s.addresses.len()), (NodeNo(1), 3));
-        let own = "listen = \"127.0.0.1:9\"\naddresses = [\"127.0.0.1:1\", \"127.0.0.1:2\"]";
-        assert!(read(own).check(None, &[]).is_err());
-        assert_eq!(read(&format!("{own}\nnumber = 1")).check(None, &[]).unwrap().number, NodeNo(1));
-        assert!(read(&format!("{own}\nnumber = 2")).check(None, &[]).is_err());
-        assert!(read("").check(None, &[at(1)]).is_err());
-        let table = |text: &str| toml::from_str::<DurabilityTable>(text).unwrap().check();
-        let s = table("level = \"power\"\nboot_id = \"/nowhere\"\nclock_shift_s = -2.5").unwrap();
-        assert_eq!((s.durability, s.boot.as_str(), s.shift_ms), (Durability::Power, "", -2500));
-        assert!(table("level = \"power\"\nclock_shift_s = inf").is_err());
-    }
-}
+mod tests;
--- a/src/net/reread.rs
+++ b/src/net/reread.rs
@@ -17,7 +17,7 @@
 }
 
 /// Reads the configuration again at each SIGHUP, all of it as at the start. If it is good, discovery's address,
-/// that for notices and the operator's real servers are taken over from it; all else stays as it was.
+/// that for notices, the operator's real servers and the relays that are gone are taken over from it; all else stays as it was.
 pub async fn reread(
     mut hangup: Signal, operator: Option<PathBuf>, addresses: Addresses, owner: mpsc::Sender<ToOwner>,
 ) {
@@ -37,6 +37,11 @@
                 {
                     return;
                 }
+                if let Some(peers) = config.peers
+                    && owner.send(ToOwner::Gone(peers.gone)).await.is_err()
+                {
+                    return;
+                }
                 let routing = config.routing.unwrap_or_default();
                 let anew = Staged::build(routing)
                     .map(|staged| ToOwner::Operator(config.fixed, Some(Box::new(staged))));
--- a/tests/fleet/stories.rs
+++ b/tests/fleet/stories.rs
@@ -1,7 +1,7 @@
 //! Stories: each hard case by its name.
 
 use crate::check::{Cold, Promise, must_hold};
-use crate::world::World;
+use crate::world::{ORDER_LIFE, World};
 use std::sync::atomic::Ordering::Relaxed;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -390,6 +390,50 @@
     must_hold(&world, &kept());
 }
 
+/// A relay is gone with what it held. What it may have run is run by nobody else, whatever an operator says; what is handed
+/// in later than a message's life after the word that it is gone for good is no longer held back. Should it come back, its
+/// own word counts again.
+#[test]
+fn a_relay_that_is_gone_for_good_holds_no_message_back_for_ever() {
+    let mut world = World::new("gone", 3, 2, 27);
+    world.start_all();
+    // From here on each knows all that it took on in the life of a message.
+    sleep(ORDER_LIFE + ms(1200));
+    let (old, status) = world.hand(2, "orders", 0);
+    assert_eq!(status, Some(202));
+    world.ran(&old);
+    world.kill(2);
+    let held = |world: &World| world.hand_again(0, "orders", 0, &world.new_id(), true);
+    assert_eq!(held(&world), Some(429), "relay 2 may have had it");
+    world.members[0].gone = vec![2];
+    world.write_config(0);
+    world.process(0).signal("HUP");
+    crate::process::until("the word", || {
+        (world.process(0).count("relays that are gone for good") == 1).then_some(())
+    });
+    assert_eq!(world.hand_again(0, "orders", 0, &old, true), Some(429), "it ran at relay 2");
+    sleep(ORDER_LIFE + ms(1200));
+    assert_eq!(held(&world), Some(202));
+    // A relay without the word is none the wiser.
+    assert_eq!(world.hand_again(1, "orders", 0, &world.new_id(), true), Some(429));
+    // It comes back all the same, and takes one on before the others hear of it again.
+    (0..2).for_each(|i| world.ways[2][i].cut.store(true, Relaxed));
+    world.start(2);
+    world.serving(2);
+    let (new, status) = world.hand(2, "orders", 0);
+    assert_eq!(status, Some(202));
+    world.ran(&new);
+    (0..2).for_each(|i| world.ways[2][i].cut.store(false, Relaxed));
+    crate::process::until("its return", || {
+        let came = world.process(0).last("a relay came").filter(|l| l["node"] == 2)?;
+        came["comeback"].as_str().filter(|c| c.contains("Restarted")).map(|_| ())
+    });
+    let status = world.hand_until(0, "orders", 0, &new, &[202], ms(4000));
+    assert_eq!(status, Some(202), "known as delivered");
+    must_hold(&world, &kept());
+    assert_eq!((world.effects(&old), world.effects(&new)), (1, 1));
+}
+
 /// Killed, started again, and power is lost before that process has synced anything: what the one before had synced is on the
 /// disk. (A rig that forgot that cut promised messages away, and blamed the program for it.)
 #[test]
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -41,6 +41,8 @@
     /// By what its clock is off, seconds.
     pub shift: f64,
     pub durability: &'static str,
+    /// Relays that are gone for good, by this one's operator's file.
+    pub gone: Vec<usize>,
     pub disk_mb: f64,
     list_at: SocketAddr,
     partners_at: Vec<SocketAddr>,
@@ -93,6 +95,7 @@
                 list,
                 shift: 0.0,
                 durability: "power",
+                gone: Vec::new(),
                 disk_mb: 1.0,
                 list_at,
                 partners_at: partners_at.collect(),
@@ -142,7 +145,7 @@
         format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, targets.join(","))
     }
 
-    fn write_config(&self, i: usize) {
+    pub fn write_config(&self, i: usize) {
         let m = &self.members[i];
         let class = |name: &str, effect: &str, life: Duration, worth: u32| {
             format!(
@@ -171,11 +174,12 @@
         let boot = m.folder.join("boot");
         std::fs::write(&boot, format!("boot-{}", self.boots)).unwrap();
         let file = format!(
-            "[durability]\nlevel = \"{}\"\nboot_id = \"{}\"\nclock_shift_s = {:.3}\n\n[peers]\nlisten = \"127.0.0.1:0\"\nnumber = {i}\naddresses = [{}]\n",
+            "[durability]\nlevel = \"{}\"\nboot_id = \"{}\"\nclock_shift_s = {:.3}\n\n[peers]\nlisten = \"127.0.0.1:0\"\nnumber = {i}\naddresses = [{}]\ngone = {:?}\n",
             m.durability,
             boot.display(),
             m.shift,
-            peers.join(", ")
+            peers.join(", "),
+            m.gone
         );
         std::fs::write(m.folder.join("relay.toml"), file).unwrap();
     }
