Play returns with and without the limits that folders know, and measure power from a warm start

The budget in virtual time is the stricter one, N + 2 x root of N + 2. The cost tool slept 15 s, 2 s less than it takes until a call finds a partner warm (cold time and the span of the rule), which is why higher rates measured the cold start.

--- a/crates/onyxstile-lab/src/comeback/mod.rs
+++ b/crates/onyxstile-lab/src/comeback/mod.rs
@@ -13,19 +13,22 @@
     Peers,
     /// As the program does alone.
     Alone,
+    /// The same, by relays whose folders are gone, and with them the limits that partners told.
+    Forgets,
     /// Everything is admitted at once, to partners that are believed well: the baseline.
     AtOnce,
 }
 
 impl Way {
     /// All of them.
-    pub const ALL: [Way; 3] = [Way::Peers, Way::Alone, Way::AtOnce];
+    pub const ALL: [Way; 4] = [Way::Peers, Way::Alone, Way::Forgets, Way::AtOnce];
 
     /// Its name.
     pub fn name(self) -> &'static str {
         match self {
             Way::Peers => "with peers",
             Way::Alone => "without",
+            Way::Forgets => "without, limits forgotten",
             Way::AtOnce => "all at once",
         }
     }
@@ -67,18 +70,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Small fleets, as the report has them: with the program's return no cold partner gets more than its budget.
-    #[test]
-    fn no_cold_partner_falls_and_service_comes_back() {
-        for seed in 1..=2 {
-            for way in [Way::Peers, Way::Alone] {
-                let came = play(Scene { relays: 6, kept: 0, way, seed });
-                assert_eq!(came.fallen, 0, "{way:?} seed {seed}: {:.2} of the budget", came.coldest);
-                assert!(came.back[1].is_some(), "{way:?} seed {seed}: {:?}", came.curve);
-            }
-        }
-    }
-}
+mod tests;
--- a/crates/onyxstile-lab/src/comeback/sim.rs
+++ b/crates/onyxstile-lab/src/comeback/sim.rs
@@ -57,7 +57,7 @@
         self.came.push(now);
         let n = FACTOR * self.capacity(now) * SPAN.as_secs_f64();
         if now >= BASE + BACK && now < BASE + BACK + COLD {
-            let share = self.came.len() as f64 / (n + 3.0 * n.sqrt() + 3.0);
+            let share = self.came.len() as f64 / (n + 2.0 * n.sqrt() + 2.0);
             self.worst = self.worst.max(share);
             self.fallen |= share > 1.0;
         }
@@ -327,7 +327,16 @@
             }
             What::PowerLost => self.relays.iter_mut().filter(|r| !r.kept).for_each(|r| r.up = false),
             What::PowerBack(i) => {
+                let told = self.relays[i].core.seen().filter(|(_, _, _, limit)| *limit > 0.0);
+                let told: Vec<_> = told.map(|(no, _, _, limit)| (no, limit)).collect();
                 self.relays[i] = self.relay(i, false);
+                if matches!(self.scene.way, Way::Peers | Way::Alone) {
+                    // The folder has the limits that were told, as `net::owner::sights` writes them down.
+                    for (no, rate) in told {
+                        let report = Some(LimitReport { left: 0.0, rate });
+                        self.relays[i].core.probe_ended(no, Outcome::Void, report);
+                    }
+                }
                 let life = Life { born: 1, folder: i as u32, start: 2, process: 9, turn: 0 };
                 let terms =
                     Terms { node: NodeNo(i as u16), life, relays: self.scene.relays as u16, seed: i as u64 };
--- a/crates/onyxstile-lab/src/cost.rs
+++ b/crates/onyxstile-lab/src/cost.rs
@@ -36,8 +36,8 @@
     pub group: f64,
 }
 
-/// The settings' cold time, and some.
-const COLD: Duration = Duration::from_secs(15);
+/// The settings' cold time and the span of their rule on cold partners, after which a call finds them warm, and some.
+const COLD: Duration = Duration::from_secs(18);
 
 /// A way that a relay is set: its name, and what the operator's file says of it.
 pub type Set = (&'static str, &'static str);
