--- a/tests/fleet/check.rs
+++ b/tests/fleet/check.rs
@@ -1,6 +1,7 @@
 //! One checker for all stories and histories: what must hold at the end, whatever happened.
 
-use crate::world::{COLD_MS, FACTOR, Handed, NOTICE_LIFE, ORDER_LIFE, SPAN, START, WINDOW, World};
+use crate::clients::Handed;
+use crate::world::{COLD_MS, FACTOR, NOTICE_LIFE, ORDER_LIFE, SPAN, START, WINDOW, World};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,7 +2,9 @@
 #![allow(missing_docs, dead_code)]
 
 mod check;
+mod clients;
 mod dice;
+mod files;
 mod histories;
 mod links;
 mod partner;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -1,11 +1,11 @@
 //! A fleet with all that is around it: relays, partners, lists, clients and the links between them.
 
+use crate::clients::Handed;
 use crate::dice::Dice;
 use crate::links::{Gate, Way, connections, datagrams};
 use crate::partner::{List, Partner};
 use crate::process::{Folder, Process, lose_power, until};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -22,18 +22,6 @@
 pub const FACTOR: f64 = 2.0;
 pub const SPAN: Duration = Duration::from_millis(1000);
 
-/// What a client handed in, and what it heard.
-#[derive(Debug, Clone)]
-pub struct Handed {
-    pub id: String,
-    pub class: &'static str,
-    pub relay: usize,
-    pub partner: usize,
-    pub at: Instant,
-    /// The answer's status; none if there was no answer.
-    pub status: Option<u16>,
-}
-
 pub struct Member {
     pub folder: PathBuf,
     pub process: Option<Process>,
@@ -44,10 +32,10 @@
     /// Relays that are gone for good, by this one's operator's file.
     pub gone: Vec<usize>,
     pub disk_mb: f64,
-    list_at: SocketAddr,
-    partners_at: Vec<SocketAddr>,
-    peers_at: Vec<SocketAddr>,
-    starts: u64,
+    pub list_at: SocketAddr,
+    pub partners_at: Vec<SocketAddr>,
+    pub peers_at: Vec<SocketAddr>,
+    pub starts: u64,
 }
 
 pub struct World {
@@ -64,12 +52,12 @@
     /// When relays went down.
     pub downs: Vec<(usize, Instant)>,
     /// Starts of the machine.
-    boots: u64,
+    pub boots: u64,
     pub dice: Dice,
     over: Arc<AtomicBool>,
     folder: Folder,
-    seed: u64,
-    next: std::sync::atomic::AtomicU64,
+    pub seed: u64,
+    pub next: std::sync::atomic::AtomicU64,
 }
 
 impl World {
@@ -124,66 +112,6 @@
         world
     }
 
-    /// A new version of the list, which these relays' agents have.
-    pub fn publish(&mut self, to: &[usize]) {
-        self.rev += 1;
-        for i in to {
-            *self.members[*i].list.now.lock().unwrap() = (self.rev, self.lines(*i, self.rev));
-        }
-        let (now, rev) = (Instant::now(), self.rev);
-        for (p, draining) in self.draining.iter().enumerate() {
-            self.drained[p] = draining.then(|| self.drained[p].unwrap_or((rev, now)));
-        }
-    }
-
-    pub fn lines(&self, i: usize, rev: u64) -> String {
-        let target = |(p, at): (usize, &SocketAddr)| {
-            let state = if self.draining[p] { "draining" } else { "up" };
-            format!(r#"{{"uid":"s{p}","endpoint":"{at}","model":"m","pod_group":{p},"state":"{state}"}}"#)
-        };
-        let targets: Vec<_> = self.members[i].partners_at.iter().enumerate().map(target).collect();
-        format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, targets.join(","))
-    }
-
-    pub fn write_config(&self, i: usize) {
-        let m = &self.members[i];
-        let class = |name: &str, effect: &str, life: Duration, worth: u32| {
-            format!(
-                r#"{{"name":"{name}","aimMs":1000,"deadlineMs":{},"worth":{worth},"effect":"{effect}","group":"all","windowMs":{}}}"#,
-                life.as_millis(),
-                WINDOW.as_millis()
-            )
-        };
-        let known = m.list.now.lock().unwrap().1.clone();
-        let config = format!(
-            r#"{{"name":"r{i}","listen":"127.0.0.1:0","discovery":"{}","seed":"{:x}","limits":{{"disk_mb":{},"sockets":256}},
-            "known":{known},"settings":{{"classes":[{},{}],"extra":{{"maxCalls":16}},"models":["m"],"siblings":{},
-            "tariffs":{{}},"tickMs":5,"zones":[],"invariants":{{"coldMs":{COLD_MS},"overloadFactor":{FACTOR},
-            "overloadForMs":{},"startCapacity":{START}}},"limits":{{"dialTimeoutMs":400,"keepaliveMs":5000,"maxAttempts":8,
-            "maxRetryAfterMs":1000,"maxStreams":1,"mostHeld":400,"probes":true,"cancelling":true}}}}}}"#,
-            m.list_at,
-            0x1f00 + i as u64 * 7919 + m.starts,
-            m.disk_mb,
-            class("orders", "once", ORDER_LIFE, 2),
-            class("notices", "by_key", NOTICE_LIFE, 1),
-            self.members.len(),
-            SPAN.as_millis(),
-        );
-        std::fs::write(m.folder.join("config.json"), config).unwrap();
-        let peers: Vec<_> = m.peers_at.iter().map(|a| format!("\"{a}\"")).collect();
-        let boot = m.folder.join("boot");
-        std::fs::write(&boot, format!("boot-{}", self.boots)).unwrap();
-        let file = format!(
-            "[durability]\nlevel = \"{}\"\nboot_id = \"{}\"\nclock_shift_s = {:.3}\n\n[peers]\nlisten = \"127.0.0.1:0\"\nnumber = {i}\naddresses = [{}]\ngone = {:?}\n",
-            m.durability,
-            boot.display(),
-            m.shift,
-            peers.join(", "),
-            m.gone
-        );
-        std::fs::write(m.folder.join("relay.toml"), file).unwrap();
-    }
-
     /// Begins to start a relay, and waits for nothing.
     pub fn begin(&mut self, i: usize) -> Process {
         self.members[i].starts += 1;
@@ -266,44 +194,6 @@
         self.members[i].folder.join("state/journal")
     }
 
-    pub fn new_id(&self) -> String {
-        // No other world's: several are played side by side, on ports that one has left and another has got.
-        format!("m{}-{}", self.seed, self.next.fetch_add(1, Relaxed))
-    }
-
-    /// Hands a new message in at a relay.
-    pub fn hand(&self, i: usize, class: &'static str, partner: usize) -> (String, Option<u16>) {
-        let id = self.new_id();
-        let status = self.hand_again(i, class, partner, &id, false);
-        (id, status)
-    }
-
-    /// Hands a message in, or in again; `marked` as one that another relay did not answer for.
-    pub fn hand_again(
-        &self, i: usize, class: &'static str, partner: usize, id: &str, marked: bool,
-    ) -> Option<u16> {
-        let at = Instant::now();
-        let process = self.members[i].process.as_ref()?;
-        let status = process.http().and_then(|to| ask(to, class, partner, id, marked));
-        let handed = Handed { id: id.to_string(), class, relay: i, partner, at, status };
-        self.handed.lock().unwrap().push(handed);
-        status
-    }
-
-    /// Hands in until the answer is one of `wanted`, or for so long.
-    pub fn hand_until(
-        &self, i: usize, class: &'static str, partner: usize, id: &str, wanted: &[u16], time: Duration,
-    ) -> Option<u16> {
-        let end = Instant::now() + time;
-        loop {
-            let status = self.hand_again(i, class, partner, id, true);
-            if status.is_some_and(|s| wanted.contains(&s)) || Instant::now() > end {
-                return status;
-            }
-            std::thread::sleep(Duration::from_millis(100));
-        }
-    }
-
     pub fn effects(&self, id: &str) -> usize {
         self.partners.iter().map(|p| p.effects(id)).sum()
     }
@@ -337,21 +227,3 @@
         let _ = &self.folder;
     }
 }
-
-fn ask(to: SocketAddr, class: &str, partner: usize, id: &str, marked: bool) -> Option<u16> {
-    let (left, key) = match class {
-        "orders" => (ORDER_LIFE, String::new()),
-        _ => (NOTICE_LIFE, format!("Idempotency-Key: k-{id}\r\n")),
-    };
-    let repeat = if marked { "X-Repeat: again\r\n" } else { "" };
-    let text = format!(
-        "POST /{class} HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: {}\r\n{key}{repeat}Envelope: dest={partner}\r\nContent-Length: 2\r\n\r\nab",
-        left.as_millis()
-    );
-    let mut stream = TcpStream::connect_timeout(&to, Duration::from_millis(400)).ok()?;
-    stream.set_read_timeout(Some(Duration::from_millis(800))).ok()?;
-    stream.write_all(text.as_bytes()).ok()?;
-    let mut bytes = [0; 512];
-    let length = stream.read(&mut bytes).ok()?;
-    String::from_utf8_lossy(&bytes[..length]).split(' ').nth(1)?.parse().ok()
-}
