End client connections and mail sessions by one piece of code

Cause: the mend of mail sessions wrote again what the edge's close had (shut, read away within 0.2 s and 64 KiB): seen in reading the change. net::socket::end serves both now, with its two bounds beside it; Reader::discard, whose one caller this was, went. The edge polls it first, so that the sending side is shut as before whoever wants the place.

--- a/src/net/edge/closing.rs
+++ b/src/net/edge/closing.rs
@@ -7,13 +7,10 @@
 //! the reset would take along answers that the client has not read yet.
 
 use super::*;
-use crate::net::socket::{Unread, unread};
+use crate::net::socket::{Unread, end, unread};
 
-/// How long a client is listened to after the end, and how much of what it sends is read meanwhile.
-const LINGER: Duration = Duration::from_millis(200);
-const LINGER_BYTES: usize = 64 * 1024;
-/// The same for all of them together, once the program stops; and how long one that has just come may take to send
-/// what it came for.
+/// How long all clients together are listened to after the end, once the program stops; and how long one that has just come
+/// may take to send what it came for.
 const LAST_CLOSE: Duration = Duration::from_millis(100);
 const LAST_WORD: Duration = Duration::from_millis(50);
 
@@ -84,9 +81,10 @@
         let its = self.open.borrow_mut().remove(&number);
         connection.bound.set(false);
         self.closing.borrow_mut().extend(its.map(|c| (number, c)));
-        let _ = reader.get_mut().shutdown().await;
         tokio::select! {
-            _ = timeout(LINGER, reader.discard(LINGER_BYTES)) => {}
+            // The end is begun whatever else is the case: the sending side is shut in its first step.
+            biased;
+            () = end(reader.get_mut()) => {}
             () = connection.close.notified() => {}
         }
     }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -223,15 +223,6 @@
         }
     }
 
-    /// Reads on and throws away what comes, so many bytes at most.
-    pub async fn discard(&mut self, most: usize) {
-        let mut seen = 0;
-        while seen < most && self.more().await.is_ok() {
-            seen += self.buffer.len();
-            self.buffer.clear();
-        }
-    }
-
     /// The status of the answer that has begun to come, once its first line is there and can be read.
     pub fn status(&self) -> Option<u16> {
         let line = &self.buffer[..self.buffer.windows(2).position(|w| w == b"\r\n")?];
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -29,9 +29,6 @@
 const TOLD_BUSY: usize = 16;
 /// Time for a reply to be taken.
 const WRITE_TIME: Duration = Duration::from_secs(30);
-/// How long, and for how many bytes, a session that is over is read away.
-const LINGER: Duration = Duration::from_millis(200);
-const LINGER_BYTES: usize = 64 * 1024;
 
 /// What all sessions share.
 #[derive(Debug)]
@@ -109,7 +106,7 @@
                             Session { edge: &edge, dialect, lines, peer, hello, mail, faults: 0 };
                         session.run(from).await;
                         // A client that sends commands together may have more under way behind the one that ends all.
-                        end(session.lines.get_mut(), LINGER, LINGER_BYTES).await;
+                        end(session.lines.get_mut()).await;
                         edge.left(from);
                     });
                 }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -40,19 +40,21 @@
     Ok(stream)
 }
 
-/// Ends a connection whose last words are written: the sending side is shut, and what still comes is read away, for so long and
-/// so many bytes at most. Closed over unread bytes it would be reset, and what the other side has not read yet be gone.
-pub async fn end(stream: &mut TcpStream, time: Duration, most: usize) {
+/// How long the other side is listened to after the end, and how much of what it sends is read meanwhile.
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_BYTES: usize = 64 * 1024;
+
+/// Ends a connection whose last words are written: the sending side is shut, and what still comes is read away, within bounds.
+/// Closed over unread bytes it would be reset, and what the other side has not read yet be gone.
+pub async fn end(stream: &mut TcpStream) {
+    let _ = stream.shutdown().await;
     let read_away = async {
-        let (mut bytes, mut seen) = ([0; 1024], 0);
-        stream.shutdown().await?;
-        while seen < most {
-            match stream.read(&mut bytes).await? {
-                0 => break,
-                n => seen += n,
-            }
+        let (mut bytes, mut seen) = ([0; 4096], 0);
+        while seen < LINGER_BYTES
+            && let Ok(n @ 1..) = stream.read(&mut bytes).await
+        {
+            seen += n;
         }
-        Ok::<_, io::Error>(())
     };
-    let _ = timeout(time, read_away).await;
+    let _ = timeout(LINGER, read_away).await;
 }
