Say in one place what a process leaves of endpoints, and what the next one is told

Cause: the owner, the tests' stage and the laboratory each filtered told limits and worded the probe that tells them, seen in reading the change. Core::told_limits and know_limit and Ledger::sights serve all three.

--- a/crates/onyxstile-lab/src/comeback/sim.rs
+++ b/crates/onyxstile-lab/src/comeback/sim.rs
@@ -327,15 +327,11 @@
             }
             What::PowerLost => self.relays.iter_mut().filter(|r| !r.kept).for_each(|r| r.up = false),
             What::PowerBack(i) => {
-                let told = self.relays[i].core.seen().filter(|(_, _, _, limit)| *limit > 0.0);
-                let told: Vec<_> = told.map(|(no, _, _, limit)| (no, limit)).collect();
+                let told: Vec<_> = self.relays[i].core.told_limits().collect();
                 self.relays[i] = self.relay(i, false);
                 if matches!(self.scene.way, Way::Peers | Way::Alone) {
                     // The folder has the limits that were told, as `net::owner::sights` writes them down.
-                    for (no, rate) in told {
-                        let report = Some(LimitReport { left: 0.0, rate });
-                        self.relays[i].core.probe_ended(no, Outcome::Void, report);
-                    }
+                    told.into_iter().for_each(|(no, rate)| self.relays[i].core.know_limit(no, rate));
                 }
                 let life = Life { born: 1, folder: i as u32, start: 2, process: 9, turn: 0 };
                 let terms =
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -222,6 +222,16 @@
         self.take_entries(vec![entry], false);
     }
 
+    /// The limits that endpoints told, calls a second.
+    pub fn told_limits(&self) -> impl Iterator<Item = (ServerNo, f64)> {
+        self.module.seen().filter(|(_, _, _, limit)| *limit > 0.0).map(|(no, _, _, limit)| (no, limit))
+    }
+
+    /// An endpoint told this limit before this process began: what a probe would have found that says nothing else.
+    pub fn know_limit(&mut self, server: ServerNo, rate: f64) {
+        self.probe_ended(server, Outcome::Void, Some(LimitReport { left: 0.0, rate }));
+    }
+
     /// A timer is due.
     pub fn wake(&mut self) {
         self.events.push(Event::Wake(0));
--- a/src/net/journal/ledger.rs
+++ b/src/net/journal/ledger.rs
@@ -138,19 +138,15 @@
         }
     }
 
-    /// The records that make these the endpoints that are down or cold.
-    pub fn illness(&self, ill: &BTreeSet<String>) -> Vec<Record> {
+    /// The records that make these the endpoints that are down or cold, and these the limits that endpoints tell.
+    pub fn sights(&self, ill: &BTreeSet<String>, told: &BTreeMap<String, f64>) -> Vec<Record> {
         let fell = ill.difference(&self.ill).map(|uid| Record::Ill(uid.clone(), true));
         let rose = self.ill.difference(ill).map(|uid| Record::Ill(uid.clone(), false));
-        fell.chain(rose).collect()
-    }
-
-    /// The records that make these the limits that endpoints tell.
-    pub fn limits_told(&self, told: &BTreeMap<String, f64>) -> Vec<Record> {
         let new = told.iter().filter(|(uid, rate)| self.limits.get(*uid) != Some(rate));
         let new = new.map(|(uid, rate)| Record::Limit(uid.clone(), *rate));
         let gone = self.limits.keys().filter(|uid| !told.contains_key(*uid));
-        new.chain(gone.map(|uid| Record::Limit(uid.clone(), 0.0))).collect()
+        let gone = gone.map(|uid| Record::Limit(uid.clone(), 0.0));
+        fell.chain(rose).chain(new).chain(gone).collect()
     }
 
     fn remember(&mut self, digest: u64, fate: Fate, at: Duration) {
--- a/src/net/journal/tests.rs
+++ b/src/net/journal/tests.rs
@@ -134,19 +134,18 @@
     let folder = folder("seen");
     let mut journal = Journal::open(&folder, 1 << 20).unwrap();
     let told = [("a".to_string(), 4.0), ("b".to_string(), 2.5)].into();
-    let mut records = journal.ledger.limits_told(&told);
-    records.extend(journal.ledger.illness(&["a".to_string()].into()));
-    journal.write(&records).unwrap();
-    assert!(journal.ledger.limits_told(&told).is_empty(), "nothing has changed");
+    let ill = ["a".to_string()].into();
+    journal.write(&journal.ledger.sights(&ill, &told)).unwrap();
+    assert!(journal.ledger.sights(&ill, &told).is_empty(), "nothing has changed");
     for no in 1..2000 {
         journal.write(&[taken(no, 900), Record::Ended(FlowNo(no), None)]).unwrap();
     }
     assert!(journal.length < 200_000, "it was rewritten");
     let mut journal = Journal::open(&folder, 1 << 20).unwrap();
-    assert_eq!((&journal.ledger.limits, &journal.ledger.ill), (&told, &["a".to_string()].into()));
+    assert_eq!((&journal.ledger.limits, &journal.ledger.ill), (&told, &ill));
     // One is lowered, and the other tells none any more.
     let lowered = [("b".to_string(), 1.0)].into();
-    let records = journal.ledger.limits_told(&lowered);
+    let records = journal.ledger.sights(&ill, &lowered);
     assert_eq!(records, [Record::Limit("b".into(), 1.0), Record::Limit("a".into(), 0.0)]);
     journal.write(&records).unwrap();
     let journal = Journal::open(&folder, 1 << 20).unwrap();
--- a/src/net/owner/sights.rs
+++ b/src/net/owner/sights.rs
@@ -1,7 +1,6 @@
 //! What a process has seen of endpoints, left in the journal for the next one.
 
 use super::*;
-use crate::api::LimitReport;
 
 impl Owner {
     /// Writes down which endpoints are down or cold, and what limits are told, where that has changed. Guards the budget of a
@@ -10,11 +9,8 @@
     /// one and gets next to nothing. Should it not be written, the next look tries again.
     pub(super) fn write_sights(&mut self) {
         let ill = self.core.ailing().map(|no| self.directory.uid(no)).collect();
-        let told = self.core.seen().filter(|(_, _, _, limit)| *limit > 0.0);
-        let told = told.map(|(no, _, _, limit)| (self.directory.uid(no), limit)).collect();
-        let ledger = self.journal.ledger();
-        let mut records = ledger.illness(&ill);
-        records.extend(ledger.limits_told(&told));
+        let told = self.core.told_limits().map(|(no, limit)| (self.directory.uid(no), limit)).collect();
+        let records = self.journal.ledger().sights(&ill, &told);
         if let Err(e) = self.journal.write(&records) {
             tracing::debug!("journal: what was seen of endpoints is not written: {e}");
         }
@@ -32,8 +28,6 @@
             tracing::info!(ill, limits, "endpoints as the process before knew them");
         }
         ill.into_iter().for_each(|no| self.take_for_cold(no));
-        for (no, rate) in limits {
-            self.core.probe_ended(no, Outcome::Void, Some(LimitReport { left: 0.0, rate }));
-        }
+        limits.into_iter().for_each(|(no, rate)| self.core.know_limit(no, rate));
     }
 }
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -178,10 +178,8 @@
     /// Which endpoints are down or cold, and what limits are told, as `net::owner::sights` has it.
     fn write_sights(&mut self) {
         let ill = self.core.ailing().map(|no| no.0.to_string()).collect();
-        let told = self.core.seen().filter(|s| s.3 > 0.0).map(|s| (s.0.0.to_string(), s.3)).collect();
-        let ledger = self.journal.ledger();
-        let mut records = ledger.illness(&ill);
-        records.extend(ledger.limits_told(&told));
+        let told = self.core.told_limits().map(|(no, rate)| (no.0.to_string(), rate)).collect();
+        let records = self.journal.ledger().sights(&ill, &told);
         self.journal.write(&records).unwrap();
     }
 
@@ -214,7 +212,7 @@
         }
         for entry in &entries {
             if let Some(rate) = self.journal.ledger().limits.get(&entry.id.0.to_string()) {
-                self.core.probe_ended(entry.id, Outcome::Void, Some(LimitReport { left: 0.0, rate: *rate }));
+                self.core.know_limit(entry.id, *rate);
             }
         }
         let open: Vec<_> = self.journal.ledger().open.iter().map(|(no, f)| (*no, f.clone())).collect();
