--- a/tests/fleet/stories/clients.rs
+++ b/tests/fleet/stories/clients.rs
@@ -35,8 +35,7 @@
     // Relay 2's agent lost the version, and says nothing for a while.
     *world.members[2].list.now.lock().unwrap() = old;
     world.members[2].list.down.store(true, Relaxed);
-    (0..3).for_each(|i| world.start(i));
-    (0..3).for_each(|i| world.serving(i));
+    world.start_all();
     let calls =
         |world: &World| world.partners[0].calls.lock().unwrap().iter().filter(|c| c.relay == 2).count();
     let before = calls(&world);
--- a/tests/fleet/stories/folders.rs
+++ b/tests/fleet/stories/folders.rs
@@ -96,8 +96,7 @@
     sleep(ms(3300));
     world.partners[0].mute.store(false, Relaxed);
     world.members[2].shift = -2.5;
-    (0..3).for_each(|i| world.start(i));
-    (0..3).for_each(|i| world.serving(i));
+    world.start_all();
     // Each has had its effect already: what tells is what becomes of the flow that is still open.
     let over = |id: &String| !world.notices(id).is_empty() || world.effects(id) > 1;
     crate::process::until("the end of each flow", || ids.iter().all(over).then_some(()));
--- a/tests/fleet/stories/power.rs
+++ b/tests/fleet/stories/power.rs
@@ -13,8 +13,7 @@
     (0..3).for_each(|i| world.start(i));
     sleep(ms(30));
     world.power_cut();
-    (0..3).for_each(|i| world.start(i));
-    (0..3).for_each(|i| world.serving(i));
+    world.start_all();
     let (id, _) = world.hand(0, "orders", 1);
     must_hold(&world, &kept());
     assert_eq!(world.effects(&id), 1, "it serves again");
@@ -27,13 +26,11 @@
     let mut world = World::new("rewrite", 3, 2, 12);
     world.members.iter_mut().for_each(|m| m.disk_mb = 0.06);
     for _ in 0..3 {
-        (0..3).for_each(|i| world.start(i));
-        (0..3).for_each(|i| world.serving(i));
+        world.start_all();
         traffic(&world, ms(900), &[0, 1, 2]);
         world.power_cut();
     }
-    (0..3).for_each(|i| world.start(i));
-    (0..3).for_each(|i| world.serving(i));
+    world.start_all();
     must_hold(&world, &kept());
 }
 
@@ -75,8 +72,7 @@
     world.power_cut();
     world.partners[0].shut.store(false, Relaxed);
     let cold = Cold { partner: 0, at: Instant::now(), capacity: bears as f64 };
-    (0..5).for_each(|i| world.start(i));
-    (0..5).for_each(|i| world.serving(i));
+    world.start_all();
     must_hold(&world, &Promise { cold: vec![cold], ..kept() });
 }
 
@@ -113,8 +109,7 @@
     sleep(ms(400));
     world.power_cut();
     world.partners[0].shut.store(false, Relaxed);
-    (0..3).for_each(|i| world.start(i));
-    (0..3).for_each(|i| world.serving(i));
+    world.start_all();
     traffic(&world, ms(1000), &[0, 1, 2]);
     must_hold(&world, &kept());
 }
@@ -183,7 +178,6 @@
     }
     world.power_cut();
     world.gates.iter().flatten().for_each(|g| g.there.store(false, Relaxed));
-    (0..3).for_each(|i| world.start(i));
-    (0..3).for_each(|i| world.serving(i));
+    world.start_all();
     must_hold(&world, &kept());
 }
