Take a relay that is gone for good as such also where it could not be asked

Cause, found in reading the change: of the two places where a silent relay is judged, `claim` (too many questions are open there, 16 at a time) did not look at `gone`; such a relay answers none, so its questions stay open for 180 ms each. Both go by one function now. Off without [peers].

--- a/src/net/owner/claims.rs
+++ b/src/net/owner/claims.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use onyxstile_peers::book::id_digest;
-use onyxstile_peers::{Answer, Heard, NodeNo, Number, Question};
+use onyxstile_peers::{Answer, Heard, NodeNo, Number, Peers, Question};
 use onyxstile_recovery::claims::decide;
 use onyxstile_recovery::{Claim, MayKnow};
 
@@ -28,6 +28,11 @@
     left: usize,
 }
 
+/// What a relay is that was not asked, or did not answer. One that is gone for good has taken nothing on since.
+fn silent(peers: &Peers, node: NodeNo, now: Duration) -> MayKnow {
+    peers.gone_for(node, now).map_or(MayKnow::Silent, MayKnow::Unknown)
+}
+
 impl Owner {
     /// Takes a marked offer aside, if the others have to be asked about it first. Gives it back if not.
     pub(super) fn claim(&mut self, offer: Offer) -> Result<(), Offer> {
@@ -55,7 +60,7 @@
                     fleet.claims.asked.insert(number, claim);
                     open.left += 1;
                 }
-                None => drop(open.heard.insert(node, MayKnow::Silent)),
+                None => drop(open.heard.insert(node, silent(&fleet.peers, node, now))),
             }
         }
         fleet.claims.open.insert(claim, open);
@@ -77,14 +82,12 @@
         let now = self.clock.now();
         let Some(fleet) = &mut self.fleet else { return };
         let Some(claim) = fleet.claims.asked.remove(&number) else { return };
-        // One that is gone for good has taken nothing on since; if it answers all the same, its word counts.
-        let silent = fleet.peers.gone_for(node, now).map_or(MayKnow::Silent, MayKnow::Unknown);
         let knows = match heard {
             Heard::Answer(Answer::Ids(fates, whole_s)) => match fates.into_iter().flatten().max() {
                 Some(fate) => MayKnow::Fate(fate),
                 None => MayKnow::Unknown(Duration::from_secs(whole_s.into())),
             },
-            _ => silent,
+            _ => silent(&fleet.peers, node, now),
         };
         if let Some(open) = fleet.claims.open.get_mut(&claim) {
             open.left -= 1;
--- a/tests/fleet/stories/clients.rs
+++ b/tests/fleet/stories/clients.rs
@@ -102,6 +102,19 @@
     assert_eq!(world.hand_again(0, "orders", 0, &old, true), Some(429), "it ran at relay 2");
     sleep(ORDER_LIFE + ms(1200));
     assert_eq!(held(&world), Some(202));
+    // Also where more are handed in than may be asked about at a time: who is gone answers none of it.
+    let taken = std::thread::scope(|s| {
+        let one = |n: u64| {
+            let world = &world;
+            s.spawn(move || {
+                sleep(ms(6 * n));
+                held(world)
+            })
+        };
+        let all: Vec<_> = (0..24).map(one).collect();
+        all.into_iter().filter_map(|h| h.join().unwrap()).filter(|status| *status == 202).count()
+    });
+    assert!(taken >= 20, "{taken} of 24");
     // A relay without the word is none the wiser.
     assert_eq!(world.hand_again(1, "orders", 0, &world.new_id(), true), Some(429));
     // It comes back all the same, and takes one on before the others hear of it again.
