--- a/src/net/owner/witness.rs
+++ b/src/net/owner/witness.rs
@@ -3,6 +3,8 @@
 //! What happens to each flow is put down as a [`Fact`], and events are made of many facts at once. A relay that is not
 //! busy sleeps between messages, and finds its caches cold: made one by one, events cost several times as much.
 
+mod out;
+
 use super::*;
 use crate::api::Note;
 use crate::net::trace::recorder::Recorder;
@@ -176,58 +178,6 @@
         }
     }
 
-    /// The effects of a step, which are about to be carried out; `lasting`: their records are written.
-    pub(super) fn witness_out(
-        &mut self, effects: &[Effect<Rc<Parcel>>], lasting: bool, now: Duration, resent: &BTreeSet<FlowNo>,
-    ) {
-        if self.witness.is_none() {
-            return;
-        }
-        for effect in effects {
-            match effect {
-                Effect::Taken(no, _) if lasting => self.fact(Fact::Taken(*no), now),
-                Effect::Call { flow, attempt, server, give_up_at, .. } if lasting => {
-                    if self.directory.get(*server).is_some_and(|s| s.address.is_some()) {
-                        let patience = give_up_at.saturating_sub(now);
-                        self.fact(Fact::Sent(*flow, *attempt, *server, patience), now);
-                    }
-                }
-                Effect::Ended(no, parcel, end) => {
-                    let owed = owes_notice(parcel, *end) && !resent.contains(no);
-                    self.fact(Fact::Ended(*no, *end, owed), now);
-                }
-                other => self.witness_rare(other, now),
-            }
-        }
-    }
-
-    fn witness_rare(&mut self, effect: &Effect<Rc<Parcel>>, now: Duration) {
-        let server = match effect {
-            Effect::Probe(server) | Effect::Note(Note::Health(server, ..)) => *server,
-            Effect::Taken(..)
-            | Effect::TurnedDown(..)
-            | Effect::StopCall(..)
-            | Effect::Note(Note::Timer(..)) => ServerNo::default(),
-            _ => return,
-        };
-        let (uid, destination) = (self.directory.uid(server), self.directory.destination(server));
-        let Some(scribe) = self.scribe() else { return };
-        match effect {
-            Effect::Taken(no, _) => scribe.turned_down(*no, Why::Journal, Duration::ZERO, now),
-            Effect::TurnedDown(no, _, End::Returned(wait)) => {
-                scribe.turned_down(*no, Why::Module, *wait, now)
-            }
-            Effect::TurnedDown(no, ..) => scribe.turned_down(*no, Why::GivenUp, Duration::ZERO, now),
-            Effect::StopCall(flow, attempt) => scribe.stopped(*flow, *attempt, now),
-            Effect::Probe(_) => scribe.probed(uid, destination, None, now),
-            Effect::Note(Note::Health(_, from, to, after)) => {
-                scribe.health(uid, destination, (*from, *to), *after, now);
-            }
-            Effect::Note(Note::Timer(no, firings, won)) => scribe.timer(*no, *firings, *won, now),
-            _ => {}
-        }
-    }
-
     /// The program's phase.
     pub(super) fn witness_phase(&mut self, stage: Stage) {
         let now = self.clock.now();
