--- a/src/net/owner/fleet.rs
+++ b/src/net/owner/fleet.rs
@@ -1,20 +1,17 @@
 //! The other relays, as the owner has them: datagrams in and out, what is asked, and what is answered to others.
 
+mod view;
+
 use super::claims::Claims;
 use super::*;
-use crate::api::Health;
 use crate::net::peers::Link;
 use crate::net::peers::settings::{ID_MEMORY, IDS_MOST};
 use onyxstile_peers::book::{Book, id_digest, name_digest};
-use onyxstile_peers::facts::{Evidence, Kind, Sight};
+use onyxstile_peers::facts::Evidence;
 use onyxstile_peers::roster::Turn;
-use onyxstile_peers::{
-    About, Answer, Effect as Said, Fact, Fate as FlowFate, Heard, Life, NodeNo, Number, Own, Peers,
-};
+use onyxstile_peers::{About, Answer, Effect as Said, Fate as FlowFate, Heard, Life, NodeNo, Number, Peers};
 use onyxstile_peers::{Question, Terms};
-
-/// What is seen of a real server says nothing any more after this long.
-const SIGHT_MEMORY: Duration = Duration::from_secs(60);
+use view::View;
 
 /// The owner's part in the fleet.
 #[derive(Debug)]
@@ -59,60 +56,6 @@
     }
 }
 
-/// What this relay knows, at the moment of a question.
-struct View<'a> {
-    core: &'a Core<Rc<Parcel>>,
-    directory: &'a Directory,
-    journal: &'a Journal,
-    book: &'a Book,
-    about: About,
-    now: Duration,
-}
-
-impl Own for View<'_> {
-    fn about(&self) -> About {
-        self.about
-    }
-
-    fn facts(&self) -> Vec<Fact> {
-        let ms = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
-        let mut facts = Vec::new();
-        let ledger = self.journal.ledger();
-        for (uid, until) in ledger.waits.iter().filter(|(_, until)| **until > self.now) {
-            let kind = Kind::Wait(ms(*until - self.now));
-            facts.push(Fact { of: name_digest(uid), age_ms: 0, kind });
-        }
-        facts.extend(ledger.bans.iter().map(|uid| Fact { of: name_digest(uid), age_ms: 0, kind: Kind::Ban }));
-        for uid in self.directory.draining() {
-            facts.push(Fact { of: name_digest(uid), age_ms: 0, kind: Kind::Drain });
-        }
-        for (no, health, heard, told) in self.core.seen() {
-            let of = name_digest(&self.directory.uid(no));
-            let (sight, at) = match health {
-                Health::Well => (Sight::Well, heard),
-                Health::Warming(since) => (Sight::Warming, since),
-                Health::Down => (Sight::Down, self.now),
-            };
-            let age = self.now.saturating_sub(at);
-            if age <= SIGHT_MEMORY {
-                facts.push(Fact { of, age_ms: ms(age), kind: Kind::Sight(sight) });
-                if told > 0.0 {
-                    facts.push(Fact { of, age_ms: ms(age), kind: Kind::Limit((told * 1e3) as u32) });
-                }
-            }
-        }
-        facts
-    }
-
-    fn fate(&self, digest: u64) -> Option<FlowFate> {
-        self.book.fate(digest)
-    }
-
-    fn whole_s(&self) -> u32 {
-        self.book.whole_for(self.now).as_secs() as u32
-    }
-}
-
 impl Owner {
     fn about(&self, fleet: &Fleet, now: Duration) -> About {
         let s = |from: Duration| now.saturating_sub(from).as_secs() as u32;
