--- a/src/net/journal/mod.rs
+++ b/src/net/journal/mod.rs
@@ -57,7 +57,8 @@
     /// # Errors
     /// The folder cannot be read, or holds another length than `length`, or what is no whole record.
     pub fn beside(folder: &Path, limit: u64, length: u64) -> io::Result<Journal> {
-        let journal = Journal::read(folder, limit, |_| Err(io::Error::other("the journal's tail is torn")))?;
+        let torn = |_: &Journal| Err(io::Error::other("the journal's tail is torn"));
+        let journal = Journal::read(folder, limit, Durability::default(), torn)?;
         if journal.length == length {
             Ok(journal)
         } else {
@@ -70,11 +71,12 @@
         self.length
     }
 
-    /// Opens the journal in `folder`, cutting off what a killed process left unfinished.
+    /// Opens the journal in `folder`, cutting off what a killed process left unfinished. From the first one on, its writes
+    /// outlast what `durability` says.
     ///
     /// # Errors
     /// The folder cannot be read or written.
-    pub fn open(folder: &Path, limit: u64) -> io::Result<Journal> {
+    pub fn open(folder: &Path, limit: u64, durability: Durability) -> io::Result<Journal> {
         let path = folder.join("journal");
         // Every error names what it is about: without, nobody knows which folder was meant.
         let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
@@ -86,7 +88,7 @@
                 _ => {}
             }
         }
-        Journal::read(folder, limit, |journal| journal.file.set_len(journal.length))
+        Journal::read(folder, limit, durability, |journal| journal.file.set_len(journal.length))
     }
 
     /// How the file ended when it was read.
@@ -99,12 +101,9 @@
         self.broken = true;
     }
 
-    /// From now on writes outlast this much.
-    pub fn set_durability(&mut self, durability: Durability) {
-        self.synced.durability = durability;
-    }
-
-    fn read(folder: &Path, limit: u64, torn: impl FnOnce(&Journal) -> io::Result<()>) -> io::Result<Journal> {
+    fn read(
+        folder: &Path, limit: u64, durability: Durability, torn: impl FnOnce(&Journal) -> io::Result<()>,
+    ) -> io::Result<Journal> {
         let path = folder.join("journal");
         let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
         let bytes = match fs::read(&path) {
@@ -116,7 +115,7 @@
         let ledger = Ledger::default();
         let sizes = BTreeMap::new();
         let (length, live, buffer, broken) = (0, 0, Vec::new(), false);
-        let (tail, synced) = (Tail::Whole, Synced::default());
+        let (tail, synced) = (Tail::Whole, Synced { durability, ..Synced::default() });
         let mut journal =
             Journal { path, file, length, limit, sizes, live, ledger, buffer, broken, tail, synced };
         let mut rest = &bytes[..];
--- a/src/net/journal/sync.rs
+++ b/src/net/journal/sync.rs
@@ -11,9 +11,9 @@
     pub(super) durability: Durability,
     /// Writes so far, and how many of them have been synced.
     pub(super) written: u64,
-    upto: u64,
+    pub(super) upto: u64,
     /// How often the file was replaced: a sync of an older one says nothing of the new.
-    files: u64,
+    pub(super) files: u64,
 }
 
 /// A sync that has to be made: of this file, after which so many writes are lasting.
@@ -36,9 +36,14 @@
 }
 
 impl Journal {
+    /// What writes outlast.
+    pub fn durability(&self) -> Durability {
+        self.synced.durability
+    }
+
     /// Whether a write counts only once it is synced.
     pub fn syncs(&self) -> bool {
-        self.synced.durability == Durability::Power
+        self.durability() == Durability::Power
     }
 
     /// The number of the latest write.
--- a/src/net/journal/tests.rs
+++ b/src/net/journal/tests.rs
@@ -41,7 +41,7 @@
         sent(2),
     ];
     let mut ends = vec![0];
-    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    let mut journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
     for record in &records {
         journal.write(std::slice::from_ref(record)).unwrap();
         ends.push(journal.length as usize);
@@ -57,12 +57,18 @@
             let kept = ends.iter().filter(|e| **e <= cut).count() - 1;
             let mut expected = Ledger::default();
             records[..kept].iter().for_each(|r| expected.apply(r));
-            let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+            let mut journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
             assert_eq!(journal.ledger.open, expected.open, "cut at {cut}");
             assert_eq!(journal.ledger.owed, expected.owed, "cut at {cut}");
             // What is written after the cut is read back.
             journal.write(&[taken(9, 1)]).unwrap();
-            assert!(Journal::open(&folder, 1 << 20).unwrap().ledger.open.contains_key(&FlowNo(9)));
+            assert!(
+                Journal::open(&folder, 1 << 20, Durability::Process)
+                    .unwrap()
+                    .ledger
+                    .open
+                    .contains_key(&FlowNo(9))
+            );
         }
     }
     fs::remove_dir_all(folder).unwrap();
@@ -72,7 +78,7 @@
 fn the_folder_never_outgrows_its_limit_and_what_was_admitted_is_kept() {
     let folder = folder("full");
     let limit = 200_000;
-    let mut journal = Journal::open(&folder, limit).unwrap();
+    let mut journal = Journal::open(&folder, limit, Durability::Process).unwrap();
     let mut held = std::collections::VecDeque::new();
     for no in 1..3000u64 {
         if journal.has_room(1, 900 + 1024) {
@@ -88,7 +94,7 @@
         assert!(size + journal.live <= limit, "{size} and {} of {limit}", journal.live);
     }
     assert!(held.len() > 10, "{}", held.len());
-    let again = Journal::open(&folder, limit).unwrap();
+    let again = Journal::open(&folder, limit, Durability::Process).unwrap();
     assert!(again.ledger.open.keys().map(|no| no.0).eq(held.iter().copied()));
     assert_eq!(again.ledger.open, journal.ledger.open);
     assert!(again.ledger.next >= journal.ledger.next);
@@ -98,7 +104,7 @@
 #[test]
 fn a_ban_is_kept_through_rewrites_and_kills_until_one_record_ends_it() {
     let folder = folder("ban");
-    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    let mut journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
     let ban = |uid: &str, on| Record::Banned(uid.into(), on);
     journal.write(&[ban("a", true), ban("b", true), ban("b", true), ban("a", false)]).unwrap();
     let live = journal.live;
@@ -107,23 +113,72 @@
     }
     assert!(journal.length < 200_000, "it was rewritten");
     assert_eq!(journal.live, live);
-    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    let mut journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
     assert_eq!((&journal.ledger.bans, journal.live), (&["b".to_string()].into(), live));
     journal.write(&[ban("b", false)]).unwrap();
     assert_eq!((journal.ledger.bans.len(), journal.live), (0, 0));
     fs::remove_dir_all(folder).unwrap();
 }
 
+/// What a process logs while it opens a folder's journal.
+fn log_of_opening(folder: &Path, durability: Durability) -> String {
+    let log = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let to = log.clone();
+    let subscriber = tracing_subscriber::fmt()
+        .with_max_level(tracing::Level::DEBUG)
+        .with_ansi(false)
+        .with_writer(move || Sink(to.clone()))
+        .finish();
+    tracing::subscriber::with_default(subscriber, || Journal::open(folder, 1 << 20, durability).unwrap());
+    let bytes = log.lock().unwrap().clone();
+    String::from_utf8(bytes).unwrap()
+}
+
+struct Sink(std::sync::Arc<std::sync::Mutex<Vec<u8>>>);
+
+impl Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend(bytes);
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A journal with a gap is written anew as it is opened, before the process has written a word of its own. Where writes
+/// outlast a loss of power that file is synced before it takes the old one's name, or both could be gone.
+#[test]
+fn a_file_that_takes_the_place_of_one_with_a_gap_is_synced_first() {
+    let folder = folder("gap-sync");
+    for (durability, synced) in [(Durability::Power, 1), (Durability::Process, 0)] {
+        let _ = fs::remove_file(folder.join("journal"));
+        let mut journal = Journal::open(&folder, 1 << 20, durability).unwrap();
+        (1..4).for_each(|no| journal.write(&[taken(no, 50)]).unwrap());
+        let mut bytes = fs::read(folder.join("journal")).unwrap();
+        let middle = bytes.len() / 2;
+        bytes[middle] ^= 0xff;
+        fs::write(folder.join("journal"), bytes).unwrap();
+        let log = log_of_opening(&folder, durability);
+        assert!(log.contains("in its middle are no records"), "{log}");
+        assert_eq!(log.matches("journal synced").count(), synced, "{durability:?}: {log}");
+        let journal = Journal::open(&folder, 1 << 20, durability).unwrap();
+        assert_eq!(journal.ledger.open.len(), 2, "the one in the middle is gone, the last is there");
+        assert!(!folder.join("journal.old").exists());
+    }
+    fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn a_call_that_a_kill_cut_off_may_have_run_for_all_later_processes() {
     let folder = folder("twice");
     let at = |n: u64| SentTo { at: Duration::from_secs(n), server: format!("s-{n}") };
-    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    let mut journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
     journal.write(&[taken(1, 9), Record::Sent(FlowNo(1), at(1))]).unwrap();
     // Killed; the next process sends again, is refused, and is killed as well.
-    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    let mut journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
     journal.write(&[Record::Sent(FlowNo(1), at(2)), Record::CallEnded(FlowNo(1), true)]).unwrap();
-    let journal = Journal::open(&folder, 1 << 20).unwrap();
+    let journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
     let progress = &journal.ledger().open[&FlowNo(1)].1;
     assert_eq!((progress.attempts, &progress.out, &progress.risk), (2, &None, &Some(at(1))));
     fs::remove_dir_all(folder).unwrap();
@@ -132,7 +187,7 @@
 #[test]
 fn what_was_seen_of_endpoints_is_kept_through_rewrites_until_it_changes() {
     let folder = folder("seen");
-    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    let mut journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
     let told = [("a".to_string(), 4.0), ("b".to_string(), 2.5)].into();
     let ill = ["a".to_string()].into();
     journal.write(&journal.ledger.sights(&ill, &told)).unwrap();
@@ -141,14 +196,14 @@
         journal.write(&[taken(no, 900), Record::Ended(FlowNo(no), None)]).unwrap();
     }
     assert!(journal.length < 200_000, "it was rewritten");
-    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    let mut journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
     assert_eq!((&journal.ledger.limits, &journal.ledger.ill), (&told, &ill));
     // One is lowered, and the other tells none any more.
     let lowered = [("b".to_string(), 1.0)].into();
     let records = journal.ledger.sights(&ill, &lowered);
     assert_eq!(records, [Record::Limit("b".into(), 1.0), Record::Limit("a".into(), 0.0)]);
     journal.write(&records).unwrap();
-    let journal = Journal::open(&folder, 1 << 20).unwrap();
+    let journal = Journal::open(&folder, 1 << 20, Durability::Process).unwrap();
     assert_eq!(journal.ledger.limits, lowered);
     fs::remove_dir_all(folder).unwrap();
 }
--- a/src/net/owner/comeback.rs
+++ b/src/net/owner/comeback.rs
@@ -59,8 +59,7 @@
     /// Judges the folder and begins the return. The start is written, and synced, before anything else is said or done.
     pub(super) fn begin_return(&mut self, config: &Config, life: Life) {
         let now = self.clock.now();
-        let settings = config.durability.as_ref();
-        let (durability, boot) = settings.map(|s| (s.durability, s.boot.clone())).unwrap_or_default();
+        let boot = config.durability.as_ref().map(|s| s.boot.clone()).unwrap_or_default();
         let ledger = self.journal.ledger();
         let last = ledger.started.as_ref();
         let same = last.is_some_and(|s| !boot.is_empty() && s.boot == boot);
@@ -89,7 +88,6 @@
         }
         let fates = ledger.open.values().map(|(f, _)| onyxstile_peers::book::id_digest(&f.parcel.id));
         fates.for_each(|digest| book.write(digest, FlowFate::Taken, now));
-        self.journal.set_durability(durability);
         let cold_until = if loss.shakes() { now + self.cold_time } else { now };
         let comeback = Comeback {
             ret: Return::new(Times::of(self.cold_time), now),
@@ -122,8 +120,7 @@
         let Some(c) = self.comeback.as_mut().filter(|c| c.unstarted.is_some_and(|at| at <= now)) else {
             return;
         };
-        let durability =
-            if self.journal.syncs() { onyxstile_recovery::Durability::Power } else { Default::default() };
+        let durability = self.journal.durability();
         let started = Started { life: c.life, boot: c.boot.clone(), durability, at: now };
         let (loss, mut records) = (c.loss, vec![Record::Started(started)]);
         // Guards what was lost against a second start: that one finds a folder in order, on a machine that is the same, and
--- a/src/net/owner/comeback/old_copy.rs
+++ b/src/net/owner/comeback/old_copy.rs
@@ -13,8 +13,7 @@
         c.cold_until = now + self.cold_time;
         let (life, boot) = (c.life, c.boot.clone());
         self.on_return(Event::Overtaken, now);
-        let durability =
-            if self.journal.syncs() { onyxstile_recovery::Durability::Power } else { Default::default() };
+        let durability = self.journal.durability();
         let started = Record::Started(Started { life, boot, durability, at: now });
         if let Err(e) = self.journal.write(&[started]).and_then(|()| self.journal.sync_all()) {
             tracing::error!("journal: {e}");
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -82,8 +82,9 @@
     };
     let clock = handed.as_ref().map_or_else(Clock::start, |h| Clock::continuing(h.state.now));
     let clock = clock.shifted(config.durability.as_ref().map_or(0, |d| d.shift_ms));
+    let durability = config.durability.as_ref().map(|d| d.durability).unwrap_or_default();
     let journal = match &handed {
-        None => Journal::open(&config.state, config.disk),
+        None => Journal::open(&config.state, config.disk, durability),
         Some(handed) => Journal::beside(&config.state, config.disk, handed.state.journal),
     };
     let journal = journal.map_err(failed("journal"))?;
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -13,6 +13,7 @@
 use onyxstile::net::journal::{Journal, Owed, Record, SentTo, TakenFlow};
 use onyxstile::net::parcel::Parcel;
 use onyxstile::net::upgrade::state;
+use onyxstile_recovery::Durability;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -59,8 +60,10 @@
         static LAST: AtomicU64 = AtomicU64::new(0);
         let name = format!("onyxstile-stage-{}-{}", std::process::id(), LAST.fetch_add(1, Relaxed));
         let folder = std::env::temp_dir().join(name);
-        let (journal, core) =
-            (Journal::open(&folder, limit).unwrap(), Core::new(settings.clone(), seed, now).unwrap());
+        let (journal, core) = (
+            Journal::open(&folder, limit, Durability::Process).unwrap(),
+            Core::new(settings.clone(), seed, now).unwrap(),
+        );
         let (settings, waiting, unwritten) = (settings.clone(), Vec::new(), Vec::new());
         Relay {
             core,
@@ -199,7 +202,7 @@
     pub fn restart(&mut self, entries: Vec<EndpointInfo>, now: Duration) {
         self.seed += 1;
         self.core = Core::new(self.settings.clone(), self.seed, now).unwrap();
-        self.journal = Journal::open(&self.folder, self.limit).unwrap();
+        self.journal = Journal::open(&self.folder, self.limit, Durability::Process).unwrap();
         (self.wakes, self.next) = (Wakes::default(), self.journal.ledger().next.max(self.next));
         self.wakes.add(now);
         self.waiting.clear();
