Judge folders that are cut or another relay's, and count and name forged notes

A kill in mid-write leaves the same, so nobody can tell: what may have gone out is taken for gone out (Unsaved). The start's record names the relay (record 20, where there is a fleet), and a start in another's folder is refused by name. - Datagrams that could not be read were counted and told nobody: each sender is logged once (64 of them), the counts at the end.

--- a/crates/onyxstile-recovery/src/trust.rs
+++ b/crates/onyxstile-recovery/src/trust.rs
@@ -54,7 +54,7 @@
     Nothing,
     /// Power, with each write synced before it counted: what counted is there, what was never waited for may not be.
     Unsynced,
-    /// Power, with writes that were never synced: whatever was written last may be gone.
+    /// Power, with writes that were never synced, or a file that was cut: whatever was written last may be gone.
     Unsaved,
     /// Records in the middle.
     Records,
@@ -70,6 +70,8 @@
         match (self.empty, self.tail, self.boot, self.written) {
             (true, ..) => Loss::Folder,
             (_, Tail::Gap, ..) => Loss::Records,
+            // A kill in the middle of a write leaves this, and so does a file that was cut: nobody can tell them apart.
+            (_, Tail::Torn, Boot::Same, _) => Loss::Unsaved,
             (_, _, Boot::Same, _) => Loss::Nothing,
             (_, Tail::Whole, ..) if self.closed => Loss::Nothing,
             (_, _, Boot::Other, Durability::Power) => Loss::Unsynced,
@@ -143,8 +145,10 @@
         let (other, process) = (Folder { boot: Boot::Other, ..whole }, Durability::Process);
         for (folder, loss) in [
             (whole, Loss::Nothing),
-            (Folder { tail: Tail::Torn, ..whole }, Loss::Nothing),
+            (Folder { tail: Tail::Torn, ..whole }, Loss::Unsaved),
+            (Folder { tail: Tail::Torn, closed: true, ..whole }, Loss::Unsaved),
             (Folder { written: process, ..whole }, Loss::Nothing),
+            (Folder { tail: Tail::Torn, written: process, ..whole }, Loss::Unsaved),
             (other, Loss::Unsynced),
             (Folder { tail: Tail::Torn, ..other }, Loss::Unsynced),
             (Folder { closed: true, ..other }, Loss::Nothing),
--- a/src/net/journal/decode.rs
+++ b/src/net/journal/decode.rs
@@ -109,8 +109,9 @@
             }
             7 => Record::Next(no),
             11 => Record::Banned(self.text()?, no.0 != 0),
-            12 => Record::Started(Started {
+            12 | 20 => Record::Started(Started {
                 at: Duration::from_micros(no.0),
+                node: if kind == 20 { Some(self.u64()?.try_into().ok()?) } else { None },
                 life: Life {
                     born: self.u64()?.try_into().ok()?,
                     folder: self.u64()?.try_into().ok()?,
--- a/src/net/journal/encode.rs
+++ b/src/net/journal/encode.rs
@@ -117,8 +117,10 @@
             put_u64(out, no.0);
         }
         Record::Started(s) => {
-            out.push(12);
+            // Two forms, as before: an earlier program wrote no node.
+            out.push(if s.node.is_some() { 20 } else { 12 });
             put_time(out, s.at);
+            s.node.into_iter().for_each(|node| put_u64(out, node.into()));
             let Life { born, folder, start, process, .. } = s.life;
             [born, folder, start, process.into()].into_iter().for_each(|n| put_u64(out, n.into()));
             put_bytes(out, s.boot.as_bytes());
--- a/src/net/journal/record.rs
+++ b/src/net/journal/record.rs
@@ -51,6 +51,8 @@
 pub struct Started {
     /// Which life of the relay it is.
     pub life: Life,
+    /// Which relay of the fleet the folder is, by its place among them; none where there is no fleet.
+    pub node: Option<u16>,
     /// Which start of the machine, as the machine words it.
     pub boot: String,
     /// What its writes outlast.
--- a/src/net/owner/comeback.rs
+++ b/src/net/owner/comeback.rs
@@ -39,6 +39,7 @@
     rng: Pcg32,
     life: Life,
     boot: String,
+    node: Option<u16>,
     /// What the folder by itself says that was lost.
     loss: Loss,
     /// The start is not written yet, and is tried to be again at this time.
@@ -103,6 +104,7 @@
             rng: Pcg32::seed_from_u64(config.seed ^ 0xc01d),
             life,
             boot,
+            node: config.peers.as_ref().map(|p| p.number.0),
             loss,
             unstarted: Some(now),
         };
@@ -121,7 +123,7 @@
             return;
         };
         let durability = self.journal.durability();
-        let started = Started { life: c.life, boot: c.boot.clone(), durability, at: now };
+        let started = Started { life: c.life, node: c.node, boot: c.boot.clone(), durability, at: now };
         let (loss, mut records) = (c.loss, vec![Record::Started(started)]);
         // Guards what was lost against a second start: that one finds a folder in order, on a machine that is the same, and
         // would take what is not written for what never was.
--- a/src/net/owner/comeback/old_copy.rs
+++ b/src/net/owner/comeback/old_copy.rs
@@ -11,10 +11,10 @@
         let born = (now.as_secs() as u32).max(later.born).saturating_add(1);
         c.life = Life { born, folder: c.rng.next_u32(), start: 1, ..c.life };
         c.cold_until = now + self.cold_time;
-        let (life, boot) = (c.life, c.boot.clone());
+        let (life, node, boot) = (c.life, c.node, c.boot.clone());
         self.on_return(Event::Overtaken, now);
         let durability = self.journal.durability();
-        let started = Record::Started(Started { life, boot, durability, at: now });
+        let started = Record::Started(Started { life, node, boot, durability, at: now });
         if let Err(e) = self.journal.write(&[started]).and_then(|()| self.journal.sync_all()) {
             tracing::error!("journal: {e}");
         }
--- a/src/net/owner/fleet.rs
+++ b/src/net/owner/fleet.rs
@@ -9,10 +9,16 @@
 use onyxstile_peers::book::{Book, id_digest, name_digest};
 use onyxstile_peers::facts::Evidence;
 use onyxstile_peers::roster::Turn;
-use onyxstile_peers::{About, Answer, Effect as Said, Fate as FlowFate, Heard, Life, NodeNo, Number, Peers};
+use onyxstile_peers::{
+    About, Answer, Counts, Effect as Said, Fate as FlowFate, Heard, Life, NodeNo, Number, Peers,
+};
 use onyxstile_peers::{Question, Terms};
+use std::net::SocketAddr;
 use view::View;
 
+/// Addresses whose datagrams were dropped that are remembered, so that each is logged once; more are only counted.
+const STRANGERS_MOST: usize = 64;
+
 /// The owner's part in the fleet.
 #[derive(Debug)]
 pub(super) struct Fleet {
@@ -35,6 +41,8 @@
     /// When this process began, and since when it has known the world.
     pub(super) began: Duration,
     pub(super) sound_since: Duration,
+    /// Where datagrams came from that were dropped.
+    strangers: BTreeSet<SocketAddr>,
 }
 
 impl Fleet {
@@ -52,8 +60,22 @@
             lent: BTreeMap::new(),
             began: now,
             sound_since,
+            strangers: BTreeSet::new(),
+        }
+    }
+
+    /// A datagram was dropped; it is said once an address.
+    fn dropped(&mut self, from: SocketAddr, bytes: usize) {
+        if self.strangers.len() < STRANGERS_MOST && self.strangers.insert(from) {
+            tracing::warn!(%from, bytes, "a datagram is dropped: cut, forged, another version's, not the fleet's, or too many");
         }
     }
+
+    /// Says what came and went between relays.
+    pub(super) fn say_counts(&self) {
+        let Counts { sent, sent_bytes, came, dropped } = self.peers.counts();
+        tracing::info!(sent, sent_bytes, came, dropped, "datagrams");
+    }
 }
 
 impl Owner {
@@ -69,7 +91,7 @@
     }
 
     /// A datagram came.
-    pub(super) fn datagram(&mut self, bytes: &[u8]) {
+    pub(super) fn datagram(&mut self, from: SocketAddr, bytes: &[u8]) {
         if !self.has_started() {
             return;
         }
@@ -84,7 +106,11 @@
             about,
             now,
         };
+        let before = fleet.peers.counts().dropped;
         let said = fleet.peers.take(bytes, &view, now);
+        if fleet.peers.counts().dropped > before {
+            fleet.dropped(from, bytes.len());
+        }
         self.fleet = Some(fleet);
         self.heed(said, now);
     }
--- a/src/net/owner/lasting.rs
+++ b/src/net/owner/lasting.rs
@@ -146,6 +146,7 @@
                 tracing::warn!("journal: not closed: {e}");
             }
         }
+        self.fleet.iter().for_each(fleet::Fleet::say_counts);
         let (syncs, steps) = self.held_back.counts;
         if syncs > 0 {
             tracing::info!(syncs, steps, "journal closed");
--- a/src/net/owner/mod.rs
+++ b/src/net/owner/mod.rs
@@ -35,6 +35,7 @@
 use super::mail::dsn::Report;
 use super::notices;
 use super::parcel::{Envelope, Parcel, Routed};
+use super::peers::Datagram;
 use super::phase::{Evacuation, Phase, State};
 use super::routing::{Routing, Staged};
 use super::trace::recorder::Recorder;
@@ -171,7 +172,7 @@
     times_written: bool,
     /// The other relays, where they are wanted; their datagrams; and the return to service after a loss.
     fleet: Option<fleet::Fleet>,
-    datagrams: mpsc::Receiver<Vec<u8>>,
+    datagrams: mpsc::Receiver<Datagram>,
     comeback: Option<comeback::Comeback>,
     /// How long a real server may be cold, and what a class's flow is worth.
     cold_time: Duration,
--- a/src/net/owner/parts.rs
+++ b/src/net/owner/parts.rs
@@ -1,7 +1,7 @@
 //! What an owner is made with, and how it ends.
 
 use super::*;
-use crate::net::peers::Link;
+use crate::net::peers::{Datagram, Link};
 
 /// How an owner ended.
 #[derive(Debug)]
@@ -74,7 +74,7 @@
     /// The way to the other relays, where they are wanted, and which of them this one is.
     pub peers: Option<(Link, onyxstile_peers::NodeNo)>,
     /// Their datagrams.
-    pub datagrams: mpsc::Receiver<Vec<u8>>,
+    pub datagrams: mpsc::Receiver<Datagram>,
     /// Where the ends of syncs are told.
     pub synced: mpsc::Sender<ToOwner>,
     /// Where everything comes in.
--- a/src/net/owner/run.rs
+++ b/src/net/owner/run.rs
@@ -36,7 +36,7 @@
                     }
                     order => self.take(order),
                 },
-                Some(bytes) = self.datagrams.recv() => self.datagram(&bytes),
+                Some((from, bytes)) = self.datagrams.recv() => self.datagram(from, &bytes),
                 message = self.queue.recv() => match message {
                     Some(message) => self.take(message),
                     None => return Ended::Drained(self.witness.map(Witness::into_recorder)),
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -15,6 +15,9 @@
 /// Datagrams that wait for the owner, at most; more are lost, as on the network.
 pub const WAITING: usize = 128;
 
+/// Where a datagram came from, and what it holds.
+pub type Datagram = (SocketAddr, Vec<u8>);
+
 /// The way to the others.
 #[derive(Debug, Clone)]
 pub struct Link {
@@ -40,13 +43,13 @@
         }
     }
 
-    /// Passes on what comes, for as long as the program runs.
-    pub async fn listen(self, owner: mpsc::Sender<Vec<u8>>) {
+    /// Passes on what comes, and from where, for as long as the program runs.
+    pub async fn listen(self, owner: mpsc::Sender<Datagram>) {
         // One byte more than is read: a longer one shows.
         let mut bytes = [0; DATAGRAM_MAX + 1];
         loop {
             match self.socket.recv_from(&mut bytes).await {
-                Ok((length, _)) => drop(owner.try_send(bytes[..length].to_vec())),
+                Ok((length, from)) => drop(owner.try_send((from, bytes[..length].to_vec()))),
                 // Nobody listens where something was sent, most likely.
                 Err(_) => sleep(Duration::from_millis(1)).await,
             }
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -30,7 +30,7 @@
 use crate::net::{control, discovery, notices};
 use onyxstile_trace::events::Class;
 pub use start::StartError;
-use start::{listen, stand_by, start_again, witness};
+use start::{listen, own, stand_by, start_again, witness};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -87,7 +87,7 @@
         None => Journal::open(&config.state, config.disk, durability),
         Some(handed) => Journal::beside(&config.state, config.disk, handed.state.journal),
     };
-    let journal = journal.map_err(failed("journal"))?;
+    let journal = own(journal.map_err(failed("journal"))?, config)?;
     let (to_owner, queue) = mpsc::channel(shares.queue);
     let (datagrams_in, datagrams) = mpsc::channel(peers::WAITING);
     let peers = match &config.peers {
--- a/src/net/relay/start.rs
+++ b/src/net/relay/start.rs
@@ -17,6 +17,19 @@
 
 impl std::error::Error for StartError {}
 
+/// The journal, if its folder is this relay's own. Guards what must not run twice: the folder of another relay of the fleet,
+/// copied or put in the wrong place, shows flows that the other one still has.
+pub(super) fn own(journal: Journal, config: &Config) -> Result<Journal, StartError> {
+    let whose = journal.ledger().started.as_ref().and_then(|s| s.node);
+    match (whose, config.peers.as_ref().map(|p| p.number.0)) {
+        (Some(whose), Some(this)) if whose != this => Err(StartError(format!(
+            "{}: this folder is relay {whose}'s, and this is relay {this}: nothing of it is acted on",
+            config.state.display()
+        ))),
+        _ => Ok(journal),
+    }
+}
+
 /// What keeps the trace.
 pub(super) fn witness(
     config: &Config, settings: &TraceSettings, now: Duration,
--- a/tests/fleet/stories.rs
+++ b/tests/fleet/stories.rs
@@ -1,5 +1,6 @@
 //! Stories: each hard case by its name.
 
+mod bad_input;
 mod clients;
 mod folders;
 mod power;
