--- /dev/null
+++ b/src/control/guards.rs
@@ -0,0 +1,82 @@
+//! Whether a message may go, and where: the gates before every send and refusal.
+
+use super::*;
+
+impl Controller {
+    pub(super) fn live(&self, destination: DestinationId) -> impl Iterator<Item = &Endpoint> {
+        let ids = self.destinations.get(&destination).map_or(&[][..], |d| &d.endpoints);
+        // One that a list has moved is its new destination's, which knows nothing of it yet.
+        let its = move |e: &&Endpoint| e.info.state == ListState::Live && e.info.destination == destination;
+        ids.iter().filter_map(|id| self.endpoints.get(id)).filter(its)
+    }
+
+    /// Whether an endpoint takes anything at all now: no wait, and not down but for a trial.
+    pub(super) fn open(&self, e: &Endpoint) -> bool {
+        let waiting = self.lanes.get(&e.lane).is_none_or(|l| l.wait_until > self.now);
+        let shut = match e.health {
+            Health::Down => !e.trial && self.now < e.last_sent + self.cold_gap(e).max(T1),
+            // Not in step: a shut that told its end is over for all senders at the same moment.
+            Health::Warming(since) => self.now < e.last_sent.max(since) + self.cold_gap(e),
+            Health::Well => false,
+        };
+        !waiting && !shut
+    }
+
+    /// Whether another attempt can ever be sent. Whoever writes it sees to its window at that moment.
+    pub(super) fn may_retry(&self, m: &Message) -> bool {
+        let allowed = match (m.risk, self.settings.classes[m.class].effect) {
+            (None, _) | (_, Effect::Repeatable) => true,
+            (Some((sent, _)), Effect::Keyed { window, .. }) => {
+                self.now + self.settings.tick * 2 < sent + window
+            }
+            (Some(_), Effect::Once) => false,
+        };
+        allowed && m.attempts < self.settings.max_attempts
+    }
+
+    /// Whether this message may go to this endpoint: the one gate before every send.
+    pub(super) fn may_send(&self, id: MessageId, m: &Message, e: &Endpoint) -> bool {
+        let s = &self.settings;
+        let class = &s.classes[m.class];
+        // The one that a probe lets try: one try only is for when no other waits.
+        let may_try = class.effect != Effect::Once || !self.ready_twice.contains(&m.destination);
+        let listed = e.info.state == ListState::Live && e.info.destination == m.destination;
+        // Where probes may ask, no message is spent on an endpoint that does not answer; but where trials are
+        // rarer than the span, a message that may go again is itself the trial.
+        let rare = class.effect != Effect::Once && self.cold_gap(e) > s.overload_span;
+        let answers =
+            !(s.probes && e.refused_run == 0 && e.health == Health::Down) || rare || e.trial && may_try;
+        // A keyed message that may have run stays where its key is known.
+        let known = match (m.risk, class.effect) {
+            (Some((_, at)), Effect::Keyed { group: RepeatGroup::Zone, .. }) => {
+                self.endpoints.get(&at).is_some_and(|r| r.info.zone == e.info.zone)
+            }
+            (Some((_, at)), Effect::Keyed { group: RepeatGroup::Endpoint, .. }) => e.info.id == at,
+            _ => true,
+        };
+        // One try only: not where calls fail, unless time is nearly up or nothing else can show that they no
+        // longer do: held to its last moment, it would be given up without a word.
+        let asked = s.probes || self.now <= e.last_sent + SHUT_QUIET || !may_try;
+        let timid = class.effect == Effect::Once && asked && self.now + class.aim < m.deadline;
+        let feared = timid && !e.trial && (e.fail_share > SAFE_FAIL || e.health == Health::Down);
+        let due = m.state == State::Ready && self.now < m.deadline && self.may_retry(m);
+        due && listed && answers && known && !feared && self.turn(id, m)
+    }
+
+    /// Order: the oldest of its key, nothing of the key out, and the rest of the key over.
+    pub(super) fn turn(&self, id: MessageId, m: &Message) -> bool {
+        let Some(k) = m.key.and_then(|key| self.keys.get(&key)) else { return true };
+        k.queue.front() == Some(&id)
+            && self.flights.values().all(|f| f.1 != m.key)
+            && k.rest.is_none_or(|(until, by)| by == id || self.now >= until)
+    }
+
+    /// Whether the client may be told that handing the message in again is harmless.
+    pub(super) fn may_refuse(&self, m: &Message) -> bool {
+        let harmless = match self.settings.classes[m.class].effect {
+            Effect::Repeatable | Effect::Keyed { group: RepeatGroup::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Once => m.risk.is_none(),
+        };
+        harmless && m.state != State::InFlight
+    }
+}
