--- a/tests/fleet/process.rs
+++ b/tests/fleet/process.rs
@@ -79,6 +79,14 @@
         log.iter().filter(|l| l["message"].as_str().is_some_and(|m| m.starts_with(message))).count()
     }
 
+    /// How many lines with this message name this sender.
+    pub fn count_from(&self, message: &str, from: &str) -> usize {
+        let log = self.log.lock().unwrap();
+        let its =
+            |l: &&Value| l["from"] == from && l["message"].as_str().is_some_and(|m| m.starts_with(message));
+        log.iter().filter(its).count()
+    }
+
     /// The states of its return so far, in their order.
     pub fn states(&self) -> Vec<String> {
         let log = self.log.lock().unwrap();
