Count a question's largest figures without going over their end

Found on reading the change again: Quotas::lend added three counts of 32 bits, one of them as a note says it, so a question with the largest figure ended a build with checks ('attempt to add with overflow', lends.rs:68) once its sender had a loan. Sums have 64 bits there now. Test a_question_with_the_largest_figures_is_answered: fails without the mend (1 of 1), passes with it.

--- a/crates/onyxstile-quota/src/lends.rs
+++ b/crates/onyxstile-quota/src/lends.rs
@@ -65,7 +65,8 @@
         let part = |node: u16| claimants.iter().position(|c| c.node == node).map_or(0, |i| parts[i]);
         let mut allowed = part(from).saturating_sub(others).min(lacks);
         // Where there is not enough for all, what is handed in scatters more than it is worth to move units for.
-        let (had, due) = (u64::from(elsewhere + others + kept), u64::from(elsewhere + part(from)));
+        let [elsewhere, part_from, lent] = [elsewhere, part(from), others + kept].map(u64::from);
+        let (had, due) = (elsewhere + lent, elsewhere + part_from);
         let near = had * 3 >= due * 2 && due * 3 >= had * 2 || due < had + 2;
         if part(me) < own.wants && had > 0 && near {
             allowed = kept.min(lacks);
--- a/crates/onyxstile-quota/tests/fleet/faults.rs
+++ b/crates/onyxstile-quota/tests/fleet/faults.rs
@@ -124,3 +124,23 @@
     let taken = (0..40).filter(|_| quotas.take("a", "orders", 1, now).is_ok()).count();
     assert_eq!(taken, 10, "a third of the burst, as before");
 }
+
+/// A question of this quota with figures as large as they can be said: it is answered, and nothing is counted over its end.
+#[test]
+fn a_question_with_the_largest_figures_is_answered() {
+    use onyxstile_quota::note::{Bundle, Say};
+    let quota = || vec![rate("a", 30.0, 30)];
+    let mut net = Net::new(3, quota(), 14);
+    net.run(ms(4000), |_| {});
+    let (digest, m) = (quota()[0].digest(), u32::MAX);
+    // Relay 1 has loans of the others already.
+    net.run(ms(1000), |n| n.feed("a", 60.0, &[1]));
+    let now = net.clock(0);
+    let ask = Say::Ask { quota: digest, nonce: 9, lacks: m, held: m, room: m, demand: m, renews: Some(1) };
+    for bytes in Bundle::write(1, terms(3, quota()).digest(), false, &[ask.clone(), ask.clone()]) {
+        assert!(net.relays[0].quotas.as_mut().unwrap().hear(1, &bytes, now));
+    }
+    net.pass_on(0);
+    net.run(ms(2000), |n| n.feed("a", 40.0, &[0, 1, 2]));
+    net.must_hold("a", 30.0, 30);
+}
