Make rights of quotas in one place, and keep no times that nobody reads

From the reading: fresh() in changes.rs was a second holding::rights(); how long a denial was and since when a relay is gone were kept and never read.

--- a/crates/onyxstile-quota/src/asks.rs
+++ b/crates/onyxstile-quota/src/asks.rs
@@ -78,7 +78,7 @@
         let (me, members) = (self.terms.me, &self.terms.members);
         let free = |n: &&u16| {
             **n != me
-                && busy.denied.get(n).is_none_or(|(until, _)| now >= *until)
+                && busy.denied.get(n).is_none_or(|until| now >= *until)
                 && !open.iter().any(|a| a.to == **n && a.renews.is_none())
         };
         let own = |n: u16| share(h.digest, h.quota.measure.units(), members, n);
@@ -138,12 +138,12 @@
                 again.push((*nonce, *asked));
             }
             if now >= asked.at + PATIENCE && now < asked.at + PATIENCE * 2 {
-                busy.denied.entry(asked.to).or_insert((now + SILENT, SILENT));
+                busy.denied.entry(asked.to).or_insert(now + SILENT);
             }
         }
         // A loan that comes late is still one, as long as it lasts.
         busy.asked.retain(|_, a| now < a.at + Times::USUAL.loan);
-        busy.denied.retain(|_, (until, _)| now < *until);
+        busy.denied.retain(|_, until| now < *until);
         again.into_iter().for_each(|(nonce, asked)| self.say_ask(no, nonce, asked, now));
     }
 
@@ -175,7 +175,7 @@
         let Some(busy) = self.by_digest.get(&quota).and_then(|no| self.busy.get_mut(no)) else { return };
         if busy.asked.remove(&nonce).is_some_and(|a| a.to == from) {
             let wait = Duration::from_millis(wait_ms.min(5000).into());
-            busy.denied.insert(from, (now + wait, wait));
+            busy.denied.insert(from, now + wait);
             busy.heard = Some(now);
         }
     }
--- a/crates/onyxstile-quota/src/changes.rs
+++ b/crates/onyxstile-quota/src/changes.rs
@@ -1,8 +1,7 @@
 //! Other terms: an operator's new version, and the moment from which it counts whole.
 
-use crate::account::Account;
-use crate::escrow::{Escrow, Times};
-use crate::holding::{Holding, Rights};
+use crate::escrow::Times;
+use crate::holding::{Holding, Rights, rights};
 use crate::quotas::Quotas;
 use crate::terms::{Quota, Terms};
 use crate::unit::Measure;
@@ -97,9 +96,6 @@
 
 /// A holding of which nothing counts yet.
 fn fresh(quota: Quota, edge: Duration, now: Duration) -> Holding {
-    let rights = match quota.measure {
-        Measure::Rate { .. } => Rights::Rate(Escrow::new(quota.measure, Times::USUAL, 0, now, now)),
-        Measure::Span { span, .. } => Rights::Span(Account::new(span, edge, 0, None, now)),
-    };
+    let rights = rights(quota.measure, 0, edge, now, None, now);
     Holding { digest: quota.digest(), quota, rights, counts: (0, 0) }
 }
--- a/crates/onyxstile-quota/src/holding.rs
+++ b/crates/onyxstile-quota/src/holding.rs
@@ -50,8 +50,8 @@
     /// When something was last turned away.
     pub(crate) short: Duration,
     pub(crate) asked: BTreeMap<u64, Asked>,
-    /// Until when it is of no use to ask a relay, and how long that was.
-    pub(crate) denied: BTreeMap<u16, (Duration, Duration)>,
+    /// Until when it is of no use to ask a relay.
+    pub(crate) denied: BTreeMap<u16, Duration>,
     /// Rights of spans that were given to questions lately: the same question may come twice.
     pub(crate) given: BTreeMap<(u64, u16), (u32, u64)>,
     /// What others want of this relay's own, and when they said so.
--- a/crates/onyxstile-quota/src/roster.rs
+++ b/crates/onyxstile-quota/src/roster.rs
@@ -4,15 +4,15 @@
 //! more counts once every relay that may have gone by an earlier version has said that it goes by this one, or is gone for good
 //! by an operator's word, and a loan's time has passed since. A relay that says nothing keeps its part, unspent by others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Roster {
     /// The latest version that each relay said it goes by.
     said: BTreeMap<u16, u32>,
-    /// Relays that are gone for good, and since when that is known.
-    gone: BTreeMap<u16, Duration>,
+    /// Relays that are gone for good.
+    gone: BTreeSet<u16>,
     /// Who is waited for.
     awaited: Vec<u16>,
     version: u32,
@@ -39,13 +39,13 @@
 
     /// By an operator's word these are gone for good.
     pub(crate) fn set_gone(&mut self, gone: impl Iterator<Item = u16>, now: Duration, loan: Duration) {
-        self.gone = gone.map(|node| (node, self.gone.get(&node).copied().unwrap_or(now))).collect();
+        self.gone = gone.collect();
         self.look(now, loan);
     }
 
     fn look(&mut self, now: Duration, loan: Duration) {
         let there = |node: &u16| self.said.get(node).is_some_and(|v| *v >= self.version);
-        if self.settled.is_none() && self.awaited.iter().all(|n| there(n) || self.gone.contains_key(n)) {
+        if self.settled.is_none() && self.awaited.iter().all(|n| there(n) || self.gone.contains(n)) {
             self.settled = Some(now + loan);
         }
     }
@@ -59,6 +59,6 @@
     pub(crate) fn awaited(&self) -> impl Iterator<Item = u16> + '_ {
         let there = |node: &u16| self.said.get(node).is_some_and(|v| *v >= self.version);
         let open = self.settled.is_none();
-        self.awaited.iter().copied().filter(move |n| open && !there(n) && !self.gone.contains_key(n))
+        self.awaited.iter().copied().filter(move |n| open && !there(n) && !self.gone.contains(n))
     }
 }
--- a/crates/onyxstile-quota/src/take.rs
+++ b/crates/onyxstile-quota/src/take.rs
@@ -56,7 +56,7 @@
         let (units, measure) = (h.units(now), h.quota.measure);
         // Others that could have some, as far as they have not denied it.
         let others = self.terms.members.iter().filter(|m| **m != self.terms.me);
-        let open = |m: &&u16| busy.is_none_or(|b| b.denied.get(*m).is_none_or(|(until, _)| now >= *until));
+        let open = |m: &&u16| busy.is_none_or(|b| b.denied.get(*m).is_none_or(|until| now >= *until));
         let may_come = others.clone().any(|m| open(&m));
         let (why, wait, lent, borrowed) = match &h.rights {
             _ if messages > measure.units() => (Why::Never, WAIT_MAX, 0, 0),
