--- /dev/null
+++ b/crates/onyxstile-system/src/balance/endpoint.rs
@@ -0,0 +1,142 @@
+//! One incarnation of an endpoint, as the relay's own calls have shown it.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::prefix::Cache;
+use crate::registry::{Instance, Stage};
+
+/// An endpoint in trouble is first passed over for this time.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// The longest time for which it is passed over.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// What an endpoint has told of its load counts for this long.
+const LOAD_LIFETIME: Duration = Duration::from_millis(1500);
+/// Weight of a new sample in the usual latency.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// The latency of an endpoint that has not answered yet, in ms.
+const UNKNOWN_LATENCY_MS: f64 = 60.0;
+
+/// What an endpoint tells of its load (`Server-Load`).
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+impl Load {
+    /// Reads running, waiting and slots, joined by commas.
+    pub fn parse(header: &str) -> Option<Load> {
+        let mut numbers = header.split(',').map(|number| number.trim().parse().ok());
+        Some(Load { running: numbers.next()??, waiting: numbers.next()?? })
+    }
+}
+
+/// One incarnation.
+pub struct Endpoint {
+    /// What it registered.
+    pub instance: Instance,
+    /// What its cache is believed to hold.
+    pub cache: Cache,
+    in_flight: u32,
+    told: Option<(Load, u32, Instant)>,
+    failures_in_row: u32,
+    passed_over_until: Instant,
+    is_superseded: bool,
+    latency_ms: Option<f64>,
+}
+
+impl Endpoint {
+    pub(super) fn new(now: Instant, instance: Instance) -> Endpoint {
+        Endpoint {
+            instance,
+            cache: Cache::default(),
+            in_flight: 0,
+            told: None,
+            failures_in_row: 0,
+            passed_over_until: now,
+            is_superseded: false,
+            latency_ms: None,
+        }
+    }
+
+    /// A registration moves an incarnation on, never back.
+    pub(super) fn update(&mut self, instance: Instance) {
+        let stage = self.instance.stage.max(instance.stage);
+        if instance.sequence >= self.instance.sequence && !instance.service.is_empty() {
+            self.instance = instance;
+        }
+        self.instance.stage = stage;
+    }
+
+    /// Whether it exists and does not leave.
+    pub fn may_be_called(&self) -> bool {
+        self.instance.stage == Stage::Ready && !self.is_superseded
+    }
+
+    /// Whether it isn't passed over. After a failure one call at a time tries it.
+    pub fn is_healthy(&self, now: Instant) -> bool {
+        self.failures_in_row == 0 || (now >= self.passed_over_until && self.in_flight == 0)
+    }
+
+    /// Calls of this relay that are out there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// The load to expect: what it told last and what this relay has sent and ended since.
+    pub fn load(&self, now: Instant) -> f64 {
+        let own = f64::from(self.in_flight);
+        let Some((told, in_flight_then, at)) = self.told else { return own };
+        if now.since(at) > LOAD_LIFETIME {
+            return own;
+        }
+        let change = own - f64::from(in_flight_then);
+        (f64::from(told.running + told.waiting) + change).max(own)
+    }
+
+    /// The usual time of an answer, in ms.
+    pub fn latency_ms(&self) -> f64 {
+        self.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS)
+    }
+
+    /// A call goes out.
+    pub fn begin(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// A call has ended, whatever its outcome.
+    pub fn end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// It has told its load.
+    pub fn tell(&mut self, now: Instant, load: Load) {
+        self.told = Some((load, self.in_flight, now));
+    }
+
+    /// It has answered a call.
+    pub fn succeeded(&mut self, latency: Option<Duration>) {
+        self.failures_in_row = 0;
+        if let Some(latency) = latency {
+            let sample = latency.as_secs_f64() * 1000.0;
+            let before = self.latency_ms.unwrap_or(sample);
+            self.latency_ms = Some(before + LATENCY_WEIGHT * (sample - before));
+        }
+    }
+
+    /// A connection was refused or broke, or nothing came.
+    pub fn failed(&mut self, now: Instant) {
+        self.failures_in_row += 1;
+        let pause = FIRST_PAUSE.saturating_mul(1 << (self.failures_in_row - 1).min(8)).min(LONGEST_PAUSE);
+        self.passed_over_until = self.passed_over_until.max(now + pause);
+    }
+
+    /// Another incarnation has its address.
+    pub fn superseded(&mut self) {
+        self.is_superseded = true;
+        self.cache.clear();
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/control.rs
@@ -0,0 +1,272 @@
+//! What the control plane keeps: views, the control state and the messages by which controllers agree on both.
+
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+
+use crate::configuration::Revision;
+use crate::storage_plan::StoragePlan;
+
+/// A machine with one particular disk. A machine that comes back with another disk is another elector.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+pub struct ElectorId {
+    /// The machine's address.
+    pub ip: [u8; 4],
+    /// The id that its disk got when it was empty.
+    pub disk: u64,
+}
+
+impl ElectorId {
+    /// The machine's address.
+    pub fn address(&self) -> Ipv4Addr {
+        self.ip.into()
+    }
+}
+
+/// The disk id that a seed takes at the first start of the whole system, alike on all machines.
+pub fn bootstrap_disk(ip: Ipv4Addr) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&ip.octets(), 1) | 1
+}
+
+/// A configuration as the operator sent it.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct StoredConfiguration {
+    /// Its revision.
+    pub revision: Revision,
+    /// Its bytes, unchanged.
+    pub body: Vec<u8>,
+}
+
+/// A change that was taken, kept so that the same change sent again is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct AcceptedChange {
+    /// The version that it was built on.
+    pub base: Revision,
+    /// The digest of its bytes.
+    pub digest: u128,
+}
+
+/// All that the chain replicates.
+#[derive(Debug, Clone, PartialEq, Eq, Default, BorshSerialize, BorshDeserialize)]
+pub struct ControlState {
+    /// Rises by one with each write.
+    pub sequence: u64,
+    /// The newest configuration.
+    pub configuration: Option<Rc<StoredConfiguration>>,
+    /// Changes that were taken, oldest first.
+    pub accepted: Rc<Vec<AcceptedChange>>,
+    /// Which storage machines hold what.
+    pub storage: Rc<StoragePlan>,
+}
+
+impl ControlState {
+    /// The current revision; 0 before the first configuration.
+    pub fn revision(&self) -> Revision {
+        self.configuration.as_ref().map_or(0, |configuration| configuration.revision)
+    }
+}
+
+/// One agreed view: who votes, who stands in the chain, and the state that the view begins with.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct View {
+    /// Rises by one with each view.
+    pub number: u64,
+    /// Who votes on the next view. Any majority of them meets every chain.
+    pub electors: Vec<ElectorId>,
+    /// Head first, tail last; some of the electors.
+    pub chain: Vec<ElectorId>,
+    /// The state that the view begins with; all of it counts as committed.
+    pub state: ControlState,
+}
+
+impl View {
+    /// Electors that a majority takes.
+    pub fn majority(&self) -> usize {
+        self.electors.len() / 2 + 1
+    }
+}
+
+/// Orders the proposals for one view number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, BorshSerialize, BorshDeserialize)]
+pub struct Ballot {
+    /// Counts attempts.
+    pub round: u64,
+    /// Tells proposers of one round apart.
+    pub proposer: [u8; 4],
+}
+
+/// What a controller has on its disk.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Durable {
+    /// The id of the disk.
+    pub disk: u64,
+    /// The newest view that is known to be decided; none on a machine that no view has taken in.
+    pub view: Option<Rc<View>>,
+    /// The newest state that was written in that view.
+    pub state: ControlState,
+    /// The highest ballot promised for the next view.
+    pub promised: Ballot,
+    /// The value accepted for the next view.
+    pub accepted: Option<(Ballot, Rc<View>)>,
+}
+
+/// Tells an operation apart: the controller that it came to, and a number there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+pub struct Token {
+    /// The controller that waits for the outcome.
+    pub origin: [u8; 4],
+    /// Its number for the operation.
+    pub number: u64,
+}
+
+/// What the operator or the system asks of the control state.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Operation {
+    /// Replaces the configuration that is built on `base`.
+    PutConfiguration {
+        /// `If-Match`; none if the header was missing.
+        base: Option<Revision>,
+        /// The bytes as they came.
+        body: Rc<Vec<u8>>,
+    },
+    /// Reads the newest configuration.
+    GetConfiguration,
+    /// Asks that a storage machine be emptied.
+    Retire(String),
+    /// Asks how far that is.
+    GetRetire(String),
+    /// Replaces the storage plan, if the epoch before is still the current one.
+    Plan(Rc<StoragePlan>),
+}
+
+impl Operation {
+    /// Whether the tail answers it.
+    pub fn is_read(&self) -> bool {
+        matches!(self, Operation::GetConfiguration | Operation::GetRetire(_))
+    }
+}
+
+/// How an operation ended.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Outcome {
+    /// Done, or done before.
+    Done,
+    /// The configuration; none before the first.
+    Configuration(Option<Rc<StoredConfiguration>>),
+    /// A storage machine's retirement: true once it is completed.
+    Retirement(bool),
+    /// Another version is current.
+    Conflict(Revision),
+    /// The operation is invalid, for this reason.
+    Invalid(String),
+    /// There is no such machine.
+    NotFound,
+    /// Too few machines would be left.
+    TooFew,
+    /// Nothing is known of its fate; it may be sent again.
+    Unknown,
+}
+
+/// What controllers say to each other. Every message may be lost, late, doubled or out of order.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Message {
+    /// How far the sender is; sent regularly.
+    Status {
+        /// The sender's identity.
+        from: ElectorId,
+        /// Its installed view; 0 for none.
+        view: u64,
+        /// What it knows to be committed.
+        committed: u64,
+    },
+    /// A decided view, for one that lacks it.
+    Installed(Rc<View>),
+    /// Asks for a promise for view `view`.
+    Prepare {
+        /// The number of the view that is to be decided.
+        view: u64,
+        /// The proposal's ballot.
+        ballot: Ballot,
+    },
+    /// A promise not to take part in lower ballots, nor to write in the view before.
+    Promise {
+        /// Who promises.
+        from: ElectorId,
+        /// The view that is to be decided.
+        view: u64,
+        /// The ballot.
+        ballot: Ballot,
+        /// What the sender has accepted for that view.
+        accepted: Option<(Ballot, Rc<View>)>,
+        /// The newest state that it has written.
+        state: ControlState,
+    },
+    /// The ballot is too low.
+    Refused {
+        /// The view that is to be decided.
+        view: u64,
+        /// The ballot that was promised.
+        promised: Ballot,
+    },
+    /// Asks to accept a view.
+    Accept {
+        /// The proposal's ballot.
+        ballot: Ballot,
+        /// The proposed view.
+        value: Rc<View>,
+    },
+    /// The view was accepted and synced.
+    Accepted {
+        /// Who accepted.
+        from: ElectorId,
+        /// The view's number.
+        view: u64,
+        /// The ballot.
+        ballot: Ballot,
+    },
+    /// A write, on its way down the chain.
+    Apply {
+        /// The view in which it is written.
+        view: u64,
+        /// The state that it makes.
+        state: ControlState,
+    },
+    /// A write that the tail has synced, on its way up the chain.
+    Applied {
+        /// The view.
+        view: u64,
+        /// The write's sequence.
+        sequence: u64,
+    },
+    /// Asks whether a view is still the newest that the receiver takes part in.
+    Confirm {
+        /// The view.
+        view: u64,
+        /// Tells questions apart.
+        nonce: u64,
+    },
+    /// It is.
+    Confirmed {
+        /// Who says so.
+        from: ElectorId,
+        /// The view.
+        view: u64,
+        /// The question's number.
+        nonce: u64,
+    },
+    /// An operation that came to another controller.
+    Forward {
+        /// Its token.
+        token: Token,
+        /// What is asked.
+        operation: Operation,
+    },
+    /// The outcome of a forwarded operation.
+    Outcome {
+        /// Its token.
+        token: Token,
+        /// How it ended.
+        outcome: Outcome,
+    },
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/controller.rs
@@ -0,0 +1,295 @@
+//! One controller: an agreed view, and chain replication of the control state inside it.
+//!
+//! Pure. [`Controller::step`] takes the moment and one input and returns effects, which are to be carried out in their
+//! order: what is persisted is synced before anything after it is sent.
+//!
+//! Guarantees to the operator: an outcome of `Done` for a write outlasts the loss of as many disks as are tolerated, and
+//! a read or a refusal reflects every write that was acknowledged before it was asked for. A write is held by every
+//! member of the chain before it is acknowledged; a chain has at least as many members as it takes to meet any majority
+//! of the electors, and a new view begins with the newest state among a majority's promises. The electorate does not
+//! shrink with the chain, so a machine that missed writes and one that holds them are enough to go on.
+
+mod agreement;
+mod chain;
+mod membership;
+mod operations;
+
+pub use membership::desired;
+pub use operations::{Evaluation, evaluate};
+
+use std::collections::{HashMap, VecDeque};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::control::{ControlState, Durable, ElectorId, Message, Operation, Outcome, Token, View};
+
+/// How often a controller says how far it is.
+const STATUS_EVERY: Duration = Duration::from_millis(200);
+/// A write that its successor has not acknowledged goes again after this time.
+const RESEND_AFTER: Duration = Duration::from_millis(150);
+/// An operation without an outcome is forgotten after this time.
+const OPERATION_LIFETIME: Duration = Duration::from_secs(4);
+
+/// What a controller takes in.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A message of another controller.
+    Message {
+        /// The machine that sent it.
+        from: Ipv4Addr,
+        /// What it says.
+        message: Message,
+    },
+    /// An operation that was handed in here.
+    Operation {
+        /// A number that the outcome will carry.
+        number: u64,
+        /// What is asked.
+        operation: Operation,
+    },
+    /// Core machines that membership holds alive, this one left out.
+    Live(Vec<ElectorId>),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a controller wants done.
+#[derive(Debug, Clone)]
+pub enum Effect {
+    /// Write and sync this before any later effect.
+    Persist(Rc<Durable>),
+    /// Send a message.
+    Send {
+        /// The machine that it goes to.
+        to: Ipv4Addr,
+        /// What it says.
+        message: Message,
+    },
+    /// An operation that was handed in here has ended.
+    Reply {
+        /// The number that it was handed in with.
+        number: u64,
+        /// How it ended.
+        outcome: Outcome,
+    },
+}
+
+struct Write {
+    tokens: Vec<Token>,
+    operation: Operation,
+    sequence: u64,
+    sent: Instant,
+}
+
+struct Check {
+    nonce: u64,
+    view: u64,
+    confirmed: Vec<ElectorId>,
+    token: Token,
+    outcome: Outcome,
+    expires: Instant,
+}
+
+/// The state machine of one controller.
+pub struct Controller {
+    id: ElectorId,
+    tolerated: usize,
+    durable: Durable,
+    live: Vec<ElectorId>,
+    committed: u64,
+    settled: ControlState,
+    proposal: Option<agreement::Proposal>,
+    round: u64,
+    wanted_since: Option<Instant>,
+    write: Option<Write>,
+    queue: VecDeque<(Token, Operation, Instant)>,
+    forwarded: HashMap<u64, Instant>,
+    checks: Vec<Check>,
+    nonce: u64,
+    next_status: Instant,
+    loopback: VecDeque<Message>,
+    effects: Vec<Effect>,
+}
+
+impl Controller {
+    /// A controller with what its disk holds; `seeds` make the first view at the first start of the whole system.
+    pub fn new(ip: Ipv4Addr, durable: Durable, tolerated: usize, now: Instant) -> Controller {
+        let settled = durable.view.as_ref().map_or_else(ControlState::default, |view| view.state.clone());
+        Controller {
+            id: ElectorId { ip: ip.octets(), disk: durable.disk },
+            tolerated,
+            durable,
+            live: Vec::new(),
+            committed: settled.sequence,
+            settled,
+            proposal: None,
+            round: 0,
+            wanted_since: None,
+            write: None,
+            queue: VecDeque::new(),
+            forwarded: HashMap::new(),
+            checks: Vec::new(),
+            nonce: 0,
+            next_status: now,
+            loopback: VecDeque::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// The record of the first view, made of the seeds alone and alike on all of them.
+    pub fn bootstrap(ip: Ipv4Addr, seeds: &[Ipv4Addr]) -> Durable {
+        let mut electors: Vec<ElectorId> = seeds
+            .iter()
+            .map(|seed| ElectorId { ip: seed.octets(), disk: crate::control::bootstrap_disk(*seed) })
+            .collect();
+        electors.sort_unstable();
+        electors.dedup();
+        let view = View { number: 1, chain: electors.clone(), electors, state: ControlState::default() };
+        Durable { view: Some(Rc::new(view)), ..Controller::empty(crate::control::bootstrap_disk(ip)) }
+    }
+
+    /// The record of a machine that no view has taken in.
+    pub fn empty(disk: u64) -> Durable {
+        Durable {
+            disk,
+            view: None,
+            state: ControlState::default(),
+            promised: Default::default(),
+            accepted: None,
+        }
+    }
+
+    /// The installed view.
+    pub fn view(&self) -> Option<&Rc<View>> {
+        self.durable.view.as_ref()
+    }
+
+    /// The newest state that is known to be committed; `None` where no view has taken this machine in.
+    pub fn committed_state(&self) -> Option<&ControlState> {
+        self.durable.view.as_ref().map(|_| &self.settled)
+    }
+
+    /// Whether everything that this controller has on its disk is known to be committed.
+    pub fn is_settled(&self) -> bool {
+        self.durable.view.is_some() && self.settled.sequence == self.durable.state.sequence
+    }
+
+    /// Whether this controller is the head of a chain that still writes.
+    pub fn is_head(&self) -> bool {
+        !self.is_wedged() && self.durable.view.as_ref().is_some_and(|view| view.chain.first() == Some(&self.id))
+    }
+
+    /// Takes one input in.
+    pub fn step(&mut self, now: Instant, input: Input) -> Vec<Effect> {
+        match input {
+            Input::Message { from, message } => self.receive(now, from, message),
+            Input::Operation { number, operation } => {
+                let token = Token { origin: self.id.ip, number };
+                self.forwarded.insert(number, now + OPERATION_LIFETIME);
+                self.route(now, token, operation);
+            }
+            Input::Live(live) => self.live = live,
+            Input::Tick => self.tick(now),
+        }
+        while let Some(message) = self.loopback.pop_front() {
+            let own = self.id.address();
+            self.receive(now, own, message);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn receive(&mut self, now: Instant, from: Ipv4Addr, message: Message) {
+        match message {
+            Message::Status { from: id, view, committed } => self.heard_status(id, view, committed),
+            Message::Installed(view) => self.install(now, view),
+            Message::Prepare { view, ballot } => self.prepare(from, view, ballot),
+            Message::Promise { from: id, view, ballot, accepted, state } => {
+                self.promised(id, view, ballot, accepted, state);
+            }
+            Message::Refused { view, promised } => self.refused(view, promised),
+            Message::Accept { ballot, value } => self.accept(from, ballot, value),
+            Message::Accepted { from: id, view, ballot } => self.accepted(now, id, view, ballot),
+            Message::Apply { view, state } => self.apply(from, view, state),
+            Message::Applied { view, sequence } => self.applied(now, view, sequence),
+            Message::Confirm { view, nonce } => self.confirm(from, view, nonce),
+            Message::Confirmed { from: id, view, nonce } => self.confirmed(id, view, nonce),
+            Message::Forward { token, operation } => self.route(now, token, operation),
+            Message::Outcome { token, outcome } => self.finish(token, outcome),
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        if now >= self.next_status {
+            self.next_status = now + STATUS_EVERY;
+            self.say_status();
+        }
+        self.expire(now);
+        self.begin_writes(now);
+        self.resend(now);
+        self.tend_view(now);
+    }
+
+    fn say_status(&mut self) {
+        let view = self.installed();
+        let message = Message::Status { from: self.id, view, committed: self.committed };
+        let mut peers: Vec<Ipv4Addr> = self.live.iter().map(ElectorId::address).collect();
+        if let Some(view) = &self.durable.view {
+            peers.extend(view.electors.iter().map(ElectorId::address));
+        }
+        peers.sort_unstable();
+        peers.dedup();
+        peers.retain(|peer| *peer != self.id.address());
+        for to in peers {
+            self.send(to, message.clone());
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.queue.retain(|(_, _, expires)| *expires > now);
+        self.checks.retain(|check| check.expires > now);
+        let expired: Vec<u64> =
+            self.forwarded.iter().filter(|(_, expires)| **expires <= now).map(|(number, _)| *number).collect();
+        for number in expired {
+            self.finish(Token { origin: self.id.ip, number }, Outcome::Unknown);
+        }
+    }
+
+    fn finish(&mut self, token: Token, outcome: Outcome) {
+        if token.origin != self.id.ip {
+            self.send(token.origin.into(), Message::Outcome { token, outcome });
+        } else if self.forwarded.remove(&token.number).is_some() {
+            self.effects.push(Effect::Reply { number: token.number, outcome });
+        }
+    }
+
+    /// Notes that everything up to `sequence` is on the disks of the whole chain.
+    fn commit(&mut self, sequence: u64) {
+        self.committed = self.committed.max(sequence);
+        if self.committed >= self.durable.state.sequence {
+            self.settled = self.durable.state.clone();
+        }
+    }
+
+    fn installed(&self) -> u64 {
+        self.durable.view.as_ref().map_or(0, |view| view.number)
+    }
+
+    /// Whether a promise for the next view keeps this controller from writing in its view.
+    fn is_wedged(&self) -> bool {
+        self.durable.promised != Default::default()
+    }
+
+    fn persist(&mut self) {
+        self.effects.push(Effect::Persist(Rc::new(self.durable.clone())));
+    }
+
+    fn send(&mut self, to: Ipv4Addr, message: Message) {
+        if to == self.id.address() {
+            self.loopback.push_back(message);
+        } else {
+            self.effects.push(Effect::Send { to, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/controller/agreement.rs
@@ -0,0 +1,238 @@
+//! Single-decree agreement on the next view: ballots, promises, acceptance, one number at a time.
+
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Controller;
+use super::membership::desired;
+use crate::clock::Instant;
+use crate::control::{Ballot, ControlState, ElectorId, Message, View};
+
+/// A proposal that has not been decided is tried again after this time.
+const PROPOSAL_LIFETIME: Duration = Duration::from_millis(400);
+/// Each elector waits this much longer than the one before it until it proposes.
+const STAGGER: Duration = Duration::from_millis(250);
+/// How long a view must be wished for before it is proposed.
+const PATIENCE: Duration = Duration::from_millis(40);
+
+pub(super) struct Proposal {
+    view: u64,
+    ballot: Ballot,
+    begun: Instant,
+    promises: Vec<(ElectorId, Option<(Ballot, Rc<View>)>, ControlState)>,
+    value: Option<Rc<View>>,
+    accepted: Vec<ElectorId>,
+}
+
+impl Controller {
+    /// Proposes a view where one is needed: the first live elector at once, each later one after a pause.
+    pub(super) fn tend_view(&mut self, now: Instant) {
+        let Some(view) = self.durable.view.clone() else { return };
+        let is_needed = self.is_wedged() || desired(&view, &self.alive(), self.tolerated).is_some();
+        let Some(rank) = self.rank(&view).filter(|_| is_needed) else {
+            self.wanted_since = None;
+            self.proposal = None;
+            return;
+        };
+        let since = *self.wanted_since.get_or_insert(now);
+        let is_due = now.since(since) >= PATIENCE + STAGGER * rank;
+        let is_open = self.proposal.as_ref().is_some_and(|proposal| {
+            now.since(proposal.begun) < PROPOSAL_LIFETIME + STAGGER * rank
+        });
+        if is_due && !is_open {
+            self.propose(now, &view);
+        }
+    }
+
+    /// This machine and all that membership holds alive.
+    fn alive(&self) -> Vec<ElectorId> {
+        let mut alive = self.live.clone();
+        alive.push(self.id);
+        alive
+    }
+
+    fn rank(&self, view: &View) -> Option<u32> {
+        let alive = self.alive();
+        let rank = view.electors.iter().filter(|id| alive.contains(id)).position(|id| *id == self.id)?;
+        u32::try_from(rank).ok()
+    }
+
+    fn propose(&mut self, now: Instant, view: &View) {
+        self.round = self.round.max(self.durable.promised.round) + 1;
+        let ballot = Ballot { round: self.round, proposer: self.id.ip };
+        let number = view.number + 1;
+        log::info!("proposing view {number} in round {}", self.round);
+        self.proposal = Some(Proposal {
+            view: number,
+            ballot,
+            begun: now,
+            promises: Vec::new(),
+            value: None,
+            accepted: Vec::new(),
+        });
+        for elector in &view.electors {
+            self.send(elector.address(), Message::Prepare { view: number, ballot });
+        }
+    }
+
+    pub(super) fn prepare(&mut self, from: Ipv4Addr, view: u64, ballot: Ballot) {
+        if !self.is_next(from, view) {
+            return;
+        }
+        if ballot <= self.durable.promised {
+            let promised = self.durable.promised;
+            self.send(from, Message::Refused { view, promised });
+            return;
+        }
+        self.durable.promised = ballot;
+        self.persist();
+        let message = Message::Promise {
+            from: self.id,
+            view,
+            ballot,
+            accepted: self.durable.accepted.clone(),
+            state: self.durable.state.clone(),
+        };
+        self.send(from, message);
+    }
+
+    /// Whether `view` is the one after the installed one; helps whoever is behind, and asks for help otherwise.
+    fn is_next(&mut self, from: Ipv4Addr, view: u64) -> bool {
+        let installed = self.installed();
+        if view <= installed {
+            self.help(from);
+        } else if view > installed + 1 || installed == 0 {
+            let message = Message::Status { from: self.id, view: installed, committed: self.committed };
+            self.send(from, message);
+        }
+        installed > 0 && view == installed + 1
+    }
+
+    /// Sends the installed view to one that lacks it.
+    pub(super) fn help(&mut self, to: Ipv4Addr) {
+        if let Some(view) = self.durable.view.clone() {
+            self.send(to, Message::Installed(view));
+        }
+    }
+
+    pub(super) fn refused(&mut self, view: u64, promised: Ballot) {
+        if view == self.installed() + 1 {
+            self.round = self.round.max(promised.round);
+        }
+    }
+
+    pub(super) fn promised(
+        &mut self,
+        from: ElectorId,
+        view: u64,
+        ballot: Ballot,
+        accepted: Option<(Ballot, Rc<View>)>,
+        state: ControlState,
+    ) {
+        let Some(current) = self.durable.view.clone() else { return };
+        let alive = self.alive();
+        let Some(proposal) = &mut self.proposal else { return };
+        let is_ours = proposal.view == view && proposal.ballot == ballot && view == current.number + 1;
+        let is_known = proposal.promises.iter().any(|(id, _, _)| *id == from);
+        if !is_ours || is_known || proposal.value.is_some() || !current.electors.contains(&from) {
+            return;
+        }
+        proposal.promises.push((from, accepted, state));
+        if proposal.promises.len() < current.majority() {
+            return;
+        }
+        let value = Rc::new(choose(&current, proposal, &alive, self.tolerated));
+        proposal.value = Some(value.clone());
+        for elector in &current.electors {
+            self.send(elector.address(), Message::Accept { ballot, value: value.clone() });
+        }
+    }
+
+    pub(super) fn accept(&mut self, from: Ipv4Addr, ballot: Ballot, value: Rc<View>) {
+        let view = value.number;
+        if !self.is_next(from, view) {
+            return;
+        }
+        if ballot < self.durable.promised {
+            let promised = self.durable.promised;
+            self.send(from, Message::Refused { view, promised });
+            return;
+        }
+        self.durable.promised = ballot;
+        self.durable.accepted = Some((ballot, value));
+        self.persist();
+        self.send(from, Message::Accepted { from: self.id, view, ballot });
+    }
+
+    pub(super) fn accepted(&mut self, now: Instant, from: ElectorId, view: u64, ballot: Ballot) {
+        let Some(current) = self.durable.view.clone() else { return };
+        let Some(proposal) = &mut self.proposal else { return };
+        let is_ours = proposal.view == view && proposal.ballot == ballot && view == current.number + 1;
+        if !is_ours || !current.electors.contains(&from) || proposal.accepted.contains(&from) {
+            return;
+        }
+        proposal.accepted.push(from);
+        if proposal.accepted.len() < current.majority() {
+            return;
+        }
+        let Some(value) = proposal.value.clone() else { return };
+        let mut to: Vec<Ipv4Addr> = value.electors.iter().chain(&current.electors).map(ElectorId::address).collect();
+        to.sort_unstable();
+        to.dedup();
+        to.retain(|address| *address != self.id.address());
+        self.install(now, value.clone());
+        for address in to {
+            self.send(address, Message::Installed(value.clone()));
+        }
+    }
+
+    /// Takes over a decided view that is newer than the installed one.
+    pub(super) fn install(&mut self, now: Instant, view: Rc<View>) {
+        if view.number <= self.installed() {
+            return;
+        }
+        log::info!(
+            "view {} with {} electors, {} in the chain, sequence {}",
+            view.number,
+            view.electors.len(),
+            view.chain.len(),
+            view.state.sequence
+        );
+        self.durable.state = view.state.clone();
+        self.durable.promised = Ballot::default();
+        self.durable.accepted = None;
+        self.committed = view.state.sequence;
+        self.settled = view.state.clone();
+        self.durable.view = Some(view);
+        self.proposal = None;
+        self.wanted_since = None;
+        self.round = 0;
+        self.persist();
+        self.restart_operations(now);
+    }
+
+    pub(super) fn heard_status(&mut self, from: ElectorId, view: u64, committed: u64) {
+        let installed = self.installed();
+        if view < installed {
+            self.help(from.address());
+        }
+        let is_chained = self.durable.view.as_ref().is_some_and(|view| view.chain.contains(&from));
+        if view == installed && is_chained && committed <= self.durable.state.sequence {
+            self.commit(committed);
+        }
+    }
+}
+
+/// The view to propose: what was accepted under the highest ballot, or the desired one with the newest promised state.
+fn choose(current: &View, proposal: &Proposal, alive: &[ElectorId], tolerated: usize) -> View {
+    let accepted = proposal.promises.iter().filter_map(|(_, accepted, _)| accepted.as_ref());
+    if let Some((_, value)) = accepted.max_by_key(|(ballot, _)| *ballot) {
+        return (**value).clone();
+    }
+    let newest = proposal.promises.iter().map(|(_, _, state)| state).max_by_key(|state| state.sequence);
+    let state = newest.cloned().unwrap_or_else(|| current.state.clone());
+    let (electors, chain) = desired(current, alive, tolerated)
+        .unwrap_or_else(|| (current.electors.clone(), current.chain.clone()));
+    View { number: current.number + 1, electors, chain, state }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/controller/operations.rs
@@ -0,0 +1,233 @@
+//! Operations: where each is answered, what it does to the control state, and when its outcome may be told.
+
+use std::rc::Rc;
+
+use super::{Check, Controller, OPERATION_LIFETIME, Write};
+use crate::clock::Instant;
+use crate::configuration::{self, ConfigurationError, Revision};
+use crate::control::{
+    AcceptedChange, ControlState, ElectorId, Message, Operation, Outcome, StoredConfiguration, Token,
+};
+use crate::storage_plan::RetireRefusal;
+
+/// Taken changes that are remembered; without a bound the state grows with every change of a deployment's life.
+const REMEMBERED_CHANGES: usize = 8192;
+
+/// What an operation does to a state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Evaluation {
+    /// It makes this state.
+    Write(Box<ControlState>),
+    /// It was taken before, which no later event can change.
+    TakenBefore,
+    /// It ends like this, if the state is still the newest.
+    Answer(Outcome),
+}
+
+impl Controller {
+    /// Takes an operation in: reads belong to the tail, writes to the head.
+    pub(super) fn route(&mut self, now: Instant, token: Token, operation: Operation) {
+        let Some(view) = self.durable.view.clone() else {
+            self.finish(token, Outcome::Unknown);
+            return;
+        };
+        let place = if operation.is_read() { view.chain.last() } else { view.chain.first() };
+        let Some(place) = place.copied() else { return };
+        if place != self.id {
+            // A forwarded one that finds no place here is answered by its origin's time-out.
+            if token.origin == self.id.ip {
+                self.send(place.address(), Message::Forward { token, operation });
+            } else {
+                self.finish(token, Outcome::Unknown);
+            }
+        } else if operation.is_read() {
+            self.read(now, token, &operation);
+        } else {
+            self.queue.push_back((token, operation, now + OPERATION_LIFETIME));
+            self.begin_writes(now);
+        }
+    }
+
+    fn read(&mut self, now: Instant, token: Token, operation: &Operation) {
+        if self.is_wedged() || !self.is_tail() {
+            self.finish(token, Outcome::Unknown);
+            return;
+        }
+        if let Evaluation::Answer(outcome) = evaluate(&self.durable.state, operation, self.tolerated) {
+            self.answer_once_confirmed(now, token, outcome);
+        }
+    }
+
+    /// Begins queued writes until one is under way.
+    pub(super) fn begin_writes(&mut self, now: Instant) {
+        while self.write.is_none() && self.is_head() {
+            if self.durable.state.sequence > self.committed {
+                self.adopt_unsettled(now);
+                return;
+            }
+            let Some((token, operation, _)) = self.queue.pop_front() else { return };
+            match evaluate(&self.durable.state, &operation, self.tolerated) {
+                Evaluation::TakenBefore => self.finish(token, Outcome::Done),
+                Evaluation::Answer(outcome) => self.answer_once_confirmed(now, token, outcome),
+                Evaluation::Write(state) => self.begin_write(now, vec![token], operation, *state),
+            }
+        }
+    }
+
+    fn begin_write(&mut self, now: Instant, tokens: Vec<Token>, operation: Operation, state: ControlState) {
+        let sequence = state.sequence;
+        self.durable.state = state;
+        self.persist();
+        self.write = Some(Write { tokens, operation, sequence, sent: now });
+        self.pass_down();
+    }
+
+    /// A write that this head has on its disk from before a restart is settled before any other.
+    fn adopt_unsettled(&mut self, now: Instant) {
+        let sequence = self.durable.state.sequence;
+        let operation = Operation::GetConfiguration;
+        self.write = Some(Write { tokens: Vec::new(), operation, sequence, sent: now });
+        self.pass_down();
+    }
+
+    /// Ends the write under way if the tail has it, and begins the next.
+    pub(super) fn settle_write(&mut self, now: Instant) {
+        let is_settled = self.write.as_ref().is_some_and(|write| write.sequence <= self.committed);
+        if is_settled && let Some(write) = self.write.take() {
+            for token in write.tokens {
+                self.finish(token, Outcome::Done);
+            }
+            self.begin_writes(now);
+        }
+    }
+
+    /// A new view: what was under way is looked at anew against the state that the view begins with.
+    pub(super) fn restart_operations(&mut self, now: Instant) {
+        self.checks.clear();
+        let mut waiting: Vec<(Token, Operation)> = Vec::new();
+        if let Some(write) = self.write.take() {
+            waiting.extend(write.tokens.into_iter().map(|token| (token, write.operation.clone())));
+        }
+        waiting.extend(self.queue.drain(..).map(|(token, operation, _)| (token, operation)));
+        for (token, operation) in waiting {
+            if self.is_head() {
+                self.queue.push_back((token, operation, now + OPERATION_LIFETIME));
+            } else {
+                self.finish(token, Outcome::Unknown);
+            }
+        }
+        self.begin_writes(now);
+    }
+
+    /// Tells an outcome once a majority says that no newer view can have been decided when it was asked for.
+    fn answer_once_confirmed(&mut self, now: Instant, token: Token, outcome: Outcome) {
+        let Some(view) = self.durable.view.clone() else { return };
+        self.nonce += 1;
+        let nonce = self.nonce;
+        let expires = now + OPERATION_LIFETIME;
+        let confirmed = Vec::new();
+        self.checks.push(Check { nonce, view: view.number, confirmed, token, outcome, expires });
+        for elector in &view.electors {
+            self.send(elector.address(), Message::Confirm { view: view.number, nonce });
+        }
+    }
+
+    pub(super) fn confirm(&mut self, from: std::net::Ipv4Addr, view: u64, nonce: u64) {
+        if view == self.installed() && !self.is_wedged() {
+            let id = self.id;
+            self.send(from, Message::Confirmed { from: id, view, nonce });
+        } else if view < self.installed() {
+            self.help(from);
+        }
+    }
+
+    pub(super) fn confirmed(&mut self, from: ElectorId, view: u64, nonce: u64) {
+        let Some(current) = self.durable.view.clone() else { return };
+        if view != current.number || !current.electors.contains(&from) {
+            return;
+        }
+        let Some(index) = self.checks.iter().position(|check| check.nonce == nonce && check.view == view) else {
+            return;
+        };
+        let check = &mut self.checks[index];
+        if !check.confirmed.contains(&from) {
+            check.confirmed.push(from);
+        }
+        if check.confirmed.len() >= current.majority() {
+            let check = self.checks.swap_remove(index);
+            self.finish(check.token, check.outcome);
+        }
+    }
+}
+
+/// What an operation does to `state`, in which all earlier writes are settled.
+pub fn evaluate(state: &ControlState, operation: &Operation, tolerated: usize) -> Evaluation {
+    match operation {
+        Operation::PutConfiguration { base, body } => put_configuration(state, *base, body),
+        Operation::GetConfiguration => {
+            Evaluation::Answer(Outcome::Configuration(state.configuration.clone()))
+        }
+        Operation::Retire(name) => retire(state, name, tolerated),
+        Operation::GetRetire(name) => Evaluation::Answer(
+            state.storage.retirement(name).map_or(Outcome::NotFound, Outcome::Retirement),
+        ),
+        Operation::Plan(plan) if plan.epoch == state.storage.epoch + 1 => {
+            let mut next = successor(state);
+            next.storage = plan.clone();
+            Evaluation::Write(Box::new(next))
+        }
+        Operation::Plan(_) => Evaluation::Answer(Outcome::Conflict(state.storage.epoch)),
+    }
+}
+
+fn successor(state: &ControlState) -> ControlState {
+    ControlState { sequence: state.sequence + 1, ..state.clone() }
+}
+
+fn retire(state: &ControlState, name: &str, tolerated: usize) -> Evaluation {
+    match state.storage.retire(name, tolerated) {
+        Ok(Some(plan)) => {
+            let mut next = successor(state);
+            next.storage = Rc::new(plan);
+            Evaluation::Write(Box::new(next))
+        }
+        Ok(None) => Evaluation::TakenBefore,
+        Err(RetireRefusal::Unknown) => Evaluation::Answer(Outcome::NotFound),
+        Err(RetireRefusal::TooFew) => Evaluation::Answer(Outcome::TooFew),
+    }
+}
+
+fn put_configuration(state: &ControlState, base: Option<Revision>, body: &[u8]) -> Evaluation {
+    let Some(base) = base else {
+        return Evaluation::Answer(Outcome::Invalid("If-Match is missing or no number".into()));
+    };
+    let change = AcceptedChange { base, digest: xxhash_rust::xxh3::xxh3_128(body) };
+    if state.accepted.contains(&change) {
+        return Evaluation::TakenBefore;
+    }
+    let current = state.revision();
+    if base != current {
+        return Evaluation::Answer(Outcome::Conflict(current));
+    }
+    match check(body, current) {
+        Ok(revision) => {
+            let mut next = successor(state);
+            next.configuration = Some(Rc::new(StoredConfiguration { revision, body: body.to_vec() }));
+            let mut accepted = (*state.accepted).clone();
+            accepted.push(change);
+            let surplus = accepted.len().saturating_sub(REMEMBERED_CHANGES);
+            accepted.drain(..surplus);
+            next.accepted = Rc::new(accepted);
+            Evaluation::Write(Box::new(next))
+        }
+        Err(error) => Evaluation::Answer(Outcome::Invalid(error.to_string())),
+    }
+}
+
+fn check(body: &[u8], current: Revision) -> Result<Revision, ConfigurationError> {
+    let revision = configuration::parse(body)?.revision;
+    if revision <= current {
+        return Err(ConfigurationError::OldRevision(revision, current));
+    }
+    Ok(revision)
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/disk.rs
@@ -0,0 +1,28 @@
+//! Files: versions of one record, and a log of records, both on a folder that may lose what was not synced.
+//!
+//! [`Versions`] keeps one file a version, written aside, synced and renamed. [`Log`] appends records with a checksum to
+//! segments; a new file lasts once it is synced itself, so a write costs one sync. Both work on the trait [`Folder`],
+//! whose contract a simulated folder with losses of power has to pass as well.
+
+mod folder;
+mod log;
+mod versions;
+
+pub use folder::{Folder, RealFolder};
+pub use log::{Log, Opened};
+pub use versions::Versions;
+
+/// Frames bytes with length and CRC-32.
+fn seal(bytes: &[u8], out: &mut Vec<u8>) {
+    out.extend_from_slice(&(bytes.len() as u32).to_le_bytes());
+    out.extend_from_slice(&crc32fast::hash(bytes).to_le_bytes());
+    out.extend_from_slice(bytes);
+}
+
+/// The first framed bytes and what follows them; `None` if they are torn.
+fn unseal(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let length = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?) as usize;
+    let checksum = u32::from_le_bytes(bytes.get(4..8)?.try_into().ok()?);
+    let body = bytes.get(8..8usize.checked_add(length)?)?;
+    (crc32fast::hash(body) == checksum).then(|| (body, &bytes[8 + length..]))
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/json.rs
@@ -0,0 +1,120 @@
+//! Reading of JSON values by hand: each accessor names the field that is wrong.
+
+use std::collections::HashMap;
+
+use quick_error::quick_error;
+use tinyjson::JsonValue;
+
+quick_error! {
+    /// Why a JSON text was not taken.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum JsonError {
+        /// The text is no whole JSON value.
+        Syntax(line: usize, column: usize, reason: String) {
+            display("line {}, column {}: {}", line, column, reason)
+        }
+        /// A field is missing.
+        Missing(field: String) {
+            display("{} is missing", field)
+        }
+        /// A field holds another type than it should.
+        Type(field: String, wanted: &'static str) {
+            display("{} is not {}", field, wanted)
+        }
+    }
+}
+
+/// A JSON object with the path that led to it.
+#[derive(Debug, Clone)]
+pub struct Object<'a> {
+    path: String,
+    fields: &'a HashMap<String, JsonValue>,
+}
+
+/// Parses a text that must be one JSON value, whole.
+pub fn parse(text: &str) -> Result<JsonValue, JsonError> {
+    text.parse::<JsonValue>()
+        .map_err(|error| JsonError::Syntax(error.line(), error.column(), error.to_string()))
+}
+
+impl<'a> Object<'a> {
+    /// The value as an object; `path` is for messages.
+    pub fn new(value: &'a JsonValue, path: &str) -> Result<Object<'a>, JsonError> {
+        match value {
+            JsonValue::Object(fields) => Ok(Object { path: path.to_owned(), fields }),
+            _ => Err(JsonError::Type(path.to_owned(), "an object")),
+        }
+    }
+
+    fn name(&self, field: &str) -> String {
+        if self.path.is_empty() { field.to_owned() } else { format!("{}.{}", self.path, field) }
+    }
+
+    /// A field's value, if it is there and not null.
+    pub fn get(&self, field: &str) -> Option<&'a JsonValue> {
+        self.fields.get(field).filter(|value| !matches!(value, JsonValue::Null))
+    }
+
+    fn require(&self, field: &str) -> Result<&'a JsonValue, JsonError> {
+        self.get(field).ok_or_else(|| JsonError::Missing(self.name(field)))
+    }
+
+    /// A text that must be there.
+    pub fn text(&self, field: &str) -> Result<&'a str, JsonError> {
+        match self.require(field)? {
+            JsonValue::String(text) => Ok(text),
+            _ => Err(JsonError::Type(self.name(field), "a text")),
+        }
+    }
+
+    /// A number that must be there.
+    pub fn number(&self, field: &str) -> Result<f64, JsonError> {
+        match self.require(field)? {
+            JsonValue::Number(number) if number.is_finite() => Ok(*number),
+            _ => Err(JsonError::Type(self.name(field), "a number")),
+        }
+    }
+
+    /// A whole number, 0 or more, that must be there.
+    pub fn whole(&self, field: &str) -> Result<u64, JsonError> {
+        let number = self.number(field)?;
+        if number < 0.0 || number.fract() != 0.0 || number > 9.0e15 {
+            return Err(JsonError::Type(self.name(field), "a whole number"));
+        }
+        Ok(number as u64)
+    }
+
+    /// A whole number, or `default` where the field is absent.
+    pub fn whole_or(&self, field: &str, default: u64) -> Result<u64, JsonError> {
+        if self.get(field).is_none() { Ok(default) } else { self.whole(field) }
+    }
+
+    /// A number, or `default` where the field is absent.
+    pub fn number_or(&self, field: &str, default: f64) -> Result<f64, JsonError> {
+        if self.get(field).is_none() { Ok(default) } else { self.number(field) }
+    }
+
+    /// True or false; false where the field is absent.
+    pub fn flag(&self, field: &str) -> Result<bool, JsonError> {
+        match self.get(field) {
+            None => Ok(false),
+            Some(JsonValue::Boolean(flag)) => Ok(*flag),
+            Some(_) => Err(JsonError::Type(self.name(field), "true or false")),
+        }
+    }
+
+    /// The objects of an array; none where the field is absent.
+    pub fn objects(&self, field: &str) -> Result<Vec<Object<'a>>, JsonError> {
+        let Some(value) = self.get(field) else { return Ok(Vec::new()) };
+        let JsonValue::Array(values) = value else {
+            return Err(JsonError::Type(self.name(field), "a list"));
+        };
+        let name = self.name(field);
+        values.iter().enumerate().map(|(index, value)| Object::new(value, &format!("{name}[{index}]"))).collect()
+    }
+
+    /// An object within this one, if it is there.
+    pub fn object(&self, field: &str) -> Result<Option<Object<'a>>, JsonError> {
+        self.get(field).map(|value| Object::new(value, &self.name(field))).transpose()
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/lib.rs
@@ -0,0 +1,24 @@
+//! The serving tier for agent programs: proxies on edge machines with an agent beside each, controllers on core
+//! machines, storage machines. docs/design/system.md says who keeps what and who speaks to whom.
+//!
+//! What decides is pure: `now`, a seed and events in, effects out. Sockets, files and the clock are in [`role`].
+
+pub mod balance;
+pub mod clock;
+pub mod configuration;
+pub mod control;
+pub mod controller;
+pub mod disk;
+pub mod json;
+pub mod logging;
+pub mod prefix;
+pub mod program;
+pub mod registry;
+pub mod retry;
+pub mod role;
+pub mod settings;
+pub mod slots;
+pub mod sse;
+pub mod storage_plan;
+pub mod swim;
+pub mod wire;
--- /dev/null
+++ b/crates/onyxstile-system/src/main.rs
@@ -0,0 +1,94 @@
+//! `onyxstile-system`: one program, a sub-command for each role of the serving tier.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use onyxstile_system::role::controller::RoleError;
+use onyxstile_system::role::{agent, controller, proxy, storage};
+use onyxstile_system::settings::{Settings, SettingsError};
+use onyxstile_system::{configuration, logging};
+
+/// The serving tier for agent programs.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serves clients on an edge machine; needs listen.front and listen.readiness.
+    Proxy,
+    /// Keeps the link to the controllers and feeds the proxy of its machine.
+    Agent,
+    /// Keeps the control state on a core machine; needs data_dir and listen.control.
+    Controller,
+    /// Keeps turns and budgets on a storage machine; needs data_dir.
+    Storage,
+    /// Checks a settings file and says what is wrong with it.
+    CheckSettings {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Checks a configuration before it is sent to the operator's API.
+    CheckConfiguration {
+        /// The file.
+        file: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if let Err(error) = logging::start(logging::level_from_environment()) {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
+    match arguments.command {
+        Command::CheckSettings { file } => report(Settings::read(&file).map(|_| "the settings are valid".into())),
+        Command::CheckConfiguration { file } => report(check_configuration(&file)),
+        command => match Settings::from_environment() {
+            Ok(settings) => report(run(&command, settings).map(|()| "ended".into())),
+            Err(error) => report::<SettingsError>(Err(error)),
+        },
+    }
+}
+
+fn check_configuration(file: &std::path::Path) -> Result<String, String> {
+    let bytes = std::fs::read(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    let configuration =
+        configuration::parse(&bytes).map_err(|error| format!("{}: {error}", file.display()))?;
+    let routes: usize = configuration.routes.values().map(Vec::len).sum();
+    Ok(format!("revision {}: {routes} routes, {} services", configuration.revision, configuration.services.len()))
+}
+
+fn run(command: &Command, settings: Settings) -> Result<(), RoleError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| RoleError::Io("the runtime", error))?;
+    let local = tokio::task::LocalSet::new();
+    runtime.block_on(local.run_until(async {
+        match command {
+            Command::Proxy => proxy::run(settings).await,
+            Command::Agent => agent::run(settings).await,
+            Command::Controller => controller::run(settings).await,
+            Command::Storage => storage::run(settings).await,
+            Command::CheckSettings { .. } | Command::CheckConfiguration { .. } => Ok(()),
+        }
+    }))
+}
+
+fn report<E: std::fmt::Display>(result: Result<String, E>) -> ExitCode {
+    match result {
+        Ok(text) => {
+            log::info!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/prefix.rs
@@ -0,0 +1,65 @@
+//! Which parts of prompts an endpoint is believed to hold in its cache. Pure.
+
+use std::collections::{BTreeMap, HashMap};
+
+/// One part of a prompt with all parts before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// A hash over its id and those before it: a part is of use only behind the same parts.
+    pub chain: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// Reads `Prompt-Prefix`: `ID:TOKENS` separated by commas, the ID in hex. What can't be read ends the list.
+pub fn parse(header: &str) -> Vec<Part> {
+    let mut chain = 0;
+    let mut parts = Vec::new();
+    for item in header.split(',') {
+        let Some((id, tokens)) = item.trim().split_once(':') else { break };
+        let Ok(tokens) = tokens.trim().parse() else { break };
+        chain = xxhash_rust::xxh3::xxh3_64_with_seed(id.trim().as_bytes(), chain);
+        parts.push(Part { chain, tokens });
+    }
+    parts
+}
+
+/// A least-recently-used estimate of one endpoint's cache.
+#[derive(Debug, Default)]
+pub struct Cache {
+    parts: HashMap<u64, (u32, u64)>,
+    order: BTreeMap<u64, u64>,
+    tokens: u64,
+    stamp: u64,
+}
+
+impl Cache {
+    /// Tokens at the front of a prompt that need not be read again.
+    pub fn held(&self, parts: &[Part]) -> u64 {
+        parts.iter().take_while(|part| self.parts.contains_key(&part.chain)).map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// A prompt was sent there; `room` is what the endpoint's memory holds in tokens.
+    pub fn note(&mut self, parts: &[Part], room: u64) {
+        for part in parts {
+            self.stamp += 1;
+            if let Some((_, stamp)) = self.parts.insert(part.chain, (part.tokens, self.stamp)) {
+                self.order.remove(&stamp);
+            } else {
+                self.tokens += u64::from(part.tokens);
+            }
+            self.order.insert(self.stamp, part.chain);
+        }
+        while self.tokens > room {
+            let Some((_, chain)) = self.order.pop_first() else { break };
+            if let Some((tokens, _)) = self.parts.remove(&chain) {
+                self.tokens -= u64::from(tokens);
+            }
+        }
+    }
+
+    /// Forgets everything: the endpoint started anew.
+    pub fn clear(&mut self) {
+        *self = Cache::default();
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/retry.rs
@@ -0,0 +1,153 @@
+//! The retry stage: for each destination, whether a failed call goes again, and when.
+//!
+//! A destination is a model endpoint or the service of a tool route. Calls in flight or awaiting a retry there are
+//! counted; a failed call's timer fires after T1 and then after doubled times, and at each firing it is resent with a
+//! chance that falls from 1 to [`Law::least_chance`] as the count passes thresholds that scale with the rate of first
+//! sends. Pure.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// What of the mechanism is open to choice.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Law {
+    /// The time after which a first timer fires, and the time that the lower threshold covers.
+    pub first_timer: Duration,
+    /// The chance at and beyond the upper threshold.
+    pub least_chance: f64,
+    /// The upper threshold as a multiple of the lower one.
+    pub threshold_ratio: f64,
+    /// Weight of a new sample in the average rate of first sends.
+    pub rate_weight: f64,
+    /// The lower threshold is never below this count.
+    pub threshold_floor: f64,
+}
+
+impl Default for Law {
+    fn default() -> Self {
+        Law {
+            first_timer: Duration::from_millis(500),
+            least_chance: 0.1,
+            threshold_ratio: 3.0,
+            rate_weight: 0.002,
+            threshold_floor: 4.0,
+        }
+    }
+}
+
+/// How often the average rate takes a sample.
+const SAMPLE_EVERY: Duration = Duration::from_millis(100);
+/// Weight of a new sample in the usual latency.
+const LATENCY_WEIGHT: f64 = 0.05;
+/// The longest timer.
+const TIMER_MAX: Duration = Duration::from_secs(8);
+
+/// What the stage knows of one destination.
+#[derive(Debug, Clone)]
+pub struct Destination {
+    pending: u32,
+    rate_per_s: f64,
+    sends_in_sample: u32,
+    sample_began: Instant,
+    usual_latency_s: f64,
+    held_until: Instant,
+    refusals_in_row: u32,
+}
+
+impl Destination {
+    /// A destination that nothing was sent to; its rate starts at `slots` divided by T1.
+    pub fn new(now: Instant, slots: u32, law: &Law) -> Destination {
+        Destination {
+            pending: 0,
+            rate_per_s: f64::from(slots) / law.first_timer.as_secs_f64(),
+            sends_in_sample: 0,
+            sample_began: now,
+            usual_latency_s: 0.0,
+            held_until: Instant::default(),
+            refusals_in_row: 0,
+        }
+    }
+
+    /// A call is sent for the first time.
+    pub fn first_send(&mut self, now: Instant, law: &Law) {
+        self.roll_sample(now, law);
+        self.sends_in_sample += 1;
+        self.pending += 1;
+    }
+
+    /// A call that was sent elsewhere before is sent here.
+    pub fn resend(&mut self) {
+        self.pending += 1;
+    }
+
+    /// A call that was counted has ended, answered or given up.
+    pub fn end(&mut self) {
+        self.pending = self.pending.saturating_sub(1);
+    }
+
+    /// A call was answered after `latency`.
+    pub fn answered(&mut self, latency: Duration) {
+        self.refusals_in_row = 0;
+        let sample = latency.as_secs_f64();
+        self.usual_latency_s = if self.usual_latency_s == 0.0 {
+            sample
+        } else {
+            self.usual_latency_s + LATENCY_WEIGHT * (sample - self.usual_latency_s)
+        };
+    }
+
+    /// A call was refused without having run. Endpoints state no wait, so one is derived: T1, doubled with each refusal
+    /// in a row.
+    pub fn refused(&mut self, now: Instant, first_timer: Duration) {
+        let wait = timer(first_timer, self.refusals_in_row.min(4)).min(Duration::from_secs(1));
+        self.refusals_in_row += 1;
+        self.held_until = self.held_until.max(now + wait);
+    }
+
+    /// Until when all sends are held.
+    pub fn held_until(&self) -> Instant {
+        self.held_until
+    }
+
+    /// Calls in flight or awaiting a retry.
+    pub fn pending(&self) -> u32 {
+        self.pending
+    }
+
+    /// The chance that a firing resends a call.
+    pub fn chance(&mut self, now: Instant, law: &Law) -> f64 {
+        self.roll_sample(now, law);
+        let scaled = self.rate_per_s * law.first_timer.as_secs_f64().max(self.usual_latency_s);
+        let lower = scaled.max(law.threshold_floor);
+        let upper = lower * law.threshold_ratio;
+        let excess = (f64::from(self.pending) - lower) / (upper - lower);
+        (1.0 - (1.0 - law.least_chance) * excess).clamp(law.least_chance, 1.0)
+    }
+
+    /// When a timer that is due at `due` may fire: a firing inside a wait moves to its end.
+    pub fn fires_at(&self, due: Instant) -> Instant {
+        due.max(self.held_until)
+    }
+
+    fn roll_sample(&mut self, now: Instant, law: &Law) {
+        let mut passed = now.since(self.sample_began).as_secs_f64();
+        let span = SAMPLE_EVERY.as_secs_f64();
+        let mut steps = 0;
+        while passed >= span && steps < 200 {
+            let sample = f64::from(self.sends_in_sample) / span;
+            self.rate_per_s += law.rate_weight * (sample - self.rate_per_s);
+            self.sends_in_sample = 0;
+            passed -= span;
+            steps += 1;
+        }
+        if steps > 0 {
+            self.sample_began = now;
+        }
+    }
+}
+
+/// The timer before the retry number `firing`, counted from 0.
+pub fn timer(first: Duration, firing: u32) -> Duration {
+    first.saturating_mul(1 << firing.min(16)).min(TIMER_MAX)
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role.rs
@@ -0,0 +1,12 @@
+//! The roles: sockets, files and the clock round the pure parts. Nothing here decides.
+
+pub mod agent;
+pub mod controller;
+pub mod http;
+pub mod membership;
+pub mod proxy;
+pub mod rpc;
+pub mod signals;
+pub mod socket;
+pub mod storage;
+pub mod subscription;
--- /dev/null
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -0,0 +1,134 @@
+//! The agent role: the link to the controllers, and the feed of the proxy beside it.
+//!
+//! An agent that dies leaves its proxy serving; one that returns feeds it from the start, and the proxy ignores what is
+//! older than what it has.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::controller::RoleError;
+use super::rpc::Client;
+use super::signals;
+use super::subscription::{self, News, Wishes};
+use crate::registry::Instance;
+use crate::settings::Settings;
+use crate::wire::{Feed, Published, Request, Response};
+
+/// How long a controller may hold a poll without news.
+const POLL_WAIT: Duration = Duration::from_millis(1000);
+/// The proxy is fed at least this often, so that one that started again is noticed.
+const FEED_EVERY: Duration = Duration::from_millis(500);
+/// How long the proxy has to take a feed.
+const FEED_PATIENCE: Duration = Duration::from_millis(1500);
+/// Pause after a feed that failed.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// All that the agent has heard, to feed a proxy that starts anew.
+#[derive(Default)]
+struct Known {
+    state: Option<Published>,
+    endpoints: HashMap<String, Instance>,
+    is_fresh: bool,
+}
+
+impl Known {
+    fn absorb(&mut self, news: &News) {
+        match news {
+            News::State(published) => {
+                let before = self.state.as_ref().and_then(|state| state.configuration.clone());
+                let mut state = published.clone();
+                state.configuration = state.configuration.or(before);
+                self.state = Some(state);
+            }
+            News::Endpoints(endpoints) => {
+                for instance in endpoints {
+                    let is_newer = self.endpoints.get(&instance.id).is_none_or(|held| is_newer(instance, held));
+                    if is_newer {
+                        self.endpoints.insert(instance.id.clone(), instance.clone());
+                    }
+                }
+            }
+            News::Fresh => self.is_fresh = true,
+        }
+    }
+
+    fn whole(&self) -> Feed {
+        Feed {
+            state: self.state.clone(),
+            endpoints: self.endpoints.values().cloned().collect(),
+            is_fresh: self.is_fresh,
+        }
+    }
+}
+
+/// Whether a record of an incarnation supersedes another: it is further on its way, or was sent later.
+pub fn is_newer(new: &Instance, held: &Instance) -> bool {
+    (new.stage, new.sequence) >= (held.stage, held.sequence)
+}
+
+/// Runs the role until SIGTERM, and then until the proxy beside it is gone.
+pub async fn run(settings: Settings) -> Result<(), RoleError> {
+    let proxy = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
+    let grace = settings.grace();
+    let settings = Rc::new(RefCell::new(settings));
+    let client = Client::default();
+    let wishes = Wishes { endpoints: true, wait: POLL_WAIT, synced_epoch: Rc::new(Cell::new(0)) };
+    let news = subscription::follow(settings.clone(), client.clone(), wishes);
+    log::info!("agent of {} feeds {proxy}", settings.borrow().node_name);
+    let is_ending = Rc::new(Cell::new(false));
+    tokio::select! {
+        () = feed(client, proxy, news, is_ending.clone()) => log::info!("the proxy is gone"),
+        () = signals::reread(settings, |_| {}) => {}
+        () = end(grace, is_ending) => log::info!("the agent ends"),
+    }
+    Ok(())
+}
+
+/// After SIGTERM the agent goes on for as long as its proxy drains.
+async fn end(grace: Duration, is_ending: Rc<Cell<bool>>) {
+    signals::terminated().await;
+    is_ending.set(true);
+    tokio::time::sleep(grace.mul_f64(0.9)).await;
+}
+
+async fn feed(client: Client, proxy: SocketAddrV4, mut news: UnboundedReceiver<News>, is_ending: Rc<Cell<bool>>) {
+    let mut known = Known::default();
+    let mut fed: Option<u64> = None;
+    loop {
+        let changes = gather(&mut news, &mut known).await;
+        let feed = if fed.is_some() { changes } else { known.whole() };
+        match client.call(proxy, &Request::Feed(feed), FEED_PATIENCE).await {
+            Ok(Response::Fed(life)) if fed.is_none_or(|known| known == life) => fed = Some(life),
+            result => {
+                // Another life of the proxy, or none: the next feed is whole.
+                fed = None;
+                if is_ending.get() && result.is_err() {
+                    return;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Waits for news or the next regular feed; what changed, as one feed.
+async fn gather(news: &mut UnboundedReceiver<News>, known: &mut Known) -> Feed {
+    let mut feed = Feed::default();
+    let mut next = tokio::time::timeout(FEED_EVERY, news.recv()).await.ok().flatten();
+    while let Some(item) = next {
+        known.absorb(&item);
+        match item {
+            News::State(_) => feed.state = known.state.clone(),
+            News::Endpoints(endpoints) => feed.endpoints.extend(endpoints),
+            News::Fresh => {}
+        }
+        next = news.try_recv().ok();
+    }
+    feed.is_fresh = known.is_fresh;
+    feed
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -0,0 +1,268 @@
+//! The controller role: the state machine's disk, clock and peers, the registry, and the operator's API.
+
+mod api;
+mod peers;
+mod planner;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use quick_error::quick_error;
+use tokio::sync::{Notify, oneshot};
+
+use super::membership::{self, Shared};
+use super::rpc::{self, Client};
+use super::{http, signals, socket};
+use crate::clock::{Instant, SteadyClock};
+use crate::control::{Durable, ElectorId, Message, Operation, Outcome};
+use crate::controller::{Controller, Effect, Input};
+use crate::disk::{RealFolder, Versions};
+use crate::registry::Registry;
+use crate::settings::Settings;
+use crate::swim::{Class, Standing};
+use crate::wire::{self, Request};
+
+/// How often the state machine's clock is looked at.
+const TICK: Duration = Duration::from_millis(25);
+/// The operator's callers go on to another machine after a second of silence, so an answer comes before that.
+const OPERATION_PATIENCE: Duration = Duration::from_millis(850);
+/// A write that the disk refused is tried again after this time.
+const DISK_PAUSE: Duration = Duration::from_millis(250);
+
+quick_error! {
+    /// Why a role can't run.
+    #[derive(Debug)]
+    pub enum RoleError {
+        /// A socket or a file.
+        Io(what: &'static str, error: io::Error) {
+            display("{}: {}", what, error)
+        }
+        /// The settings lack something that the role needs.
+        Settings(field: &'static str) {
+            display("the settings lack {}", field)
+        }
+        /// The disk holds what this version can't read.
+        Unreadable(error: wire::WireError) {
+            display("the controller's record: {}", error)
+        }
+    }
+}
+
+type Failure = (&'static str, io::Error);
+
+impl From<Failure> for RoleError {
+    fn from((what, error): Failure) -> Self {
+        RoleError::Io(what, error)
+    }
+}
+
+/// One controller process.
+pub struct Node {
+    settings: Rc<RefCell<Settings>>,
+    clock: SteadyClock,
+    controller: RefCell<Controller>,
+    registry: RefCell<Registry>,
+    swim: Shared,
+    client: Client,
+    versions: RefCell<Versions<RealFolder>>,
+    unwritten: RefCell<Option<(Rc<Durable>, Instant)>>,
+    replies: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
+    last_number: Cell<u64>,
+    changed: Notify,
+    synced: RefCell<HashMap<[u8; 4], (u64, Instant)>>,
+    is_planning: Cell<bool>,
+}
+
+/// Runs the role until SIGTERM.
+pub async fn run(settings: Settings) -> Result<(), RoleError> {
+    let clock = SteadyClock::start();
+    let data = settings.data_dir.clone().ok_or(RoleError::Settings("data_dir"))?;
+    let control = settings.listen.control.ok_or(RoleError::Settings("listen.control"))?;
+    let folder = RealFolder::open(data).map_err(|error| ("data_dir", error))?;
+    let (mut versions, held) = Versions::open(folder).map_err(|error| ("data_dir", error))?;
+    let durable = match held {
+        Some(bytes) => wire::decode(&bytes).map_err(RoleError::Unreadable)?,
+        None => first_record(&settings, &mut versions).map_err(|error| ("first record", error))?,
+    };
+    let peers = socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
+        .map_err(|error| ("peer port", error))?;
+    let api = socket::listen(control).map_err(|error| ("control port", error))?;
+    let swim = membership::start(&settings, Class::Core, durable.disk, clock)
+        .await
+        .map_err(|error| ("membership port", error))?;
+    let node = Rc::new(Node::new(settings, clock, durable, swim, versions));
+    log::info!("controller {} listens at {control}", node.settings.borrow().node_name);
+    let (answering, asked) = (node.clone(), node.clone());
+    tokio::select! {
+        () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
+        () = http::serve(api, move |request| api::answer(asked.clone(), request)) => {}
+        () = node.clone().tick() => {}
+        () = signals::reread(node.settings.clone(), |fresh| {
+            node.swim.borrow_mut().set_seeds(fresh.seed_addresses());
+        }) => {}
+        () = signals::terminated() => log::info!("SIGTERM: the controller ends"),
+    }
+    Ok(())
+}
+
+fn first_record(settings: &Settings, versions: &mut Versions<RealFolder>) -> io::Result<Durable> {
+    let seeds = settings.seed_addresses();
+    let is_founder = settings.bootstrap && seeds.contains(&settings.ip);
+    let durable = if is_founder {
+        Controller::bootstrap(settings.ip, &seeds)
+    } else {
+        Controller::empty(random_id())
+    };
+    versions.write(&wire::encode(&durable))?;
+    Ok(durable)
+}
+
+/// An id that no other disk or process has: the kernel's randomness, or the time of day where there is none.
+pub fn random_id() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
+    hasher.write_u64(membership::wall_clock_ms());
+    hasher.write_u32(std::process::id());
+    hasher.finish() | 1
+}
+
+impl Node {
+    fn new(
+        settings: Settings,
+        clock: SteadyClock,
+        durable: Durable,
+        swim: Shared,
+        versions: Versions<RealFolder>,
+    ) -> Node {
+        let heartbeat = Duration::from_millis(settings.heartbeat_ms);
+        let controller = Controller::new(settings.ip, durable, settings.fault_tolerance.machines, clock.now());
+        Node {
+            settings: Rc::new(RefCell::new(settings)),
+            clock,
+            controller: RefCell::new(controller),
+            registry: RefCell::new(Registry::new(random_id(), heartbeat)),
+            swim,
+            client: Client::default(),
+            versions: RefCell::new(versions),
+            unwritten: RefCell::new(None),
+            replies: RefCell::default(),
+            last_number: Cell::new(0),
+            changed: Notify::new(),
+            synced: RefCell::default(),
+            is_planning: Cell::new(false),
+        }
+    }
+
+    fn tolerated(&self) -> usize {
+        self.settings.borrow().fault_tolerance.machines
+    }
+
+    fn peer(&self, ip: Ipv4Addr) -> SocketAddrV4 {
+        SocketAddrV4::new(ip, self.settings.borrow().peer_port())
+    }
+
+    async fn tick(self: Rc<Node>) {
+        loop {
+            let live = self.live_controllers();
+            self.step(Input::Live(live));
+            self.step(Input::Tick);
+            if self.registry.borrow_mut().tick(self.clock.now()) {
+                self.changed.notify_waiters();
+            }
+            self.clone().plan();
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    fn live_controllers(&self) -> Vec<ElectorId> {
+        let swim = self.swim.borrow();
+        let is_live = |member: &&crate::swim::Member| {
+            member.class == Class::Core && member.standing != Standing::Dead
+        };
+        swim.members().filter(is_live).map(|member| ElectorId { ip: member.ip, disk: member.disk }).collect()
+    }
+
+    /// Takes one input into the state machine and carries its effects out. While the disk refuses to write, inputs are
+    /// dropped, as if the machine were cut off.
+    fn step(&self, input: Input) {
+        let now = self.clock.now();
+        if !self.retry_disk(now) {
+            return;
+        }
+        let before = self.position();
+        let effects = self.controller.borrow_mut().step(now, input);
+        for effect in effects {
+            if !self.carry_out(now, effect) {
+                return;
+            }
+        }
+        if self.position() != before {
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn position(&self) -> (u64, u64) {
+        let controller = self.controller.borrow();
+        let view = controller.view().map_or(0, |view| view.number);
+        (view, controller.committed_state().map_or(0, |state| state.sequence))
+    }
+
+    fn retry_disk(&self, now: Instant) -> bool {
+        let mut unwritten = self.unwritten.borrow_mut();
+        let Some((durable, tried)) = unwritten.as_mut() else { return true };
+        if now.since(*tried) < DISK_PAUSE {
+            return false;
+        }
+        *tried = now;
+        let is_written = self.versions.borrow_mut().write(&wire::encode(&**durable)).is_ok();
+        if is_written {
+            *unwritten = None;
+        }
+        is_written
+    }
+
+    fn carry_out(&self, now: Instant, effect: Effect) -> bool {
+        match effect {
+            Effect::Persist(durable) => {
+                let result = self.versions.borrow_mut().write(&wire::encode(&*durable));
+                if let Err(error) = result {
+                    log::error!("the disk refuses a write: {error}");
+                    *self.unwritten.borrow_mut() = Some((durable, now));
+                    return false;
+                }
+            }
+            Effect::Send { to, message } => self.send(to, message),
+            Effect::Reply { number, outcome } => {
+                if let Some(reply) = self.replies.borrow_mut().remove(&number) {
+                    // Whoever asked may have gone.
+                    reply.send(outcome).ok();
+                }
+            }
+        }
+        true
+    }
+
+    fn send(&self, to: Ipv4Addr, message: Message) {
+        let from = self.settings.borrow().ip.octets();
+        self.client.cast(self.peer(to), &Request::Control { from, message });
+    }
+
+    /// Hands an operation in and waits for its outcome.
+    async fn operate(&self, operation: Operation) -> Outcome {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let (sender, receiver) = oneshot::channel();
+        self.replies.borrow_mut().insert(number, sender);
+        self.step(Input::Operation { number, operation });
+        let outcome = tokio::time::timeout(OPERATION_PATIENCE, receiver).await;
+        self.replies.borrow_mut().remove(&number);
+        match outcome {
+            Ok(Ok(outcome)) => outcome,
+            _ => Outcome::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/controller/api.rs
@@ -0,0 +1,105 @@
+//! The HTTP API for endpoints and the operator.
+
+use std::rc::Rc;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+
+use super::Node;
+use crate::control::{Operation, Outcome};
+use crate::registry::{Instance, Stage};
+use crate::role::http::{Answer, BodyError, json, read_body, text};
+
+/// Most bytes of a configuration.
+const CONFIGURATION_MAX: usize = 8 * 1024 * 1024;
+/// Most bytes of any other body.
+const BODY_MAX: usize = 64 * 1024;
+
+/// Answers one request.
+pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    if let Some(id) = path.strip_prefix("/api/instances/") {
+        return instances(&node, &method, id, request).await;
+    }
+    if let Some(name) = path.strip_prefix("/api/retire/") {
+        return retire(&node, &method, name).await;
+    }
+    match (method, path.as_str()) {
+        (Method::PUT, "/api/config") => put_configuration(&node, request).await,
+        (Method::GET, "/api/config") => tell(node.operate(Operation::GetConfiguration).await),
+        (_, "/api/config") => text(StatusCode::METHOD_NOT_ALLOWED, ""),
+        _ => text(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+async fn instances(node: &Node, method: &Method, id: &str, request: Request<Incoming>) -> Answer {
+    let instance = match *method {
+        Method::PUT => {
+            let body = match read_body(request.into_body(), BODY_MAX).await {
+                Ok(body) => body,
+                Err(error) => return refuse_body(error),
+            };
+            match Instance::from_json(id, &body) {
+                Ok(instance) => instance,
+                Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+            }
+        }
+        Method::DELETE => node.registry.borrow_mut().remove(node.clock.now(), id),
+        _ => return text(StatusCode::METHOD_NOT_ALLOWED, ""),
+    };
+    let is_leaving = instance.stage != Stage::Ready;
+    node.hold(instance.clone());
+    if *method == Method::DELETE {
+        node.changed.notify_waiters();
+    }
+    if is_leaving && !node.replicate(&instance).await {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "too few controllers hold it");
+    }
+    json(StatusCode::OK, "{}")
+}
+
+async fn put_configuration(node: &Node, request: Request<Incoming>) -> Answer {
+    let header = request.headers().get(hyper::header::IF_MATCH).and_then(|value| value.to_str().ok());
+    let base = header.and_then(|value| value.trim().trim_matches('"').parse().ok());
+    match read_body(request.into_body(), CONFIGURATION_MAX).await {
+        Ok(body) => {
+            let body = Rc::new(body.to_vec());
+            tell(node.operate(Operation::PutConfiguration { base, body }).await)
+        }
+        Err(error) => refuse_body(error),
+    }
+}
+
+async fn retire(node: &Node, method: &Method, name: &str) -> Answer {
+    match *method {
+        Method::POST => tell(node.operate(Operation::Retire(name.to_owned())).await),
+        Method::GET => tell(node.operate(Operation::GetRetire(name.to_owned())).await),
+        _ => text(StatusCode::METHOD_NOT_ALLOWED, ""),
+    }
+}
+
+fn refuse_body(error: BodyError) -> Answer {
+    match error {
+        BodyError::TooLong => text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
+        BodyError::Broken => text(StatusCode::BAD_REQUEST, "the body ended early"),
+    }
+}
+
+/// The HTTP answer to an outcome.
+fn tell(outcome: Outcome) -> Answer {
+    match outcome {
+        Outcome::Done => json(StatusCode::OK, "{}"),
+        Outcome::Configuration(Some(configuration)) => json(StatusCode::OK, configuration.body.clone()),
+        Outcome::Configuration(None) => text(StatusCode::NOT_FOUND, "there is no configuration yet"),
+        Outcome::Retirement(true) => json(StatusCode::OK, r#"{"state":"completed"}"#),
+        Outcome::Retirement(false) => json(StatusCode::OK, r#"{"state":"in_progress"}"#),
+        Outcome::Conflict(current) => {
+            text(StatusCode::PRECONDITION_FAILED, format!("version {current} is current"))
+        }
+        Outcome::Invalid(reason) => text(StatusCode::BAD_REQUEST, reason),
+        Outcome::NotFound => text(StatusCode::NOT_FOUND, ""),
+        Outcome::TooFew => text(StatusCode::CONFLICT, "too few storage machines would be left"),
+        Outcome::Unknown => text(StatusCode::SERVICE_UNAVAILABLE, "the fate is not known; send it again"),
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/controller/peers.rs
@@ -0,0 +1,141 @@
+//! What other machines ask a controller.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Node;
+use crate::controller::Input;
+use crate::registry::Instance;
+use crate::role::rpc::Answer;
+use crate::wire::{Published, Pull, Pulled, Request, Response};
+
+/// How long another controller has to take a registry record.
+const REGISTER_PATIENCE: Duration = Duration::from_millis(700);
+/// The longest that an answer waits for news.
+const WAIT_MAX: Duration = Duration::from_secs(5);
+
+impl Node {
+    /// Answers one request of another machine.
+    pub(super) fn answer(self: Rc<Node>, request: Request) -> Answer {
+        match request {
+            Request::Control { from, message } => {
+                self.step(Input::Message { from: from.into(), message });
+                Box::pin(std::future::ready(Response::Done))
+            }
+            Request::Register(instance) => {
+                self.hold(instance);
+                Box::pin(std::future::ready(Response::Done))
+            }
+            Request::Pull(pull) => Box::pin(async move { Response::Pulled(self.pulled(pull).await) }),
+            Request::Status => Box::pin(std::future::ready(Response::Status(self.status()))),
+            _ => Box::pin(std::future::ready(Response::Refused)),
+        }
+    }
+
+    /// Takes a registry record in and wakes those who wait for news.
+    pub(super) fn hold(&self, instance: Instance) {
+        if self.registry.borrow_mut().merge(self.clock.now(), instance) {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Has a record held by as many controllers as may be lost, besides this one.
+    pub(super) async fn replicate(&self, instance: &Instance) -> bool {
+        let needed = self.tolerated();
+        let own = self.settings.borrow().ip.octets();
+        let others: Vec<[u8; 4]> = self.electors().into_iter().filter(|ip| *ip != own).collect();
+        let (sender, mut receiver) = tokio::sync::mpsc::unbounded_channel();
+        for ip in others {
+            let (client, sender) = (self.client.clone(), sender.clone());
+            let (to, request) = (self.peer(ip.into()), Request::Register(instance.clone()));
+            tokio::task::spawn_local(async move {
+                let result = client.call(to, &request, REGISTER_PATIENCE).await;
+                // Enough others may have answered before.
+                sender.send(matches!(result, Ok(Response::Done))).ok();
+            });
+        }
+        drop(sender);
+        let mut held = 0;
+        while held < needed {
+            match receiver.recv().await {
+                Some(true) => held += 1,
+                Some(false) => {}
+                None => return false,
+            }
+        }
+        true
+    }
+
+    pub(super) fn electors(&self) -> Vec<[u8; 4]> {
+        let controller = self.controller.borrow();
+        controller.view().map_or_else(Vec::new, |view| view.electors.iter().map(|id| id.ip).collect())
+    }
+
+    async fn pulled(&self, pull: Pull) -> Pulled {
+        if pull.synced_epoch > 0 {
+            self.synced.borrow_mut().insert(pull.ip, (pull.synced_epoch, self.clock.now()));
+        }
+        let wait = Duration::from_millis(pull.wait_ms).min(WAIT_MAX);
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            let pulled = self.snapshot(&pull);
+            if has_news(&pulled, &pull) || tokio::time::timeout_at(until, changed).await.is_err() {
+                return pulled;
+            }
+        }
+    }
+
+    fn snapshot(&self, pull: &Pull) -> Pulled {
+        let controller = self.controller.borrow();
+        let registry = self.registry.borrow();
+        let state = controller.committed_state();
+        let sequence = state.map_or(0, |state| state.sequence);
+        let wanted = state.filter(|_| pull.wants_state && sequence > pull.sequence);
+        let origin = registry.origin();
+        let is_behind = pull.wants_endpoints && (pull.origin != origin || pull.counter < registry.counter());
+        Pulled {
+            view: controller.view().map_or(0, |view| view.number),
+            electors: controller.view().map_or_else(Vec::new, |view| view.electors.iter().map(|id| id.ip).collect()),
+            is_settled: controller.is_settled(),
+            sequence,
+            state: wanted.map(|state| Published {
+                sequence,
+                configuration: state
+                    .configuration
+                    .clone()
+                    .filter(|configuration| configuration.revision != pull.revision),
+                storage: state.storage.clone(),
+            }),
+            origin,
+            counter: registry.counter(),
+            endpoints: if is_behind { registry.since(pull.origin, pull.counter) } else { Vec::new() },
+        }
+    }
+
+    /// Lines that tell an operator what this controller knows.
+    pub(super) fn status(&self) -> Vec<String> {
+        let controller = self.controller.borrow();
+        let mut lines = vec![format!("node {}", self.settings.borrow().node_name)];
+        let Some(view) = controller.view() else {
+            lines.push("view none: not taken in yet".into());
+            return lines;
+        };
+        lines.push(format!("view {} head {}", view.number, controller.is_head()));
+        lines.extend(view.chain.iter().map(|id| format!("chain {} disk {:x}", id.address(), id.disk)));
+        if let Some(state) = controller.committed_state() {
+            let plan = &state.storage;
+            lines.push(format!("sequence {} revision {}", state.sequence, state.revision()));
+            lines.push(format!("storage epoch {} changing {}", plan.epoch, plan.is_changing()));
+            lines.extend(plan.current.iter().map(|node| format!("storage {} {}", node.name, node.address())));
+        }
+        lines.push(format!("endpoints ready {}", self.registry.borrow().ready()));
+        lines
+    }
+}
+
+fn has_news(pulled: &Pulled, pull: &Pull) -> bool {
+    let is_newer = pulled.sequence > pull.sequence;
+    let has_endpoints = pull.wants_endpoints && (pulled.origin != pull.origin || pulled.counter > pull.counter);
+    is_newer || has_endpoints
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/controller/planner.rs
@@ -0,0 +1,65 @@
+//! The head's part in the storage plan: what it sees of storage machines, and the plan that should follow. The head is
+//! the first live controller in the agreed order; its writes are fenced by the view's number.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Node;
+use crate::control::Operation;
+use crate::storage_plan::{Observed, StorageNode};
+use crate::swim::{Class, Standing};
+
+/// A report of a storage machine counts for this long.
+const REPORT_LIFETIME: Duration = Duration::from_secs(2);
+/// The first plan is made once the members have been unchanged for this long.
+const FIRST_PLAN_AFTER: Duration = Duration::from_millis(700);
+
+impl Node {
+    /// Writes the next storage plan where one is due.
+    pub(super) fn plan(self: Rc<Node>) {
+        if self.is_planning.get() {
+            return;
+        }
+        let next = {
+            let controller = self.controller.borrow();
+            if !controller.is_head() || !controller.is_settled() {
+                return;
+            }
+            let Some(state) = controller.committed_state() else { return };
+            if state.storage.epoch == 0 && self.clock.now().since(Default::default()) < FIRST_PLAN_AFTER {
+                return;
+            }
+            state.storage.next(&self.observe(), self.tolerated())
+        };
+        let Some(plan) = next else { return };
+        log::info!(
+            "storage plan {}: {} members, {} before",
+            plan.epoch,
+            plan.current.len(),
+            plan.previous.len()
+        );
+        self.is_planning.set(true);
+        tokio::task::spawn_local(async move {
+            self.operate(Operation::Plan(Rc::new(plan))).await;
+            self.is_planning.set(false);
+        });
+    }
+
+    fn observe(&self) -> Vec<Observed> {
+        let now = self.clock.now();
+        let swim = self.swim.borrow();
+        let synced = self.synced.borrow();
+        let storage = swim.members().filter(|member| member.class == Class::Storage);
+        storage
+            .map(|member| {
+                let report = synced.get(&member.ip).filter(|(_, at)| now.since(*at) < REPORT_LIFETIME);
+                let is_dead = member.standing == Standing::Dead;
+                Observed {
+                    node: StorageNode { name: member.name.clone(), ip: member.ip },
+                    dead_for: is_dead.then(|| swim.dead_for(member.address(), now).unwrap_or_default()),
+                    synced: report.map_or(0, |(epoch, _)| *epoch),
+                }
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/http.rs
@@ -0,0 +1,89 @@
+//! Small HTTP helpers that the roles share.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use super::socket;
+
+/// A whole answer.
+pub type Answer = Response<Full<Bytes>>;
+
+/// An answer with a status and a text.
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer in JSON.
+pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut response = text(status, body);
+    let value = hyper::header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, value);
+    response
+}
+
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyError {
+    /// It is longer than allowed.
+    TooLong,
+    /// It ended early.
+    Broken,
+}
+
+/// A body as a whole, of at most `most` bytes.
+pub async fn read_body<B>(body: B, most: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: std::error::Error + Send + Sync + 'static,
+{
+    match Limited::new(body, most).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
+        Err(_) => Err(BodyError::Broken),
+    }
+}
+
+/// Answers all requests that come to a listener with `answer`.
+pub async fn serve<F, A>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> A + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    let answer = Rc::new(answer);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accepting: {error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        socket::prepare(&stream);
+        let answer = answer.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let answer = answer(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .title_case_headers(true)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("connection: {error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/attempt.rs
@@ -0,0 +1,197 @@
+//! One send of a call to one endpoint, and what it showed.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::http::response;
+use hyper::{Request, StatusCode, Uri};
+
+use super::Node;
+use super::call::Call;
+use super::upstream::{Checkout, SendError};
+use crate::balance::{EndpointKey, Load};
+
+/// What one send showed.
+pub(super) enum Attempt {
+    /// A whole answer; the endpoint ran the request.
+    Whole(response::Parts, Bytes),
+    /// A stream that has begun; the bytes came first.
+    Streaming(Stream),
+    /// The endpoint did not run it.
+    NotExecuted,
+    /// No connection came up, or it was closed before a byte was sent.
+    NotSent,
+    /// It may have run; why there is no answer.
+    Unknown(&'static str),
+}
+
+/// A stream that has begun.
+pub(super) struct Stream {
+    pub head: response::Parts,
+    pub first: Bytes,
+    pub body: Incoming,
+    pub checkout: Option<Checkout>,
+    pub is_framed: bool,
+}
+
+impl Node {
+    /// Sends a call to an endpoint. What is silent for `patience` counts as unknown.
+    pub(super) async fn attempt(
+        self: &Rc<Node>,
+        call: &Call,
+        body: &Bytes,
+        key: EndpointKey,
+        last_event: Option<&str>,
+        patience: Duration,
+    ) -> Attempt {
+        let began = self.clock.now();
+        let Some((address, instance)) = self.address(key) else { return Attempt::NotSent };
+        let request = self.request(call, body, &instance, last_event);
+        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(key) {
+            endpoint.cache.note(&call.parts, call.engine_tokens());
+        }
+        let attempt = async {
+            match self.pools.send(key, address, request).await {
+                Ok((response, checkout)) => self.read(call, key, response, checkout).await,
+                Err(SendError::NotSent(reason)) => {
+                    log::debug!("{instance} at {address}: not sent: {reason}");
+                    Attempt::NotSent
+                }
+                Err(SendError::Unknown(reason)) => {
+                    log::debug!("{instance} at {address}: {reason}");
+                    Attempt::Unknown("the connection broke")
+                }
+            }
+        };
+        let attempt = tokio::time::timeout(patience, attempt).await.unwrap_or(Attempt::Unknown("silence"));
+        self.learn(key, &attempt, began);
+        attempt
+    }
+
+    /// Takes back a connection whose answer was read to its end.
+    pub(super) fn give_back(&self, checkout: Checkout) {
+        self.pools.give_back(checkout);
+    }
+
+    fn address(&self, key: EndpointKey) -> Option<(std::net::SocketAddrV4, String)> {
+        let endpoints = self.endpoints.borrow();
+        let instance = &endpoints.get(key)?.instance;
+        Some((instance.socket(), instance.id.clone()))
+    }
+
+    fn request(&self, call: &Call, body: &Bytes, instance: &str, last_event: Option<&str>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(body.clone()));
+        *request.method_mut() = call.method.clone();
+        let path = call.uri.path_and_query().map_or("/", |path| path.as_str());
+        *request.uri_mut() = path.parse::<Uri>().unwrap_or_default();
+        *request.headers_mut() = call.headers_for(self.clock.now(), instance, last_event);
+        request
+    }
+
+    async fn read(
+        &self,
+        call: &Call,
+        key: EndpointKey,
+        response: hyper::Response<Incoming>,
+        checkout: Checkout,
+    ) -> Attempt {
+        let (head, body) = response.into_parts();
+        if let Some(load) = text(&head.headers, "server-load").and_then(Load::parse)
+            && let Some(endpoint) = self.endpoints.borrow_mut().get_mut(key)
+        {
+            endpoint.tell(self.clock.now(), load);
+        }
+        // An answer to another request of an earlier call: nothing on this connection can be trusted.
+        if text(&head.headers, "request-id").is_some_and(|id| id != call.id) {
+            return Attempt::Unknown("an answer to another request");
+        }
+        let is_refusal = head.headers.contains_key("not-executed") || head.status == StatusCode::MISDIRECTED_REQUEST;
+        if is_refusal {
+            return self.refused(key, &head, body, checkout).await;
+        }
+        if text(&head.headers, "request-id").is_none() {
+            return Attempt::Unknown("an answer without an id");
+        }
+        if head.status.is_success() && !head.headers.contains_key("response-seal") {
+            return Attempt::Unknown("an answer without its seal");
+        }
+        let is_framed = is_framed(&head.headers);
+        if call.is_stream() && head.status.is_success() {
+            return begin_stream(head, body, checkout, is_framed).await;
+        }
+        if !is_framed {
+            return Attempt::Unknown("an answer whose end can't be told");
+        }
+        match body.collect().await {
+            Ok(collected) => {
+                self.pools.give_back(checkout);
+                Attempt::Whole(head, collected.to_bytes())
+            }
+            Err(_) => Attempt::Unknown("the answer broke off"),
+        }
+    }
+
+    async fn refused(&self, key: EndpointKey, head: &response::Parts, body: Incoming, checkout: Checkout) -> Attempt {
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            // Another incarnation, perhaps of another service, has the address.
+            if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(key) {
+                endpoint.superseded();
+            }
+            self.pools.drop_idle(key);
+        } else if body.collect().await.is_ok() {
+            self.pools.give_back(checkout);
+        }
+        Attempt::NotExecuted
+    }
+
+    /// Notes what a send has shown of its endpoint.
+    fn learn(&self, key: EndpointKey, attempt: &Attempt, began: crate::clock::Instant) {
+        let now = self.clock.now();
+        let mut endpoints = self.endpoints.borrow_mut();
+        let Some(endpoint) = endpoints.get_mut(key) else { return };
+        match attempt {
+            Attempt::Whole(head, _) if head.status.is_server_error() => {}
+            Attempt::Whole(..) => endpoint.succeeded(Some(now.since(began))),
+            Attempt::Streaming(_) => endpoint.succeeded(None),
+            Attempt::NotExecuted => {}
+            Attempt::NotSent => {
+                endpoint.failed(now);
+                self.pools.drop_idle(key);
+            }
+            Attempt::Unknown(_) => endpoint.failed(now),
+        }
+    }
+}
+
+async fn begin_stream(head: response::Parts, mut body: Incoming, checkout: Checkout, is_framed: bool) -> Attempt {
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(first) = frame.into_data()
+                    && !first.is_empty()
+                {
+                    return Attempt::Streaming(Stream { head, first, body, checkout: Some(checkout), is_framed });
+                }
+            }
+            Some(Err(_)) => return Attempt::Unknown("the stream broke off before its first event"),
+            None if is_framed => {
+                let first = Bytes::new();
+                return Attempt::Streaming(Stream { head, first, body, checkout: Some(checkout), is_framed });
+            }
+            None => return Attempt::Unknown("the stream ended before its first event"),
+        }
+    }
+}
+
+/// Whether the end of an answer's body can be told from a connection that broke.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/feed.rs
@@ -0,0 +1,71 @@
+//! What the agent feeds: the configuration, the storage plan and endpoints. Nothing goes back to an older one.
+
+use std::rc::Rc;
+
+use super::Node;
+use crate::configuration;
+use crate::role::rpc::Answer;
+use crate::wire::{Feed, Published, Request, Response};
+
+impl Node {
+    /// Answers the agent.
+    pub(super) fn answer_agent(self: Rc<Node>, request: Request) -> Answer {
+        let response = match request {
+            Request::Feed(feed) => {
+                self.take(feed);
+                Response::Fed(self.life)
+            }
+            _ => Response::Refused,
+        };
+        Box::pin(std::future::ready(response))
+    }
+
+    fn take(&self, feed: Feed) {
+        if let Some(published) = feed.state {
+            self.take_state(published);
+        }
+        let now = self.clock.now();
+        for instance in feed.endpoints {
+            let leaving = self.endpoints.borrow_mut().update(now, instance);
+            if let Some(key) = leaving {
+                self.pools.drop_idle(key);
+            }
+        }
+        if feed.is_fresh && self.configuration.borrow().is_some() {
+            self.phase.become_ready();
+        }
+    }
+
+    fn take_state(&self, published: Published) {
+        if published.sequence <= self.sequence.get() {
+            return;
+        }
+        if let Some(stored) = &published.configuration
+            && !self.take_configuration(stored.revision, &stored.body)
+        {
+            return;
+        }
+        self.sequence.set(published.sequence);
+        *self.plan.borrow_mut() = published.storage;
+        self.plan_changed.notify_waiters();
+    }
+
+    fn take_configuration(&self, revision: u64, body: &[u8]) -> bool {
+        let is_newer = self.configuration.borrow().as_ref().is_none_or(|held| held.revision < revision);
+        if !is_newer {
+            return true;
+        }
+        match configuration::parse(body) {
+            Ok(parsed) => {
+                log::info!("configuration {revision} is in force");
+                *self.configuration.borrow_mut() = Some(Rc::new(parsed));
+                true
+            }
+            Err(error) => {
+                // The controllers read it the same way before they took it.
+                log::error!("configuration {revision}: {error}");
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -0,0 +1,149 @@
+//! From the start to the end of a proxy: when it calls itself ready, and how it drains.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use super::{Node, forward};
+use crate::role::http::{Answer, text};
+use crate::role::{signals, socket};
+
+/// The platform takes a relay out after two misses, a second apart; until then clients still come.
+const STILL_OFFERED: Duration = Duration::from_millis(2600);
+/// Room before the kill for the last bytes to leave.
+const BEFORE_KILL: Duration = Duration::from_millis(400);
+/// How often a drain looks whether all is answered.
+const DRAIN_LOOK: Duration = Duration::from_millis(40);
+
+/// How far the process is; it only moves on.
+#[derive(Default)]
+pub(super) struct Phase {
+    is_ready: Cell<bool>,
+    is_draining: Cell<bool>,
+    is_closing: Cell<bool>,
+    open: Cell<usize>,
+    closing: Notify,
+}
+
+impl Phase {
+    /// The proxy has all that it needs.
+    pub(super) fn become_ready(&self) {
+        if !self.is_ready.replace(true) {
+            log::info!("ready");
+        }
+    }
+
+    /// Whether SIGTERM has come.
+    pub(super) fn is_draining(&self) -> bool {
+        self.is_draining.get()
+    }
+
+    /// Counts a request that is being answered, for as long as the returned value lives.
+    pub(super) fn enter(node: &Rc<Node>) -> Entered {
+        node.phase.open.set(node.phase.open.get() + 1);
+        Entered { node: node.clone() }
+    }
+}
+
+/// A request that is being answered.
+pub(super) struct Entered {
+    node: Rc<Node>,
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        let open = &self.node.phase.open;
+        open.set(open.get() - 1);
+    }
+}
+
+/// Answers the platform's question.
+pub(super) async fn readiness(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+    if request.uri().path() != "/api/readyz" {
+        return text(StatusCode::NOT_FOUND, "");
+    }
+    let is_ready = node.phase.is_ready.get() && !node.phase.is_draining.get();
+    text(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
+}
+
+/// Takes up clients' connections until the drain closes the door.
+pub(super) async fn accept(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = node.phase.closing.notified() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                socket::prepare(&stream);
+                tokio::task::spawn_local(serve(node.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("accepting clients: {error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+    drop(listener);
+    std::future::pending::<()>().await;
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream) {
+    let serving = node.clone();
+    let service = service_fn(move |request| {
+        let node = serving.clone();
+        async move { Ok::<_, Infallible>(forward::answer(node, request).await) }
+    });
+    let most = node.configuration.borrow().as_ref().map_or(0, |held| held.limits.max_header_bytes);
+    let connection = hyper::server::conn::http1::Builder::new()
+        .title_case_headers(true)
+        .max_buf_size(most.max(64 * 1024))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = closing(&node) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("client connection: {error}");
+    }
+}
+
+async fn closing(node: &Node) {
+    loop {
+        let notified = node.phase.closing.notified();
+        if node.phase.is_closing.get() {
+            return;
+        }
+        notified.await;
+    }
+}
+
+/// Waits for SIGTERM; then refuses readiness, goes on for as long as clients are still sent here, and ends once all
+/// that was read is answered, or shortly before the kill.
+pub(super) async fn drain(node: Rc<Node>) {
+    signals::terminated().await;
+    log::info!("SIGTERM: draining");
+    node.phase.is_draining.set(true);
+    let grace = node.settings.borrow().grace();
+    let end = tokio::time::Instant::now() + grace.saturating_sub(BEFORE_KILL);
+    tokio::time::sleep(STILL_OFFERED.min(grace / 2)).await;
+    node.phase.is_closing.set(true);
+    node.phase.closing.notify_waiters();
+    while node.phase.open.get() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+    // The last answers' bytes leave, and what waits on storage is written.
+    tokio::time::sleep(DRAIN_LOOK * 2).await;
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/quorum.rs
@@ -0,0 +1,136 @@
+//! Questions to a quorum of the storage machines that hold a key.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use super::Node;
+use crate::program::{Group, groups};
+use crate::wire::{Request, Response};
+
+/// How long one storage machine has to answer; one that returns within it may still be counted.
+const CALL_PATIENCE: Duration = Duration::from_millis(900);
+/// Pause before a machine that failed is asked again.
+const AGAIN_AFTER: Duration = Duration::from_millis(120);
+
+/// Answers that are still to come from the members of a key's groups.
+pub(super) struct Answers {
+    groups: Vec<Group>,
+    receiver: mpsc::UnboundedReceiver<(Ipv4Addr, Response)>,
+    good: HashMap<Ipv4Addr, Response>,
+}
+
+/// How a question to a quorum ended.
+pub(super) enum Reached {
+    /// A quorum of each group has answered well.
+    Quorum(Vec<Response>),
+    /// A machine goes by a newer plan.
+    Stale,
+    /// Too few answered in time.
+    TooFew,
+}
+
+impl Node {
+    /// Asks all members of a key's groups; those that fail are asked again until `patience` is over.
+    pub(super) fn ask(self: &Rc<Node>, key: &str, request: Request, patience: Duration) -> Answers {
+        let groups = groups(&self.plan.borrow(), key, self.tolerated());
+        let mut members: Vec<Ipv4Addr> = groups.iter().flat_map(|group| group.members.clone()).collect();
+        members.sort_unstable();
+        members.dedup();
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let until = tokio::time::Instant::now() + patience;
+        let request = Rc::new(request);
+        for member in members {
+            let (node, request, sender) = (self.clone(), request.clone(), sender.clone());
+            tokio::task::spawn_local(async move { node.ask_member(member, &request, sender, until).await });
+        }
+        Answers { groups, receiver, good: HashMap::new() }
+    }
+
+    async fn ask_member(
+        &self,
+        member: Ipv4Addr,
+        request: &Request,
+        sender: mpsc::UnboundedSender<(Ipv4Addr, Response)>,
+        until: tokio::time::Instant,
+    ) {
+        let to = std::net::SocketAddrV4::new(member, self.settings.borrow().peer_port());
+        while tokio::time::Instant::now() < until {
+            match self.client.call(to, request, CALL_PATIENCE).await {
+                Ok(Response::Refused) | Err(_) => tokio::time::sleep(AGAIN_AFTER).await,
+                Ok(response) => {
+                    // Whoever asked may have enough answers.
+                    sender.send((member, response)).ok();
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Writes to a quorum of a key's groups, by the newest plan; `request` makes the request for a plan's epoch.
+    pub(super) async fn write_quorum(
+        self: &Rc<Node>,
+        key: &str,
+        request: impl Fn(u64) -> Request,
+        patience: Duration,
+    ) -> Option<Vec<Response>> {
+        let until = tokio::time::Instant::now() + patience;
+        loop {
+            let changed = self.plan_changed.notified();
+            let epoch = self.plan.borrow().epoch;
+            let left = until.saturating_duration_since(tokio::time::Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            let reached = if epoch == 0 {
+                Reached::Stale
+            } else {
+                tokio::time::timeout_at(until, self.ask(key, request(epoch), left).quorum())
+                    .await
+                    .unwrap_or(Reached::TooFew)
+            };
+            match reached {
+                Reached::Quorum(responses) => return Some(responses),
+                // The newer plan is on its way.
+                Reached::Stale if self.plan.borrow().epoch == epoch => {
+                    tokio::time::timeout_at(until, changed).await.ok()?;
+                }
+                Reached::Stale => {}
+                Reached::TooFew => return None,
+            }
+        }
+    }
+}
+
+impl Answers {
+    /// The next answer.
+    pub(super) async fn next(&mut self) -> Option<(Ipv4Addr, Response)> {
+        self.receiver.recv().await
+    }
+
+    /// Counts an answer towards the quorums; true once each group has one.
+    pub(super) fn count(&mut self, member: Ipv4Addr, response: Response) -> bool {
+        self.good.insert(member, response);
+        let is_reached = |group: &Group| {
+            let answered = group.members.iter().filter(|member| self.good.contains_key(member)).count();
+            answered >= group.quorum.max(1)
+        };
+        self.groups.iter().all(is_reached)
+    }
+
+    /// Waits until a quorum of each group has answered.
+    pub(super) async fn quorum(mut self) -> Reached {
+        while let Some((member, response)) = self.next().await {
+            if matches!(response, Response::Stale(_)) {
+                return Reached::Stale;
+            }
+            if self.count(member, response) {
+                return Reached::Quorum(self.good.into_values().collect());
+            }
+        }
+        Reached::TooFew
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -0,0 +1,182 @@
+//! A stream of events on its way to the client: passed on event by event, resumed elsewhere where the route allows it,
+//! and ended only once its turn is kept.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+
+use super::Node;
+use super::answer::{AnswerBody, BrokenOff, ClientAnswer};
+use super::attempt::Stream;
+use super::conversation::{Chain, Claim};
+use super::forward::{Sending, copy_head};
+use super::lifetime::Entered;
+use crate::clock::Instant;
+use crate::sse::{Event, Splitter};
+
+/// Pieces that may wait for a client that does not read.
+const PIECES_MAX: usize = 32;
+/// A stream that may be taken up elsewhere is, after a silence of this many times the longest pause in time.
+const SILENCE_FACTOR: u32 = 2;
+
+/// A stream that is passed on.
+pub(super) struct Relay {
+    node: Rc<Node>,
+    sending: Sending,
+    stream: Stream,
+    claim: Option<Claim>,
+    chain: Chain,
+    began: Instant,
+    _entered: Entered,
+}
+
+/// How the endpoint's part of a stream ended.
+enum End {
+    /// Whole.
+    Whole,
+    /// Before its end; it may go on elsewhere.
+    Broken,
+    /// The client is gone.
+    Abandoned,
+    /// Its time is over.
+    TimedOut,
+}
+
+/// What has been passed on.
+#[derive(Default)]
+struct Passed {
+    last_event: Option<String>,
+    output: Vec<u8>,
+}
+
+impl Relay {
+    /// A stream whose head and first bytes are there.
+    pub(super) fn new(
+        node: Rc<Node>,
+        sending: Sending,
+        stream: Stream,
+        claim: Option<Claim>,
+        chain: Chain,
+        entered: Entered,
+    ) -> Relay {
+        let began = node.clock.now();
+        Relay { node, sending, stream, claim, chain, began, _entered: entered }
+    }
+
+    async fn run(mut self, pieces: mpsc::Sender<Result<Bytes, BrokenOff>>) {
+        let mut passed = Passed { last_event: self.sending.call.last_event.clone(), ..Passed::default() };
+        loop {
+            match self.pass_on(&pieces, &mut passed).await {
+                End::Whole => break,
+                End::Abandoned => return,
+                End::Broken if self.sending.call.route.resumable => {
+                    let last_event = passed.last_event.clone();
+                    let resumed = tokio::select! {
+                        resumed = self.sending.resume(last_event.as_deref()) => resumed,
+                        () = pieces.closed() => return,
+                    };
+                    match resumed {
+                        Some(stream) => self.stream = stream,
+                        None => return break_off(&pieces).await,
+                    }
+                }
+                End::Broken | End::TimedOut => return break_off(&pieces).await,
+            }
+        }
+        self.sending.finish(self.began, false);
+        if let Some(checkout) = self.stream.checkout.take() {
+            self.node.give_back(checkout);
+        }
+        if let Some(claim) = &self.claim {
+            claim.settle();
+        }
+        if self.sending.call.route.retained {
+            let is_kept = self.node.keep(&self.sending.call, &self.chain, passed.output).await;
+            if !is_kept {
+                break_off(&pieces).await;
+            }
+        }
+    }
+
+    /// Passes events on until the endpoint's part ends.
+    async fn pass_on(&mut self, pieces: &mpsc::Sender<Result<Bytes, BrokenOff>>, passed: &mut Passed) -> End {
+        let mut splitter = Splitter::default();
+        let mut next = std::mem::take(&mut self.stream.first);
+        loop {
+            let events = splitter.push(&next);
+            if splitter.is_overfull() {
+                return End::Broken;
+            }
+            if !self.pass_events(events, pieces, passed).await {
+                return End::Abandoned;
+            }
+            let left = self.sending.call.deadline.since(self.node.clock.now());
+            let patience = self.silence().min(left);
+            let frame = tokio::select! {
+                frame = tokio::time::timeout(patience, self.stream.body.frame()) => frame,
+                () = pieces.closed() => return End::Abandoned,
+            };
+            next = match frame {
+                Err(_) if left <= patience => return End::TimedOut,
+                Err(_) => return End::Broken,
+                Ok(None) if self.stream.is_framed && splitter.is_empty() => return End::Whole,
+                Ok(None) | Ok(Some(Err(_))) => return End::Broken,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+        }
+    }
+
+    fn silence(&self) -> Duration {
+        let route = &self.sending.call.route;
+        if route.resumable && route.gap_aim_ms > 0 {
+            Duration::from_millis(route.gap_aim_ms) * SILENCE_FACTOR
+        } else {
+            Duration::MAX
+        }
+    }
+
+    async fn pass_events(
+        &self,
+        events: Vec<Event>,
+        pieces: &mpsc::Sender<Result<Bytes, BrokenOff>>,
+        passed: &mut Passed,
+    ) -> bool {
+        if events.is_empty() {
+            return true;
+        }
+        let mut bytes = Vec::with_capacity(events.iter().map(|event| event.bytes.len()).sum());
+        for event in events {
+            bytes.extend_from_slice(&event.bytes);
+            if let Some(data) = &event.data {
+                if let Some(claim) = &self.claim {
+                    claim.deliver(self.sending.call.tokens_an_event());
+                }
+                if self.sending.call.route.retained {
+                    passed.output.extend_from_slice(data);
+                    passed.output.push(b'\n');
+                }
+            }
+            if event.id.is_some() {
+                passed.last_event = event.id;
+            }
+        }
+        pieces.send(Ok(bytes.into())).await.is_ok()
+    }
+}
+
+async fn break_off(pieces: &mpsc::Sender<Result<Bytes, BrokenOff>>) {
+    // The client may be gone.
+    pieces.send(Err(BrokenOff)).await.ok();
+}
+
+/// The answer to the client, whose body is fed by a task of its own.
+pub(super) fn begin(relay: Relay) -> ClientAnswer {
+    let (pieces, receiver) = mpsc::channel(PIECES_MAX);
+    let mut answer = hyper::Response::new(AnswerBody::Stream(receiver));
+    copy_head(&relay.stream.head, &mut answer);
+    tokio::task::spawn_local(relay.run(pieces));
+    answer
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/upstream.rs
@@ -0,0 +1,142 @@
+//! Connections to endpoints: kept at rest between calls, as long as the endpoint says, and used by one call at a time.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::HeaderMap;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::time::Instant;
+
+use crate::balance::EndpointKey;
+use crate::role::socket;
+
+/// A connection to an endpoint has to come up within this time; a full queue drops opening packets for seconds.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
+/// How long a connection rests where the endpoint does not say.
+const IDLE_DEFAULT: Duration = Duration::from_secs(4);
+/// A connection is given up this long before the endpoint would close it.
+const IDLE_MARGIN: Duration = Duration::from_millis(600);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+struct Idle {
+    sender: Sender,
+    expires: Instant,
+}
+
+/// Connections at rest, by endpoint.
+#[derive(Default)]
+pub(super) struct Pools {
+    idle: RefCell<HashMap<EndpointKey, Vec<Idle>>>,
+}
+
+/// Why a request has no answer.
+#[derive(Debug)]
+pub(super) enum SendError {
+    /// Not a byte of it was sent.
+    NotSent(String),
+    /// It may have run.
+    Unknown(String),
+}
+
+/// A connection that a call uses. Dropped before it is given back, it is closed.
+pub(super) struct Checkout {
+    key: EndpointKey,
+    sender: Sender,
+    rests: Duration,
+}
+
+impl Pools {
+    /// Sends a request and waits for the head of its answer.
+    pub(super) async fn send(
+        &self,
+        key: EndpointKey,
+        address: SocketAddrV4,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Checkout), SendError> {
+        let mut request = request;
+        while let Some(mut sender) = self.take(key) {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(checked_out(key, sender, response)),
+                Err(mut error) => match error.take_message() {
+                    // It was closed meanwhile; nothing was written to it.
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendError::Unknown(error.into_error().to_string())),
+                },
+            }
+        }
+        let mut sender = open(address).await.map_err(SendError::NotSent)?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(checked_out(key, sender, response)),
+            Err(mut error) => {
+                let was_sent = error.take_message().is_none();
+                let reason = error.into_error().to_string();
+                Err(if was_sent { SendError::Unknown(reason) } else { SendError::NotSent(reason) })
+            }
+        }
+    }
+
+    fn take(&self, key: EndpointKey) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&key)?;
+        let now = Instant::now();
+        connections.retain(|connection| connection.expires > now && !connection.sender.is_closed());
+        let index = connections.iter().rposition(|connection| connection.sender.is_ready())?;
+        Some(connections.remove(index).sender)
+    }
+
+    /// Takes a connection back whose answer was read to its end.
+    pub(super) fn give_back(&self, checkout: Checkout) {
+        if checkout.sender.is_closed() || checkout.rests.is_zero() {
+            return;
+        }
+        let expires = Instant::now() + checkout.rests;
+        let idle = Idle { sender: checkout.sender, expires };
+        self.idle.borrow_mut().entry(checkout.key).or_default().push(idle);
+    }
+
+    /// Closes the connections at rest of an endpoint that leaves.
+    pub(super) fn drop_idle(&self, key: EndpointKey) {
+        self.idle.borrow_mut().remove(&key);
+    }
+}
+
+fn checked_out(key: EndpointKey, sender: Sender, response: Response<Incoming>) -> (Response<Incoming>, Checkout) {
+    let rests = rest(response.headers());
+    (response, Checkout { key, sender, rests })
+}
+
+/// How long the connection may rest after this answer.
+fn rest(headers: &HeaderMap) -> Duration {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    if text("connection").is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+        return Duration::ZERO;
+    }
+    let told = text("keep-alive").and_then(|value| {
+        let part = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+        part.trim().parse().ok()
+    });
+    told.map_or(IDLE_DEFAULT, |seconds| Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
+}
+
+async fn open(address: SocketAddrV4) -> Result<Sender, String> {
+    let stream = socket::connect(address, CONNECT_PATIENCE).await.map_err(|error| error.to_string())?;
+    let (sender, connection) = Builder::new()
+        .title_case_headers(true)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| error.to_string())?;
+    tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to {address}: {error}");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/socket.rs
@@ -0,0 +1,49 @@
+//! Sockets as every role sets them up.
+
+use std::io;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections that wait to be taken up; a full queue drops opening packets, which come again after seconds.
+const BACKLOG: i32 = 1024;
+/// Bytes that nobody acknowledges for this long end a connection: a machine without power says nothing.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
+/// A connection at rest is probed after this time.
+const KEEPALIVE: Duration = Duration::from_secs(5);
+
+/// Listens at an address, also right after another process did.
+pub fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Connects within `patience`.
+pub async fn connect(address: SocketAddrV4, patience: Duration) -> io::Result<TcpStream> {
+    let stream = tokio::time::timeout(patience, TcpStream::connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    prepare(&stream);
+    Ok(stream)
+}
+
+/// Sets what every connection needs; where the platform lacks an option, its default stays.
+pub fn prepare(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("TCP_NODELAY: {error}");
+    }
+    let socket = SockRef::from(stream);
+    if let Err(error) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)) {
+        log::debug!("TCP_USER_TIMEOUT: {error}");
+    }
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(Duration::from_secs(1)).with_retries(2);
+    if let Err(error) = socket.set_tcp_keepalive(&keepalive) {
+        log::debug!("SO_KEEPALIVE: {error}");
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/storage/answers.rs
@@ -0,0 +1,117 @@
+//! What proxies and other storage machines ask a storage machine.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Node;
+use crate::program::{Entry, Record};
+use crate::role::rpc::Answer;
+use crate::wire::{Request, Response};
+
+/// Keys in one answer to a question for changes.
+const KEYS_AN_ANSWER: usize = 2048;
+/// Bytes of records in one answer; at least one record is always sent.
+const RECORD_BYTES_AN_ANSWER: usize = 4 * 1024 * 1024;
+/// The longest that an answer waits for changes.
+const WAIT_MAX: Duration = Duration::from_secs(5);
+
+impl Node {
+    /// Answers one request of another machine.
+    pub(super) fn answer(self: Rc<Node>, request: Request) -> Answer {
+        match request {
+            Request::Reserve { epoch, program, entry } => {
+                Box::pin(async move { self.reserve(epoch, program, entry).await })
+            }
+            Request::Write { epoch, records } => Box::pin(async move {
+                match self.stale(epoch) {
+                    Some(stale) => stale,
+                    None if self.write(records).await => Response::Done,
+                    None => Response::Refused,
+                }
+            }),
+            Request::GetTurns { epoch, ids } => {
+                let store = self.store.borrow();
+                let turns = ids.iter().map(|id| store.turn(id).cloned()).collect();
+                // By an older plan the turn may be looked for where it was never written.
+                let is_sure = self.is_whole.get() && epoch >= self.plan.borrow().epoch;
+                Box::pin(std::future::ready(Response::Turns { turns, is_sure }))
+            }
+            Request::Changes { origin, counter, wait_ms } => {
+                let wait = Duration::from_millis(wait_ms).min(WAIT_MAX);
+                Box::pin(async move { self.changes(origin, counter, wait).await })
+            }
+            Request::Fetch(keys) => {
+                let store = self.store.borrow();
+                let mut bytes = 0;
+                let records = keys.iter().filter_map(|key| store.record(key));
+                let records: Vec<Record> = records
+                    .take_while(|record| {
+                        let fits = bytes < RECORD_BYTES_AN_ANSWER;
+                        if let Record::Turn(turn) = record {
+                            bytes += turn.input.len() + turn.output.len();
+                        }
+                        fits
+                    })
+                    .collect();
+                Box::pin(std::future::ready(Response::Records(records)))
+            }
+            Request::Status => Box::pin(std::future::ready(Response::Status(self.status()))),
+            _ => Box::pin(std::future::ready(Response::Refused)),
+        }
+    }
+
+    /// A sender with an older plan might write where nobody will look: it has to learn the newer plan first.
+    fn stale(&self, epoch: u64) -> Option<Response> {
+        let own = self.plan.borrow().epoch;
+        (epoch < own).then_some(Response::Stale(own))
+    }
+
+    async fn reserve(&self, epoch: u64, program: String, entry: Entry) -> Response {
+        if let Some(stale) = self.stale(epoch) {
+            return stale;
+        }
+        if !self.is_whole.get() {
+            return Response::Refused;
+        }
+        let record = Record::Entry { program: program.clone(), entry };
+        if !self.write(vec![record]).await {
+            return Response::Refused;
+        }
+        Response::Reserved(self.store.borrow().claims(&program))
+    }
+
+    async fn changes(&self, origin: u64, counter: u64, wait: Duration) -> Response {
+        let after = if origin == self.origin { counter } else { 0 };
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if self.store.borrow().counter() > after || origin != self.origin {
+                break;
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                break;
+            }
+        }
+        let store = self.store.borrow();
+        let (keys, last) = store.changed_since(after, KEYS_AN_ANSWER);
+        let is_last = keys.len() < KEYS_AN_ANSWER;
+        Response::Changes {
+            origin: self.origin,
+            counter: if is_last { store.counter() } else { last },
+            is_last,
+            epoch: self.plan.borrow().epoch,
+            is_whole: self.is_whole.get(),
+            keys,
+        }
+    }
+
+    fn status(&self) -> Vec<String> {
+        let (turns, programs) = self.store.borrow().sizes();
+        vec![
+            format!("node {}", self.settings.borrow().node_name),
+            format!("turns {turns} programs {programs} bytes {}", self.store.borrow().turn_bytes()),
+            format!("whole {} epoch {} synced {}", self.is_whole.get(), self.plan.borrow().epoch, self.synced_epoch.get()),
+            format!("log bytes {}", self.journal.total_bytes()),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/subscription.rs
@@ -0,0 +1,220 @@
+//! News from the controllers: one long poll to each, the state itself from one of them.
+//!
+//! A relay asks all controllers, for one that is cut off may not know the newest state. Only the controller that first
+//! tells of a newer state is asked for it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use super::rpc::Client;
+use crate::registry::Instance;
+use crate::settings::Settings;
+use crate::wire::{Published, Pull, Pulled, Request, Response};
+
+/// Time beyond the wait that a controller has to answer.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// Pause after a poll that failed.
+const PAUSE: Duration = Duration::from_millis(150);
+/// How often the set of controllers is looked at.
+const REVIEW: Duration = Duration::from_millis(100);
+/// Whoever has heard no majority by then goes on with what it has: control is away for everyone.
+const ALONE_AFTER: Duration = Duration::from_secs(5);
+
+/// News, in the order in which it came.
+#[derive(Debug, Clone)]
+pub enum News {
+    /// A newer control state.
+    State(Published),
+    /// Endpoints that changed.
+    Endpoints(Vec<Instance>),
+    /// A majority of the controllers has been heard, and everything that they told is here.
+    Fresh,
+}
+
+/// What the subscriber wants and tells.
+pub struct Wishes {
+    /// Whether it wants endpoints.
+    pub endpoints: bool,
+    /// How long a poll may wait for news.
+    pub wait: Duration,
+    /// The storage epoch for which it holds all that is its own; 0 elsewhere.
+    pub synced_epoch: Rc<Cell<u64>>,
+}
+
+struct Subscription {
+    settings: Rc<RefCell<Settings>>,
+    client: Client,
+    wishes: Wishes,
+    news: mpsc::UnboundedSender<News>,
+    state: RefCell<State>,
+}
+
+#[derive(Default)]
+struct State {
+    sequence: u64,
+    revision: u64,
+    view: u64,
+    electors: Vec<Ipv4Addr>,
+    heard: HashSet<Ipv4Addr>,
+    told: u64,
+    polled: HashSet<Ipv4Addr>,
+    registries: HashMap<Ipv4Addr, (u64, u64)>,
+    is_fresh: bool,
+}
+
+/// Begins to follow the controllers.
+pub fn follow(
+    settings: Rc<RefCell<Settings>>,
+    client: Client,
+    wishes: Wishes,
+) -> mpsc::UnboundedReceiver<News> {
+    let (news, receiver) = mpsc::unbounded_channel();
+    let state = RefCell::default();
+    let subscription = Rc::new(Subscription { settings, client, wishes, news, state });
+    tokio::task::spawn_local(subscription.review());
+    receiver
+}
+
+impl Subscription {
+    async fn review(self: Rc<Subscription>) {
+        let started = tokio::time::Instant::now();
+        loop {
+            for controller in self.controllers() {
+                let is_new = self.state.borrow_mut().polled.insert(controller);
+                if is_new {
+                    tokio::task::spawn_local(self.clone().poll(controller));
+                }
+            }
+            if started.elapsed() >= ALONE_AFTER {
+                self.declare_fresh();
+            }
+            tokio::time::sleep(REVIEW).await;
+        }
+    }
+
+    fn controllers(&self) -> Vec<Ipv4Addr> {
+        let state = self.state.borrow();
+        let mut controllers = state.electors.clone();
+        // Seeds lag; they are asked as long as they are all that is known, or while too few answer.
+        if !self.hears_majority(&state) {
+            controllers.extend(self.settings.borrow().seed_addresses());
+        }
+        controllers.sort_unstable();
+        controllers.dedup();
+        controllers
+    }
+
+    async fn poll(self: Rc<Subscription>, controller: Ipv4Addr) {
+        while self.controllers().contains(&controller) {
+            let to = SocketAddrV4::new(controller, self.settings.borrow().peer_port());
+            let pull = self.question(controller, false);
+            let patience = Duration::from_millis(pull.wait_ms) + PATIENCE;
+            match self.client.call(to, &Request::Pull(pull), patience).await {
+                Ok(Response::Pulled(pulled)) => self.take(controller, to, pulled).await,
+                Ok(_) | Err(_) => {
+                    self.state.borrow_mut().heard.remove(&controller);
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+        let mut state = self.state.borrow_mut();
+        state.polled.remove(&controller);
+        state.heard.remove(&controller);
+    }
+
+    fn question(&self, controller: Ipv4Addr, wants_state: bool) -> Pull {
+        let settings = self.settings.borrow();
+        let state = self.state.borrow();
+        let (origin, counter) = state.registries.get(&controller).copied().unwrap_or_default();
+        let is_heard = state.heard.contains(&controller);
+        Pull {
+            ip: settings.ip.octets(),
+            name: settings.node_name.clone(),
+            sequence: if wants_state { state.sequence } else { state.sequence.max(state.told) },
+            revision: state.revision,
+            wants_state,
+            wants_endpoints: self.wishes.endpoints,
+            origin,
+            counter,
+            wait_ms: if wants_state || !is_heard { 0 } else { self.wishes.wait.as_millis() as u64 },
+            synced_epoch: self.wishes.synced_epoch.get(),
+        }
+    }
+
+    async fn take(&self, controller: Ipv4Addr, to: SocketAddrV4, mut pulled: Pulled) {
+        let is_wanted = {
+            let mut state = self.state.borrow_mut();
+            let is_wanted = pulled.sequence > state.sequence.max(state.told);
+            state.told = state.told.max(pulled.sequence);
+            is_wanted
+        };
+        if is_wanted {
+            let question = self.question(controller, true);
+            match self.client.call(to, &Request::Pull(question), PATIENCE * 2).await {
+                Ok(Response::Pulled(full)) => pulled = full,
+                _ => self.forget_told(),
+            }
+        }
+        self.absorb(controller, pulled);
+    }
+
+    /// The state that was told of did not come: whoever tells of it next is asked.
+    fn forget_told(&self) {
+        let mut state = self.state.borrow_mut();
+        state.told = state.sequence;
+    }
+
+    fn absorb(&self, controller: Ipv4Addr, pulled: Pulled) {
+        let mut state = self.state.borrow_mut();
+        if pulled.view > state.view {
+            state.view = pulled.view;
+            state.electors = pulled.electors.iter().map(|ip| Ipv4Addr::from(*ip)).collect();
+        }
+        if pulled.is_settled && pulled.view > 0 {
+            state.heard.insert(controller);
+        }
+        if !pulled.endpoints.is_empty() {
+            self.tell(News::Endpoints(pulled.endpoints));
+        }
+        if self.wishes.endpoints {
+            state.registries.insert(controller, (pulled.origin, pulled.counter));
+        }
+        if let Some(published) = pulled.state.filter(|published| published.sequence > state.sequence) {
+            state.sequence = published.sequence;
+            if let Some(configuration) = &published.configuration {
+                state.revision = configuration.revision;
+            }
+            self.tell(News::State(published));
+        }
+        let is_complete = self.hears_majority(&state) && state.sequence >= state.told;
+        drop(state);
+        if is_complete {
+            self.declare_fresh();
+        }
+    }
+
+    fn hears_majority(&self, state: &State) -> bool {
+        let heard = state.electors.iter().filter(|elector| state.heard.contains(elector)).count();
+        !state.electors.is_empty() && heard > state.electors.len() / 2
+    }
+
+    fn declare_fresh(&self) {
+        let mut state = self.state.borrow_mut();
+        if !state.is_fresh {
+            state.is_fresh = true;
+            drop(state);
+            self.tell(News::Fresh);
+        }
+    }
+
+    fn tell(&self, news: News) {
+        if self.news.send(news).is_err() {
+            log::error!("nobody takes news any more");
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/sse.rs
@@ -0,0 +1,86 @@
+//! Splits a stream's bytes into events (`text/event-stream`). Pure.
+
+/// One event as it came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// All its bytes, with the empty line that ends it.
+    pub bytes: Vec<u8>,
+    /// Its id, if it has one.
+    pub id: Option<String>,
+    /// Its data; several lines are joined by line feeds.
+    pub data: Option<Vec<u8>>,
+}
+
+/// Most bytes of one event; a stream with a longer one is broken.
+const EVENT_MAX: usize = 1024 * 1024;
+
+/// Bytes that have come and are no whole event yet.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    rest: Vec<u8>,
+}
+
+impl Splitter {
+    /// Takes bytes in and returns the events that are whole.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<Event> {
+        self.rest.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        let mut start = 0;
+        while let Some(length) = event_length(&self.rest[start..]) {
+            events.push(parse(&self.rest[start..start + length]));
+            start += length;
+        }
+        self.rest.drain(..start);
+        events
+    }
+
+    /// Whether no event has been begun.
+    pub fn is_empty(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    /// Whether the event that has been begun is longer than any may be.
+    pub fn is_overfull(&self) -> bool {
+        self.rest.len() > EVENT_MAX
+    }
+}
+
+/// The length of the first event with the empty line behind it.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_start..index];
+        if index > 0 && (line.is_empty() || line == b"\r") {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
+
+fn parse(bytes: &[u8]) -> Event {
+    let mut id = None;
+    let mut data: Option<Vec<u8>> = None;
+    for line in bytes.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let colon = line.iter().position(|byte| *byte == b':');
+        let Some(colon) = colon.filter(|colon| *colon > 0) else { continue };
+        let (name, value) = (&line[..colon], &line[colon + 1..]);
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        match name {
+            b"id" => id = Some(String::from_utf8_lossy(value).into_owned()),
+            b"data" => match &mut data {
+                Some(data) => {
+                    data.push(b'\n');
+                    data.extend_from_slice(value);
+                }
+                None => data = Some(value.to_vec()),
+            },
+            _ => {}
+        }
+    }
+    Event { bytes: bytes.to_vec(), id, data }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/storage_plan.rs
@@ -0,0 +1,172 @@
+//! Which storage machines there are, as agreed through the chain, and how the plan follows what happens to them.
+//!
+//! While a plan changes, quorums of both the old and the new members are needed; the change ends once all new members
+//! say that they hold what is theirs. Pure.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+
+/// A dead machine gives its place to a newcomer after this time.
+const REPLACE_AFTER: Duration = Duration::from_millis(500);
+/// A dead machine is dropped without a newcomer after this time, if enough are left.
+const DROP_AFTER: Duration = Duration::from_secs(20);
+/// A dead machine no longer holds up the end of a change after this time.
+const SYNC_WAIT: Duration = Duration::from_millis(500);
+
+/// One storage machine.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+pub struct StorageNode {
+    /// Its name, as the operator calls it.
+    pub name: String,
+    /// Its address.
+    pub ip: [u8; 4],
+}
+
+impl StorageNode {
+    /// Its address.
+    pub fn address(&self) -> Ipv4Addr {
+        self.ip.into()
+    }
+}
+
+/// The agreed storage machines.
+#[derive(Debug, Clone, PartialEq, Eq, Default, BorshSerialize, BorshDeserialize)]
+pub struct StoragePlan {
+    /// Rises by one with each plan; 0 before the first.
+    pub epoch: u64,
+    /// The members.
+    pub current: Vec<StorageNode>,
+    /// The members before a change that is under way; empty otherwise.
+    pub previous: Vec<StorageNode>,
+    /// Names of machines that were retired and take no part again.
+    pub retired: Vec<String>,
+}
+
+/// What the one that plans knows of a storage machine.
+#[derive(Debug, Clone)]
+pub struct Observed {
+    /// The machine.
+    pub node: StorageNode,
+    /// How long it has been held dead; `None` while it is not.
+    pub dead_for: Option<Duration>,
+    /// The newest epoch for which it said that it holds what is its own.
+    pub synced: u64,
+}
+
+/// Why a machine can't be retired.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetireRefusal {
+    /// There is no such machine.
+    Unknown,
+    /// Too few would be left.
+    TooFew,
+}
+
+impl StoragePlan {
+    /// Members of the plan and of the one before, each once.
+    pub fn all(&self) -> Vec<StorageNode> {
+        let mut all = self.current.clone();
+        all.extend(self.previous.iter().filter(|node| !self.current.contains(node)).cloned());
+        all
+    }
+
+    /// Whether a change is under way.
+    pub fn is_changing(&self) -> bool {
+        !self.previous.is_empty()
+    }
+
+    /// The plan without one machine; `None` if it was retired before.
+    pub fn retire(&self, name: &str, tolerated: usize) -> Result<Option<StoragePlan>, RetireRefusal> {
+        if self.retired.iter().any(|retired| retired == name) {
+            return Ok(None);
+        }
+        if !self.current.iter().any(|node| node.name == name) {
+            return Err(RetireRefusal::Unknown);
+        }
+        if self.current.len() <= 2 * tolerated + 1 {
+            return Err(RetireRefusal::TooFew);
+        }
+        let current = self.current.iter().filter(|node| node.name != name).cloned().collect();
+        let mut next = self.with_current(current);
+        next.retired.push(name.to_owned());
+        Ok(Some(next))
+    }
+
+    /// Whether a retired machine may be taken away; `None` if it was never retired.
+    pub fn retirement(&self, name: &str) -> Option<bool> {
+        self.retired.iter().any(|retired| retired == name).then_some(!self.is_changing())
+    }
+
+    fn with_current(&self, current: Vec<StorageNode>) -> StoragePlan {
+        let previous = if self.is_changing() { self.previous.clone() } else { self.current.clone() };
+        let previous = if previous == current { Vec::new() } else { previous };
+        StoragePlan { epoch: self.epoch + 1, current, previous, retired: self.retired.clone() }
+    }
+
+    /// The plan that should follow, given what is seen; `None` if this one is to stay.
+    pub fn next(&self, observed: &[Observed], tolerated: usize) -> Option<StoragePlan> {
+        if self.epoch == 0 {
+            return self.first(observed, tolerated);
+        }
+        let target = self.target(observed, tolerated);
+        if target != self.current {
+            return Some(self.with_current(target));
+        }
+        (self.is_changing() && self.is_synced(observed, tolerated)).then(|| StoragePlan {
+            epoch: self.epoch + 1,
+            previous: Vec::new(),
+            ..self.clone()
+        })
+    }
+
+    fn first(&self, observed: &[Observed], tolerated: usize) -> Option<StoragePlan> {
+        let mut current: Vec<StorageNode> =
+            observed.iter().filter(|seen| seen.dead_for.is_none()).map(|seen| seen.node.clone()).collect();
+        current.sort();
+        (current.len() > 2 * tolerated).then(|| StoragePlan {
+            epoch: 1,
+            current,
+            previous: Vec::new(),
+            retired: Vec::new(),
+        })
+    }
+
+    fn target(&self, observed: &[Observed], tolerated: usize) -> Vec<StorageNode> {
+        let newcomers: Vec<&StorageNode> = observed
+            .iter()
+            .filter(|seen| seen.dead_for.is_none())
+            .map(|seen| &seen.node)
+            .filter(|node| !self.current.contains(node) && !self.retired.contains(&node.name))
+            .collect();
+        let patience = if newcomers.is_empty() { DROP_AFTER } else { REPLACE_AFTER };
+        let mut target: Vec<StorageNode> = self.current.clone();
+        target.extend(newcomers.into_iter().cloned());
+        let fewest = 2 * tolerated + 1;
+        for seen in observed.iter().filter(|seen| seen.dead_for.is_some_and(|time| time >= patience)) {
+            // One that no change has filled yet may always be taken out again.
+            if target.len() > fewest || (self.is_changing() && !self.previous.contains(&seen.node)) {
+                target.retain(|node| *node != seen.node);
+            }
+        }
+        target.sort();
+        target
+    }
+
+    fn is_synced(&self, observed: &[Observed], tolerated: usize) -> bool {
+        let mut missing = 0;
+        for node in &self.current {
+            let seen = observed.iter().find(|seen| seen.node == *node);
+            if seen.is_some_and(|seen| seen.synced >= self.epoch) {
+                continue;
+            }
+            let is_dead = seen.is_none_or(|seen| seen.dead_for.is_some_and(|time| time >= SYNC_WAIT));
+            if !is_dead {
+                return false;
+            }
+            missing += 1;
+        }
+        missing <= tolerated
+    }
+}
