--- a/crates/onyxstile-system/src/role/proxy/conversation.rs
+++ b/crates/onyxstile-system/src/role/proxy/conversation.rs
@@ -154,6 +154,9 @@
                 break;
             }
         }
+        if is_absent {
+            log::debug!("turn {id} is known nowhere");
+        }
         Err(if is_absent { NoTurn::NoPrevious } else { NoTurn::Unsure })
     }
 
