Drop a dead storage machine at once when its successor is there

The plan remembers how many members it is meant to have and drops a dead one beyond them after 0.5 s.

--- a/crates/onyxstile-system/src/storage_plan.rs
+++ b/crates/onyxstile-system/src/storage_plan.rs
@@ -42,6 +42,8 @@
     pub previous: Vec<StorageNode>,
     /// Names of machines that were retired and take no part again.
     pub retired: Vec<String>,
+    /// How many members the deployment is meant to have.
+    pub size: u32,
 }
 
 /// What the one that plans knows of a storage machine.
@@ -91,6 +93,7 @@
         let current = self.current.iter().filter(|node| node.name != name).cloned().collect();
         let mut next = self.with_current(current);
         next.retired.push(name.to_owned());
+        next.size = next.size.saturating_sub(1);
         Ok(Some(next))
     }
 
@@ -102,7 +105,7 @@
     fn with_current(&self, current: Vec<StorageNode>) -> StoragePlan {
         let previous = if self.is_changing() { self.previous.clone() } else { self.current.clone() };
         let previous = if previous == current { Vec::new() } else { previous };
-        StoragePlan { epoch: self.epoch + 1, current, previous, retired: self.retired.clone() }
+        StoragePlan { epoch: self.epoch + 1, current, previous, ..self.clone() }
     }
 
     /// The plan that should follow, given what is seen; `None` if this one is to stay.
@@ -127,9 +130,9 @@
         current.sort();
         (current.len() > 2 * tolerated).then(|| StoragePlan {
             epoch: 1,
+            size: current.len() as u32,
             current,
-            previous: Vec::new(),
-            retired: Vec::new(),
+            ..StoragePlan::default()
         })
     }
 
@@ -140,13 +143,17 @@
             .map(|seen| &seen.node)
             .filter(|node| !self.current.contains(node) && !self.retired.contains(&node.name))
             .collect();
-        let patience = if newcomers.is_empty() { DROP_AFTER } else { REPLACE_AFTER };
         let mut target: Vec<StorageNode> = self.current.clone();
         target.extend(newcomers.into_iter().cloned());
         let fewest = 2 * tolerated + 1;
-        for seen in observed.iter().filter(|seen| seen.dead_for.is_some_and(|time| time >= patience)) {
+        for seen in observed.iter() {
+            let Some(dead_for) = seen.dead_for else { continue };
+            // Where a successor is there, the loss of the dead one soon counts no more, and another may follow.
+            let has_successor = target.len() > self.size as usize;
+            let patience = if has_successor { REPLACE_AFTER } else { DROP_AFTER };
             // One that no change has filled yet may always be taken out again.
-            if target.len() > fewest || (self.is_changing() && !self.previous.contains(&seen.node)) {
+            let is_unfilled = self.is_changing() && !self.previous.contains(&seen.node);
+            if dead_for >= patience && (target.len() > fewest || is_unfilled) {
                 target.retain(|node| *node != seen.node);
             }
         }
