Spread the first parts of prompts over homes in proportion to their traffic

A first part's homes are now four times its share of the endpoints; tools are compared in samples of three, so that relays with the same knowledge don't choose the same one.

--- a/crates/onyxstile-system/src/balance.rs
+++ b/crates/onyxstile-system/src/balance.rs
@@ -5,8 +5,10 @@
 //! leaves; an incarnation that leaves is never chosen again.
 
 mod endpoint;
+mod shares;
 
 pub use endpoint::{Endpoint, Load};
+use shares::Shares;
 
 use std::collections::HashMap;
 
@@ -31,10 +33,11 @@
 const OTHER_ZONE_MS: f64 = 3.0;
 /// The cost of an endpoint that has missed its heartbeats, in ms; it may still serve.
 const SILENT_MS: f64 = 200.0;
-/// Endpoints that share the first part of a prompt before it is held anywhere.
-const PREFIX_HOMES: usize = 2;
-/// The advantage of such a home, in ms.
+/// The advantage of an endpoint that others send the same first part to, in ms.
 const HOME_MS: f64 = 12.0;
+/// Endpoints without a prompt's cost are compared in samples of this size: relays that all know the same of all
+/// endpoints would all choose the same one.
+const SAMPLE: usize = 3;
 
 /// What a call needs.
 #[derive(Debug, Clone, Default)]
@@ -55,6 +58,7 @@
     slots: SlotMap<EndpointKey, Endpoint>,
     by_id: HashMap<String, EndpointKey>,
     by_service: HashMap<String, Vec<EndpointKey>>,
+    shares: Shares,
     zone: String,
 }
 
@@ -90,6 +94,13 @@
         self.slots.get_mut(key)
     }
 
+    /// A prompt is about to be sent for the first time.
+    pub fn note_prompt(&mut self, parts: &[Part]) {
+        if let Some(first) = parts.first() {
+            self.shares.note(first.chain);
+        }
+    }
+
     /// How many endpoints of a service may be called.
     pub fn usable(&self, service: &str) -> usize {
         self.keys(service).iter().filter(|key| self.slots[**key].may_be_called()).count()
@@ -107,7 +118,9 @@
         let pool = if healthy.is_empty() { &candidates } else { &healthy };
         let homes = self.homes(pool, need.parts);
         let offset = (roll * pool.len() as f64) as usize;
-        let rotated = (0..pool.len()).map(|index| pool[(index + offset) % pool.len()]);
+        let compared = if need.parts.is_empty() { SAMPLE.min(pool.len()) } else { pool.len() };
+        let stride = stride(pool.len(), roll);
+        let rotated = (0..compared).map(|index| pool[(offset + index * stride) % pool.len()]);
         let mut best: Option<(f64, EndpointKey)> = None;
         for key in rotated {
             let bonus = if homes.contains(&key) { HOME_MS } else { 0.0 };
@@ -133,7 +146,7 @@
         };
         let mut ranked: Vec<EndpointKey> = pool.to_vec();
         ranked.sort_by_key(|key| std::cmp::Reverse(weight(key)));
-        ranked.truncate(PREFIX_HOMES);
+        ranked.truncate(self.shares.homes(first.chain, pool.len()));
         ranked
     }
 
@@ -156,3 +169,13 @@
         base + missing as f64 / READ_TOKENS_PER_MS + load * CROWDING_MS + queued * QUEUEING_MS
     }
 }
+
+/// A step through `length` places that meets each of them once, different from call to call.
+fn stride(length: usize, roll: f64) -> usize {
+    let wanted = 1 + (roll * 1e6) as usize % length.max(1);
+    (wanted..wanted + length).find(|step| greatest_common_divisor(*step, length) == 1).unwrap_or(1)
+}
+
+fn greatest_common_divisor(left: usize, right: usize) -> usize {
+    if right == 0 { left } else { greatest_common_divisor(right, left % right) }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/balance/shares.rs
@@ -0,0 +1,51 @@
+//! How large a part of the traffic begins with which first part of a prompt. Pure.
+
+use std::collections::HashMap;
+
+/// Prompts after which older ones count half.
+const HALF_LIFE: f64 = 256.0;
+/// First parts that are remembered; without a bound each session of a deployment without shared parts would stay.
+const REMEMBERED: usize = 1024;
+/// The homes of a first part take this many times its share of the endpoints, so that chance does not crowd them.
+const SPREAD: f64 = 4.0;
+/// The fewest homes.
+const HOMES_MIN: usize = 2;
+
+/// Decaying counts of first parts.
+#[derive(Debug, Default)]
+pub(super) struct Shares {
+    counts: HashMap<u64, f64>,
+    total: f64,
+    weight: f64,
+}
+
+impl Shares {
+    /// A prompt that begins with `part`.
+    pub(super) fn note(&mut self, part: u64) {
+        self.weight = if self.weight == 0.0 { 1.0 } else { self.weight * 2f64.powf(1.0 / HALF_LIFE) };
+        *self.counts.entry(part).or_default() += self.weight;
+        self.total += self.weight;
+        if self.weight > 1e12 || self.counts.len() > REMEMBERED {
+            self.rescale();
+        }
+    }
+
+    fn rescale(&mut self) {
+        let weight = self.weight;
+        let least = 0.05;
+        self.counts.values_mut().for_each(|count| *count /= weight);
+        self.counts.retain(|_, count| *count > least);
+        if self.counts.len() > REMEMBERED {
+            self.counts.clear();
+        }
+        self.total = self.counts.values().sum();
+        self.weight = 1.0;
+    }
+
+    /// How many of `endpoints` a first part is read at before it is held anywhere.
+    pub(super) fn homes(&self, part: u64, endpoints: usize) -> usize {
+        let share = self.counts.get(&part).copied().unwrap_or(0.0) / self.total.max(1.0);
+        let wanted = (share * SPREAD * endpoints as f64).ceil() as usize;
+        wanted.max(HOMES_MIN).min(endpoints)
+    }
+}
--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -60,6 +60,7 @@
     if node.endpoints.borrow().usable(&call.service) == 0 {
         return not_run(COME_BACK, "no endpoint");
     }
+    node.endpoints.borrow_mut().note_prompt(&call.parts);
     let (claim, chain) = tokio::join!(node.claim(&call), node.chain(&call));
     match (claim, chain) {
         (Ok(claim), Ok(chain)) => serve(node, call, claim, chain, entered).await,
