--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,14 @@
 # What the project's people run; .ci/run calls `make check` and nothing else.
-.PHONY: build run check fmt lint test doc demo compare failures bench trace-figures fuzz hunt \
+.PHONY: build system run check fmt lint test doc demo compare failures bench trace-figures fuzz hunt \
 	fleet kills outage store-figures store-histories properties scale
 
 build:
 	cargo build --release --locked
 
+# The serving tier, as deploy/system.toml builds it.
+system:
+	cargo build --release --locked -p onyxstile-system
+
 run: build
 	target/release/onyxstile serve
 
@@ -23,7 +27,7 @@
 doc:
 	RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --quiet
 
-check: lint test doc build
+check: lint test doc build system
 
 # Partners, a relay from an imported configuration and some seconds of load, all on loopback.
 demo: build
--- a/crates/onyxstile-system/src/main.rs
+++ b/crates/onyxstile-system/src/main.rs
@@ -1,11 +1,12 @@
 //! `onyxstile-system`: one program, a sub-command for each role of the serving tier.
 
+use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
 use onyxstile_system::role::controller::RoleError;
-use onyxstile_system::role::{agent, controller, proxy, storage};
+use onyxstile_system::role::{agent, controller, proxy, status, storage};
 use onyxstile_system::settings::{Settings, SettingsError};
 use onyxstile_system::{configuration, logging};
 
@@ -27,6 +28,11 @@
     Controller,
     /// Keeps turns and budgets on a storage machine; needs data_dir.
     Storage,
+    /// Asks a controller or a storage machine what it knows: view, chain, revision, storage plan, repair.
+    Status {
+        /// Its address with the first of its internal ports.
+        address: SocketAddrV4,
+    },
     /// Checks a settings file and says what is wrong with it.
     CheckSettings {
         /// The file.
@@ -48,8 +54,9 @@
     match arguments.command {
         Command::CheckSettings { file } => report(Settings::read(&file).map(|_| "the settings are valid".into())),
         Command::CheckConfiguration { file } => report(check_configuration(&file)),
+        Command::Status { address } => report(run(&Command::Status { address }, None).map(|()| "asked".into())),
         command => match Settings::from_environment() {
-            Ok(settings) => report(run(&command, settings).map(|()| "ended".into())),
+            Ok(settings) => report(run(&command, Some(settings)).map(|()| "ended".into())),
             Err(error) => report::<SettingsError>(Err(error)),
         },
     }
@@ -63,19 +70,20 @@
     Ok(format!("revision {}: {routes} routes, {} services", configuration.revision, configuration.services.len()))
 }
 
-fn run(command: &Command, settings: Settings) -> Result<(), RoleError> {
+fn run(command: &Command, settings: Option<Settings>) -> Result<(), RoleError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| RoleError::Io("the runtime", error))?;
     let local = tokio::task::LocalSet::new();
     runtime.block_on(local.run_until(async {
-        match command {
-            Command::Proxy => proxy::run(settings).await,
-            Command::Agent => agent::run(settings).await,
-            Command::Controller => controller::run(settings).await,
-            Command::Storage => storage::run(settings).await,
-            Command::CheckSettings { .. } | Command::CheckConfiguration { .. } => Ok(()),
+        match (command, settings) {
+            (Command::Proxy, Some(settings)) => proxy::run(settings).await,
+            (Command::Agent, Some(settings)) => agent::run(settings).await,
+            (Command::Controller, Some(settings)) => controller::run(settings).await,
+            (Command::Storage, Some(settings)) => storage::run(settings).await,
+            (Command::Status { address }, _) => status::run(*address).await,
+            _ => Ok(()),
         }
     }))
 }
--- a/crates/onyxstile-system/src/program.rs
+++ b/crates/onyxstile-system/src/program.rs
@@ -1,9 +1,13 @@
 //! Agent programs: their turns and budgets, where these are kept, and what one storage machine holds of them.
 
 mod placement;
+mod quorum;
+mod repair;
 mod store;
 
 pub use placement::{Group, groups};
+pub use quorum::Quorum;
+pub use repair::{Assessment, Copied, Progress, Source};
 pub use store::{Merge, Store};
 
 use borsh::{BorshDeserialize, BorshSerialize};
--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -8,5 +8,6 @@
 pub mod rpc;
 pub mod signals;
 pub mod socket;
+pub mod status;
 pub mod storage;
 pub mod subscription;
--- a/crates/onyxstile-system/src/role/proxy/conversation.rs
+++ b/crates/onyxstile-system/src/role/proxy/conversation.rs
@@ -6,7 +6,7 @@
 
 use super::Node;
 use super::call::Call;
-use crate::program::{Entry, Record, Turn, fits, groups};
+use crate::program::{Entry, Record, Turn, fits};
 use crate::role::membership::wall_clock_ms;
 use crate::wire::{Request, Response};
 
@@ -175,8 +175,7 @@
         if is_kept {
             self.turns.borrow_mut().insert(Rc::new(turn));
         } else {
-            let count = groups(&self.plan.borrow(), &call.id, self.tolerated()).len();
-            log::warn!("turn {} was not kept by {count} groups", call.id);
+            log::warn!("turn {} was not kept by a quorum", call.id);
         }
         is_kept
     }
--- a/crates/onyxstile-system/src/role/proxy/quorum.rs
+++ b/crates/onyxstile-system/src/role/proxy/quorum.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use super::Node;
-use crate::program::{Group, groups};
+use crate::program::Quorum;
 use crate::wire::{Request, Response};
 
 /// How long one storage machine has to answer; one that returns within it may still be counted.
@@ -18,7 +18,7 @@
 
 /// Answers that are still to come from the members of a key's groups.
 pub(super) struct Answers {
-    groups: Vec<Group>,
+    quorum: Quorum,
     receiver: mpsc::UnboundedReceiver<(Ipv4Addr, Response)>,
     good: HashMap<Ipv4Addr, Response>,
 }
@@ -36,10 +36,8 @@
 impl Node {
     /// Asks all members of a key's groups; those that fail are asked again until `patience` is over.
     pub(super) fn ask(self: &Rc<Node>, key: &str, request: Request, patience: Duration) -> Answers {
-        let groups = groups(&self.plan.borrow(), key, self.tolerated());
-        let mut members: Vec<Ipv4Addr> = groups.iter().flat_map(|group| group.members.clone()).collect();
-        members.sort_unstable();
-        members.dedup();
+        let quorum = Quorum::new(&self.plan.borrow(), key, self.tolerated());
+        let members = quorum.members();
         let (sender, receiver) = mpsc::unbounded_channel();
         let until = tokio::time::Instant::now() + patience;
         let request = Rc::new(request);
@@ -47,7 +45,7 @@
             let (node, request, sender) = (self.clone(), request.clone(), sender.clone());
             tokio::task::spawn_local(async move { node.ask_member(member, &request, sender, until).await });
         }
-        Answers { groups, receiver, good: HashMap::new() }
+        Answers { quorum, receiver, good: HashMap::new() }
     }
 
     async fn ask_member(
@@ -114,11 +112,7 @@
     /// Counts an answer towards the quorums; true once each group has one.
     pub(super) fn count(&mut self, member: Ipv4Addr, response: Response) -> bool {
         self.good.insert(member, response);
-        let is_reached = |group: &Group| {
-            let answered = group.members.iter().filter(|member| self.good.contains_key(member)).count();
-            answered >= group.quorum.max(1)
-        };
-        self.groups.iter().all(is_reached)
+        self.quorum.count(member)
     }
 
     /// Waits until a quorum of each group has answered.
--- /dev/null
+++ b/crates/onyxstile-system/src/role/status.rs
@@ -0,0 +1,24 @@
+//! The operator's question to one machine.
+
+use std::io;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use super::controller::RoleError;
+use super::rpc::Client;
+use crate::wire::{Request, Response};
+
+/// How long the machine has to answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Asks a controller or a storage machine what it knows, and prints its lines.
+pub async fn run(address: SocketAddrV4) -> Result<(), RoleError> {
+    match Client::default().call(address, &Request::Status, PATIENCE).await {
+        Ok(Response::Status(lines)) => {
+            lines.iter().for_each(|line| println!("{line}"));
+            Ok(())
+        }
+        Ok(_) => Err(RoleError::Io("status", io::Error::other("the machine answered something else"))),
+        Err(error) => Err(RoleError::Io("status", io::Error::other(error.to_string()))),
+    }
+}
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -21,7 +21,7 @@
 use super::{signals, socket};
 use crate::clock::SteadyClock;
 use crate::disk::{Log, RealFolder};
-use crate::program::{Key, Merge, Record, Store, groups};
+use crate::program::{Key, Merge, Progress, Record, Store, groups};
 use crate::settings::Settings;
 use crate::storage_plan::StoragePlan;
 use crate::swim::Class;
@@ -48,7 +48,7 @@
     is_whole: Cell<bool>,
     synced_epoch: Rc<Cell<u64>>,
     changed: Notify,
-    repair: RefCell<repair::Progress>,
+    repair: RefCell<Progress>,
     swim: Shared,
 }
 
--- /dev/null
+++ b/crates/onyxstile-system/tests/balance.rs
@@ -0,0 +1,155 @@
+//! The choice of endpoints, by many relays that know little of each other.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use onyxstile_system::balance::{EndpointKey, Endpoints, Load, Need};
+use onyxstile_system::clock::Instant;
+use onyxstile_system::prefix::{self, Part};
+use onyxstile_system::registry::{Instance, Stage};
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn instance(number: u32, service: &str) -> Instance {
+    Instance {
+        id: format!("i-{number}"),
+        service: service.into(),
+        address: ([10, 9, 0, number as u8], 80),
+        zone: format!("z{}", number % 4),
+        capacity: 32,
+        stage: Stage::Ready,
+        warmup_left_ms: 0,
+        sequence: 1,
+        is_silent: false,
+    }
+}
+
+fn relay(zone: &str, endpoints: u32) -> Endpoints {
+    let mut relay = Endpoints::new(zone);
+    for number in 0..endpoints {
+        relay.update(at(0), instance(number, "llm"));
+    }
+    relay
+}
+
+fn roll(random: &mut Pcg64Mcg) -> f64 {
+    f64::from(random.next_u32()) / 4_294_967_296.0
+}
+
+fn prompt(thing: u32, session: u32) -> Vec<Part> {
+    prefix::parse(&format!("{thing:x}:2560,{:x}:800", 100_000 + session))
+}
+
+/// kartli-relay-grown, quiet-1: all relays sent a first part to the same two endpoints (busiest/mean 4.28).
+#[test]
+fn many_relays_spread_few_first_parts_over_all_endpoints() {
+    let mut random = Pcg64Mcg::new(5);
+    let mut arrivals: HashMap<String, u32> = HashMap::new();
+    let mut total = 0;
+    for number in 0..73 {
+        let mut relay = relay(&format!("z{}", number % 4), 56);
+        for session in 0..60 {
+            let thing = (random.next_u32() % 16).min(random.next_u32() % 16);
+            let parts = prompt(thing, number * 1000 + session);
+            relay.note_prompt(&parts);
+            let need = Need { service: "llm", parts: &parts, ..Need::default() };
+            let key = relay.choose(at(u64::from(session) * 250), &need, roll(&mut random)).expect("an endpoint");
+            let endpoint = relay.get_mut(key).expect("is known");
+            endpoint.cache.note(&parts, 180_000);
+            *arrivals.entry(endpoint.instance.id.clone()).or_default() += 1;
+            total += 1;
+        }
+    }
+    let busiest = arrivals.values().copied().max().unwrap_or(0);
+    let ratio = f64::from(busiest) * 56.0 / f64::from(total);
+    assert!(ratio < 2.5, "the busiest endpoint gets {ratio:.2} times the mean");
+    assert!(arrivals.len() >= 54, "{} of 56 endpoints get anything", arrivals.len());
+}
+
+#[test]
+fn relays_with_the_same_knowledge_do_not_all_choose_the_same_tool_endpoint() {
+    let mut random = Pcg64Mcg::new(9);
+    let mut arrivals: HashMap<EndpointKey, u32> = HashMap::new();
+    for _ in 0..2000 {
+        let mut relay = relay("z0", 12);
+        let need = Need { service: "llm", ..Need::default() };
+        let warm = relay.choose(at(0), &need, 0.0).expect("an endpoint");
+        relay.get_mut(warm).expect("is known").succeeded(Some(Duration::from_millis(20)));
+        let key = relay.choose(at(10), &need, roll(&mut random)).expect("an endpoint");
+        *arrivals.entry(key).or_default() += 1;
+    }
+    let busiest = arrivals.values().copied().max().unwrap_or(0);
+    assert!(busiest < 2000 / 2, "{busiest} of 2000 went to one of 12");
+}
+
+#[test]
+fn a_session_stays_where_its_turns_were_read() {
+    let mut relay = relay("z0", 9);
+    let parts = prompt(1, 1);
+    let need = Need { service: "llm", parts: &parts, ..Need::default() };
+    let first = relay.choose(at(0), &need, 0.3).expect("an endpoint");
+    relay.get_mut(first).expect("is known").cache.note(&parts, 200_000);
+    for step in 0..20 {
+        assert_eq!(relay.choose(at(step), &need, f64::from(step as u32) / 20.0), Some(first));
+    }
+    let full = Load { running: 40, waiting: 10 };
+    relay.get_mut(first).expect("is known").tell(at(30), full);
+    assert_ne!(relay.choose(at(30), &need, 0.3), Some(first), "reading anew is cheaper than queueing");
+}
+
+#[test]
+fn an_incarnation_that_leaves_is_never_chosen_again() {
+    let mut relay = relay("z0", 2);
+    let mut leaving = instance(0, "llm");
+    leaving.stage = Stage::Draining;
+    leaving.sequence = 5;
+    assert!(relay.update(at(10), leaving).is_some());
+    relay.update(at(20), Instance { sequence: 9, ..instance(0, "llm") });
+    let need = Need { service: "llm", ..Need::default() };
+    for step in 0..50u32 {
+        let key = relay.choose(at(100), &need, f64::from(step) / 50.0).expect("an endpoint");
+        assert_eq!(relay.get(key).expect("is known").instance.id, "i-1");
+    }
+}
+
+#[test]
+fn an_endpoint_in_trouble_gets_one_call_at_a_time_until_it_answers() {
+    let mut relay = relay("z0", 2);
+    let need = Need { service: "llm", ..Need::default() };
+    let sick = relay.choose(at(0), &need, 0.0).expect("an endpoint");
+    relay.get_mut(sick).expect("is known").failed(at(0));
+    let chosen = |relay: &Endpoints, now| {
+        (0..20).filter(|step| relay.choose(at(now), &need, f64::from(*step) / 20.0) == Some(sick)).count()
+    };
+    assert_eq!(chosen(&relay, 100), 0, "passed over");
+    assert!(chosen(&relay, 400) > 0, "tried again after its pause");
+    relay.get_mut(sick).expect("is known").begin();
+    assert_eq!(chosen(&relay, 400), 0, "one call at a time");
+    relay.get_mut(sick).expect("is known").end();
+    relay.get_mut(sick).expect("is known").succeeded(None);
+    assert!(chosen(&relay, 400) > 0);
+}
+
+#[test]
+fn where_all_are_in_trouble_one_is_chosen_all_the_same() {
+    let mut relay = relay("z0", 3);
+    let need = Need { service: "llm", ..Need::default() };
+    for _ in 0..9 {
+        let key = relay.choose(at(0), &need, 0.5).expect("an endpoint");
+        relay.get_mut(key).expect("is known").failed(at(0));
+    }
+    assert!(relay.choose(at(0), &need, 0.5).is_some());
+    assert!(relay.choose(at(0), &Need { service: "other", ..Need::default() }, 0.5).is_none());
+}
+
+#[test]
+fn told_load_is_read_or_passed_over() {
+    assert_eq!(Load::parse("3,0,8"), Some(Load { running: 3, waiting: 0 }));
+    for broken in ["", "3", "a,b,c", ",,", "-1,2,3"] {
+        assert_eq!(Load::parse(broken), None, "{broken:?}");
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/control_histories.rs
@@ -0,0 +1,152 @@
+//! The control state under faults: CONFIG and LOST as the rules word them, over seeded histories.
+
+mod support;
+
+use support::control_world::{CATCH_UP, Flaw, World};
+
+/// One history of faults and operators; what the checker found.
+fn play(count: u8, tolerated: usize, seed: u64, flaw: Flaw, rounds: u32) -> (World, usize) {
+    let mut world = World::new(count, tolerated, seed, flaw);
+    world.run(1500);
+    let mut faults = 0;
+    for _ in 0..rounds {
+        operate(&mut world);
+        if world.lost() < tolerated && world.roll(3) == 0 {
+            disturb(&mut world);
+            faults += 1;
+        } else if world.lost() == 0 && world.roll(40) == 0 {
+            let down = 100 + u64::from(world.roll(900));
+            world.kill_all(down);
+            faults += 1;
+        }
+        let pause = 50 + u64::from(world.roll(400));
+        world.run(pause);
+    }
+    world.run(CATCH_UP + 3000);
+    (world, faults)
+}
+
+fn operate(world: &mut World) {
+    let base = world.newest_committed();
+    let rise = 1 + u64::from(world.roll(3));
+    let to = world.pick();
+    let change = world.put(to, base, base + rise);
+    match world.roll(6) {
+        0 => {
+            let other = world.pick();
+            world.put(other, base, base + rise);
+        }
+        1 => {
+            let again = world.pick();
+            world.put_again(again, change);
+        }
+        2 if change > 3 => {
+            let earlier = world.roll(change as u32) as usize;
+            let again = world.pick();
+            world.put_again(again, earlier);
+        }
+        _ => {}
+    }
+    let reader = world.pick();
+    world.read(reader);
+}
+
+fn disturb(world: &mut World) {
+    let target = if world.roll(2) == 0 { world.head() } else { None };
+    let target = target.unwrap_or_else(|| world.pick());
+    let time = 100 + u64::from(world.roll(3500));
+    match world.roll(6) {
+        0 => world.kill(target, time),
+        1 => world.wipe(target, time),
+        2 => world.freeze(target, time),
+        3 => world.cut(target, time),
+        4 => world.replace(target),
+        _ => {
+            let just_acknowledged = 1 + u64::from(world.roll(30));
+            world.run(just_acknowledged);
+            world.wipe(target, time);
+        }
+    }
+}
+
+fn check(count: u8, tolerated: usize, seeds: std::ops::Range<u64>, rounds: u32) {
+    for seed in seeds {
+        let (mut world, faults) = play(count, tolerated, seed, Flaw::None, rounds);
+        assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
+        assert!(world.serves_within(6000), "seed {seed}: nothing is acknowledged after {faults} faults");
+        let reader = world.pick();
+        let before = world.reads;
+        world.read(reader);
+        world.run(1500);
+        assert!(world.reads > before, "seed {seed}: a read is not answered in calm");
+        assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
+    }
+}
+
+#[test]
+fn three_controllers_keep_the_rules_through_one_loss_at_a_time() {
+    check(3, 1, 0..120, 60);
+}
+
+#[test]
+fn five_controllers_keep_the_rules_through_two_losses_at_a_time() {
+    check(5, 2, 0..50, 60);
+}
+
+#[test]
+fn a_minority_that_missed_changes_and_one_dark_member_are_enough_when_the_third_lost_its_disk() {
+    for seed in 0..20 {
+        let mut world = World::new(3, 1, seed, Flaw::None);
+        world.run(1500);
+        let Some(behind) = world.present().into_iter().find(|ip| Some(*ip) != world.head()) else { panic!("no head") };
+        world.cut(behind, 6000);
+        world.run(2500);
+        assert!(world.serves_within(3000), "seed {seed}: two of three go on");
+        let others: Vec<_> = world.present().into_iter().filter(|ip| *ip != behind).collect();
+        world.wipe(others[0], 1000);
+        world.kill(others[1], 3000);
+        world.run(9000);
+        assert!(world.serves_within(6000), "seed {seed}: the two that remember are a majority");
+        assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
+    }
+}
+
+#[test]
+fn a_second_loss_right_after_the_first_one_has_caught_up_is_borne() {
+    for seed in 0..40 {
+        let mut world = World::new(3, 1, seed, Flaw::None);
+        world.run(1500);
+        for _ in 0..6 {
+            assert!(world.serves_within(4000), "seed {seed}");
+            let target = world.pick();
+            world.wipe(target, 800);
+            world.run(800 + CATCH_UP + 25);
+        }
+        assert!(world.serves_within(4000), "seed {seed}");
+        assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
+    }
+}
+
+fn is_caught(flaw: Flaw) -> bool {
+    (0..200).any(|seed| !play(3, 1, seed, flaw, 60).0.violations.is_empty())
+}
+
+#[test]
+fn the_checker_catches_votes_that_were_never_synced() {
+    assert!(is_caught(Flaw::UnsyncedVotes));
+}
+
+#[test]
+fn the_checker_catches_a_wiped_disk_that_votes_as_before() {
+    assert!(is_caught(Flaw::ForgottenIdentity));
+}
+
+#[test]
+fn the_checker_catches_reads_that_ask_nobody() {
+    assert!(is_caught(Flaw::UncheckedReads));
+}
+
+#[test]
+fn the_checker_catches_an_acknowledgement_before_the_tail_has_it() {
+    assert!(is_caught(Flaw::HeadAcknowledges));
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/membership.rs
@@ -0,0 +1,211 @@
+//! SWIM over a network that loses datagrams: who is held dead, and for how long.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use onyxstile_system::clock::Instant;
+use onyxstile_system::swim::{Class, Datagram, Member, Outgoing, Standing, Swim, Timing};
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+use support::address;
+
+const TICK_MS: u64 = 50;
+
+struct Network {
+    now: u64,
+    nodes: BTreeMap<Ipv4Addr, Swim>,
+    down: Vec<Ipv4Addr>,
+    deaf: Vec<Ipv4Addr>,
+    loss_percent: u32,
+    random: Pcg64Mcg,
+}
+
+fn record(number: u8, incarnation: u64, disk: u64) -> Member {
+    Member {
+        ip: address(number).octets(),
+        name: format!("node-{number}"),
+        class: Class::Core,
+        zone: "z".into(),
+        disk,
+        incarnation,
+        standing: Standing::Alive,
+    }
+}
+
+impl Network {
+    fn new(count: u8, seed: u64, loss_percent: u32) -> Network {
+        let mut network = Network {
+            now: 0,
+            nodes: BTreeMap::new(),
+            down: Vec::new(),
+            deaf: Vec::new(),
+            loss_percent,
+            random: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
+        };
+        for number in 1..=count {
+            network.start(number, 1000, 7);
+        }
+        network
+    }
+
+    fn start(&mut self, number: u8, incarnation: u64, disk: u64) {
+        let seeds = vec![address(1), address(2), address(3)];
+        let own = record(number, incarnation, disk);
+        let now = Instant::from_millis(self.now);
+        let seed = self.random.next_u64();
+        self.nodes.insert(address(number), Swim::new(own, seeds, Timing::default(), seed, now));
+        self.down.retain(|ip| *ip != address(number));
+    }
+
+    fn run(&mut self, for_ms: u64) {
+        let end = self.now + for_ms;
+        while self.now < end {
+            self.now += TICK_MS;
+            let now = Instant::from_millis(self.now);
+            let awake: Vec<Ipv4Addr> = self.nodes.keys().copied().filter(|ip| !self.down.contains(ip)).collect();
+            let mut queue: Vec<(Ipv4Addr, Outgoing)> = Vec::new();
+            for ip in awake {
+                let sent = self.nodes.get_mut(&ip).map(|node| node.tick(now)).unwrap_or_default();
+                queue.extend(sent.into_iter().map(|outgoing| (ip, outgoing)));
+            }
+            // Replies travel within the tick: a round trip is short beside a probe.
+            while let Some((from, outgoing)) = queue.pop() {
+                let answers = self.deliver(now, from, outgoing);
+                queue.extend(answers);
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: Instant, from: Ipv4Addr, outgoing: Outgoing) -> Vec<(Ipv4Addr, Outgoing)> {
+        let Outgoing { to, datagram } = outgoing;
+        let is_lost = self.random.next_u32() % 100 < self.loss_percent;
+        if is_lost || self.down.contains(&to) || self.deaf.contains(&to) || self.down.contains(&from) {
+            return Vec::new();
+        }
+        let bytes = onyxstile_system::wire::encode(&datagram);
+        assert!(bytes.len() < 1400, "a datagram of {} bytes", bytes.len());
+        let datagram: Datagram = onyxstile_system::wire::decode(&bytes).expect("decodes what was encoded");
+        let Some(node) = self.nodes.get_mut(&to) else { return Vec::new() };
+        node.receive(now, datagram).into_iter().map(|answer| (to, answer)).collect()
+    }
+
+    fn standing(&self, at: u8, of: u8) -> Option<Standing> {
+        let node = self.nodes.get(&address(at))?;
+        node.members().find(|member| member.address() == address(of)).map(|member| member.standing)
+    }
+}
+
+#[test]
+fn all_find_each_other_from_three_seeds() {
+    for seed in 0..10 {
+        let mut network = Network::new(12, seed, 10);
+        network.run(3000);
+        for at in 1..=12 {
+            for of in (1..=12).filter(|of| *of != at) {
+                assert_eq!(network.standing(at, of), Some(Standing::Alive), "seed {seed}: {of} at {at}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_silent_machine_is_held_dead_everywhere_within_two_and_a_half_seconds() {
+    for seed in 0..20 {
+        let mut network = Network::new(9, seed, 3);
+        network.run(3000);
+        network.down.push(address(5));
+        network.run(2500);
+        for at in (1..=9).filter(|at| *at != 5) {
+            assert_eq!(network.standing(at, 5), Some(Standing::Dead), "seed {seed} at {at}");
+        }
+    }
+}
+
+#[test]
+fn lost_datagrams_hold_nobody_dead() {
+    for seed in 0..10 {
+        let mut network = Network::new(9, seed, 5);
+        network.run(3000);
+        for _ in 0..100 {
+            network.run(300);
+            for at in 1..=9 {
+                for of in (1..=9).filter(|of| *of != at) {
+                    assert_ne!(network.standing(at, of), Some(Standing::Dead), "seed {seed}: {of} at {at}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_machine_that_hears_nothing_cannot_have_others_held_dead() {
+    for seed in 0..10 {
+        let mut network = Network::new(6, seed, 2);
+        network.run(3000);
+        network.deaf.push(address(4));
+        for _ in 0..20 {
+            network.run(300);
+            for at in [1, 2, 3, 5, 6] {
+                for of in [1, 2, 3, 5, 6].into_iter().filter(|of| *of != at) {
+                    assert_ne!(network.standing(at, of), Some(Standing::Dead), "seed {seed}: {of} at {at}");
+                }
+            }
+        }
+        assert_eq!(network.standing(1, 4), Some(Standing::Dead));
+    }
+}
+
+#[test]
+fn one_that_starts_again_with_its_clock_behind_is_believed_with_its_new_disk() {
+    for seed in 0..10 {
+        let mut network = Network::new(5, seed, 3);
+        network.run(3000);
+        network.down.push(address(2));
+        network.run(400);
+        network.start(2, 10, 99);
+        network.run(2500);
+        for at in [1, 3, 4, 5] {
+            let node = &network.nodes[&address(at)];
+            let member = node.members().find(|member| member.address() == address(2)).expect("is known");
+            assert_eq!((member.standing, member.disk), (Standing::Alive, 99), "seed {seed} at {at}");
+        }
+    }
+}
+
+#[test]
+fn two_sides_of_a_healed_cut_find_each_other() {
+    for seed in 0..10 {
+        let mut network = Network::new(6, seed, 2);
+        network.run(3000);
+        let side = [address(1), address(2)];
+        network.down.extend(side);
+        network.run(3000);
+        network.down.clear();
+        network.run(5000);
+        for at in 1..=6 {
+            for of in (1..=6).filter(|of| *of != at) {
+                assert_eq!(network.standing(at, of), Some(Standing::Alive), "seed {seed}: {of} at {at}");
+            }
+        }
+    }
+}
+
+#[test]
+fn the_work_of_a_machine_does_not_grow_with_the_membership() {
+    let sent = |count: u8| {
+        let mut network = Network::new(count, 1, 0);
+        network.run(5000);
+        let now = Instant::from_millis(network.now);
+        let mut total = 0;
+        for step in 0..100 {
+            let now = now + Duration::from_millis(step * TICK_MS);
+            total += network.nodes.get_mut(&address(1)).map_or(0, |node| node.tick(now).len());
+        }
+        total
+    };
+    let (small, large) = (sent(6), sent(120));
+    assert!(large <= small + 6, "{small} datagrams among 6, {large} among 120");
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/programs.rs
@@ -0,0 +1,310 @@
+//! Turns and budgets on storage quorums: BUDGET and LOST as the rules word them, over seeded histories in which storage
+//! machines lose their disks, are away, and the plan changes.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use onyxstile_system::clock::Instant;
+use onyxstile_system::program::{Entry, Key, Quorum, Record, Store, Turn, fits, groups};
+use onyxstile_system::storage_plan::StoragePlan;
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+use support::{address, plan};
+
+fn turn(id: &str) -> Turn {
+    Turn {
+        id: id.into(),
+        ancestors: Vec::new(),
+        input: b"in".to_vec(),
+        output: b"out\n".to_vec(),
+        retention_ms: 60_000,
+        ended_ms: 0,
+    }
+}
+
+fn claim(request: &str, most: u64, settled: Option<u64>) -> Entry {
+    Entry { request: request.into(), most, settled }
+}
+
+/// Storage machines that may be away or hold nothing yet.
+struct Cluster {
+    plan: StoragePlan,
+    stores: BTreeMap<Ipv4Addr, Store>,
+    away: BTreeSet<Ipv4Addr>,
+    empty: BTreeSet<Ipv4Addr>,
+    tolerated: usize,
+    now: u64,
+    answers_while_empty: bool,
+}
+
+impl Cluster {
+    fn new(count: u8, tolerated: usize) -> Cluster {
+        let members: Vec<u8> = (1..=count).collect();
+        Cluster {
+            plan: plan(1, &members, &[]),
+            stores: members.iter().map(|number| (address(*number), Store::default())).collect(),
+            away: BTreeSet::new(),
+            empty: BTreeSet::new(),
+            tolerated,
+            now: 0,
+            answers_while_empty: false,
+        }
+    }
+
+    fn merge(&mut self, ip: Ipv4Addr, record: &Record) {
+        let now = Instant::from_millis(self.now);
+        if let Some(store) = self.stores.get_mut(&ip) {
+            store.merge(now, Duration::ZERO, record);
+        }
+    }
+
+    /// Writes at a random quorum, the rest of the members are missed; the claims that the quorum tells.
+    fn write(&mut self, record: &Record, random: &mut Pcg64Mcg) -> Option<Vec<Entry>> {
+        let key = record.key();
+        let mut quorum = Quorum::new(&self.plan, key.placed_by(), self.tolerated);
+        let mut members = quorum.members();
+        for end in (1..members.len()).rev() {
+            members.swap(end, random.next_u32() as usize % (end + 1));
+        }
+        let mut claims: Vec<Entry> = Vec::new();
+        for member in members {
+            if self.away.contains(&member) {
+                continue;
+            }
+            self.merge(member, record);
+            if self.empty.contains(&member) && !self.answers_while_empty {
+                continue;
+            }
+            if let Key::Entry(program, _) = &key {
+                claims.extend(self.stores[&member].claims(program));
+            }
+            if quorum.count(member) {
+                return Some(claims);
+            }
+        }
+        None
+    }
+
+    /// What a machine that was away or wiped copies from all the others.
+    fn repair(&mut self, ip: Ipv4Addr) {
+        let mut records = Vec::new();
+        for (other, store) in &self.stores {
+            if *other == ip || self.away.contains(other) {
+                continue;
+            }
+            let (keys, _) = store.changed_since(0, usize::MAX);
+            let is_mine = |key: &Key| {
+                groups(&self.plan, key.placed_by(), self.tolerated).iter().any(|group| group.members.contains(&ip))
+            };
+            records.extend(keys.iter().filter(|(key, _)| is_mine(key)).filter_map(|(key, _)| store.record(key)));
+        }
+        for record in records {
+            self.merge(ip, &record);
+        }
+        self.empty.remove(&ip);
+    }
+
+    fn find(&self, id: &str) -> Option<Turn> {
+        let members = Quorum::new(&self.plan, id, self.tolerated).members();
+        members.iter().filter(|ip| !self.away.contains(ip)).find_map(|ip| self.stores[ip].turn(id).cloned())
+    }
+
+    fn lose(&mut self, random: &mut Pcg64Mcg) -> Ipv4Addr {
+        let members: Vec<Ipv4Addr> = self.stores.keys().copied().collect();
+        let ip = members[random.next_u32() as usize % members.len()];
+        if random.next_u32() % 2 == 0 {
+            self.stores.insert(ip, Store::default());
+            self.empty.insert(ip);
+        }
+        self.away.insert(ip);
+        ip
+    }
+}
+
+/// Turns run side by side and end, crash or are refused while one machine at a time is lost. The most that a client can
+/// have received beyond the budget.
+fn overdraft(seed: u64, answers_while_empty: bool) -> i64 {
+    let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+    let mut cluster = Cluster::new(4, 1);
+    cluster.answers_while_empty = answers_while_empty;
+    let budget = 1000;
+    let mut received = 0;
+    let mut open: Vec<(String, u64)> = Vec::new();
+    let mut lost: Option<(Ipv4Addr, u32)> = None;
+    for step in 0..200 {
+        match &mut lost {
+            Some((ip, 0)) => {
+                let ip = *ip;
+                cluster.repair(ip);
+                lost = None;
+            }
+            Some((ip, left)) => {
+                *left -= 1;
+                if *left == 3 {
+                    cluster.away.remove(ip);
+                }
+            }
+            None if random.next_u32() % 6 == 0 => lost = Some((cluster.lose(&mut random), 6)),
+            None => {}
+        }
+        if !open.is_empty() && random.next_u32() % 2 == 0 {
+            let (request, most) = open.swap_remove(random.next_u32() as usize % open.len());
+            let tokens = u64::from(random.next_u32()) % (most + 1);
+            received += tokens;
+            if random.next_u32() % 4 > 0 {
+                let entry = claim(&request, most, Some(tokens));
+                cluster.write(&Record::Entry { program: "p".into(), entry }, &mut random);
+            }
+            continue;
+        }
+        let (request, most) = (format!("r{step}"), 1 + u64::from(random.next_u32() % 120));
+        let entry = claim(&request, most, None);
+        let claims = cluster.write(&Record::Entry { program: "p".into(), entry }, &mut random);
+        match claims {
+            Some(claims) if fits(budget, &request, most, &claims) => open.push((request, most)),
+            _ => {
+                let entry = claim(&request, most, Some(0));
+                cluster.write(&Record::Entry { program: "p".into(), entry }, &mut random);
+            }
+        }
+    }
+    received += open.iter().map(|(_, most)| most).sum::<u64>();
+    received as i64 - budget as i64
+}
+
+#[test]
+fn no_program_receives_more_than_its_budget() {
+    for seed in 0..1500 {
+        let over = overdraft(seed, false);
+        assert!(over <= 0, "seed {seed}: {over} tokens over the budget");
+    }
+}
+
+#[test]
+fn a_wiped_machine_that_answers_before_it_has_copied_is_caught() {
+    assert!((0..1500).any(|seed| overdraft(seed, true) > 0));
+}
+
+#[test]
+fn a_kept_turn_is_found_through_one_loss_after_the_other() {
+    for seed in 0..300u64 {
+        let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+        let mut cluster = Cluster::new(if seed % 2 == 0 { 3 } else { 6 }, 1);
+        let mut kept = Vec::new();
+        for round in 0..12 {
+            for item in 0..4 {
+                let id = format!("t{round}-{item}");
+                if cluster.write(&Record::Turn(turn(&id)), &mut random).is_some() {
+                    kept.push(id);
+                }
+            }
+            let ip = cluster.lose(&mut random);
+            for id in &kept {
+                assert!(cluster.find(id).is_some(), "seed {seed}: {id} is lost with {ip}");
+            }
+            cluster.away.remove(&ip);
+            cluster.repair(ip);
+        }
+    }
+}
+
+#[test]
+fn a_turn_outlasts_a_change_of_the_plan_and_the_loss_of_an_old_disk_right_after() {
+    for seed in 0..300u64 {
+        let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+        let mut cluster = Cluster::new(4, 1);
+        let mut kept = Vec::new();
+        let mut keep = |cluster: &mut Cluster, random: &mut Pcg64Mcg, name: &str| {
+            for item in 0..10 {
+                let id = format!("{name}{item}");
+                if cluster.write(&Record::Turn(turn(&id)), random).is_some() {
+                    kept.push(id);
+                }
+            }
+        };
+        keep(&mut cluster, &mut random, "before");
+        let retired = address(1 + (random.next_u32() % 4) as u8);
+        let old = cluster.plan.current.clone();
+        cluster.plan.epoch = 2;
+        cluster.plan.current.retain(|node| node.address() != retired);
+        cluster.plan.previous = old;
+        keep(&mut cluster, &mut random, "during");
+        for node in cluster.plan.current.clone() {
+            cluster.repair(node.address());
+        }
+        cluster.plan.epoch = 3;
+        cluster.plan.previous.clear();
+        cluster.stores.remove(&retired);
+        keep(&mut cluster, &mut random, "after");
+        let next = cluster.plan.current[random.next_u32() as usize % 3].address();
+        cluster.stores.insert(next, Store::default());
+        cluster.empty.insert(next);
+        cluster.away.insert(next);
+        for id in &kept {
+            assert!(cluster.find(id).is_some(), "seed {seed}: {id}");
+        }
+    }
+}
+
+#[test]
+fn quorums_of_a_changing_plan_meet_those_before_and_after() {
+    let (before, changing, after) =
+        (plan(1, &[1, 2, 3, 4], &[]), plan(2, &[1, 2, 3, 5, 6], &[1, 2, 3, 4]), plan(3, &[1, 2, 3, 5, 6], &[]));
+    for number in 0..500 {
+        let key = format!("key-{number}");
+        for other in [&before, &after] {
+            let mut one = Quorum::new(&changing, &key, 1);
+            let mut answered = BTreeSet::new();
+            for member in one.members() {
+                answered.insert(member);
+                if one.count(member) {
+                    break;
+                }
+            }
+            let mut rest = Quorum::new(other, &key, 1);
+            let reached = rest.members().into_iter().filter(|ip| !answered.contains(ip)).any(|ip| rest.count(ip));
+            assert!(!reached, "{key}: a quorum without any of the other's machines");
+        }
+    }
+}
+
+#[test]
+fn a_settled_claim_is_never_opened_again() {
+    let mut store = Store::default();
+    let record = |settled| Record::Entry { program: "p".into(), entry: claim("r", 90, settled) };
+    let now = Instant::from_millis(0);
+    store.merge(now, Duration::ZERO, &record(Some(30)));
+    store.merge(now, Duration::ZERO, &record(None));
+    store.merge(now, Duration::ZERO, &record(Some(70)));
+    assert_eq!(store.claims("p"), [claim("r", 90, Some(30))]);
+}
+
+#[test]
+fn a_turn_is_kept_for_its_retention_and_then_dropped() {
+    let mut store = Store::default();
+    store.merge(Instant::from_millis(0), Duration::ZERO, &Record::Turn(turn("t")));
+    store.expire(Instant::from_millis(60_000));
+    assert!(store.turn("t").is_some());
+    store.expire(Instant::from_millis(200_000));
+    assert!(store.turn("t").is_none());
+    assert_eq!(store.turn_bytes(), 0);
+    assert!(store.changed_since(0, 10).0.is_empty(), "nothing is offered for copying");
+}
+
+#[test]
+fn keys_are_placed_evenly_and_move_little_when_a_machine_joins() {
+    let (before, after) = (plan(1, &[1, 2, 3, 4, 5], &[]), plan(2, &[1, 2, 3, 4, 5, 6], &[]));
+    let mut held: BTreeMap<Ipv4Addr, u32> = BTreeMap::new();
+    let mut moved = 0;
+    for number in 0..6000 {
+        let key = format!("key-{number}");
+        let (old, new) = (&groups(&before, &key, 1)[0].members, &groups(&after, &key, 1)[0].members);
+        old.iter().for_each(|ip| *held.entry(*ip).or_default() += 1);
+        moved += new.iter().filter(|ip| !old.contains(ip)).count();
+    }
+    assert!(held.values().all(|count| (3300..3900).contains(count)), "{held:?}");
+    assert!((2700..3300).contains(&moved), "{moved} of 18,000 copies move");
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/retry_law.rs
@@ -0,0 +1,135 @@
+//! The law of the retry stage.
+
+use std::time::Duration;
+
+use expect_test::expect;
+use onyxstile_system::clock::Instant;
+use onyxstile_system::retry::{Destination, Law, timer};
+use onyxstile_system::slots::Slots;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+/// A destination with `pending` calls whose rate is `slots / T1`.
+fn loaded(slots: u32, pending: u32, law: &Law) -> Destination {
+    let mut destination = Destination::new(at(0), slots, law);
+    for _ in 0..pending {
+        destination.resend();
+    }
+    destination
+}
+
+#[test]
+fn the_chance_falls_from_one_to_a_tenth_between_the_thresholds() {
+    let law = Law::default();
+    let mut table = String::new();
+    for pending in [0, 5, 10, 15, 20, 25, 30, 35, 60] {
+        let chance = loaded(10, pending, &law).chance(at(0), &law);
+        table.push_str(&format!("{pending} pending: {chance:.2}\n"));
+    }
+    expect![[r#"
+        0 pending: 1.00
+        5 pending: 1.00
+        10 pending: 1.00
+        15 pending: 0.78
+        20 pending: 0.55
+        25 pending: 0.33
+        30 pending: 0.10
+        35 pending: 0.10
+        60 pending: 0.10
+    "#]]
+    .assert_eq(&table);
+}
+
+#[test]
+fn quiet_destinations_keep_their_chance_up_to_the_floor() {
+    let law = Law::default();
+    let mut destination = loaded(10, 4, &law);
+    // An hour without sends: the rate is next to nothing, the floor stands.
+    for hour in 1..=60 {
+        destination.chance(at(hour * 60_000), &law);
+    }
+    assert_eq!(destination.chance(at(3_600_000), &law), 1.0);
+    destination.resend();
+    assert!(destination.chance(at(3_600_000), &law) < 1.0);
+}
+
+#[test]
+fn slow_healthy_destinations_keep_their_chance() {
+    let law = Law::default();
+    let mut destination = loaded(10, 30, &law);
+    assert_eq!(destination.chance(at(0), &law), 0.1);
+    for _ in 0..200 {
+        destination.answered(Duration::from_secs(3));
+    }
+    assert_eq!(destination.chance(at(0), &law), 1.0, "the threshold covers the usual latency");
+}
+
+#[test]
+fn the_rate_follows_first_sends_and_not_retries() {
+    let law = Law { rate_weight: 0.05, ..Law::default() };
+    let chance_after = |retries: bool| {
+        let mut destination = Destination::new(at(0), 2, &law);
+        for step in 0..600 {
+            if retries { destination.resend() } else { destination.first_send(at(step * 100), &law) }
+            destination.end();
+        }
+        for _ in 0..8 {
+            destination.resend();
+        }
+        destination.chance(at(60_000), &law)
+    };
+    assert!(chance_after(false) > chance_after(true));
+}
+
+#[test]
+fn timers_double() {
+    let first = Duration::from_millis(500);
+    let times: Vec<u128> = (0..6).map(|firing| timer(first, firing).as_millis()).collect();
+    assert_eq!(times, [500, 1000, 2000, 4000, 8000, 8000]);
+}
+
+#[test]
+fn a_derived_wait_grows_with_refusals_and_moves_firings_to_its_end() {
+    let law = Law::default();
+    let first = Duration::from_millis(30);
+    let mut destination = Destination::new(at(0), 10, &law);
+    destination.refused(at(0), first);
+    assert_eq!(destination.fires_at(at(10)), at(30));
+    assert_eq!(destination.fires_at(at(40)), at(40));
+    destination.refused(at(40), first);
+    assert_eq!(destination.fires_at(at(50)), at(100));
+    destination.answered(Duration::from_millis(5));
+    destination.refused(at(200), first);
+    assert_eq!(destination.fires_at(at(200)), at(230), "an answer ends the row of refusals");
+}
+
+#[test]
+fn half_of_the_slots_is_the_most_while_others_wait() {
+    let mut slots = Slots::new(8);
+    for _ in 0..6 {
+        assert!(slots.take(&"sick"));
+    }
+    slots.wait(&"well");
+    assert!(!slots.take(&"sick"), "six of eight are held while another waits");
+    assert!(slots.take(&"well"));
+    slots.stop_waiting(&"well");
+    assert!(slots.take(&"sick"), "nobody waits: the cap does not bind");
+    assert!(!slots.take(&"well"), "all are taken");
+}
+
+#[test]
+fn the_cap_tightens_while_calls_run_late() {
+    let count = |late: bool| {
+        let mut slots = Slots::new(16);
+        for _ in 0..60 {
+            assert!(slots.take(&"here"));
+            slots.release(&"here", late);
+        }
+        slots.wait(&"there");
+        (0..16).filter(|_| slots.take(&"here")).count()
+    };
+    assert_eq!(count(false), 8);
+    assert!(count(true) < 6);
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/support/control_world.rs
@@ -0,0 +1,494 @@
+//! Controllers in virtual time under a seeded scheduler: messages are lost, late, doubled and out of order; machines are
+//! killed in mid-step, wiped, frozen, cut off and replaced. A checker states the rules for configurations.
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use onyxstile_system::clock::Instant;
+use onyxstile_system::control::{Durable, ElectorId, Message, Operation, Outcome};
+use onyxstile_system::controller::{Controller, Effect, Input};
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+
+use super::address;
+
+/// How a world departs from what the controllers rely on; each has to be caught by the checker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// None: nothing may be caught.
+    None,
+    /// What is persisted is lost at a kill, as if it had never been synced.
+    UnsyncedVotes,
+    /// A wiped machine claims to be what it was.
+    ForgottenIdentity,
+    /// Whoever is asked whether a view is current is believed to have said yes.
+    UncheckedReads,
+    /// A write counts as acknowledged once the head has it.
+    HeadAcknowledges,
+}
+
+const TICK: u64 = 25;
+const DETECTION: u64 = 1200;
+/// After its return a machine still counts as lost for this long, in ms.
+pub const CATCH_UP: u64 = 4000;
+
+struct Machine {
+    controller: Option<Controller>,
+    disk: Durable,
+    frozen_until: u64,
+    down_until: Option<u64>,
+    cut_until: u64,
+    lost_until: u64,
+    is_gone: bool,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Delivery {
+    at: std::cmp::Reverse<u64>,
+    number: std::cmp::Reverse<u64>,
+    to: Ipv4Addr,
+    from: Ipv4Addr,
+    index: usize,
+}
+
+/// A change that the operator sent.
+#[derive(Debug, Clone)]
+pub struct Change {
+    pub base: u64,
+    pub revision: u64,
+    pub body: Rc<Vec<u8>>,
+    pub acknowledged_at: Option<u64>,
+    pub is_refused: bool,
+}
+
+enum Asked {
+    Change(usize),
+    Read { began: u64 },
+}
+
+/// All machines, the network and the operators.
+pub struct World {
+    pub now: u64,
+    pub random: Pcg64Mcg,
+    machines: BTreeMap<Ipv4Addr, Machine>,
+    network: BinaryHeap<Delivery>,
+    messages: Vec<Option<Message>>,
+    tolerated: usize,
+    seeds: Vec<Ipv4Addr>,
+    flaw: Flaw,
+    next_machine: u8,
+    next_number: u64,
+    next_disk: u64,
+    asked: BTreeMap<(Ipv4Addr, u64), Asked>,
+    pub changes: Vec<Change>,
+    /// States by sequence that some machine has told as committed.
+    committed: BTreeMap<u64, u64>,
+    pub violations: Vec<String>,
+    pub reads: usize,
+    newest_read: u64,
+}
+
+impl World {
+    /// `count` machines, of which the first three (or fewer) are the seeds.
+    pub fn new(count: u8, tolerated: usize, seed: u64, flaw: Flaw) -> World {
+        let seeds: Vec<Ipv4Addr> = (1..=count.min(3)).map(address).collect();
+        let mut world = World {
+            now: 0,
+            random: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
+            machines: BTreeMap::new(),
+            network: BinaryHeap::new(),
+            messages: Vec::new(),
+            tolerated,
+            seeds,
+            flaw,
+            next_machine: count + 1,
+            next_number: 0,
+            next_disk: 1000,
+            asked: BTreeMap::new(),
+            changes: Vec::new(),
+            committed: BTreeMap::new(),
+            violations: Vec::new(),
+            reads: 0,
+            newest_read: 0,
+        };
+        for number in 1..=count {
+            let ip = address(number);
+            let disk = if world.seeds.contains(&ip) {
+                Controller::bootstrap(ip, &world.seeds)
+            } else {
+                world.next_disk += 1;
+                Controller::empty(world.next_disk)
+            };
+            world.add(ip, disk, 0);
+        }
+        world
+    }
+
+    fn add(&mut self, ip: Ipv4Addr, disk: Durable, lost_until: u64) {
+        let now = Instant::from_millis(self.now);
+        let controller = Some(Controller::new(ip, disk.clone(), self.tolerated, now));
+        let machine = Machine {
+            controller,
+            disk,
+            frozen_until: 0,
+            down_until: None,
+            cut_until: 0,
+            lost_until,
+            is_gone: false,
+        };
+        self.machines.insert(ip, machine);
+    }
+
+    pub fn roll(&mut self, sides: u32) -> u32 {
+        self.random.next_u32() % sides
+    }
+
+    /// Machines that count as lost now.
+    pub fn lost(&self) -> usize {
+        let is_lost = |machine: &&Machine| {
+            machine.lost_until > self.now || machine.down_until.is_some() || machine.cut_until > self.now
+        };
+        self.machines.values().filter(is_lost).count()
+    }
+
+    pub fn present(&self) -> Vec<Ipv4Addr> {
+        self.machines.iter().filter(|(_, machine)| !machine.is_gone).map(|(ip, _)| *ip).collect()
+    }
+
+    pub fn pick(&mut self) -> Ipv4Addr {
+        let present = self.present();
+        present[self.roll(present.len() as u32) as usize]
+    }
+
+    /// The machine at the head, if one thinks that it is.
+    pub fn head(&self) -> Option<Ipv4Addr> {
+        let is_head = |machine: &Machine| machine.controller.as_ref().is_some_and(Controller::is_head);
+        self.machines.iter().find(|(_, machine)| is_head(machine)).map(|(ip, _)| *ip)
+    }
+
+    pub fn kill(&mut self, ip: Ipv4Addr, for_ms: u64) {
+        let until = self.now + for_ms;
+        let Some(machine) = self.machines.get_mut(&ip) else { return };
+        if let Some(controller) = machine.controller.take() {
+            drop(controller);
+        }
+        machine.down_until = Some(until);
+        machine.lost_until = until + CATCH_UP;
+    }
+
+    pub fn wipe(&mut self, ip: Ipv4Addr, for_ms: u64) {
+        self.next_disk += 1;
+        let disk = self.next_disk;
+        let flaw = self.flaw;
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            let kept = machine.disk.clone();
+            machine.disk = Controller::empty(disk);
+            if flaw == Flaw::ForgottenIdentity {
+                machine.disk.disk = kept.disk;
+                machine.disk.view = kept.view.as_ref().map(|view| {
+                    let mut first = (**view).clone();
+                    first.state = Default::default();
+                    Rc::new(first)
+                });
+            }
+        }
+        self.kill(ip, for_ms);
+    }
+
+    pub fn freeze(&mut self, ip: Ipv4Addr, for_ms: u64) {
+        let until = self.now + for_ms;
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            machine.frozen_until = until;
+            machine.lost_until = until + CATCH_UP;
+        }
+    }
+
+    pub fn cut(&mut self, ip: Ipv4Addr, for_ms: u64) {
+        let until = self.now + for_ms;
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            machine.cut_until = until;
+            machine.lost_until = until + CATCH_UP;
+        }
+    }
+
+    /// One machine is gone for good; an empty one comes at another address.
+    pub fn replace(&mut self, ip: Ipv4Addr) {
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            machine.controller = None;
+            machine.is_gone = true;
+            machine.down_until = None;
+            machine.lost_until = 0;
+        }
+        let fresh = address(self.next_machine);
+        self.next_machine += 1;
+        self.next_disk += 1;
+        let lost_until = self.now + CATCH_UP;
+        self.add(fresh, Controller::empty(self.next_disk), lost_until);
+    }
+
+    pub fn kill_all(&mut self, for_ms: u64) {
+        for ip in self.present() {
+            self.kill(ip, for_ms);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, for_ms: u64) {
+        let end = self.now + for_ms;
+        while self.now < end {
+            let next_tick = (self.now / TICK + 1) * TICK;
+            while self.network.peek().is_some_and(|delivery| delivery.at.0 <= next_tick) {
+                self.deliver();
+            }
+            self.now = next_tick;
+            self.tick();
+        }
+    }
+
+    fn deliver(&mut self) {
+        let Some(delivery) = self.network.pop() else { return };
+        self.now = self.now.max(delivery.at.0);
+        let Some(message) = self.messages[delivery.index].clone() else { return };
+        if self.is_cut(delivery.from, delivery.to) {
+            return;
+        }
+        let Some(machine) = self.machines.get(&delivery.to) else { return };
+        if machine.frozen_until > self.now {
+            let at = machine.frozen_until + 1;
+            self.network.push(Delivery { at: std::cmp::Reverse(at), ..delivery });
+            return;
+        }
+        self.step(delivery.to, Input::Message { from: delivery.from, message });
+    }
+
+    fn is_cut(&self, from: Ipv4Addr, to: Ipv4Addr) -> bool {
+        let is_off = |ip: &Ipv4Addr| self.machines.get(ip).is_none_or(|machine| machine.cut_until > self.now);
+        from != to && (is_off(&from) || is_off(&to))
+    }
+
+    fn tick(&mut self) {
+        for ip in self.machines.keys().copied().collect::<Vec<_>>() {
+            self.restart(ip);
+            let live = self.live(ip);
+            let is_awake = self.machines.get(&ip).is_some_and(|machine| machine.frozen_until <= self.now);
+            if is_awake {
+                self.step(ip, Input::Live(live));
+                self.step(ip, Input::Tick);
+            }
+        }
+        self.watch_committed();
+    }
+
+    fn restart(&mut self, ip: Ipv4Addr) {
+        let now = self.now;
+        let tolerated = self.tolerated;
+        let Some(machine) = self.machines.get_mut(&ip) else { return };
+        if machine.down_until.is_some_and(|until| until <= now) {
+            machine.down_until = None;
+            let disk = machine.disk.clone();
+            machine.controller = Some(Controller::new(ip, disk, tolerated, Instant::from_millis(now)));
+        }
+    }
+
+    /// A failure detector that knows after a while.
+    fn live(&self, own: Ipv4Addr) -> Vec<ElectorId> {
+        let own_cut = self.machines.get(&own).is_some_and(|machine| machine.cut_until > self.now);
+        let is_live = |(ip, machine): &(&Ipv4Addr, &Machine)| {
+            **ip != own && !machine.is_gone && machine.down_until.is_none() && machine.controller.is_some()
+                && machine.frozen_until <= self.now + DETECTION / 2 && machine.cut_until <= self.now && !own_cut
+        };
+        self.machines
+            .iter()
+            .filter(is_live)
+            .map(|(ip, machine)| ElectorId { ip: ip.octets(), disk: machine.disk.disk })
+            .collect()
+    }
+
+    fn step(&mut self, ip: Ipv4Addr, input: Input) {
+        let now = Instant::from_millis(self.now);
+        let Some(controller) = self.machines.get_mut(&ip).and_then(|machine| machine.controller.as_mut()) else {
+            return;
+        };
+        let effects = controller.step(now, input);
+        for effect in effects {
+            match effect {
+                Effect::Persist(durable) => self.persist(ip, &durable),
+                Effect::Send { to, message } => self.send(ip, to, message),
+                Effect::Reply { number, outcome } => self.reply(ip, number, outcome),
+            }
+        }
+    }
+
+    fn persist(&mut self, ip: Ipv4Addr, durable: &Durable) {
+        if self.flaw == Flaw::UnsyncedVotes && self.roll(3) > 0 {
+            return;
+        }
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            machine.disk = durable.clone();
+        }
+    }
+
+    fn send(&mut self, from: Ipv4Addr, to: Ipv4Addr, message: Message) {
+        match (&message, self.flaw) {
+            (Message::Confirm { view, nonce }, Flaw::UncheckedReads) => {
+                let Some(disk) = self.machines.get(&to).map(|machine| machine.disk.disk) else { return };
+                let id = ElectorId { ip: to.octets(), disk };
+                let forged = Message::Confirmed { from: id, view: *view, nonce: *nonce };
+                self.queue(to, from, forged, 1);
+                // Forged by the world, so it comes even through a cut.
+                return;
+            }
+            (Message::Apply { view, state }, Flaw::HeadAcknowledges) => {
+                let forged = Message::Applied { view: *view, sequence: state.sequence };
+                self.queue(to, from, forged, 1);
+            }
+            _ => {}
+        }
+        let fate = self.roll(100);
+        if fate < 3 {
+            return;
+        }
+        let delay = 1 + u64::from(self.roll(6)) + if fate < 8 { u64::from(self.roll(300)) } else { 0 };
+        if fate > 96 {
+            self.queue(from, to, message.clone(), delay + 40);
+        }
+        self.queue(from, to, message, delay);
+    }
+
+    fn queue(&mut self, from: Ipv4Addr, to: Ipv4Addr, message: Message, delay: u64) {
+        self.messages.push(Some(message));
+        let index = self.messages.len() - 1;
+        let number = std::cmp::Reverse(index as u64);
+        let at = std::cmp::Reverse(self.now + delay);
+        self.network.push(Delivery { at, number, to, from, index });
+    }
+
+    /// The operator sends a change built on `base` to a machine.
+    pub fn put(&mut self, to: Ipv4Addr, base: u64, revision: u64) -> usize {
+        let unique = self.changes.len();
+        let body = format!("{{\"revision\":{revision},\"note\":{unique},\"routes\":[],\"services\":[]}}");
+        let body = Rc::new(body.into_bytes());
+        self.changes.push(Change { base, revision, body, acknowledged_at: None, is_refused: false });
+        self.put_again(to, unique);
+        unique
+    }
+
+    /// The operator sends a change again, unchanged.
+    pub fn put_again(&mut self, to: Ipv4Addr, change: usize) {
+        let Change { base, body, .. } = self.changes[change].clone();
+        self.ask(to, Operation::PutConfiguration { base: Some(base), body }, Asked::Change(change));
+    }
+
+    /// The operator reads the configuration at a machine.
+    pub fn read(&mut self, from: Ipv4Addr) {
+        let began = self.now;
+        self.ask(from, Operation::GetConfiguration, Asked::Read { began });
+    }
+
+    fn ask(&mut self, to: Ipv4Addr, operation: Operation, asked: Asked) {
+        self.next_number += 1;
+        let number = self.next_number;
+        self.asked.insert((to, number), asked);
+        self.step(to, Input::Operation { number, operation });
+    }
+
+    fn reply(&mut self, ip: Ipv4Addr, number: u64, outcome: Outcome) {
+        match (self.asked.remove(&(ip, number)), outcome) {
+            (Some(Asked::Change(change)), Outcome::Done) => self.acknowledged(change),
+            (Some(Asked::Change(change)), Outcome::Conflict(_) | Outcome::Invalid(_)) => {
+                self.changes[change].is_refused = true;
+                if self.changes[change].acknowledged_at.is_some() {
+                    self.violations.push(format!("{}: change {change} was acknowledged and then refused", self.now));
+                }
+            }
+            (Some(Asked::Read { began }), Outcome::Configuration(read)) => {
+                let revision = read.as_ref().map_or(0, |read| read.revision);
+                self.judge_read(began, revision, read.as_ref().map(|read| read.body.as_slice()));
+            }
+            _ => {}
+        }
+    }
+
+    fn acknowledged(&mut self, change: usize) {
+        let now = self.now;
+        let base = self.changes[change].base;
+        let rival = self.changes.iter().enumerate().find(|(index, other)| {
+            *index != change && other.base == base && other.acknowledged_at.is_some()
+        });
+        if let Some((rival, _)) = rival {
+            self.violations.push(format!("{now}: changes {rival} and {change} on version {base} both acknowledged"));
+        }
+        if self.changes[change].is_refused {
+            self.violations.push(format!("{now}: change {change} was refused and then acknowledged"));
+        }
+        self.changes[change].acknowledged_at.get_or_insert(now);
+    }
+
+    fn judge_read(&mut self, began: u64, revision: u64, body: Option<&[u8]>) {
+        self.reads += 1;
+        let acknowledged = self
+            .changes
+            .iter()
+            .filter(|change| change.acknowledged_at.is_some_and(|at| at < began))
+            .map(|change| change.revision)
+            .max()
+            .unwrap_or(0);
+        if revision < acknowledged {
+            self.violations.push(format!("{}: a read gave {revision}, {acknowledged} was acknowledged", self.now));
+        }
+        if let Some(body) = body {
+            let sent = self.changes.iter().position(|change| change.body.as_slice() == body);
+            match sent {
+                None => self.violations.push(format!("{}: a read gave what nobody sent", self.now)),
+                Some(change) if self.changes[change].is_refused => {
+                    self.violations.push(format!("{}: change {change} is in force though refused", self.now));
+                }
+                Some(_) => {}
+            }
+        }
+        self.newest_read = self.newest_read.max(revision);
+    }
+
+    /// What machines tell relays as committed never differs under one sequence.
+    fn watch_committed(&mut self) {
+        let mut seen = BTreeSet::new();
+        for machine in self.machines.values() {
+            let Some(state) = machine.controller.as_ref().and_then(Controller::committed_state) else { continue };
+            seen.insert((state.sequence, state.revision()));
+        }
+        for (sequence, revision) in seen {
+            let held = *self.committed.entry(sequence).or_insert(revision);
+            if held != revision {
+                let now = self.now;
+                self.violations.push(format!("{now}: sequence {sequence} is {held} here and {revision} there"));
+            }
+        }
+    }
+
+    /// The newest revision that some relay may have been told of.
+    pub fn newest_committed(&self) -> u64 {
+        self.committed.values().copied().max().unwrap_or(0)
+    }
+
+    /// Whether a change sent now to any machine is acknowledged within `for_ms`.
+    pub fn serves_within(&mut self, for_ms: u64) -> bool {
+        let end = self.now + for_ms;
+        while self.now < end {
+            let base = self.newest_committed();
+            let to = self.pick();
+            let change = self.put(to, base, base + 1);
+            self.run(300);
+            if self.changes[change].acknowledged_at.is_some() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Time from the start in ms as a duration, for messages.
+    pub fn elapsed(&self) -> Duration {
+        Duration::from_millis(self.now)
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -0,0 +1,30 @@
+//! What several tests share.
+#![allow(dead_code)]
+
+pub mod control_world;
+pub mod memory_folder;
+
+use std::net::Ipv4Addr;
+
+use onyxstile_system::storage_plan::{StorageNode, StoragePlan};
+
+/// The address of machine number `number`.
+pub fn address(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, number)
+}
+
+/// A storage machine.
+pub fn storage(number: u8) -> StorageNode {
+    StorageNode { name: format!("storage-{number}"), ip: address(number).octets() }
+}
+
+/// A plan with these machines, and those before a change.
+pub fn plan(epoch: u64, current: &[u8], previous: &[u8]) -> StoragePlan {
+    StoragePlan {
+        epoch,
+        current: current.iter().copied().map(storage).collect(),
+        previous: previous.iter().copied().map(storage).collect(),
+        retired: Vec::new(),
+        size: current.len() as u32,
+    }
+}
