--- a/crates/onyxstile-system/src/controller.rs
+++ b/crates/onyxstile-system/src/controller.rs
@@ -11,9 +11,12 @@
 
 mod agreement;
 mod chain;
+mod events;
+mod founding;
 mod membership;
 mod operations;
 
+pub use events::{Effect, Input};
 pub use membership::desired;
 pub use operations::{Evaluation, evaluate};
 
@@ -32,50 +35,6 @@
 /// An operation without an outcome is forgotten after this time.
 const OPERATION_LIFETIME: Duration = Duration::from_secs(4);
 
-/// What a controller takes in.
-#[derive(Debug, Clone)]
-pub enum Input {
-    /// A message of another controller.
-    Message {
-        /// The machine that sent it.
-        from: Ipv4Addr,
-        /// What it says.
-        message: Message,
-    },
-    /// An operation that was handed in here.
-    Operation {
-        /// A number that the outcome will carry.
-        number: u64,
-        /// What is asked.
-        operation: Operation,
-    },
-    /// Core machines that membership holds alive, this one left out.
-    Live(Vec<ElectorId>),
-    /// Time has passed.
-    Tick,
-}
-
-/// What a controller wants done.
-#[derive(Debug, Clone)]
-pub enum Effect {
-    /// Write and sync this before any later effect.
-    Persist(Rc<Durable>),
-    /// Send a message.
-    Send {
-        /// The machine that it goes to.
-        to: Ipv4Addr,
-        /// What it says.
-        message: Message,
-    },
-    /// An operation that was handed in here has ended.
-    Reply {
-        /// The number that it was handed in with.
-        number: u64,
-        /// How it ended.
-        outcome: Outcome,
-    },
-}
-
 struct Write {
     tokens: Vec<Token>,
     operation: Operation,
@@ -138,29 +97,6 @@
         }
     }
 
-    /// The record of the first view, made of the seeds alone and alike on all of them.
-    pub fn bootstrap(ip: Ipv4Addr, seeds: &[Ipv4Addr]) -> Durable {
-        let mut electors: Vec<ElectorId> = seeds
-            .iter()
-            .map(|seed| ElectorId { ip: seed.octets(), disk: crate::control::bootstrap_disk(*seed) })
-            .collect();
-        electors.sort_unstable();
-        electors.dedup();
-        let view = View { number: 1, chain: electors.clone(), electors, state: ControlState::default() };
-        Durable { view: Some(Rc::new(view)), ..Controller::empty(crate::control::bootstrap_disk(ip)) }
-    }
-
-    /// The record of a machine that no view has taken in.
-    pub fn empty(disk: u64) -> Durable {
-        Durable {
-            disk,
-            view: None,
-            state: ControlState::default(),
-            promised: Default::default(),
-            accepted: None,
-        }
-    }
-
     /// The installed view.
     pub fn view(&self) -> Option<&Rc<View>> {
         self.durable.view.as_ref()
--- /dev/null
+++ b/crates/onyxstile-system/src/controller/events.rs
@@ -0,0 +1,50 @@
+//! What a controller takes in and wants done.
+
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use crate::control::{Durable, ElectorId, Message, Operation, Outcome};
+
+/// What a controller takes in.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A message of another controller.
+    Message {
+        /// The machine that sent it.
+        from: Ipv4Addr,
+        /// What it says.
+        message: Message,
+    },
+    /// An operation that was handed in here.
+    Operation {
+        /// A number that the outcome will carry.
+        number: u64,
+        /// What is asked.
+        operation: Operation,
+    },
+    /// Core machines that membership holds alive, this one left out.
+    Live(Vec<ElectorId>),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a controller wants done.
+#[derive(Debug, Clone)]
+pub enum Effect {
+    /// Write and sync this before any later effect.
+    Persist(Rc<Durable>),
+    /// Send a message.
+    Send {
+        /// The machine that it goes to.
+        to: Ipv4Addr,
+        /// What it says.
+        message: Message,
+    },
+    /// An operation that was handed in here has ended.
+    Reply {
+        /// The number that it was handed in with.
+        number: u64,
+        /// How it ended.
+        outcome: Outcome,
+    },
+}
--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod controller;
 pub mod http;
+pub mod identity;
 pub mod membership;
 pub mod proxy;
 pub mod rpc;
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -1,6 +1,7 @@
 //! The controller role: the state machine's disk, clock and peers, the registry, and the operator's API.
 
 mod api;
+mod effects;
 mod peers;
 mod planner;
 
@@ -14,12 +15,13 @@
 use quick_error::quick_error;
 use tokio::sync::{Notify, oneshot};
 
+use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
 use super::{http, signals, socket};
 use crate::clock::{Instant, SteadyClock};
 use crate::control::{Durable, ElectorId, Message, Operation, Outcome};
-use crate::controller::{Controller, Effect, Input};
+use crate::controller::{Controller, Input};
 use crate::disk::{RealFolder, Versions};
 use crate::registry::Registry;
 use crate::settings::Settings;
@@ -30,9 +32,6 @@
 const TICK: Duration = Duration::from_millis(25);
 /// The operator's callers go on to another machine after a second of silence, so an answer comes before that.
 const OPERATION_PATIENCE: Duration = Duration::from_millis(850);
-/// A write that the disk refused is tried again after this time.
-const DISK_PAUSE: Duration = Duration::from_millis(250);
-
 quick_error! {
     /// Why a role can't run.
     #[derive(Debug)]
@@ -118,15 +117,6 @@
     Ok(durable)
 }
 
-/// An id that no other disk or process has: the kernel's randomness, or the time of day where there is none.
-pub fn random_id() -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
-    hasher.write_u64(membership::wall_clock_ms());
-    hasher.write_u32(std::process::id());
-    hasher.finish() | 1
-}
-
 impl Node {
     fn new(
         settings: Settings, clock: SteadyClock, durable: Durable, swim: Shared,
@@ -205,41 +195,6 @@
         (view, controller.committed_state().map_or(0, |state| state.sequence))
     }
 
-    fn retry_disk(&self, now: Instant) -> bool {
-        let mut unwritten = self.unwritten.borrow_mut();
-        let Some((durable, tried)) = unwritten.as_mut() else { return true };
-        if now.since(*tried) < DISK_PAUSE {
-            return false;
-        }
-        *tried = now;
-        let is_written = self.versions.borrow_mut().write(&wire::encode(&**durable)).is_ok();
-        if is_written {
-            *unwritten = None;
-        }
-        is_written
-    }
-
-    fn carry_out(&self, now: Instant, effect: Effect) -> bool {
-        match effect {
-            Effect::Persist(durable) => {
-                let result = self.versions.borrow_mut().write(&wire::encode(&*durable));
-                if let Err(error) = result {
-                    log::error!("the disk refuses a write: {error}");
-                    *self.unwritten.borrow_mut() = Some((durable, now));
-                    return false;
-                }
-            }
-            Effect::Send { to, message } => self.send(to, message),
-            Effect::Reply { number, outcome } => {
-                if let Some(reply) = self.replies.borrow_mut().remove(&number) {
-                    // Whoever asked may have gone.
-                    reply.send(outcome).ok();
-                }
-            }
-        }
-        true
-    }
-
     fn send(&self, to: Ipv4Addr, message: Message) {
         let from = self.settings.borrow().ip.octets();
         self.client.cast(self.peer(to), &Request::Control { from, message });
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -7,11 +7,13 @@
 mod attempt;
 mod call;
 mod conversation;
+mod counted;
 mod feed;
 mod forward;
 mod lifetime;
 mod quorum;
 mod relay_stream;
+mod sending;
 mod turns;
 mod upstream;
 
@@ -24,7 +26,8 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
-use super::controller::{RoleError, random_id};
+use super::controller::RoleError;
+use super::identity::random_id;
 use super::rpc::{self, Client};
 use super::{http, signals, socket};
 use crate::balance::{EndpointKey, Endpoints};
--- a/crates/onyxstile-system/src/role/proxy/relay_stream.rs
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -12,8 +12,9 @@
 use super::answer::{AnswerBody, BrokenOff, ClientAnswer};
 use super::attempt::Stream;
 use super::conversation::{Chain, Claim};
-use super::forward::{Sending, copy_head};
+use super::forward::copy_head;
 use super::lifetime::Entered;
+use super::sending::Sending;
 use crate::clock::Instant;
 use crate::sse::{Event, Splitter};
 
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -14,7 +14,8 @@
 
 use tokio::sync::Notify;
 
-use super::controller::{RoleError, random_id};
+use super::controller::RoleError;
+use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
 use super::subscription::{self, News, Wishes};
--- a/crates/onyxstile-system/src/swim.rs
+++ b/crates/onyxstile-system/src/swim.rs
@@ -4,31 +4,27 @@
 //! the number of members. Guarantees: a member that answers is never held dead for longer than one refutation takes;
 //! one that is silent is held dead after [`Timing::probe`] plus [`Timing::suspicion`], counted from its first probe.
 
+mod datagram;
+mod probing;
 mod rumors;
 mod table;
 
+pub use datagram::{Datagram, Kind, Outgoing};
 pub use table::{Class, Member, Standing};
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use borsh::{BorshDeserialize, BorshSerialize};
-use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 
 use crate::clock::Instant;
+use probing::Probe;
 use rumors::Rumors;
 use table::Table;
 
 /// Most member records in one datagram, so that it stays under a common path MTU.
 const RECORDS_A_DATAGRAM: usize = 8;
-/// Machines asked to probe on one's behalf when a direct probe is not answered.
-const INDIRECT_PROBES: usize = 2;
-/// Suspected members that are warned in one period.
-const SUSPECTS_WARNED: usize = 3;
-/// One probe in this many goes to a member held dead, so that the two sides of a healed cut find each other.
-const DEAD_PROBE_EVERY: u64 = 4;
 /// A dead member is forgotten after this time.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 
@@ -53,58 +49,6 @@
     }
 }
 
-/// What one datagram asks or answers.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub enum Kind {
-    /// Asks for an [`Kind::Ack`] with the same number.
-    Ping(u64),
-    /// Answers a ping; `on_behalf_of` is the machine that was probed.
-    Ack {
-        /// The ping's number.
-        number: u64,
-        /// The machine that answered.
-        on_behalf_of: [u8; 4],
-    },
-    /// Asks the receiver to ping `target` and to pass its ack on.
-    PingRequest {
-        /// The number that the ack is to carry.
-        number: u64,
-        /// The machine to ping.
-        target: [u8; 4],
-    },
-    /// Asks for the whole table, in as many datagrams as it takes.
-    Join,
-    /// Part of the table, for one that joins.
-    Records,
-}
-
-/// One datagram.
-#[derive(Debug, Clone, BorshSerialize, BorshDeserialize)]
-pub struct Datagram {
-    /// Who sends it.
-    pub from: Member,
-    /// What it is for.
-    pub kind: Kind,
-    /// Records that spread on it.
-    pub records: Vec<Member>,
-}
-
-/// A datagram to be sent.
-#[derive(Debug, Clone)]
-pub struct Outgoing {
-    /// The machine that it goes to.
-    pub to: Ipv4Addr,
-    /// What it carries.
-    pub datagram: Datagram,
-}
-
-struct Probe {
-    target: Ipv4Addr,
-    number: u64,
-    started: Instant,
-    indirect: bool,
-}
-
 /// One machine's part in the membership.
 pub struct Swim {
     own: Member,
@@ -238,97 +182,6 @@
         self.relayed.retain(|_, (_, _, since)| now.since(*since) < keep);
     }
 
-    fn advance_probe(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
-        let Some(probe) = &mut self.probe else { return };
-        let waited = now.since(probe.started);
-        if waited >= self.timing.probe {
-            let target = probe.target;
-            self.probe = None;
-            self.suspect(now, target);
-        } else if waited >= self.timing.direct && !probe.indirect {
-            probe.indirect = true;
-            let request = Kind::PingRequest { number: probe.number, target: probe.target.octets() };
-            let target = probe.target;
-            for helper in self.helpers(target) {
-                self.send(helper, request.clone(), out);
-            }
-        }
-    }
-
-    /// Lets the suspected know, so that they can refute although datagrams are lost; whoever heard of the suspicion does.
-    fn warn_suspects(&mut self, out: &mut Vec<Outgoing>) {
-        let mut suspects: Vec<Ipv4Addr> = self.table.suspects().map(Member::address).collect();
-        self.shuffle(&mut suspects);
-        suspects.truncate(SUSPECTS_WARNED);
-        for suspect in suspects {
-            self.number += 1;
-            self.send(suspect, Kind::Ping(self.number), out);
-        }
-    }
-
-    fn suspect(&mut self, now: Instant, target: Ipv4Addr) {
-        let Some(record) = self.table.get(target) else { return };
-        if record.standing == Standing::Alive {
-            let suspected = Member { standing: Standing::Suspect, ..record.clone() };
-            self.hear(now, suspected);
-        }
-    }
-
-    fn helpers(&mut self, target: Ipv4Addr) -> Vec<Ipv4Addr> {
-        let mut alive: Vec<Ipv4Addr> =
-            self.table.alive().map(Member::address).filter(|address| *address != target).collect();
-        self.shuffle(&mut alive);
-        alive.truncate(INDIRECT_PROBES);
-        alive
-    }
-
-    fn begin_probe(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
-        if self.probe.is_some() {
-            return;
-        }
-        self.rounds += 1;
-        let dead = self.rounds.is_multiple_of(DEAD_PROBE_EVERY);
-        let Some(target) = self.next_target(dead) else { return };
-        self.number += 1;
-        let number = self.number;
-        if self.table.get(target).is_some_and(|member| member.standing != Standing::Dead) {
-            self.probe = Some(Probe { target, number, started: now, indirect: false });
-        }
-        self.send(target, Kind::Ping(number), out);
-    }
-
-    fn next_target(&mut self, dead: bool) -> Option<Ipv4Addr> {
-        if dead && let Some(target) = self.random_dead() {
-            return Some(target);
-        }
-        while let Some(target) = self.order.pop() {
-            if self.table.get(target).is_some_and(|member| member.standing != Standing::Dead) {
-                return Some(target);
-            }
-        }
-        let mut order: Vec<Ipv4Addr> = self.table.not_dead().map(Member::address).collect();
-        self.shuffle(&mut order);
-        self.order = order;
-        self.order.pop()
-    }
-
-    fn random_dead(&mut self) -> Option<Ipv4Addr> {
-        let dead: Vec<Ipv4Addr> = self.table.dead().map(Member::address).collect();
-        if dead.is_empty() {
-            return None;
-        }
-        let index = self.random.next_u64() as usize % dead.len();
-        Some(dead[index])
-    }
-
-    fn shuffle(&mut self, list: &mut [Ipv4Addr]) {
-        list.sort_unstable();
-        for end in (1..list.len()).rev() {
-            let other = self.random.next_u64() as usize % (end + 1);
-            list.swap(end, other);
-        }
-    }
-
     fn join(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
         let unknown: Vec<Ipv4Addr> =
             self.seeds.iter().copied().filter(|seed| self.is_unknown(*seed)).collect();
--- a/crates/onyxstile-system/tests/story.rs
+++ b/crates/onyxstile-system/tests/story.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener as StdListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,19 +30,23 @@
     readiness: u16,
 }
 
-/// Ports that are free on loopback.
+/// Stories run one after the other: each takes the first ports that are free.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Ports that are free on loopback, below those that outgoing connections take.
 fn ports() -> Ports {
-    loop {
-        let probe = StdListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-        let internal = probe.local_addr().expect("its address").port();
-        drop(probe);
-        let Some(last) = internal.checked_add(4) else { continue };
-        let is_free =
-            |port| (1..=7).all(|host| StdListener::bind((Ipv4Addr::new(127, 0, 0, host), port)).is_ok());
-        if (internal..=last).all(is_free) {
+    const LOWEST: u32 = 18_000;
+    const SPAN: u32 = 12_000;
+    const NEEDED: u16 = 5;
+    let is_free =
+        |port| (1..=7).all(|host| StdListener::bind((Ipv4Addr::new(127, 0, 0, host), port)).is_ok());
+    for step in 0..SPAN / 8 {
+        let internal = (LOWEST + (std::process::id() * 8 + step * 8) % SPAN) as u16;
+        if (internal..internal + NEEDED).all(is_free) {
             return Ports { internal, control: internal + 2, front: internal + 3, readiness: internal + 4 };
         }
     }
+    panic!("no free ports on loopback");
 }
 
 fn settings(ports: &Ports, folder: &Path, name: &str, host: u8, class: &str) -> Settings {
@@ -257,6 +262,7 @@
 }
 
 fn play<F: Future<Output = ()>>(story: F) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let local = tokio::task::LocalSet::new();
     let story = local.run_until(async { tokio::time::timeout(PATIENCE, story).await });
