Make a first storage plan of fewer machines where no more come

With fewer than 2f + 1 storage machines no plan was ever made, and every turn was answered 503 (read from the code; no deployment here has so few). After 4 s f + 1 are enough: nothing that was kept is lost, though a loss stops new turns. Test fails without: the plan of two was None.

--- a/crates/onyxstile-system/src/role/controller/planner.rs
+++ b/crates/onyxstile-system/src/role/controller/planner.rs
@@ -6,13 +6,15 @@
 
 use super::Node;
 use crate::control::Operation;
-use crate::storage_plan::{Observed, StorageNode};
+use crate::storage_plan::{Observed, StorageNode, StoragePlan};
 use crate::swim::{Class, Standing};
 
 /// A report of a storage machine counts for this long.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
-/// The first plan is made once the members have been unchanged for this long.
+/// The first plan is not made before this time: machines start within some tenths of a second of each other.
 const FIRST_PLAN_AFTER: Duration = Duration::from_millis(700);
+/// After this time a first plan is made of fewer machines than bear all losses that should be borne.
+const NO_MORE_AFTER: Duration = Duration::from_secs(4);
 
 impl Node {
     /// Writes the next storage plan where one is due.
@@ -26,10 +28,14 @@
                 return;
             }
             let Some(state) = controller.committed_state() else { return };
-            if state.storage.epoch == 0 && self.clock.now().since(Default::default()) < FIRST_PLAN_AFTER {
-                return;
+            let age = self.clock.now().since(Default::default());
+            if state.storage.epoch > 0 {
+                state.storage.next(&self.observe(), self.tolerated())
+            } else if age >= FIRST_PLAN_AFTER {
+                StoragePlan::first(&self.observe(), self.tolerated(), age >= NO_MORE_AFTER)
+            } else {
+                None
             }
-            state.storage.next(&self.observe(), self.tolerated())
         };
         let Some(plan) = next else { return };
         log::info!(
--- a/crates/onyxstile-system/src/storage_plan.rs
+++ b/crates/onyxstile-system/src/storage_plan.rs
@@ -108,11 +108,8 @@
         StoragePlan { epoch: self.epoch + 1, current, previous, ..self.clone() }
     }
 
-    /// The plan that should follow, given what is seen; `None` if this one is to stay.
+    /// The plan that should follow this one, given what is seen; `None` if it is to stay.
     pub fn next(&self, observed: &[Observed], tolerated: usize) -> Option<StoragePlan> {
-        if self.epoch == 0 {
-            return self.first(observed, tolerated);
-        }
         let target = self.target(observed, tolerated);
         if target != self.current {
             return Some(self.with_current(target));
@@ -124,11 +121,14 @@
         })
     }
 
-    fn first(&self, observed: &[Observed], tolerated: usize) -> Option<StoragePlan> {
+    /// The first plan: all machines that are there. One that can't bear all losses that should be is made only once
+    /// `has_waited` says that no more will come.
+    pub fn first(observed: &[Observed], tolerated: usize, has_waited: bool) -> Option<StoragePlan> {
         let mut current: Vec<StorageNode> =
             observed.iter().filter(|seen| seen.dead_for.is_none()).map(|seen| seen.node.clone()).collect();
         current.sort();
-        (current.len() > 2 * tolerated).then(|| StoragePlan {
+        let fewest = if has_waited { tolerated + 1 } else { 2 * tolerated + 1 };
+        (current.len() >= fewest).then(|| StoragePlan {
             epoch: 1,
             size: current.len() as u32,
             current,
