--- a/crates/onyxstile-system/src/balance/endpoint.rs
+++ b/crates/onyxstile-system/src/balance/endpoint.rs
@@ -81,11 +81,6 @@
         self.failures_in_row == 0 || (now >= self.passed_over_until && self.in_flight == 0)
     }
 
-    /// Calls of this relay that are out there.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight
-    }
-
     /// The load to expect: what it told last and what this relay has sent and ended since.
     pub fn load(&self, now: Instant) -> f64 {
         let own = f64::from(self.in_flight);
--- a/crates/onyxstile-system/tests/support/control_world.rs
+++ b/crates/onyxstile-system/tests/support/control_world.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use onyxstile_system::clock::Instant;
 use onyxstile_system::control::{Durable, ElectorId, Message, Operation, Outcome};
@@ -499,9 +498,4 @@
         }
         false
     }
-
-    /// Time from the start in ms as a duration, for messages.
-    pub fn elapsed(&self) -> Duration {
-        Duration::from_millis(self.now)
-    }
 }
