Try a silent machine anew after 150 ms, so that relays are ready sooner after an outage

Now an attempt has 150 ms (several round trips between regions) and the pause is 40 ms until a majority has been heard. A proxy without a configuration says that it will be there 0.6 s after its start, no longer 0.25 s from any moment.

--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -16,10 +16,14 @@
 use super::lifetime::{Entered, Phase};
 use super::relay_stream::{self, Relay};
 use super::sending::{Ended, Sending};
+use crate::clock::Instant;
 use crate::role::http::{BodyError, read_body};
 
-/// When a client may come back that found no endpoint or no configuration.
+/// When a client may come back that found no endpoint.
 const COME_BACK: Duration = Duration::from_millis(250);
+/// How long a start takes until the configuration is there, once controllers can be reached.
+const START: Duration = Duration::from_millis(600);
+
 /// Answers one request of a client.
 pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>) -> ClientAnswer {
     let entered = Phase::enter(&node);
@@ -33,7 +37,8 @@
 async fn route(node: &Rc<Node>, request: Request<Incoming>, entered: Entered) -> ClientAnswer {
     let (head, body) = request.into_parts();
     let Some(configuration) = node.configuration.borrow().clone() else {
-        return not_run(COME_BACK, "no configuration yet");
+        let since_start = node.clock.now().since(Instant::default());
+        return not_run(START.saturating_sub(since_start).max(COME_BACK), "no configuration yet");
     };
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let Some(route) = configuration.route(host, head.uri.path()).cloned() else {
--- a/crates/onyxstile-system/src/role/rpc.rs
+++ b/crates/onyxstile-system/src/role/rpc.rs
@@ -18,8 +18,9 @@
 use super::socket;
 use crate::wire::{self, FRAME_MAX, Request, Response};
 
-/// A connection has to come up within this time.
-const CONNECT_PATIENCE: Duration = Duration::from_millis(500);
+/// A connection has to come up within this time: some round trips between regions. An opening packet that met a machine
+/// without power, or a full queue, is sent again by the system after a second only; a new attempt sends one at once.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(150);
 /// Frames that may wait for a peer that does not read; beyond, calls fail at once.
 const OUTGOING_MAX: usize = 4096;
 /// The number of frames that want no answer.
--- a/crates/onyxstile-system/src/role/subscription.rs
+++ b/crates/onyxstile-system/src/role/subscription.rs
@@ -20,6 +20,8 @@
 const PATIENCE: Duration = Duration::from_millis(700);
 /// Pause after a poll that failed.
 const PAUSE: Duration = Duration::from_millis(150);
+/// The same as long as no majority has been heard: then all controllers may be about to return.
+const PAUSE_ALONE: Duration = Duration::from_millis(40);
 /// How often the set of controllers is looked at.
 const REVIEW: Duration = Duration::from_millis(100);
 /// Whoever has heard no majority by then goes on with what it has: control is away for everyone.
@@ -116,7 +118,8 @@
                 Ok(Response::Pulled(pulled)) => self.take(controller, to, pulled).await,
                 Ok(_) | Err(_) => {
                     self.state.borrow_mut().heard.remove(&controller);
-                    tokio::time::sleep(PAUSE).await;
+                    let hears_majority = self.hears_majority(&self.state.borrow());
+                    tokio::time::sleep(if hears_majority { PAUSE } else { PAUSE_ALONE }).await;
                 }
             }
         }
