Keep the registry of endpoints on the controllers' disks

A thread of its own writes the registry as a version, 250 ms after a change at the latest and never before an acknowledgement; what is restored counts as heard at the start and goes silent in its time. A drain never goes back by it.

Versions have a name now, so that two records share a folder. What a controller does by time is a file of its own.

--- a/crates/onyxstile-system/src/controller.rs
+++ b/crates/onyxstile-system/src/controller.rs
@@ -15,6 +15,7 @@
 mod founding;
 mod membership;
 mod operations;
+mod timers;
 
 pub use events::{Effect, Input};
 pub use membership::{Places, desired};
@@ -29,8 +30,6 @@
 use crate::control::{ControlState, Durable, ElectorId, Message, Operation, Outcome, Token, View};
 use crate::tolerance::{Place, Tolerance};
 
-/// How often a controller says how far it is.
-const STATUS_EVERY: Duration = Duration::from_millis(200);
 /// A write that its successor has not acknowledged goes again after this time.
 const RESEND_AFTER: Duration = Duration::from_millis(150);
 /// An operation without an outcome is forgotten after this time.
@@ -169,46 +168,6 @@
         }
     }
 
-    fn tick(&mut self, now: Instant) {
-        if now >= self.next_status {
-            self.next_status = now + STATUS_EVERY;
-            self.say_status();
-        }
-        self.expire(now);
-        self.begin_writes(now);
-        self.resend(now);
-        self.tend_view(now);
-    }
-
-    fn say_status(&mut self) {
-        let view = self.installed();
-        let message = Message::Status { from: self.id, view, committed: self.committed };
-        let mut peers: Vec<Ipv4Addr> = self.live.iter().map(ElectorId::address).collect();
-        if let Some(view) = &self.durable.view {
-            peers.extend(view.electors.iter().map(ElectorId::address));
-        }
-        peers.sort_unstable();
-        peers.dedup();
-        peers.retain(|peer| *peer != self.id.address());
-        for to in peers {
-            self.send(to, message.clone());
-        }
-    }
-
-    fn expire(&mut self, now: Instant) {
-        self.queue.retain(|(_, _, expires)| *expires > now);
-        self.checks.retain(|check| check.expires > now);
-        let expired: Vec<u64> = self
-            .forwarded
-            .iter()
-            .filter(|(_, expires)| **expires <= now)
-            .map(|(number, _)| *number)
-            .collect();
-        for number in expired {
-            self.finish(Token { origin: self.id.ip, number }, Outcome::Unknown);
-        }
-    }
-
     fn finish(&mut self, token: Token, outcome: Outcome) {
         if token.origin != self.id.ip {
             self.send(token.origin.into(), Message::Outcome { token, outcome });
--- a/crates/onyxstile-system/src/disk/versions.rs
+++ b/crates/onyxstile-system/src/disk/versions.rs
@@ -4,62 +4,61 @@
 
 use super::{Folder, seal, unseal};
 
-const PREFIX: &str = "version-";
-const ASIDE: &str = "aside";
-
-/// The versions of one record in a folder; the newest whole one counts.
+/// The versions of one record in a folder, which may hold those of others; the newest whole one counts.
 pub struct Versions<F> {
     folder: F,
+    name: &'static str,
     newest: u64,
 }
 
 impl<F: Folder> Versions<F> {
-    /// Opens a folder; returns the newest version that it holds, if any.
-    pub fn open(folder: F) -> io::Result<(Versions<F>, Option<Vec<u8>>)> {
-        let mut numbers: Vec<u64> = folder.list()?.iter().filter_map(|name| number(name)).collect();
+    /// Opens the versions of the record called `name`; returns the newest whole one, if there is any.
+    pub fn open(folder: F, name: &'static str) -> io::Result<(Versions<F>, Option<Vec<u8>>)> {
+        let mut numbers: Vec<u64> = folder.list()?.iter().filter_map(|file| number(name, file)).collect();
         numbers.sort_unstable();
         let newest = numbers.last().copied().unwrap_or(0);
         let mut found = None;
         for number in numbers.iter().rev() {
-            let bytes = folder.read(&file(*number))?;
+            let bytes = folder.read(&file(name, *number))?;
             if let Some((body, _)) = unseal(&bytes) {
                 found = Some(body.to_vec());
                 break;
             }
         }
-        Ok((Versions { folder, newest }, found))
+        Ok((Versions { folder, name, newest }, found))
     }
 
     /// Writes a version; once this returns it outlasts a loss of power.
     pub fn write(&mut self, body: &[u8]) -> io::Result<()> {
         let mut bytes = Vec::with_capacity(body.len() + 8);
         seal(body, &mut bytes);
-        if self.folder.list()?.iter().any(|name| name == ASIDE) {
-            self.folder.remove(ASIDE)?;
+        let aside = format!("{}-aside", self.name);
+        if self.folder.list()?.contains(&aside) {
+            self.folder.remove(&aside)?;
         }
-        self.folder.append(ASIDE, &bytes)?;
-        self.folder.sync(ASIDE)?;
+        self.folder.append(&aside, &bytes)?;
+        self.folder.sync(&aside)?;
         let number = self.newest + 1;
-        self.folder.rename(ASIDE, &file(number))?;
+        self.folder.rename(&aside, &file(self.name, number))?;
         self.folder.sync_folder()?;
         self.newest = number;
         self.remove_old()
     }
 
     fn remove_old(&mut self) -> io::Result<()> {
-        for name in self.folder.list()? {
-            if number(&name).is_some_and(|number| number < self.newest) {
-                self.folder.remove(&name)?;
+        for file in self.folder.list()? {
+            if number(self.name, &file).is_some_and(|number| number < self.newest) {
+                self.folder.remove(&file)?;
             }
         }
         Ok(())
     }
 }
 
-fn file(number: u64) -> String {
-    format!("{PREFIX}{number}")
+fn file(name: &str, number: u64) -> String {
+    format!("{name}-{number}")
 }
 
-fn number(name: &str) -> Option<u64> {
-    name.strip_prefix(PREFIX)?.parse().ok()
+fn number(name: &str, file: &str) -> Option<u64> {
+    file.strip_prefix(name)?.strip_prefix('-')?.parse().ok()
 }
--- a/crates/onyxstile-system/src/registry.rs
+++ b/crates/onyxstile-system/src/registry.rs
@@ -183,6 +183,19 @@
         changed.into_iter().map(|entry| entry.instance.clone()).collect()
     }
 
+    /// All records, to be kept on disk.
+    pub fn records(&self) -> Vec<Instance> {
+        self.entries.values().map(|entry| entry.instance.clone()).collect()
+    }
+
+    /// Takes in what was kept before a restart, as if it had just been heard: endpoints are there again before their next
+    /// heartbeats, and one that ended meanwhile becomes silent in its time.
+    pub fn restore(&mut self, now: Instant, records: Vec<Instance>) {
+        for record in records {
+            self.merge(now, record);
+        }
+    }
+
     /// How many incarnations are ready and heard of.
     pub fn ready(&self) -> usize {
         self.entries
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod effects;
+mod kept_registry;
 mod peers;
 mod planner;
 
@@ -28,11 +29,15 @@
 use crate::swim::{Class, Standing};
 use crate::tolerance::{Place, Tolerance};
 use crate::wire::{self, Request};
+use kept_registry::KeptRegistry;
 
 /// How often the state machine's clock is looked at.
 const TICK: Duration = Duration::from_millis(25);
 /// The operator's callers go on to another machine after a second of silence, so an answer comes before that.
 const OPERATION_PATIENCE: Duration = Duration::from_millis(850);
+/// The name of the record that holds the view, the control state and the votes.
+const CONTROL_RECORD: &str = "version";
+
 quick_error! {
     /// Why a role can't run.
     #[derive(Debug)]
@@ -66,6 +71,7 @@
     clock: SteadyClock,
     controller: RefCell<Controller>,
     registry: RefCell<Registry>,
+    kept_registry: KeptRegistry,
     swim: Shared,
     client: Client,
     versions: RefCell<Versions<RealFolder>>,
@@ -82,8 +88,9 @@
     let clock = SteadyClock::start();
     let data = settings.data_dir.clone().ok_or(RoleError::Settings("data_dir"))?;
     let control = settings.listen.control.ok_or(RoleError::Settings("listen.control"))?;
-    let folder = RealFolder::open(data).map_err(|error| ("data_dir", error))?;
-    let (mut versions, held) = Versions::open(folder).map_err(|error| ("data_dir", error))?;
+    let folder = RealFolder::open(data.clone()).map_err(|error| ("data_dir", error))?;
+    let (mut versions, held) = Versions::open(folder, CONTROL_RECORD).map_err(|error| ("data_dir", error))?;
+    let (kept_registry, endpoints) = KeptRegistry::open(data).map_err(|error| ("data_dir", error))?;
     let durable = match held {
         Some(bytes) => wire::decode(&bytes).map_err(RoleError::Unreadable)?,
         None => first_record(&settings, &mut versions).map_err(|error| ("first record", error))?,
@@ -94,7 +101,9 @@
     let swim = membership::start(&settings, Class::Core, durable.disk, clock)
         .await
         .map_err(|error| ("membership port", error))?;
-    let node = Rc::new(Node::new(settings, clock, durable, swim, versions));
+    let node = Rc::new(Node::new(settings, clock, durable, swim, versions, kept_registry));
+    log::info!("{} endpoints were registered before", endpoints.len());
+    node.registry.borrow_mut().restore(clock.now(), endpoints);
     log::info!("controller {} listens at {control}", node.settings.borrow().node_name);
     let (answering, asked) = (node.clone(), node.clone());
     tokio::select! {
@@ -121,7 +130,7 @@
 impl Node {
     fn new(
         settings: Settings, clock: SteadyClock, durable: Durable, swim: Shared,
-        versions: Versions<RealFolder>,
+        versions: Versions<RealFolder>, kept_registry: KeptRegistry,
     ) -> Node {
         let heartbeat = Duration::from_millis(settings.heartbeat_ms);
         let controller = Controller::new(settings.ip, durable, settings.fault_tolerance, clock.now())
@@ -131,6 +140,7 @@
             clock,
             controller: RefCell::new(controller),
             registry: RefCell::new(Registry::new(random_id(), heartbeat)),
+            kept_registry,
             swim,
             client: Client::default(),
             versions: RefCell::new(versions),
@@ -158,6 +168,7 @@
             if self.registry.borrow_mut().tick(self.clock.now()) {
                 self.changed.notify_waiters();
             }
+            self.kept_registry.keep(self.clock.now(), &self.registry.borrow());
             self.clone().plan();
             tokio::time::sleep(TICK).await;
         }
--- a/crates/onyxstile-system/tests/registry.rs
+++ b/crates/onyxstile-system/tests/registry.rs
@@ -94,3 +94,25 @@
     );
     assert!(error("{").starts_with("line 1"));
 }
+
+/// All controllers lose power: until the next heartbeats no endpoint was known, and those heard first got all calls.
+#[test]
+fn what_was_kept_is_there_after_a_restart_and_goes_silent_in_its_time() {
+    let mut before = registry();
+    before.merge(at(0), beat("ready", "ready", 7));
+    before.merge(at(0), beat("leaves", "draining", 7));
+    before.merge(at(0), beat("gone", "ready", 7));
+    before.remove(at(1), "gone");
+    let mut after = Registry::new(78, Duration::from_millis(1000));
+    after.restore(at(0), before.records());
+    assert_eq!(after.ready(), 1);
+    after.merge(at(10), beat("leaves", "ready", 6));
+    after.merge(at(10), beat("gone", "ready", 6));
+    let stages: Vec<(String, Stage)> =
+        after.since(0, 0).into_iter().map(|instance| (instance.id, instance.stage)).collect();
+    assert!(stages.contains(&("leaves".into(), Stage::Draining)), "{stages:?}");
+    assert!(stages.contains(&("gone".into(), Stage::Gone)), "{stages:?}");
+    assert!(!after.tick(at(3000)));
+    assert!(after.tick(at(5000)), "nothing was heard of it since");
+    assert_eq!(after.ready(), 0);
+}
--- a/crates/onyxstile-system/tests/storage_contract.rs
+++ b/crates/onyxstile-system/tests/storage_contract.rs
@@ -42,7 +42,7 @@
     for seed in 0..400u64 {
         let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
         let folder = MemoryFolder::default();
-        let (mut versions, none) = Versions::open(folder.clone()).expect("opens");
+        let (mut versions, none) = Versions::open(folder.clone(), "version").expect("opens");
         assert!(none.is_none());
         folder.fail_power_at(1 + seed % 40);
         let mut written = 0u64;
@@ -50,7 +50,7 @@
             written += 1;
         }
         folder.restore_power(&mut random);
-        let (_, held) = Versions::open(folder).expect("opens");
+        let (_, held) = Versions::open(folder, "version").expect("opens");
         let number = held.map_or(0, |bytes| u64::from_le_bytes(bytes[..8].try_into().expect("eight bytes")));
         assert!(number == written || number == written + 1, "seed {seed}: {written} written, {number} found");
     }
@@ -112,3 +112,16 @@
     let records = Log::open(folder).expect("opens").records;
     assert_eq!(records, [b"first".to_vec(), b"third".to_vec()]);
 }
+
+#[test]
+fn records_of_two_names_share_a_folder() {
+    let folder = MemoryFolder::default();
+    let (mut one, _) = Versions::open(folder.clone(), "one").expect("opens");
+    let (mut other, _) = Versions::open(folder.clone(), "one-more").expect("opens");
+    for round in 0..3u8 {
+        one.write(&[1, round]).expect("writes");
+        other.write(&[2, round]).expect("writes");
+    }
+    assert_eq!(Versions::open(folder.clone(), "one").expect("opens").1, Some(vec![1, 2]));
+    assert_eq!(Versions::open(folder, "one-more").expect("opens").1, Some(vec![2, 2]));
+}
