Fetch a chain's turns from the nearest storage machine, and from all only where it is late

Cause, from reading: each turn of a chain was asked for at all 2f + 1 machines of its group, and each sent it whole.

Now turns are asked for in one question a machine, the one in the relay's own zone if it holds them; after 25 ms, or where it has none, all machines of the group are asked as before, and one that was late is not asked first for 2 s. That there is no such turn still only a quorum says.

Ruled out for now: homes of programs in the relay's own zone, which would save more bytes and leave zones' bursts to their zones.

Test: the machine of each zone is named for its keys, one in doubt is not, newcomers of a changing plan are not.

--- a/crates/onyxstile-system/src/program.rs
+++ b/crates/onyxstile-system/src/program.rs
@@ -5,7 +5,7 @@
 mod repair;
 mod store;
 
-pub use placement::{Group, groups};
+pub use placement::{Group, groups, nearest};
 pub use quorum::Quorum;
 pub use repair::{Assessment, Copied, Progress, Source};
 pub use store::{Merge, Store};
--- a/crates/onyxstile-system/src/program/placement.rs
+++ b/crates/onyxstile-system/src/program/placement.rs
@@ -24,6 +24,19 @@
     groups
 }
 
+/// The member of a key's group to ask first for what it holds: one in `zone` if there is one, else the first by hash; none
+/// that `is_doubted`. While the plan changes those before are asked, for newcomers may hold nothing yet.
+pub fn nearest(
+    plan: &StoragePlan, key: &str, tolerance: Tolerance, zone: &str, is_doubted: impl Fn(Ipv4Addr) -> bool,
+) -> Option<Ipv4Addr> {
+    let nodes = if plan.is_changing() { &plan.previous } else { &plan.current };
+    let members: Vec<Ipv4Addr> =
+        group(nodes, key, tolerance).members.into_iter().filter(|member| !is_doubted(*member)).collect();
+    let is_near =
+        |member: &&Ipv4Addr| nodes.iter().any(|node| node.address() == **member && node.place.zone == zone);
+    members.iter().find(is_near).or(members.first()).copied()
+}
+
 fn group(nodes: &[StorageNode], key: &str, tolerance: Tolerance) -> Group {
     let mut ranked: Vec<(u64, Ipv4Addr, &StorageNode)> =
         nodes.iter().map(|node| (weight(node, key), node.address(), node)).collect();
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod attempt;
 mod call;
+mod chain;
 mod conversation;
 mod counted;
 mod feed;
@@ -38,6 +39,7 @@
 use crate::slots::Slots;
 use crate::storage_plan::StoragePlan;
 use crate::tolerance::Tolerance;
+use chain::Doubts;
 use lifetime::Phase;
 use turns::Turns;
 use upstream::Pools;
@@ -76,6 +78,7 @@
     slot_freed: Notify,
     pools: Pools,
     turns: RefCell<Turns>,
+    doubts: RefCell<Doubts>,
     phase: Phase,
     random: RefCell<Pcg64Mcg>,
     law: Law,
@@ -125,6 +128,7 @@
             slot_freed: Notify::new(),
             pools: Pools::default(),
             turns: RefCell::new(Turns::new(turn_bytes)),
+            doubts: RefCell::default(),
             phase: Phase::default(),
             random: RefCell::new(Pcg64Mcg::new(u128::from(life) << 1 | 1)),
             law: Law::default(),
--- a/crates/onyxstile-system/src/role/proxy/conversation.rs
+++ b/crates/onyxstile-system/src/role/proxy/conversation.rs
@@ -1,4 +1,4 @@
-//! Turns of programs: the claim on the budget before a turn runs, the chain that it goes on from, and its record after.
+//! Turns of programs: the claim on the budget before a turn runs, and the turn's record after.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -6,12 +6,13 @@
 
 use super::Node;
 use super::call::Call;
+use super::chain::Chain;
 use crate::program::{Entry, Record, Turn, fits, merge_claims};
 use crate::role::membership::wall_clock_ms;
 use crate::wire::{Request, Response};
 
 /// How long the storage machines have for what comes before a turn.
-const BEFORE_PATIENCE: Duration = Duration::from_millis(1200);
+pub(super) const BEFORE_PATIENCE: Duration = Duration::from_millis(1200);
 /// How long they have for what a turn leaves.
 const AFTER_PATIENCE: Duration = Duration::from_millis(3000);
 
@@ -66,27 +67,6 @@
     }
 }
 
-/// What a turn goes on from.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Chain {
-    /// The turns before, the first one first.
-    pub turns: Vec<Rc<Turn>>,
-}
-
-impl Chain {
-    /// The body for the endpoint: each turn's input and output, then the new input.
-    pub(super) fn body(&self, input: &[u8]) -> Vec<u8> {
-        let before: usize = self.turns.iter().map(|turn| turn.input.len() + turn.output.len()).sum();
-        let mut body = Vec::with_capacity(before + input.len());
-        for turn in &self.turns {
-            body.extend_from_slice(&turn.input);
-            body.extend_from_slice(&turn.output);
-        }
-        body.extend_from_slice(input);
-        body
-    }
-}
-
 impl Node {
     /// Claims the most that a turn may generate; `None` where the call is no turn with a budget.
     pub(super) async fn claim(self: &Rc<Node>, call: &Call) -> Result<Option<Claim>, NoTurn> {
@@ -111,54 +91,6 @@
         if fits(head.budget, &call.id, head.most, &claims) { Ok(Some(claim)) } else { Err(NoTurn::Spent) }
     }
 
-    /// The chain that a turn goes on from.
-    pub(super) async fn chain(self: &Rc<Node>, call: &Call) -> Result<Chain, NoTurn> {
-        let Some(previous) = &call.previous else { return Ok(Chain::default()) };
-        let patience = BEFORE_PATIENCE.min(call.left(self.clock.now()));
-        let last = self.turn(previous, patience).await?;
-        let mut fetches = Vec::new();
-        for id in &last.ancestors {
-            let (node, id) = (self.clone(), id.clone());
-            fetches.push(tokio::task::spawn_local(async move { node.turn(&id, patience).await }));
-        }
-        let mut turns = Vec::with_capacity(fetches.len() + 1);
-        for fetch in fetches {
-            // What the last turn was built on was kept when it ran; its absence is doubt, not knowledge.
-            let turn = fetch.await.map_err(|_| NoTurn::Unsure)?.map_err(|_| NoTurn::Unsure)?;
-            turns.push(turn);
-        }
-        turns.push(last);
-        Ok(Chain { turns })
-    }
-
-    async fn turn(self: &Rc<Node>, id: &str, patience: Duration) -> Result<Rc<Turn>, NoTurn> {
-        if let Some(turn) = self.turns.borrow_mut().get(id) {
-            return Ok(turn);
-        }
-        let epoch = self.plan.borrow().epoch;
-        if epoch == 0 {
-            return Err(NoTurn::Unsure);
-        }
-        let mut answers = self.ask(id, Request::GetTurns { epoch, ids: vec![id.to_owned()] }, patience);
-        let mut is_absent = false;
-        while let Some((member, response)) = answers.next().await {
-            let Response::Turns { turns, is_sure } = response else { continue };
-            if let Some(turn) = turns.into_iter().flatten().next() {
-                let turn = Rc::new(turn);
-                self.turns.borrow_mut().insert(turn.clone());
-                return Ok(turn);
-            }
-            if is_sure && answers.count(member, Response::Done) {
-                is_absent = true;
-                break;
-            }
-        }
-        if is_absent {
-            log::debug!("turn {id} is known nowhere");
-        }
-        Err(if is_absent { NoTurn::NoPrevious } else { NoTurn::Unsure })
-    }
-
     /// Keeps a turn that was answered whole; true once a quorum has it on disk.
     pub(super) async fn keep(self: &Rc<Node>, call: &Call, chain: &Chain, output: Vec<u8>) -> bool {
         let turn = Turn {
--- a/crates/onyxstile-system/tests/programs.rs
+++ b/crates/onyxstile-system/tests/programs.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use onyxstile_system::clock::Instant;
-use onyxstile_system::program::{Entry, Key, Quorum, Record, Store, Turn, fits, groups, merge_claims};
+use onyxstile_system::program::{
+    Entry, Key, Quorum, Record, Store, Turn, fits, groups, merge_claims, nearest,
+};
 use onyxstile_system::storage_plan::StoragePlan;
 use onyxstile_system::tolerance::Tolerance;
 use rand_core::RngCore;
@@ -316,3 +318,29 @@
     assert!(held.values().all(|count| (3300..3900).contains(count)), "{held:?}");
     assert!((2700..3300).contains(&moved), "{moved} of 18,000 copies move");
 }
+
+#[test]
+fn the_nearest_machine_that_holds_a_key_is_asked_first() {
+    let before = plan(1, &[1, 2, 3, 4, 5], &[]);
+    for number in 0..200 {
+        let key = format!("key-{number}");
+        let members = groups(&before, &key, ONE)[0].members.clone();
+        let near = |zone: &str, doubted: &[Ipv4Addr]| {
+            nearest(&before, &key, ONE, zone, |member| doubted.contains(&member))
+        };
+        for member in &members {
+            let zone = format!("z{}", member.octets()[3]);
+            assert_eq!(near(&zone, &[]), Some(*member));
+            let other = near(&zone, &[*member]).expect("another");
+            assert!(other != *member && members.contains(&other));
+        }
+        assert_eq!(near("elsewhere", &[]), Some(members[0]));
+        assert_eq!(near("elsewhere", &members), None);
+        let changing = plan(2, &[6, 7, 8], &[1, 2, 3, 4, 5]);
+        assert_eq!(
+            nearest(&changing, &key, ONE, "z6", |_| false),
+            Some(members[0]),
+            "newcomers hold nothing yet"
+        );
+    }
+}
