--- /dev/null
+++ b/crates/onyxstile-system/tests/bad_endpoints.rs
@@ -0,0 +1,222 @@
+//! Endpoints that break off, answer for another request, without a seal, twice, or not at all: what may have run and may not
+//! run twice is never sent again, and nothing that is not the endpoint's whole answer looks like one.
+
+mod support;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+
+use support::tier::{Answer, LIMITS, Tier, ask, play};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What an endpoint does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mood {
+    /// Answers as it should.
+    Well,
+    /// Runs it and closes the connection without a word.
+    Closes,
+    /// Answers for another request.
+    OtherId,
+    /// Answers without a seal.
+    NoSeal,
+    /// Breaks off in the midst of the body.
+    CutShort,
+    /// Sends bytes that are no answer.
+    Garbage,
+    /// Answers well, and then once more for nobody.
+    Twice,
+    /// Says that it did not run it.
+    Refuses,
+    /// Answers 500 with its seal.
+    Fails,
+}
+
+/// Both endpoints: the first arrival of a request meets the mood, the next ones are answered well.
+struct Script {
+    mood: Cell<Mood>,
+    runs: RefCell<BTreeMap<String, u32>>,
+}
+
+impl Script {
+    fn runs(&self, id: &str) -> u32 {
+        self.runs.borrow().get(id).copied().unwrap_or(0)
+    }
+
+    /// The mood that a request meets; whatever is not refused runs.
+    fn meet(&self, id: &str) -> Mood {
+        let mood = if self.runs(id) > 0 { Mood::Well } else { self.mood.get() };
+        if mood != Mood::Refuses {
+            *self.runs.borrow_mut().entry(id.to_owned()).or_default() += 1;
+        }
+        mood
+    }
+}
+
+async fn endpoint(script: Rc<Script>) -> SocketAddrV4 {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let port = listener.local_addr().expect("its address").port();
+    tokio::task::spawn_local(async move {
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            tokio::task::spawn_local(serve(stream, script.clone()));
+        }
+    });
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+}
+
+async fn serve(mut stream: TcpStream, script: Rc<Script>) {
+    let mut buffer = Vec::new();
+    while let Some(head) = read_head(&mut stream, &mut buffer).await {
+        let field = |name: &str| {
+            let line = head.lines().find(|line| line.to_ascii_lowercase().starts_with(name));
+            line.and_then(|line| line.split_once(':')).map(|(_, value)| value.trim().to_owned())
+        };
+        let id = field("request-id").expect("an id");
+        let answer = |id: &str, seal: &str, body: &str| {
+            let length = body.len();
+            format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{seal}Content-Length: {length}\r\n\r\n{body}")
+        };
+        let seal = "Response-Seal: s\r\n";
+        let whole = answer(&id, seal, &format!("for {id}"));
+        let mood = script.meet(&id);
+        let bytes = match mood {
+            Mood::Well => whole,
+            Mood::Closes => return,
+            Mood::OtherId => answer("another", seal, "for another"),
+            Mood::NoSeal => answer(&id, "", "no seal"),
+            Mood::CutShort => whole[..whole.len() - 2].to_owned(),
+            Mood::Garbage => "no answer at all\r\n\r\n".to_owned(),
+            Mood::Twice => whole + &answer("late", seal, "for nobody"),
+            Mood::Refuses => {
+                format!(
+                    "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+            }
+            Mood::Fails => answer(&id, seal, "it failed").replace("200 OK", "500 Error"),
+        };
+        if stream.write_all(bytes.as_bytes()).await.is_err() || mood == Mood::CutShort {
+            return;
+        }
+    }
+}
+
+/// The next request's head; its body is read away.
+async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+            let length = head.lines().find_map(|line| {
+                line.to_ascii_lowercase().strip_prefix("content-length:")?.trim().parse::<usize>().ok()
+            });
+            let total = end + 4 + length.unwrap_or(0);
+            if buffer.len() >= total {
+                buffer.drain(..total);
+                return Some(head);
+            }
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+fn configuration() -> String {
+    let route = |name: &str, kind: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"a.example","path_prefix":"/{name}/","route_type":"{kind}","timeout_ms":3000,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":2}}"#
+        )
+    };
+    format!(
+        r#"{{"revision":1,"routes":[{},{}],"services":[{{"name":"api","health_check":"/healthz","max_connections":20,"protocol":"h1","tls":false}}],"limits":{LIMITS}}}"#,
+        route("once", "non_idempotent"),
+        route("often", "idempotent")
+    )
+}
+
+struct Story {
+    tier: Tier,
+    script: Rc<Script>,
+    last: Cell<u32>,
+}
+
+impl Story {
+    async fn start(name: &str) -> Story {
+        let script = Rc::new(Script { mood: Cell::new(Mood::Well), runs: RefCell::default() });
+        let (one, other) = (endpoint(script.clone()).await, endpoint(script.clone()).await);
+        let endpoints = [("i-1", "api", one), ("i-2", "api", other)];
+        let tier = Tier::start(name, &configuration(), &endpoints).await;
+        let story = Story { tier, script, last: Cell::new(0) };
+        // Endpoints reach the proxy a moment after it is ready.
+        while story.ask("often", Mood::Well).await.1.status != 200 {}
+        story
+    }
+
+    /// Sends a request that meets a mood; its id and its answer.
+    async fn ask(&self, route: &str, mood: Mood) -> (String, Answer) {
+        self.script.mood.set(mood);
+        self.last.set(self.last.get() + 1);
+        let id = format!("r{}", self.last.get());
+        let headers = [("request-id", id.as_str()), ("deadline-ms", "2500")];
+        let answer = ask(self.tier.front(), "POST", &format!("/{route}/x"), &headers, "body").await;
+        (id, answer.expect("an answer"))
+    }
+}
+
+#[test]
+fn what_may_have_run_and_may_not_run_twice_is_never_sent_again() {
+    play(async {
+        let story = Story::start("once").await;
+        for mood in [Mood::Closes, Mood::OtherId, Mood::NoSeal, Mood::CutShort, Mood::Garbage] {
+            let (id, answer) = story.ask("once", mood).await;
+            assert_eq!(answer.status, 502, "{mood:?}");
+            assert_eq!(story.script.runs(&id), 1, "{mood:?}");
+            assert!(!answer.headers.contains_key("response-seal"), "{mood:?}");
+        }
+        let (id, answer) = story.ask("once", Mood::Fails).await;
+        assert_eq!((answer.status.as_u16(), story.script.runs(&id)), (500, 1));
+        assert_eq!(answer.headers["response-seal"], "s", "an endpoint's own failure is passed on unchanged");
+    });
+}
+
+#[test]
+fn what_may_run_again_is_answered_by_another_endpoint() {
+    play(async {
+        let story = Story::start("often").await;
+        for mood in [Mood::Closes, Mood::OtherId, Mood::NoSeal, Mood::CutShort, Mood::Garbage, Mood::Fails] {
+            let (id, answer) = story.ask("often", mood).await;
+            assert_eq!(answer.status, 200, "{mood:?}");
+            assert_eq!(answer.body.expect("a whole answer"), format!("for {id}"), "{mood:?}");
+            assert!(story.script.runs(&id) <= 2, "{mood:?}");
+        }
+    });
+}
+
+#[test]
+fn what_nobody_ran_is_answered_so_and_says_when_to_come_back() {
+    play(async {
+        let story = Story::start("refused").await;
+        for route in ["once", "often"] {
+            let (id, answer) = story.ask(route, Mood::Refuses).await;
+            assert_eq!((answer.status.as_u16(), story.script.runs(&id)), (503, 0), "{route}");
+            assert!(answer.headers.contains_key("retry-after"), "{route}");
+        }
+    });
+}
+
+#[test]
+fn an_answer_that_nobody_asked_for_reaches_nobody() {
+    play(async {
+        let story = Story::start("surplus").await;
+        for round in 0..10 {
+            let mood = if round % 2 == 0 { Mood::Twice } else { Mood::Well };
+            let (id, answer) = story.ask("often", mood).await;
+            assert_eq!(answer.status, 200, "round {round}");
+            assert_eq!(answer.headers["request-id"], id.as_str(), "round {round}");
+            assert_eq!(answer.body.expect("a whole answer"), format!("for {id}"), "round {round}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/drain_histories.rs
@@ -0,0 +1,213 @@
+//! DRAIN over seeded histories: a drain that was acknowledged reaches every relay in its time, whichever controllers forget it
+//! right after, and no relay goes back behind it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use onyxstile_system::clock::Instant;
+use onyxstile_system::registry::{Instance, Registry, Stage};
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+
+const HEARTBEAT: u64 = 1000;
+const POLL: u64 = 200;
+const DRAIN_BOUND: u64 = 2000;
+/// A controller that was lost counts as lost until it has been back for this long.
+const CATCH_UP: u64 = 2000;
+
+fn instance(stage: Stage, sequence: u64) -> Instance {
+    Instance {
+        id: "i".into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 9], 80),
+        zone: "z".into(),
+        capacity: 8,
+        stage,
+        warmup_left_ms: 0,
+        sequence,
+        is_silent: false,
+    }
+}
+
+struct Controller {
+    registry: Registry,
+    /// What its disk holds, some moments old.
+    kept: Vec<Instance>,
+    down_until: u64,
+    lost_until: u64,
+}
+
+/// What one relay has heard: the newest change of each controller's life, and the furthest stage.
+#[derive(Default)]
+struct Relay {
+    heard: BTreeMap<usize, (u64, u64)>,
+    stage: Option<Stage>,
+}
+
+struct World {
+    now: u64,
+    random: Pcg64Mcg,
+    controllers: Vec<Controller>,
+    relays: Vec<Relay>,
+    tolerated: usize,
+    lives: u64,
+    violations: Vec<String>,
+}
+
+impl World {
+    fn new(count: usize, tolerated: usize, seed: u64) -> World {
+        let controller = |life| Controller {
+            registry: Registry::new(life, Duration::from_millis(HEARTBEAT)),
+            kept: Vec::new(),
+            down_until: 0,
+            lost_until: 0,
+        };
+        World {
+            now: 0,
+            random: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
+            controllers: (1..=count as u64).map(controller).collect(),
+            relays: (0..5).map(|_| Relay::default()).collect(),
+            tolerated,
+            lives: 100,
+            violations: Vec::new(),
+        }
+    }
+
+    fn roll(&mut self, sides: usize) -> usize {
+        self.random.next_u32() as usize % sides
+    }
+
+    fn is_up(&self, index: usize) -> bool {
+        self.controllers[index].down_until <= self.now
+    }
+
+    fn up(&mut self) -> usize {
+        loop {
+            let index = self.roll(self.controllers.len());
+            if self.is_up(index) {
+                return index;
+            }
+        }
+    }
+
+    /// A heartbeat to one controller; `leaves` has it held by as many others as may be lost before it is acknowledged.
+    fn heartbeat(&mut self, stage: Stage, sequence: u64, is_replicated: bool) {
+        let first = self.up();
+        let now = Instant::from_millis(self.now);
+        self.controllers[first].registry.merge(now, instance(stage, sequence));
+        if stage == Stage::Ready || !is_replicated {
+            return;
+        }
+        let others: Vec<usize> =
+            (0..self.controllers.len()).filter(|index| *index != first && self.is_up(*index)).collect();
+        for index in others.into_iter().take(self.tolerated) {
+            self.controllers[index].registry.merge(now, instance(stage, sequence));
+        }
+    }
+
+    /// Loses a controller's memory if one more loss is borne; what its disk holds may come back.
+    fn lose(&mut self, index: usize) {
+        let lost = self.controllers.iter().filter(|controller| controller.lost_until > self.now).count();
+        if lost >= self.tolerated || self.controllers[index].lost_until > self.now {
+            return;
+        }
+        let down = 200 + self.roll(1500) as u64;
+        self.lives += 1;
+        let (now, is_wiped) = (self.now, self.roll(3) == 0);
+        let controller = &mut self.controllers[index];
+        controller.registry = Registry::new(self.lives, Duration::from_millis(HEARTBEAT));
+        if !is_wiped {
+            controller.registry.restore(Instant::from_millis(now + down), controller.kept.clone());
+        }
+        controller.down_until = now + down;
+        controller.lost_until = now + down + CATCH_UP;
+    }
+
+    fn poll(&mut self, number: usize) {
+        for index in 0..self.controllers.len() {
+            if !self.is_up(index) || self.roll(5) == 0 {
+                continue;
+            }
+            let registry = &self.controllers[index].registry;
+            let relay = &mut self.relays[number];
+            let (life, counter) = relay.heard.get(&index).copied().unwrap_or_default();
+            for heard in registry.since(life, counter) {
+                relay.stage = relay.stage.max(Some(heard.stage));
+            }
+            relay.heard.insert(index, (registry.origin(), registry.counter()));
+        }
+    }
+
+    /// Plays one endpoint's life; true replication or none.
+    fn play(&mut self, is_replicated: bool) {
+        let drains_at = 3000 + self.roll(3000) as u64;
+        let mut acknowledged: Option<u64> = None;
+        for sequence in 1.. {
+            let at = sequence * HEARTBEAT / 20 * 20;
+            if at > drains_at + 6000 {
+                break;
+            }
+            while self.now < at.min(drains_at + 6000) {
+                self.step(acknowledged);
+            }
+            if self.now >= drains_at {
+                // Later heartbeats repeat it, where they arrive.
+                if acknowledged.is_none() || self.roll(2) == 0 {
+                    self.heartbeat(Stage::Draining, sequence, is_replicated);
+                    acknowledged.get_or_insert(self.now);
+                }
+            } else {
+                self.heartbeat(Stage::Ready, sequence, is_replicated);
+            }
+        }
+    }
+
+    fn step(&mut self, acknowledged: Option<u64>) {
+        self.now += 20;
+        // Losses come mostly right after the acknowledgement.
+        let is_close = acknowledged.is_some_and(|at| self.now <= at + 60);
+        if self.roll(if is_close { 2 } else { 60 }) == 0 {
+            let index = self.roll(self.controllers.len());
+            self.lose(index);
+        }
+        if self.now.is_multiple_of(240) {
+            let index = self.roll(self.controllers.len());
+            self.controllers[index].kept = self.controllers[index].registry.records();
+        }
+        if self.now.is_multiple_of(POLL) {
+            (0..self.relays.len()).for_each(|number| self.poll(number));
+        }
+        if self.roll(150) == 0 {
+            // A relay that starts anew is ready only once it has heard a majority.
+            let number = self.roll(self.relays.len());
+            self.relays[number] = Relay::default();
+            (0..4).for_each(|_| self.poll(number));
+        }
+        if acknowledged.is_some_and(|at| self.now > at + DRAIN_BOUND) {
+            let behind = self.relays.iter().filter(|relay| relay.stage == Some(Stage::Ready)).count();
+            if behind > 0 {
+                self.violations.push(format!("{behind} relays still send at {} ms", self.now));
+            }
+        }
+    }
+}
+
+fn broken(count: usize, tolerated: usize, is_replicated: bool, seeds: u64) -> Vec<String> {
+    let play = |seed| {
+        let mut world = World::new(count, tolerated, seed);
+        world.play(is_replicated);
+        world.violations.first().map(|violation| format!("seed {seed}: {violation}"))
+    };
+    (0..seeds).filter_map(play).collect()
+}
+
+#[test]
+fn an_acknowledged_drain_outlives_as_many_controllers_as_may_be_lost() {
+    assert_eq!(broken(3, 1, true, 400), Vec::<String>::new());
+    assert_eq!(broken(5, 2, true, 400), Vec::<String>::new());
+}
+
+#[test]
+fn the_checker_catches_a_drain_that_only_one_controller_holds() {
+    assert!(!broken(3, 1, false, 400).is_empty());
+}
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod control_world;
 pub mod memory_folder;
+pub mod tier;
 
 use std::net::Ipv4Addr;
 
--- /dev/null
+++ b/crates/onyxstile-system/tests/support/tier.rs
@@ -0,0 +1,203 @@
+//! All four roles on loopback in one process, and clients that ask them.
+
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener as StdListener};
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::HeaderMap;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use onyxstile_system::role::{agent, controller, proxy, storage};
+use onyxstile_system::settings::Settings;
+use tokio::net::TcpStream;
+
+/// Bounds the whole story; it takes about two seconds.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Ports {
+    internal: u16,
+    control: u16,
+    front: u16,
+    readiness: u16,
+}
+
+/// The host of a core machine that stands in the zone of the first controller, and has no vote while that has one.
+pub const STANDBY: u8 = 8;
+
+/// Stories run one after the other: each takes the first ports that are free.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Ports that are free on loopback, below those that outgoing connections take.
+fn ports() -> Ports {
+    const LOWEST: u32 = 18_000;
+    const SPAN: u32 = 12_000;
+    const NEEDED: u16 = 5;
+    let is_free =
+        |port| (1..=STANDBY).all(|host| StdListener::bind((Ipv4Addr::new(127, 0, 0, host), port)).is_ok());
+    for step in 0..SPAN / 8 {
+        let internal = (LOWEST + (std::process::id() * 8 + step * 8) % SPAN) as u16;
+        if (internal..internal + NEEDED).all(is_free) {
+            return Ports { internal, control: internal + 2, front: internal + 3, readiness: internal + 4 };
+        }
+    }
+    panic!("no free ports on loopback");
+}
+
+fn settings(ports: &Ports, folder: &Path, name: &str, host: u8, class: &str) -> Settings {
+    let Ports { internal, control, front, readiness } = ports;
+    let seeds: Vec<String> = (2..=4).map(|seed| format!("\"127.0.0.{seed}:{control}\"")).collect();
+    let data = folder.join(name);
+    let zone = if host == STANDBY { 2 } else { host };
+    let text = format!(
+        r#"
+node_name = "{name}"
+machine_class = "{class}"
+ip = "127.0.0.{host}"
+zone = "z{zone}"
+internal_port_range = [{internal},{}]
+seed_nodes = [{}]
+bootstrap = true
+data_dir = "{}"
+heartbeat_ms = 1000
+[listen]
+control = "127.0.0.{host}:{control}"
+front = "127.0.0.{host}:{front}"
+readiness = "127.0.0.{host}:{readiness}"
+[limits]
+memory_mb = 64
+max_fds = 2000
+disk_mb = 100
+[fault_tolerance]
+machines = 1
+zones = 1
+"#,
+        internal + 1,
+        seeds.join(","),
+        data.display()
+    );
+    Settings::parse(Path::new("boot.toml"), &text).expect("valid settings")
+}
+
+fn start_controller(ports: &Ports, folder: &Path, host: u8) {
+    let settings = settings(ports, folder, &format!("core-{host}"), host, "core");
+    tokio::task::spawn_local(async move { controller::run(settings).await.expect("the controller runs") });
+}
+
+fn start(ports: &Ports, folder: &Path) {
+    (2..=4).for_each(|host| start_controller(ports, folder, host));
+    for host in 5..=7 {
+        let settings = settings(ports, folder, &format!("storage-{host}"), host, "storage");
+        tokio::task::spawn_local(async move { storage::run(settings).await.expect("storage runs") });
+    }
+    let edge = settings(ports, folder, "edge-1", 1, "edge");
+    let beside = edge.clone();
+    tokio::task::spawn_local(async move { proxy::run(edge).await.expect("the proxy runs") });
+    tokio::task::spawn_local(async move { agent::run(beside).await.expect("the agent runs") });
+}
+
+/// An answer; no body if it broke off.
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Option<Bytes>,
+}
+
+/// Sends one request on a connection of its own.
+pub async fn ask(
+    to: SocketAddrV4, method: &str, path: &str, headers: &[(&str, &str)], body: &str,
+) -> Option<Answer> {
+    let stream = TcpStream::connect(to).await.ok()?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::task::spawn_local(connection);
+    let mut request = Request::builder().method(method).uri(path).header("host", "a.example");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::copy_from_slice(body.as_bytes()))).expect("a request");
+    let (head, body) = sender.send_request(request).await.ok()?.into_parts();
+    let body = body.collect().await.ok().map(|body| body.to_bytes());
+    Some(Answer { status: head.status, headers: head.headers, body })
+}
+
+/// Asks until the answer has this status.
+pub async fn ask_until(
+    status: u16, to: SocketAddrV4, method: &str, path: &str, headers: &[(&str, &str)], body: &str,
+) -> Answer {
+    loop {
+        if let Some(answer) = ask(to, method, path, headers, body).await
+            && answer.status.as_u16() == status
+        {
+            return answer;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// The limits of a configuration.
+pub const LIMITS: &str =
+    r#"{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}"#;
+
+/// What an endpoint registers.
+pub fn heartbeat(service: &str, endpoint: SocketAddrV4, state: &str, sequence: u64) -> String {
+    format!(
+        r#"{{"service":"{service}","address":"{endpoint}","zone":"z1","revision":"v1","capacity":4,"state":"{state}","warmup_left_ms":0,"sequence":{sequence}}}"#
+    )
+}
+
+/// A running tier.
+pub struct Tier {
+    ports: Ports,
+    folder: PathBuf,
+}
+
+impl Tier {
+    /// Starts all roles, has a configuration taken and endpoints registered, and waits until the proxy is ready.
+    pub async fn start(name: &str, configuration: &str, endpoints: &[(&str, &str, SocketAddrV4)]) -> Tier {
+        let folder = std::env::temp_dir().join(format!("onyxstile-{name}-{}", std::process::id()));
+        std::fs::remove_dir_all(&folder).ok();
+        let ports = ports();
+        start(&ports, &folder);
+        let tier = Tier { ports, folder };
+        ask_until(200, tier.control(2), "PUT", "/api/config", &[("if-match", "0")], configuration).await;
+        for (id, service, address) in endpoints {
+            let beat = heartbeat(service, *address, "ready", 1);
+            ask_until(200, tier.control(3), "PUT", &format!("/api/instances/{id}"), &[], &beat).await;
+        }
+        let readiness = SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 1), tier.ports.readiness);
+        ask_until(200, readiness, "GET", "/api/readyz", &[], "").await;
+        tier
+    }
+
+    /// Starts a further core machine, at the host [`STANDBY`].
+    pub fn start_standby(&self) {
+        start_controller(&self.ports, &self.folder, STANDBY);
+    }
+
+    /// The control address of a controller.
+    pub fn control(&self, host: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, host), self.ports.control)
+    }
+
+    /// Where clients connect.
+    pub fn front(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 1), self.ports.front)
+    }
+}
+
+impl Drop for Tier {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+/// Runs a story; it fails if it does not end.
+pub fn play<F: Future<Output = ()>>(story: F) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    let story = local.run_until(async { tokio::time::timeout(PATIENCE, story).await });
+    runtime.block_on(story).expect("the story ends in time");
+}
--- a/crates/onyxstile-system/tests/tolerance.rs
+++ b/crates/onyxstile-system/tests/tolerance.rs
@@ -7,6 +7,8 @@
 use onyxstile_system::program::groups;
 use onyxstile_system::storage_plan::StoragePlan;
 use onyxstile_system::tolerance::{Place, Tolerance};
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
 use support::{ONE, place, storage_in};
 
 fn tolerance(machines: usize, zones: usize, regions: usize) -> Tolerance {
@@ -102,3 +104,41 @@
 ) -> bool {
     group.members.contains(&node.address())
 }
+
+/// Over random machines: where the places allow it, a chosen group keeps its majority through every loss of the tolerated
+/// kind; and whatever a plan may give up without breaking that, it keeps that.
+#[test]
+fn whatever_the_places_a_group_that_can_bear_a_loss_bears_it() {
+    let mut borne = 0;
+    for seed in 0..4000u64 {
+        let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+        let mut roll = |sides: u32| random.next_u32() % sides;
+        let tolerance = tolerance(roll(3) as usize, roll(3) as usize, roll(2) as usize);
+        let stand: Vec<Place> =
+            (0..1 + roll(12)).map(|_| place(&format!("r{}", roll(3)), &format!("z{}", roll(4)))).collect();
+        let places: Vec<&Place> = stand.iter().collect();
+        let chosen: Vec<&Place> = tolerance.spread(&places).into_iter().map(|index| places[index]).collect();
+        assert_eq!(chosen.len(), tolerance.group_size().min(places.len()), "seed {seed}");
+        if !tolerance.is_borne_by(&places) {
+            continue;
+        }
+        borne += 1;
+        let quorum = chosen.len() / 2 + 1;
+        let left_without = |lost: &dyn Fn(&Place) -> bool| chosen.iter().filter(|place| !lost(place)).count();
+        let zones: BTreeSet<&Place> = places.iter().copied().collect();
+        let regions: BTreeSet<&str> = places.iter().map(|place| place.region.as_str()).collect();
+        for lost in &zones {
+            let others = zones.iter().filter(|other| *other != lost);
+            for second in others.chain([lost]) {
+                let is_lost = |place: &Place| place == *lost || (tolerance.zones > 1 && place == *second);
+                assert!(tolerance.zones == 0 || left_without(&is_lost) >= quorum, "seed {seed}: {lost:?}");
+            }
+        }
+        for lost in regions {
+            let is_lost = |place: &Place| place.region == lost;
+            assert!(tolerance.regions == 0 || left_without(&is_lost) >= quorum, "seed {seed}: {lost}");
+        }
+        assert!(chosen.len() - tolerance.machines >= quorum, "seed {seed}");
+    }
+    assert!(borne > 400, "{borne} of 4,000 can bear their losses");
+}
