--- a/crates/onyxstile-system/src/balance.rs
+++ b/crates/onyxstile-system/src/balance.rs
@@ -132,7 +132,9 @@
     }
 
     fn fits(&self, key: EndpointKey, need: &Need<'_>) -> bool {
-        self.slots[key].may_be_called() && cost::may_go(key, need)
+        self.slots[key].may_be_called()
+            && !need.excluded.contains(&key)
+            && need.only.is_none_or(|only| only.contains(&key))
     }
 
     /// What those endpoints have on average that told of it lately.
--- a/crates/onyxstile-system/src/balance/cost.rs
+++ b/crates/onyxstile-system/src/balance/cost.rs
@@ -1,8 +1,8 @@
 //! What a call is expected to take at an endpoint, in ms beyond what it takes anywhere. Pure.
 
+use super::EndpointKey;
 use super::endpoint::{Endpoint, Occupancy};
 use super::homes::Homes;
-use super::{EndpointKey, Need};
 use crate::prefix::Part;
 
 /// Tokens that an endpoint reads in a ms, until more is known: of the order of a large model on one accelerator.
@@ -71,22 +71,20 @@
     distance + silence + warmup
 }
 
+/// Requests beyond an endpoint's capacity once one more has come.
+fn queued(endpoint: &Endpoint, occupancy: Occupancy) -> f64 {
+    (occupancy.total() + 1.0 - f64::from(endpoint.instance.capacity)).max(0.0)
+}
+
 /// The cost of what an endpoint is at work on for a call with a prompt.
 pub(super) fn crowding(endpoint: &Endpoint, occupancy: Occupancy) -> f64 {
-    let capacity = f64::from(endpoint.instance.capacity);
-    let queued = (occupancy.total() + 1.0 - capacity).max(0.0);
+    let queued = queued(endpoint, occupancy);
     occupancy.running * CROWDING_MS + occupancy.waiting * WAITING_MS + queued * QUEUEING_MS
 }
 
 /// The time that a call of a tool takes.
 pub(super) fn tool(endpoint: &Endpoint, occupancy: Occupancy) -> f64 {
-    let load = occupancy.total();
     let capacity = f64::from(endpoint.instance.capacity);
-    let queued = (load + 1.0 - capacity).max(0.0);
-    endpoint.latency_ms() * (1.0 + TOOL_CROWDING * load / capacity + queued / capacity)
-}
-
-/// The endpoints that a call may go to, in the terms of [`Need`].
-pub(super) fn may_go(key: EndpointKey, need: &Need<'_>) -> bool {
-    !need.excluded.contains(&key) && need.only.is_none_or(|only| only.contains(&key))
+    let queued = queued(endpoint, occupancy);
+    endpoint.latency_ms() * (1.0 + TOOL_CROWDING * occupancy.total() / capacity + queued / capacity)
 }
