Share endpoints' connections out among relays; call tools in subsets; measure distances

- Controllers count the relays that ask them (relays, pure; unknown for the first 5 s of a controller) and tell the count; each relay holds its part of max_connections to an endpoint.
'status' shows each relay with its revision and whether it is behind.
- A call that must not run twice goes out on a new connection only once the endpoint has kept it for the way there and back.
- A relay calls eight endpoints of a tool service, by rendezvous, as long as they are well.
- The cost of another zone is the measured one, from the time that connections take; it was 3 ms, also where zones are 40 ms apart.

Internal protocol version 3.

--- a/crates/onyxstile-system/src/balance.rs
+++ b/crates/onyxstile-system/src/balance.rs
@@ -4,20 +4,27 @@
 //! is passed over for a while that doubles, then one call at a time tries it. Registration says who exists and who
 //! leaves; an incarnation that leaves is never chosen again.
 
+mod connections;
 mod cost;
+mod distances;
 mod endpoint;
 mod homes;
 mod shares;
 
+pub use connections::ConnectionLimit;
+use connections::{Connections, SUBSET};
 use cost::Prompt;
+use distances::Distances;
 use endpoint::Occupancy;
 pub use endpoint::{Endpoint, Load};
 use homes::Homes;
 use shares::Shares;
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::clock::Instant;
 use crate::prefix::Part;
@@ -54,13 +61,38 @@
     by_id: HashMap<String, EndpointKey>,
     by_service: HashMap<String, Vec<EndpointKey>>,
     shares: Shares,
-    zone: String,
+    connections: Connections,
+    distances: Distances,
+    relay: u64,
 }
 
 impl Endpoints {
-    /// A relay in `zone` that knows no endpoint.
-    pub fn new(zone: &str) -> Endpoints {
-        Endpoints { zone: zone.to_owned(), ..Endpoints::default() }
+    /// A relay in `zone` that knows no endpoint. Relays with different names call different subsets of a tool service.
+    pub fn new(zone: &str, name: &str) -> Endpoints {
+        Endpoints { distances: Distances::new(zone), relay: xxh3_64(name.as_bytes()), ..Endpoints::default() }
+    }
+
+    /// How many relays share the endpoints' connections, this one among them.
+    pub fn set_relays(&mut self, relays: u32) {
+        self.connections.set_relays(relays);
+    }
+
+    /// What the endpoints of each service take.
+    pub fn set_limits(&mut self, limits: HashMap<String, ConnectionLimit>) {
+        self.connections.set_limits(limits);
+    }
+
+    /// The connections that this relay may hold to an endpoint, in use and at rest.
+    pub fn connection_share(&self, key: EndpointKey) -> u32 {
+        let service = self.slots.get(key).map_or("", |endpoint| endpoint.instance.service.as_str());
+        self.connections.share(service, self.keys(service).len())
+    }
+
+    /// A connection to an endpoint came up in `time`.
+    pub fn connected(&mut self, key: EndpointKey, time: Duration) {
+        if let Some(endpoint) = self.slots.get(key) {
+            self.distances.note(&endpoint.instance.zone, time);
+        }
     }
 
     /// Takes a registration in; returns incarnations that are not to be called any more.
@@ -68,7 +100,8 @@
         let key = match self.by_id.get(&instance.id) {
             Some(key) => *key,
             None => {
-                let key = self.slots.insert(Endpoint::new(now, instance.clone()));
+                let rank = xxh3_64_with_seed(instance.id.as_bytes(), self.relay);
+                let key = self.slots.insert(Endpoint::new(now, instance.clone(), rank));
                 self.by_id.insert(instance.id.clone(), key);
                 self.by_service.entry(instance.service.clone()).or_default().push(key);
                 key
@@ -112,11 +145,7 @@
 
     /// The endpoint that is expected to answer first; `roll` in 0..1 breaks ties.
     pub fn choose(&self, now: Instant, need: &Need<'_>, roll: f64) -> Option<EndpointKey> {
-        let candidates: Vec<EndpointKey> =
-            self.keys(need.service).iter().copied().filter(|key| self.fits(*key, need)).collect();
-        let healthy: Vec<EndpointKey> =
-            candidates.iter().copied().filter(|key| self.slots[*key].is_healthy(now)).collect();
-        let pool = if healthy.is_empty() { candidates } else { healthy };
+        let pool = self.pool(now, need);
         let usual = self.usual_occupancy(now, &pool);
         let compared = if need.parts.is_empty() { SAMPLE.min(pool.len()) } else { pool.len() };
         let offset = (roll * pool.len() as f64) as usize;
@@ -131,6 +160,26 @@
         costs.into_iter().min_by(cheaper).map(|(_, key)| key)
     }
 
+    /// The endpoints among which a call has the choice: those that are well and to which this relay may hold one more
+    /// connection, as long as there are any; of a tool service's, this relay's subset.
+    fn pool(&self, now: Instant, need: &Need<'_>) -> Vec<EndpointKey> {
+        let keys = self.keys(need.service);
+        let candidates: Vec<EndpointKey> = keys.iter().copied().filter(|key| self.fits(*key, need)).collect();
+        let share = self.connections.share(need.service, keys.len());
+        let healthy = only_if_any(candidates, |key| self.slots[key].is_healthy(now));
+        let with_room = only_if_any(healthy, |key| self.slots[key].in_flight() < share);
+        if need.parts.is_empty() { self.subset(with_room) } else { with_room }
+    }
+
+    /// Those that come first in this relay's own order: one that goes is replaced by the next, and all others stay.
+    fn subset(&self, mut pool: Vec<EndpointKey>) -> Vec<EndpointKey> {
+        if pool.len() > SUBSET {
+            pool.select_nth_unstable_by_key(SUBSET, |key| self.slots[*key].rank);
+            pool.truncate(SUBSET);
+        }
+        pool
+    }
+
     fn fits(&self, key: EndpointKey, need: &Need<'_>) -> bool {
         self.slots[key].may_be_called()
             && !need.excluded.contains(&key)
@@ -143,9 +192,13 @@
         Occupancy::mean(&told)
     }
 
+    fn base_cost(&self, endpoint: &Endpoint) -> f64 {
+        cost::base(endpoint, self.distances.to(&endpoint.instance.zone))
+    }
+
     fn tool_cost(&self, now: Instant, key: EndpointKey, usual: Occupancy) -> f64 {
         let endpoint = &self.slots[key];
-        cost::base(endpoint, &self.zone) + cost::tool(endpoint, endpoint.occupancy(now, usual))
+        self.base_cost(endpoint) + cost::tool(endpoint, endpoint.occupancy(now, usual))
     }
 
     fn prompt_costs(
@@ -160,7 +213,7 @@
         let cost = |(key, known): (EndpointKey, u64)| {
             let endpoint = &self.slots[key];
             let crowding = cost::crowding(endpoint, endpoint.occupancy(now, usual));
-            (cost::base(endpoint, &self.zone) + prompt.reading(key, known) + crowding, key)
+            (self.base_cost(endpoint) + prompt.reading(key, known) + crowding, key)
         };
         held.into_iter().map(cost).collect()
     }
@@ -174,6 +227,12 @@
     }
 }
 
+/// Those of `keys` that pass, or all of them where none does.
+fn only_if_any(keys: Vec<EndpointKey>, passes: impl Fn(EndpointKey) -> bool) -> Vec<EndpointKey> {
+    let passing: Vec<EndpointKey> = keys.iter().copied().filter(|key| passes(*key)).collect();
+    if passing.is_empty() { keys } else { passing }
+}
+
 /// A step through `length` places that meets each of them once, different from call to call.
 fn stride(length: usize, roll: f64) -> usize {
     let wanted = 1 + (roll * 1e6) as usize % length.max(1);
--- a/crates/onyxstile-system/src/balance/cost.rs
+++ b/crates/onyxstile-system/src/balance/cost.rs
@@ -13,8 +13,6 @@
 const WAITING_MS: f64 = 25.0;
 /// What a request behind a full endpoint waits, in ms for each that is ahead of it.
 const QUEUEING_MS: f64 = 40.0;
-/// What crossing to another zone costs, in ms there and back.
-const OTHER_ZONE_MS: f64 = 3.0;
 /// The cost of an endpoint that has missed its heartbeats, in ms; it may still serve.
 const SILENT_MS: f64 = 200.0;
 /// How far a relay trusts that a home holds what others are believed to have sent there.
@@ -63,9 +61,8 @@
     }
 }
 
-/// The cost of an endpoint for any call.
-pub(super) fn base(endpoint: &Endpoint, zone: &str) -> f64 {
-    let distance = if endpoint.instance.zone == zone { 0.0 } else { OTHER_ZONE_MS };
+/// The cost for any call of an endpoint that is `distance` ms away, there and back.
+pub(super) fn base(endpoint: &Endpoint, distance: f64) -> f64 {
     let silence = if endpoint.instance.is_silent { SILENT_MS } else { 0.0 };
     let warmup = (endpoint.instance.warmup_left_ms as f64).min(1000.0) * 0.1;
     distance + silence + warmup
--- a/crates/onyxstile-system/src/balance/endpoint.rs
+++ b/crates/onyxstile-system/src/balance/endpoint.rs
@@ -65,6 +65,8 @@
     pub instance: Instance,
     /// What its cache is believed to hold.
     pub cache: Cache,
+    /// Its place in this relay's own order of endpoints.
+    pub(super) rank: u64,
     in_flight: u32,
     told: Option<(Load, u32, Instant)>,
     failures_in_row: u32,
@@ -74,10 +76,11 @@
 }
 
 impl Endpoint {
-    pub(super) fn new(now: Instant, instance: Instance) -> Endpoint {
+    pub(super) fn new(now: Instant, instance: Instance, rank: u64) -> Endpoint {
         Endpoint {
             instance,
             cache: Cache::default(),
+            rank,
             in_flight: 0,
             told: None,
             failures_in_row: 0,
@@ -126,6 +129,11 @@
         self.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS)
     }
 
+    /// Calls that are out, each on a connection of its own.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
     /// A call goes out.
     pub fn begin(&mut self) {
         self.in_flight += 1;
--- a/crates/onyxstile-system/src/configuration.rs
+++ b/crates/onyxstile-system/src/configuration.rs
@@ -11,6 +11,7 @@
 
 use quick_error::quick_error;
 
+use crate::balance::ConnectionLimit;
 use crate::json::JsonError;
 
 /// A version number of the operator's.
@@ -179,6 +180,15 @@
 }
 
 impl Configuration {
+    /// What the endpoints of each service take: all relays call model endpoints, for their prompts are read there.
+    pub fn connection_limits(&self) -> HashMap<String, ConnectionLimit> {
+        let limit = |service: &Service| ConnectionLimit {
+            connections: service.max_connections,
+            is_called_by_all: service.engine.is_some(),
+        };
+        self.services.iter().map(|(name, service)| (name.clone(), limit(service))).collect()
+    }
+
     /// The route of a request: of the routes of its host, the one with the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&std::rc::Rc<Route>> {
         let lower;
--- a/crates/onyxstile-system/src/lib.rs
+++ b/crates/onyxstile-system/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod prefix;
 pub mod program;
 pub mod registry;
+pub mod relays;
 pub mod retry;
 pub mod role;
 pub mod settings;
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -34,6 +34,7 @@
     state: Option<Published>,
     endpoints: HashMap<String, Instance>,
     is_fresh: bool,
+    relays: Option<u32>,
 }
 
 impl Known {
@@ -55,6 +56,7 @@
                 }
             }
             News::Fresh => self.is_fresh = true,
+            News::Relays(count) => self.relays = Some(*count),
         }
     }
 
@@ -63,6 +65,7 @@
             state: self.state.clone(),
             endpoints: self.endpoints.values().cloned().collect(),
             is_fresh: self.is_fresh,
+            relays: self.relays,
         }
     }
 }
@@ -128,10 +131,11 @@
         match item {
             News::State(_) => feed.state = known.state.clone(),
             News::Endpoints(endpoints) => feed.endpoints.extend(endpoints),
-            News::Fresh => {}
+            News::Fresh | News::Relays(_) => {}
         }
         next = news.try_recv().ok();
     }
     feed.is_fresh = known.is_fresh;
+    feed.relays = known.relays;
     feed
 }
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -25,6 +25,7 @@
 use crate::controller::{Controller, Input};
 use crate::disk::{RealFolder, Versions};
 use crate::registry::Registry;
+use crate::relays::Relays;
 use crate::settings::Settings;
 use crate::swim::{Class, Standing};
 use crate::tolerance::{Place, Tolerance};
@@ -80,6 +81,7 @@
     last_number: Cell<u64>,
     changed: Notify,
     synced: RefCell<HashMap<[u8; 4], (u64, Instant)>>,
+    relays: RefCell<Relays>,
     is_planning: Cell<bool>,
 }
 
@@ -149,6 +151,7 @@
             last_number: Cell::new(0),
             changed: Notify::new(),
             synced: RefCell::default(),
+            relays: RefCell::new(Relays::new(clock.now())),
             is_planning: Cell::new(false),
         }
     }
@@ -168,6 +171,7 @@
             if self.registry.borrow_mut().tick(self.clock.now()) {
                 self.changed.notify_waiters();
             }
+            self.relays.borrow_mut().tick(self.clock.now());
             self.kept_registry.keep(self.clock.now(), &self.registry.borrow());
             self.clone().plan();
             tokio::time::sleep(TICK).await;
--- a/crates/onyxstile-system/src/role/controller/peers.rs
+++ b/crates/onyxstile-system/src/role/controller/peers.rs
@@ -7,6 +7,7 @@
 use super::Node;
 use crate::controller::Input;
 use crate::registry::Instance;
+use crate::relays::Relay;
 use crate::role::rpc::Answer;
 use crate::swim::Standing;
 use crate::wire::{Published, Pull, Pulled, Request, Response};
@@ -91,6 +92,10 @@
         if pull.synced_epoch > 0 {
             self.synced.borrow_mut().insert(pull.ip, (pull.synced_epoch, self.clock.now()));
         }
+        if pull.wants_endpoints {
+            let relay = Relay { name: pull.name.clone(), revision: pull.revision };
+            self.relays.borrow_mut().heard(self.clock.now(), pull.ip, relay);
+        }
         let wait = Duration::from_millis(pull.wait_ms).min(WAIT_MAX);
         let until = tokio::time::Instant::now() + wait;
         loop {
@@ -128,6 +133,7 @@
             origin,
             counter: registry.counter(),
             endpoints: if is_behind { registry.since(pull.origin, pull.counter) } else { Vec::new() },
+            relays: self.relays.borrow().count(self.clock.now()),
         }
     }
 
@@ -148,6 +154,8 @@
             lines.extend(plan.current.iter().map(|node| format!("storage {} {}", node.name, node.address())));
         }
         lines.push(format!("endpoints ready {}", self.registry.borrow().ready()));
+        let revision = controller.committed_state().map_or(0, |state| state.revision());
+        lines.extend(self.relays.borrow().lines(self.clock.now(), revision));
         lines
     }
 }
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -122,7 +122,7 @@
             sequence: Cell::new(0),
             plan: RefCell::default(),
             plan_changed: Notify::new(),
-            endpoints: RefCell::new(Endpoints::new(&settings.zone)),
+            endpoints: RefCell::new(Endpoints::new(&settings.zone, &settings.node_name)),
             destinations: RefCell::default(),
             slots: RefCell::new(Slots::new(slots)),
             slot_freed: Notify::new(),
--- a/crates/onyxstile-system/src/role/proxy/attempt.rs
+++ b/crates/onyxstile-system/src/role/proxy/attempt.rs
@@ -51,7 +51,7 @@
             endpoint.cache.note(&call.parts, call.engine_tokens());
         }
         let attempt = async {
-            match self.pools.send(key, address, request).await {
+            match self.pools.send(key, address, request, call.route.is_repeatable()).await {
                 Ok((response, checkout)) => self.read(call, key, response, checkout).await,
                 Err(SendError::NotSent(reason)) => {
                     log::debug!("{instance} at {address}: not sent: {reason}");
@@ -70,7 +70,13 @@
 
     /// Takes back a connection whose answer was read to its end.
     pub(super) fn give_back(&self, checkout: Checkout) {
-        self.pools.give_back(checkout);
+        let key = checkout.key;
+        let endpoints = self.endpoints.borrow();
+        let in_use = endpoints.get(key).map_or(0, |endpoint| endpoint.in_flight());
+        // The call that gives it back is still counted.
+        let others = in_use.saturating_sub(1);
+        let share = endpoints.connection_share(key);
+        self.pools.give_back(checkout, share.saturating_sub(others) as usize);
     }
 
     fn address(&self, key: EndpointKey) -> Option<(std::net::SocketAddrV4, String)> {
@@ -93,6 +99,9 @@
     async fn read(
         &self, call: &Call, key: EndpointKey, response: hyper::Response<Incoming>, checkout: Checkout,
     ) -> Attempt {
+        if let Some(took) = checkout.connected_in {
+            self.endpoints.borrow_mut().connected(key, took);
+        }
         let (head, body) = response.into_parts();
         if let Some(load) = text(&head.headers, "server-load").and_then(Load::parse)
             && let Some(endpoint) = self.endpoints.borrow_mut().get_mut(key)
@@ -123,7 +132,7 @@
         }
         match body.collect().await {
             Ok(collected) => {
-                self.pools.give_back(checkout);
+                self.give_back(checkout);
                 Attempt::Whole(head, collected.to_bytes())
             }
             Err(_) => Attempt::Unknown("the answer broke off"),
@@ -140,7 +149,7 @@
             }
             self.pools.drop_idle(key);
         } else if body.collect().await.is_ok() {
-            self.pools.give_back(checkout);
+            self.give_back(checkout);
         }
         Attempt::NotExecuted
     }
--- a/crates/onyxstile-system/src/role/proxy/feed.rs
+++ b/crates/onyxstile-system/src/role/proxy/feed.rs
@@ -24,6 +24,9 @@
         if let Some(published) = feed.state {
             self.take_state(published);
         }
+        if let Some(relays) = feed.relays {
+            self.endpoints.borrow_mut().set_relays(relays);
+        }
         let now = self.clock.now();
         for instance in feed.endpoints {
             let leaving = self.endpoints.borrow_mut().update(now, instance);
@@ -58,6 +61,7 @@
         match configuration::parse(body) {
             Ok(parsed) => {
                 log::info!("configuration {revision} is in force");
+                self.endpoints.borrow_mut().set_limits(parsed.connection_limits());
                 *self.configuration.borrow_mut() = Some(Rc::new(parsed));
                 true
             }
--- a/crates/onyxstile-system/src/role/proxy/upstream.rs
+++ b/crates/onyxstile-system/src/role/proxy/upstream.rs
@@ -23,6 +23,8 @@
 const IDLE_DEFAULT: Duration = Duration::from_secs(4);
 /// A connection is given up this long before the endpoint would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
+/// What an endpoint that has too many connections takes to reset a new one, beyond the way there and back.
+const RESET_MARGIN: Duration = Duration::from_millis(1);
 
 type Sender = SendRequest<Full<Bytes>>;
 
@@ -48,20 +50,37 @@
 
 /// A connection that a call uses. Dropped before it is given back, it is closed.
 pub(super) struct Checkout {
-    key: EndpointKey,
+    pub key: EndpointKey,
     sender: Sender,
     rests: Duration,
+    /// How long it took to come up, if it is new.
+    pub connected_in: Option<Duration>,
+}
+
+/// A connection that has come up.
+struct Opened {
+    sender: Sender,
+    took: Duration,
+}
+
+impl Opened {
+    /// Waits until a reset by an endpoint that has too many connections would be here; false if there was one.
+    async fn stays(&self) -> bool {
+        tokio::time::sleep(self.took + RESET_MARGIN).await;
+        !self.sender.is_closed()
+    }
 }
 
 impl Pools {
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. One that must not run twice goes out on a new connection only
+    /// once the endpoint has kept that: what was sent on one that is reset may have run.
     pub(super) async fn send(
-        &self, key: EndpointKey, address: SocketAddrV4, request: Request<Full<Bytes>>,
+        &self, key: EndpointKey, address: SocketAddrV4, request: Request<Full<Bytes>>, is_repeatable: bool,
     ) -> Result<(Response<Incoming>, Checkout), SendError> {
         let mut request = request;
         while let Some(mut sender) = self.take(key) {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(checked_out(key, sender, response)),
+                Ok(response) => return Ok(checked_out(key, sender, response, None)),
                 Err(mut error) => match error.take_message() {
                     // It was closed meanwhile; nothing was written to it.
                     Some(unsent) => request = unsent,
@@ -69,9 +88,13 @@
                 },
             }
         }
-        let mut sender = open(address).await.map_err(SendError::NotSent)?;
+        let opened = open(address).await.map_err(SendError::NotSent)?;
+        if !is_repeatable && !opened.stays().await {
+            return Err(SendError::NotSent("the endpoint takes no more connections".into()));
+        }
+        let Opened { mut sender, took } = opened;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(checked_out(key, sender, response)),
+            Ok(response) => Ok(checked_out(key, sender, response, Some(took))),
             Err(mut error) => {
                 let was_sent = error.take_message().is_none();
                 let reason = error.into_error().to_string();
@@ -89,14 +112,19 @@
         Some(connections.remove(index).sender)
     }
 
-    /// Takes a connection back whose answer was read to its end.
-    pub(super) fn give_back(&self, checkout: Checkout) {
+    /// Takes a connection back whose answer was read to its end, unless `most` are at rest already.
+    pub(super) fn give_back(&self, checkout: Checkout, most: usize) {
         if checkout.sender.is_closed() || checkout.rests.is_zero() {
             return;
         }
         let expires = Instant::now() + checkout.rests;
         let idle = Idle { sender: checkout.sender, expires };
-        self.idle.borrow_mut().entry(checkout.key).or_default().push(idle);
+        let mut pools = self.idle.borrow_mut();
+        let connections = pools.entry(checkout.key).or_default();
+        connections.retain(|connection| connection.expires > Instant::now());
+        if connections.len() < most {
+            connections.push(idle);
+        }
     }
 
     /// Closes the connections at rest of an endpoint that leaves.
@@ -106,10 +134,10 @@
 }
 
 fn checked_out(
-    key: EndpointKey, sender: Sender, response: Response<Incoming>,
+    key: EndpointKey, sender: Sender, response: Response<Incoming>, connected_in: Option<Duration>,
 ) -> (Response<Incoming>, Checkout) {
     let rests = rest(response.headers());
-    (response, Checkout { key, sender, rests })
+    (response, Checkout { key, sender, rests, connected_in })
 }
 
 /// How long the connection may rest after this answer.
@@ -125,8 +153,10 @@
     told.map_or(IDLE_DEFAULT, |seconds| Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
 }
 
-async fn open(address: SocketAddrV4) -> Result<Sender, String> {
+async fn open(address: SocketAddrV4) -> Result<Opened, String> {
+    let began = Instant::now();
     let stream = socket::connect(address, CONNECT_PATIENCE).await.map_err(|error| error.to_string())?;
+    let took = began.elapsed();
     let (sender, connection) = Builder::new()
         .title_case_headers(true)
         .handshake(TokioIo::new(stream))
@@ -137,5 +167,5 @@
             log::debug!("connection to {address}: {error}");
         }
     });
-    Ok(sender)
+    Ok(Opened { sender, took })
 }
--- a/crates/onyxstile-system/src/role/subscription.rs
+++ b/crates/onyxstile-system/src/role/subscription.rs
@@ -36,6 +36,8 @@
     Endpoints(Vec<Instance>),
     /// A majority of the controllers has been heard, and everything that they told is here.
     Fresh,
+    /// How many relays there are.
+    Relays(u32),
 }
 
 /// What the subscriber wants and tells.
@@ -66,6 +68,7 @@
     told: u64,
     polled: HashSet<Ipv4Addr>,
     registries: HashMap<Ipv4Addr, (u64, u64)>,
+    relays: HashMap<Ipv4Addr, u32>,
     is_fresh: bool,
 }
 
@@ -126,6 +129,7 @@
         let mut state = self.state.borrow_mut();
         state.polled.remove(&controller);
         state.heard.remove(&controller);
+        state.relays.remove(&controller);
     }
 
     fn question(&self, controller: Ipv4Addr, wants_state: bool) -> Pull {
@@ -179,6 +183,9 @@
         if pulled.is_settled && pulled.view > 0 {
             state.heard.insert(controller);
         }
+        if let Some(count) = pulled.relays.filter(|_| self.wishes.endpoints) {
+            self.absorb_relays(&mut state, controller, count);
+        }
         if !pulled.endpoints.is_empty() {
             self.tell(News::Endpoints(pulled.endpoints));
         }
@@ -199,6 +206,17 @@
         }
     }
 
+    /// Each controller counts whom it hears; one that is cut off from some counts too few.
+    fn absorb_relays(&self, state: &mut State, controller: Ipv4Addr, count: u32) {
+        let most = |state: &State| state.relays.values().copied().max();
+        let before = most(state);
+        state.relays.insert(controller, count);
+        let after = most(state);
+        if let Some(most) = after.filter(|_| after != before) {
+            self.tell(News::Relays(most));
+        }
+    }
+
     fn hears_majority(&self, state: &State) -> bool {
         let heard = state.electors.iter().filter(|elector| state.heard.contains(elector)).count();
         !state.electors.is_empty() && heard > state.electors.len() / 2
--- a/crates/onyxstile-system/src/wire.rs
+++ b/crates/onyxstile-system/src/wire.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 /// The version of the internal protocol; a frame of another is refused.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Most bytes of a frame: the largest configuration and a state of many changes fit.
 pub const FRAME_MAX: usize = 32 * 1024 * 1024;
 
@@ -89,6 +89,8 @@
     pub counter: u64,
     /// Endpoints that changed.
     pub endpoints: Vec<Instance>,
+    /// How many relays the controller hears of; none while it does not know.
+    pub relays: Option<u32>,
 }
 
 /// What one role asks another.
@@ -154,6 +156,8 @@
     pub endpoints: Vec<Instance>,
     /// Whether the agent has heard a majority of the controllers since its start.
     pub is_fresh: bool,
+    /// How many relays there are, if that is known.
+    pub relays: Option<u32>,
 }
 
 /// An answer to a [`Request`].
--- a/crates/onyxstile-system/tests/bad_endpoints.rs
+++ b/crates/onyxstile-system/tests/bad_endpoints.rs
@@ -7,7 +7,9 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
+use std::time::Duration;
 
+use socket2::SockRef;
 use support::tier::{Answer, LIMITS, Tier, ask, play};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -68,6 +70,19 @@
     SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
 }
 
+/// An endpoint that has all the connections it takes: it resets each new one.
+async fn full_endpoint() -> SocketAddrV4 {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let port = listener.local_addr().expect("its address").port();
+    tokio::task::spawn_local(async move {
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("the option");
+        }
+    });
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+}
+
 async fn serve(mut stream: TcpStream, script: Rc<Script>) {
     let mut buffer = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buffer).await {
@@ -146,7 +161,13 @@
 impl Story {
     async fn start(name: &str) -> Story {
         let script = Rc::new(Script { mood: Cell::new(Mood::Well), runs: RefCell::default() });
-        let (one, other) = (endpoint(script.clone()).await, endpoint(script.clone()).await);
+        let other = endpoint(script.clone()).await;
+        Story::with(name, script, other).await
+    }
+
+    /// Two endpoints: one that goes by the script, and another.
+    async fn with(name: &str, script: Rc<Script>, other: SocketAddrV4) -> Story {
+        let one = endpoint(script.clone()).await;
         let endpoints = [("i-1", "api", one), ("i-2", "api", other)];
         let tier = Tier::start(name, &configuration(), &endpoints).await;
         let story = Story { tier, script, last: Cell::new(0) };
@@ -220,3 +241,18 @@
         }
     });
 }
+
+/// kartli-relay with 14 connections an endpoint, quiet-1: calls that must not run twice went out on connections that were
+/// over the endpoint's limit and were reset; 16 of them ended with 502 though no endpoint had seen them.
+#[test]
+fn a_call_that_must_not_run_twice_is_not_sent_on_a_connection_that_the_endpoint_does_not_keep() {
+    play(async {
+        let script = Rc::new(Script { mood: Cell::new(Mood::Well), runs: RefCell::default() });
+        let story = Story::with("full", script, full_endpoint().await).await;
+        for round in 0..20 {
+            let (id, answer) = story.ask("once", Mood::Well).await;
+            assert_eq!(answer.status, 200, "round {round}");
+            assert_eq!(story.script.runs(&id), 1, "round {round}");
+        }
+    });
+}
--- a/crates/onyxstile-system/tests/balance.rs
+++ b/crates/onyxstile-system/tests/balance.rs
@@ -29,7 +29,11 @@
 }
 
 fn relay(zone: &str, endpoints: u32) -> Endpoints {
-    let mut relay = Endpoints::new(zone);
+    named_relay(zone, "relay", endpoints)
+}
+
+fn named_relay(zone: &str, name: &str, endpoints: u32) -> Endpoints {
+    let mut relay = Endpoints::new(zone, name);
     for number in 0..endpoints {
         relay.update(at(0), instance(number, "llm"));
     }
@@ -75,8 +79,8 @@
 fn relays_with_the_same_knowledge_do_not_all_choose_the_same_tool_endpoint() {
     let mut random = Pcg64Mcg::new(9);
     let mut arrivals: HashMap<EndpointKey, u32> = HashMap::new();
-    for _ in 0..2000 {
-        let mut relay = relay("z0", 12);
+    for number in 0..2000 {
+        let mut relay = named_relay("z0", &format!("relay-{number}"), 12);
         let need = Need { service: "llm", ..Need::default() };
         let warm = relay.choose(at(0), &need, 0.0).expect("an endpoint");
         relay.get_mut(warm).expect("is known").succeeded(Some(Duration::from_millis(20)));
--- /dev/null
+++ b/crates/onyxstile-system/tests/relays.rs
@@ -0,0 +1,47 @@
+//! What a controller knows of the relays that ask it.
+
+use expect_test::expect;
+use onyxstile_system::clock::Instant;
+use onyxstile_system::relays::{Relay, Relays};
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn relay(name: &str, revision: u64) -> Relay {
+    Relay { name: name.into(), revision }
+}
+
+#[test]
+fn the_count_is_unknown_until_every_relay_has_had_the_time_to_ask() {
+    let mut relays = Relays::new(at(1_000));
+    relays.heard(at(1_100), [10, 0, 0, 1], relay("edge-1", 4));
+    assert_eq!(relays.count(at(5_900)), None, "others may not have asked yet");
+    relays.heard(at(5_900), [10, 0, 0, 1], relay("edge-1", 4));
+    relays.heard(at(5_900), [10, 0, 0, 2], relay("edge-2", 4));
+    assert_eq!(relays.count(at(6_000)), Some(2));
+}
+
+#[test]
+fn a_relay_that_asks_no_more_is_forgotten_and_one_that_asks_twice_counts_once() {
+    let mut relays = Relays::new(at(0));
+    for ms in [1_000, 3_000, 6_000] {
+        relays.heard(at(ms), [10, 0, 0, 1], relay("edge-1", 4));
+    }
+    relays.heard(at(2_000), [10, 0, 0, 2], relay("edge-2", 4));
+    assert_eq!(relays.count(at(6_500)), Some(2));
+    assert_eq!(relays.count(at(7_000)), Some(1));
+    relays.tick(at(7_000));
+    assert_eq!(relays.lines(at(7_000), 4).len(), 1);
+}
+
+#[test]
+fn an_operator_reads_who_is_behind() {
+    let mut relays = Relays::new(at(0));
+    relays.heard(at(900), [10, 0, 0, 1], relay("edge-1", 4));
+    relays.heard(at(400), [10, 0, 0, 2], relay("edge-2", 3));
+    expect![[r#"
+        relay edge-1 revision 4 current heard 100 ms ago
+        relay edge-2 revision 3 behind heard 600 ms ago"#]]
+    .assert_eq(&relays.lines(at(1_000), 4).join("\n"));
+}
