Let relays call only as many endpoints as take a connection of each relay

Where an endpoint takes fewer connections than there are relays (340 relays are wanted within two years), one connection of each relay is too many. Each relay's subset is now as large as the limit allows, for model services too; two at the least.

--- a/crates/onyxstile-system/src/balance.rs
+++ b/crates/onyxstile-system/src/balance.rs
@@ -12,7 +12,7 @@
 mod shares;
 
 pub use connections::ConnectionLimit;
-use connections::{Connections, SUBSET};
+use connections::Connections;
 use cost::Prompt;
 use distances::Distances;
 use endpoint::Occupancy;
@@ -166,21 +166,21 @@
     }
 
     /// The endpoints among which a call has the choice: those that are well and to which this relay may hold one more
-    /// connection, as long as there are any; of a tool service's, this relay's subset.
+    /// connection, as long as there are any; of these, this relay's subset.
     fn pool(&self, now: Instant, need: &Need<'_>) -> Vec<EndpointKey> {
         let keys = self.keys(need.service);
         let candidates: Vec<EndpointKey> = keys.iter().copied().filter(|key| self.fits(*key, need)).collect();
         let share = self.connections.share(need.service, keys.len());
         let healthy = only_if_any(candidates, |key| self.slots[key].is_healthy(now));
         let with_room = only_if_any(healthy, |key| self.slots[key].in_flight() < share);
-        if need.parts.is_empty() { self.subset(with_room) } else { with_room }
+        self.subset(with_room, self.connections.reach(need.service, keys.len()))
     }
 
     /// Those that come first in this relay's own order: one that goes is replaced by the next, and all others stay.
-    fn subset(&self, mut pool: Vec<EndpointKey>) -> Vec<EndpointKey> {
-        if pool.len() > SUBSET {
-            pool.select_nth_unstable_by_key(SUBSET, |key| self.slots[*key].rank);
-            pool.truncate(SUBSET);
+    fn subset(&self, mut pool: Vec<EndpointKey>, size: usize) -> Vec<EndpointKey> {
+        if pool.len() > size {
+            pool.select_nth_unstable_by_key(size, |key| self.slots[*key].rank);
+            pool.truncate(size);
         }
         pool
     }
--- a/crates/onyxstile-system/tests/connections.rs
+++ b/crates/onyxstile-system/tests/connections.rs
@@ -94,7 +94,8 @@
     let mut random = Pcg64Mcg::new(43);
     let mut callers: HashMap<EndpointKey, u32> = HashMap::new();
     for number in 0..relays {
-        let relay = relay(number, endpoints);
+        let mut relay = relay(number, endpoints);
+        relay.set_limits(limits(500, false));
         let called = called(&relay, &mut random);
         assert_eq!(called.len(), 8);
         for key in called {
@@ -107,10 +108,30 @@
     assert!(callers.values().all(|callers| f64::from(*callers) <= bound), "{callers:?}, bound {bound:.1}");
 }
 
+#[test]
+fn where_endpoints_take_fewer_connections_than_there_are_relays_each_relay_calls_some_of_them() {
+    let (relays, endpoints, most) = (90, 30, 40);
+    let mut random = Pcg64Mcg::new(53);
+    let mut callers: HashMap<EndpointKey, u32> = HashMap::new();
+    for number in 0..relays {
+        let mut relay = relay(number, endpoints);
+        relay.set_relays(relays as u32);
+        relay.set_limits(limits(most, true));
+        let called = called(&relay, &mut random);
+        assert!(called.len() >= 2, "a relay calls {}", called.len());
+        called.iter().for_each(|key| *callers.entry(*key).or_default() += 1);
+    }
+    let over: u32 = callers.values().map(|callers| callers.saturating_sub(most as u32)).sum();
+    let all: u32 = callers.values().sum();
+    assert_eq!(callers.len(), endpoints);
+    assert!(f64::from(over) <= 0.03 * f64::from(all), "{over} of {all} are over what endpoints take");
+}
+
 #[test]
 fn an_endpoint_that_leaves_is_replaced_by_one_other_and_moves_no_third() {
     let mut random = Pcg64Mcg::new(47);
     let mut relay = relay(5, 40);
+    relay.set_limits(limits(500, false));
     let before = called(&relay, &mut random);
     let gone = *before.iter().next().expect("an endpoint");
     let mut leaving = relay.get(gone).expect("is known").instance.clone();
