Bound what a client may cost: heads, rests and bodies end in time

Cause: the front and the control listeners read heads without a time, so a client that sent half a head, or nothing, held its connection and descriptor for ever, and a body that stopped was waited for until the client left. The configuration's header_timeout_ms and idle_timeout_ms were read and not used.

A body ends within the call's own time (408), and one whose length is over the limit is refused before it is read (413; found by the new test, which got 408). hyper's own timer was weighed: it counts rests as heads, and clients may rest four fifths of idle_timeout_ms.

Seen to fail without the mend: tests/bad_clients.rs (the play does not end).

--- a/crates/onyxstile-system/src/lib.rs
+++ b/crates/onyxstile-system/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod storage_plan;
 pub mod swim;
 pub mod tolerance;
+pub mod watch;
 pub mod wire;
--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -12,3 +12,4 @@
 pub mod status;
 pub mod storage;
 pub mod subscription;
+pub mod watched;
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -110,7 +110,7 @@
     let (answering, asked) = (node.clone(), node.clone());
     tokio::select! {
         () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
-        () = http::serve(api, move |request| api::answer(asked.clone(), request)) => {}
+        () = http::serve(api, clock, move |request| api::answer(asked.clone(), request)) => {}
         () = node.clone().tick() => {}
         () = signals::reread(node.settings.clone(), |fresh| {
             node.swim.borrow_mut().set_seeds(fresh.seed_addresses());
--- a/crates/onyxstile-system/src/role/controller/api.rs
+++ b/crates/onyxstile-system/src/role/controller/api.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, LOCATION};
@@ -16,6 +17,8 @@
 const CONFIGURATION_MAX: usize = 8 * 1024 * 1024;
 /// Most bytes of any other body.
 const BODY_MAX: usize = 64 * 1024;
+/// How long a body may take.
+const BODY_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Answers one request.
 pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Answer {
@@ -42,7 +45,7 @@
 async fn instances(node: &Node, method: &Method, id: &str, request: Request<Incoming>) -> Answer {
     let instance = match *method {
         Method::PUT => {
-            let body = match read_body(request.into_body(), BODY_MAX).await {
+            let body = match read_body(request.into_body(), BODY_MAX, BODY_PATIENCE).await {
                 Ok(body) => body,
                 Err(error) => return refuse_body(error),
             };
@@ -68,7 +71,7 @@
 async fn put_configuration(node: &Node, request: Request<Incoming>) -> Answer {
     let header = request.headers().get(hyper::header::IF_MATCH).and_then(|value| value.to_str().ok());
     let base = header.and_then(|value| value.trim().trim_matches('"').parse().ok());
-    match read_body(request.into_body(), CONFIGURATION_MAX).await {
+    match read_body(request.into_body(), CONFIGURATION_MAX, BODY_PATIENCE).await {
         Ok(body) => {
             let body = Rc::new(body.to_vec());
             tell(node.operate(Operation::PutConfiguration { base, body }).await)
@@ -98,6 +101,7 @@
     match error {
         BodyError::TooLong => text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
         BodyError::Broken => text(StatusCode::BAD_REQUEST, "the body ended early"),
+        BodyError::TooSlow => text(StatusCode::REQUEST_TIMEOUT, "the body did not end in time"),
     }
 }
 
--- a/crates/onyxstile-system/src/role/http.rs
+++ b/crates/onyxstile-system/src/role/http.rs
@@ -14,6 +14,9 @@
 use tokio::net::TcpListener;
 
 use super::socket;
+use super::watched::Watched;
+use crate::clock::SteadyClock;
+use crate::watch::Bounds;
 
 /// A whole answer.
 pub type Answer = Response<Full<Bytes>>;
@@ -40,23 +43,34 @@
     TooLong,
     /// It ended early.
     Broken,
+    /// It did not end in time.
+    TooSlow,
 }
 
-/// A body as a whole, of at most `most` bytes.
-pub async fn read_body<B>(body: B, most: usize) -> Result<Bytes, BodyError>
+/// A body as a whole, of at most `most` bytes, that ends within `patience`.
+pub async fn read_body<B>(body: B, most: usize, patience: Duration) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
     B::Error: std::error::Error + Send + Sync + 'static,
 {
-    match Limited::new(body, most).collect().await {
+    if body.size_hint().lower() > most as u64 {
+        return Err(BodyError::TooLong);
+    }
+    let Ok(result) = tokio::time::timeout(patience, Limited::new(body, most).collect()).await else {
+        return Err(BodyError::TooSlow);
+    };
+    match result {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
         Err(_) => Err(BodyError::Broken),
     }
 }
 
+/// What endpoints, operators and the platform are allowed: they keep connections between heartbeats.
+const BOUNDS: Bounds = Bounds { head: Duration::from_secs(3), rest: Duration::from_secs(60) };
+
 /// Answers all requests that come to a listener with `answer`.
-pub async fn serve<F, A>(listener: TcpListener, answer: F)
+pub async fn serve<F, A>(listener: TcpListener, clock: SteadyClock, answer: F)
 where
     F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = Answer> + 'static,
@@ -74,9 +88,15 @@
         socket::prepare(&stream);
         let answer = answer.clone();
         tokio::task::spawn_local(async move {
+            let (stream, watch) = Watched::new(stream, clock, BOUNDS);
             let service = service_fn(|request| {
+                let answering = watch.request();
                 let answer = answer(request);
-                async move { Ok::<_, Infallible>(answer.await) }
+                async move {
+                    let answer = answer.await;
+                    drop(answering);
+                    Ok::<_, Infallible>(answer)
+                }
             });
             let connection = hyper::server::conn::http1::Builder::new()
                 .title_case_headers(true)
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -33,7 +33,7 @@
 use super::{http, signals, socket};
 use crate::balance::{EndpointKey, Endpoints};
 use crate::clock::SteadyClock;
-use crate::configuration::Configuration;
+use crate::configuration::{ClientLimits, Configuration};
 use crate::retry::{Destination, Law};
 use crate::settings::Settings;
 use crate::slots::Slots;
@@ -98,7 +98,7 @@
     let (fed, asked) = (node.clone(), node.clone());
     tokio::select! {
         () = rpc::serve(feed, Rc::new(move |request| fed.clone().answer_agent(request))) => {}
-        () = http::serve(readiness, move |request| lifetime::readiness(asked.clone(), request)) => {}
+        () = http::serve(readiness, clock, move |request| lifetime::readiness(asked.clone(), request)) => {}
         () = lifetime::accept(node.clone(), clients) => {}
         () = signals::reread(node.settings.clone(), |_| {}) => {}
         () = lifetime::drain(node.clone()) => log::info!("the proxy has drained"),
@@ -140,6 +140,10 @@
         self.settings.borrow().fault_tolerance
     }
 
+    fn client_limits(&self) -> ClientLimits {
+        self.configuration.borrow().as_ref().map_or_else(ClientLimits::default, |held| held.limits.clone())
+    }
+
     /// A number from 0 to 1.
     fn roll(&self) -> f64 {
         f64::from(self.random.borrow_mut().next_u32()) / (f64::from(u32::MAX) + 1.0)
--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -19,6 +19,7 @@
 use super::sending::{Ended, Sending};
 use crate::clock::Instant;
 use crate::role::http::{BodyError, read_body};
+use crate::role::watched::Answering;
 
 /// When a client may come back that found no endpoint.
 const COME_BACK: Duration = Duration::from_millis(250);
@@ -26,8 +27,8 @@
 const START: Duration = Duration::from_millis(600);
 
 /// Answers one request of a client.
-pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>) -> ClientAnswer {
-    let entered = Phase::enter(&node);
+pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>, answering: Answering) -> ClientAnswer {
+    let entered = Phase::enter(&node, answering);
     let mut answer = route(&node, request, entered).await;
     if node.phase.is_draining() {
         close_after(&mut answer);
@@ -47,10 +48,14 @@
     };
     let most = configuration.limits.max_body_bytes;
     let mut call = Call::new(configuration, route, head, node.clock.now(), node.roll());
-    call.body = match read_body(body, most).await {
+    let patience = call.left(node.clock.now());
+    call.body = match read_body(body, most, patience).await {
         Ok(body) => body,
         Err(BodyError::TooLong) => return own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
         Err(BodyError::Broken) => return own(StatusCode::BAD_REQUEST, "the body ended early"),
+        Err(BodyError::TooSlow) => {
+            return own(StatusCode::REQUEST_TIMEOUT, "the body did not end in time");
+        }
     };
     if node.endpoints.borrow().usable(&call.service) == 0 {
         return not_run(COME_BACK, "no endpoint");
--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -13,8 +13,11 @@
 use tokio::sync::Notify;
 
 use super::{Node, forward};
+use crate::configuration::ClientLimits;
 use crate::role::http::{Answer, text};
+use crate::role::watched::{Answering, Watched};
 use crate::role::{signals, socket};
+use crate::watch::Bounds;
 
 /// The platform takes a relay out after two misses, a second apart; until then clients still come.
 const STILL_OFFERED: Duration = Duration::from_millis(2600);
@@ -23,6 +26,9 @@
 /// How often a drain looks whether all is answered.
 const DRAIN_LOOK: Duration = Duration::from_millis(40);
 
+/// Heads of at least this many bytes are read, whatever the limit says: `Prompt-Prefix` names hundreds of parts.
+const HEAD_MIN: usize = 64 * 1024;
+
 /// How far the process is; it only moves on.
 #[derive(Default)]
 pub(super) struct Phase {
@@ -47,15 +53,16 @@
     }
 
     /// Counts a request that is being answered, for as long as the returned value lives.
-    pub(super) fn enter(node: &Rc<Node>) -> Entered {
+    pub(super) fn enter(node: &Rc<Node>, answering: Answering) -> Entered {
         node.phase.open.set(node.phase.open.get() + 1);
-        Entered { node: node.clone() }
+        Entered { node: node.clone(), _answering: answering }
     }
 }
 
 /// A request that is being answered.
 pub(super) struct Entered {
     node: Rc<Node>,
+    _answering: Answering,
 }
 
 impl Drop for Entered {
@@ -98,14 +105,15 @@
 
 async fn serve(node: Rc<Node>, stream: TcpStream) {
     let serving = node.clone();
+    let limits = node.client_limits();
+    let (stream, watch) = Watched::new(stream, node.clock, bounds(&limits));
     let service = service_fn(move |request| {
-        let node = serving.clone();
-        async move { Ok::<_, Infallible>(forward::answer(node, request).await) }
+        let (node, answering) = (serving.clone(), watch.request());
+        async move { Ok::<_, Infallible>(forward::answer(node, request, answering).await) }
     });
-    let most = node.configuration.borrow().as_ref().map_or(0, |held| held.limits.max_header_bytes);
     let connection = hyper::server::conn::http1::Builder::new()
         .title_case_headers(true)
-        .max_buf_size(most.max(64 * 1024))
+        .max_buf_size(limits.max_header_bytes.max(HEAD_MIN))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
@@ -120,6 +128,13 @@
     }
 }
 
+fn bounds(limits: &ClientLimits) -> Bounds {
+    Bounds {
+        head: Duration::from_millis(limits.header_timeout_ms),
+        rest: Duration::from_millis(limits.idle_timeout_ms),
+    }
+}
+
 async fn closing(node: &Node) {
     loop {
         let notified = node.phase.closing.notified();
--- /dev/null
+++ b/crates/onyxstile-system/src/watch.rs
@@ -0,0 +1,77 @@
+//! How long a client's connection may stay as it is: a head that does not end and a rest that lasts too long are ended.
+//! Pure.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// What a listener allows a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Time from a request's first byte to the end of its head.
+    pub head: Duration,
+    /// Time without a byte between requests, or before the first.
+    pub rest: Duration,
+}
+
+/// Why a connection is ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Overdue {
+    /// The head of a request did not end in time.
+    Head,
+    /// It has rested too long.
+    Rest,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Resting,
+    Head,
+    Answering,
+}
+
+/// One connection.
+#[derive(Debug)]
+pub struct Watch {
+    bounds: Bounds,
+    stage: Stage,
+    since: Instant,
+}
+
+impl Watch {
+    /// A connection that has just come.
+    pub fn new(now: Instant, bounds: Bounds) -> Watch {
+        Watch { bounds, stage: Stage::Resting, since: now }
+    }
+
+    /// Bytes came; the first after a rest begin a head.
+    pub fn bytes(&mut self, now: Instant) {
+        if self.stage == Stage::Resting {
+            self.enter(now, Stage::Head);
+        }
+    }
+
+    /// A head has ended and its request is being answered. The body has a bound of its own.
+    pub fn request(&mut self, now: Instant) {
+        self.enter(now, Stage::Answering);
+    }
+
+    /// The answer has ended.
+    pub fn answered(&mut self, now: Instant) {
+        self.enter(now, Stage::Resting);
+    }
+
+    /// When the connection is to be ended if nothing changes, and why; never while a request is answered.
+    pub fn ends(&self) -> Option<(Instant, Overdue)> {
+        match self.stage {
+            Stage::Resting => Some((self.since + self.bounds.rest, Overdue::Rest)),
+            Stage::Head => Some((self.since + self.bounds.head, Overdue::Head)),
+            Stage::Answering => None,
+        }
+    }
+
+    fn enter(&mut self, now: Instant, stage: Stage) {
+        self.stage = stage;
+        self.since = now;
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/bad_clients.rs
@@ -0,0 +1,110 @@
+//! Clients that send what is no request, no end, too much or nothing: each costs a bounded time and memory, gets a clear
+//! answer or a close, and the others are served meanwhile.
+
+mod support;
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use onyxstile_system::clock::Instant;
+use onyxstile_system::watch::{Bounds, Overdue, Watch};
+use support::tier::{Tier, ask, play};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Short, so that the test need not wait for long.
+const LIMITS: &str =
+    r#"{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":250,"idle_timeout_ms":500}"#;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn configuration() -> String {
+    let route = r#"{"name":"r","host":"a.example","path_prefix":"/r/","route_type":"idempotent","timeout_ms":400,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":2}"#;
+    format!(
+        r#"{{"revision":1,"routes":[{route}],"services":[{{"name":"api","health_check":"/healthz","max_connections":20,"protocol":"h1","tls":false}}],"limits":{LIMITS}}}"#
+    )
+}
+
+/// Sends bytes and reads until the other side closes; what came back.
+async fn send(to: SocketAddrV4, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(to).await.expect("a connection");
+    // The other side may close before it has read all.
+    stream.write_all(bytes).await.ok();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.ok();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Whether a client that behaves is answered: there is no endpoint, so it is asked to come back.
+async fn is_served(front: SocketAddrV4) -> bool {
+    let headers = [("request-id", "good"), ("deadline-ms", "300")];
+    ask(front, "GET", "/r/x", &headers, "").await.is_some_and(|answer| answer.status == 503)
+}
+
+#[test]
+fn what_is_no_request_is_answered_with_4xx_or_a_close() {
+    play(async {
+        let tier = Tier::start("no-request", &configuration(), &[]).await;
+        let head = "POST /r/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: x\r\nDeadline-Ms: 300\r\n";
+        let endless = format!("GET /r/x HTTP/1.1\r\nX: {}", "a".repeat(200_000));
+        let cases: [(&str, Vec<u8>, &[&str]); 8] = [
+            ("bytes that are no HTTP", b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n".to_vec(), &["400"]),
+            ("a head without end", endless.into_bytes(), &["431", ""]),
+            ("a head that stops", b"GET /r/x HTTP/1.1\r\nHost: a.exa".to_vec(), &[""]),
+            ("nothing", Vec::new(), &[""]),
+            (
+                "a length that is no number",
+                format!("{head}Content-Length: ten\r\n\r\n").into_bytes(),
+                &["400"],
+            ),
+            (
+                "two lengths that differ",
+                format!("{head}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd").into_bytes(),
+                &["400"],
+            ),
+            ("a body over the limit", format!("{head}Content-Length: 9000\r\n\r\n").into_bytes(), &["413"]),
+            ("a body that stops", format!("{head}Content-Length: 90\r\n\r\nabc").into_bytes(), &["408"]),
+        ];
+        for listener in [tier.front(), tier.control(2)] {
+            for (what, bytes, answers) in &cases[..if listener == tier.front() { 8 } else { 2 }] {
+                let answer = send(listener, bytes).await;
+                let status = answer.split(' ').nth(1).unwrap_or_default();
+                assert!(answers.contains(&status), "{listener}: {what}: {answer:?}");
+            }
+        }
+        assert!(is_served(tier.front()).await);
+    });
+}
+
+#[test]
+fn hundreds_of_silent_connections_keep_nobody_from_being_served_and_are_closed() {
+    play(async {
+        let tier = Tier::start("silent", &configuration(), &[]).await;
+        let mut silent = Vec::new();
+        for _ in 0..300 {
+            silent.push(TcpStream::connect(tier.front()).await.expect("a connection"));
+        }
+        assert!(is_served(tier.front()).await);
+        for mut stream in silent {
+            let mut byte = [0];
+            assert_eq!(stream.read(&mut byte).await.unwrap_or(0), 0, "closed after its rest");
+        }
+    });
+}
+
+#[test]
+fn a_head_has_its_time_from_its_first_byte_and_a_rest_from_the_answers_end() {
+    let bounds = Bounds { head: Duration::from_millis(300), rest: Duration::from_millis(1000) };
+    let mut watch = Watch::new(at(0), bounds);
+    assert_eq!(watch.ends(), Some((at(1000), Overdue::Rest)));
+    watch.bytes(at(900));
+    watch.bytes(at(1100));
+    assert_eq!(watch.ends(), Some((at(1200), Overdue::Head)), "more bytes give no more time");
+    watch.request(at(1150));
+    watch.bytes(at(1160));
+    assert_eq!(watch.ends(), None, "an answer may take as long as it takes");
+    watch.answered(at(9000));
+    assert_eq!(watch.ends(), Some((at(10_000), Overdue::Rest)));
+}
