--- a/crates/onyxstile-system/src/controller.rs
+++ b/crates/onyxstile-system/src/controller.rs
@@ -35,6 +35,7 @@
 /// An operation without an outcome is forgotten after this time.
 const OPERATION_LIFETIME: Duration = Duration::from_secs(4);
 
+#[derive(Debug, Clone)]
 struct Write {
     tokens: Vec<Token>,
     operation: Operation,
@@ -42,6 +43,7 @@
     sent: Instant,
 }
 
+#[derive(Debug, Clone)]
 struct Check {
     nonce: u64,
     view: u64,
@@ -51,7 +53,8 @@
     expires: Instant,
 }
 
-/// The state machine of one controller.
+/// The state machine of one controller. Clones go their own ways from there, which model checking needs.
+#[derive(Debug, Clone)]
 pub struct Controller {
     id: ElectorId,
     tolerance: Tolerance,
--- a/crates/onyxstile-system/src/controller/agreement.rs
+++ b/crates/onyxstile-system/src/controller/agreement.rs
@@ -18,12 +18,14 @@
 const PATIENCE: Duration = Duration::from_millis(40);
 
 /// What one elector promised with: what it has accepted, and the newest state that it has written.
+#[derive(Debug, Clone)]
 struct Promised {
     from: ElectorId,
     accepted: Option<(Ballot, Rc<View>)>,
     state: ControlState,
 }
 
+#[derive(Debug, Clone)]
 pub(super) struct Proposal {
     view: u64,
     ballot: Ballot,
--- /dev/null
+++ b/crates/onyxstile-system/tests/control_model.rs
@@ -0,0 +1,356 @@
+//! Model checking of the control state: three controllers, every order of deliveries, timers and faults within bounds, breadth
+//! first, each state once. A checker states CONFIG and LOST; flawed variants show that it can fail.
+//!
+//! Messages of one sender to one receiver keep their order; any may be lost, where the bounds say so. `Status` is always lost:
+//! it only helps. `MODEL_STATES` sets how many states a scenario may expand; the default keeps the run short.
+
+mod support;
+
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use onyxstile_system::clock::Instant;
+use onyxstile_system::control::{Durable, ElectorId, Message, Operation, Outcome};
+use onyxstile_system::controller::{Controller, Effect, Input};
+use onyxstile_system::tolerance::Place;
+use support::{ONE, address};
+
+const MACHINES: usize = 3;
+/// Time from one tick to the next: every timer but the longest is due.
+const TICK_MS: u64 = 450;
+const STATES: usize = 4_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Flaw {
+    None,
+    /// The head counts a write as held by all once it has sent it on.
+    HeadAcknowledges,
+    /// What is persisted is lost at a kill.
+    UnsyncedVotes,
+}
+
+/// What may still happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Bounds {
+    ticks: u8,
+    kills: u8,
+    wipes: u8,
+    losses: u8,
+    suspicions: u8,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Action {
+    Deliver(usize, usize),
+    Lose(usize, usize),
+    Tick(usize),
+    Kill(usize),
+    Wipe(usize),
+    Suspect(usize),
+}
+
+#[derive(Debug, Clone)]
+struct State {
+    controllers: Vec<Controller>,
+    disks: Vec<Durable>,
+    channels: BTreeMap<(usize, usize), VecDeque<Message>>,
+    suspected: Option<usize>,
+    now: u64,
+    left: Bounds,
+    /// Revisions whose change was acknowledged.
+    acknowledged: Vec<u64>,
+    /// The revision in force after each write that anybody has told as committed.
+    committed: BTreeMap<u64, u64>,
+    /// The view of each number, as digests.
+    views: BTreeMap<u64, String>,
+    violation: Option<String>,
+}
+
+fn index(ip: Ipv4Addr) -> usize {
+    usize::from(ip.octets()[3]) - 1
+}
+
+fn ip(machine: usize) -> Ipv4Addr {
+    address(machine as u8 + 1)
+}
+
+fn place(machine: usize) -> Place {
+    support::place("r", &format!("z{machine}"))
+}
+
+fn body(revision: u64) -> Rc<Vec<u8>> {
+    Rc::new(format!("{{\"revision\":{revision},\"routes\":[],\"services\":[]}}").into_bytes())
+}
+
+impl State {
+    fn start(left: Bounds) -> State {
+        let seeds: Vec<Ipv4Addr> = (0..MACHINES).map(ip).collect();
+        let disks: Vec<Durable> = seeds.iter().map(|seed| Controller::bootstrap(*seed, &seeds)).collect();
+        let controllers = (0..MACHINES).map(|machine| boot(machine, &disks[machine], 0)).collect();
+        State {
+            controllers,
+            disks,
+            channels: BTreeMap::new(),
+            suspected: None,
+            now: 0,
+            left,
+            acknowledged: Vec::new(),
+            committed: BTreeMap::new(),
+            views: BTreeMap::new(),
+            violation: None,
+        }
+    }
+
+    /// An operator sends a change to the first version to a machine.
+    fn put(mut self, machine: usize, revision: u64, flaw: Flaw) -> State {
+        let operation = Operation::PutConfiguration { base: Some(0), body: body(revision) };
+        self.step(machine, Input::Operation { number: revision, operation }, flaw);
+        self
+    }
+
+    fn actions(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for ((from, to), messages) in &self.channels {
+            if !messages.is_empty() {
+                actions.push(Action::Deliver(*from, *to));
+                if self.left.losses > 0 {
+                    actions.push(Action::Lose(*from, *to));
+                }
+            }
+        }
+        for machine in 0..MACHINES {
+            if self.left.ticks > 0 {
+                actions.push(Action::Tick(machine));
+            }
+            if self.left.kills > 0 {
+                actions.push(Action::Kill(machine));
+            }
+            if self.left.wipes > 0 {
+                actions.push(Action::Wipe(machine));
+            }
+            if self.left.suspicions > 0 && self.suspected != Some(machine) {
+                actions.push(Action::Suspect(machine));
+            }
+        }
+        actions
+    }
+
+    fn after(&self, action: Action, flaw: Flaw) -> State {
+        let mut next = self.clone();
+        match action {
+            Action::Deliver(from, to) => {
+                if let Some(message) = next.take(from, to) {
+                    next.step(to, Input::Message { from: ip(from), message }, flaw);
+                }
+            }
+            Action::Lose(from, to) => {
+                next.left.losses -= 1;
+                next.take(from, to);
+            }
+            Action::Tick(machine) => {
+                next.left.ticks -= 1;
+                next.now += TICK_MS;
+                let live = next.live(machine);
+                next.step(machine, Input::Live(live), flaw);
+                next.step(machine, Input::Tick, flaw);
+            }
+            Action::Kill(machine) => {
+                next.left.kills -= 1;
+                next.restart(machine);
+            }
+            Action::Wipe(machine) => {
+                next.left.wipes -= 1;
+                next.disks[machine] = Controller::empty(1_000 + machine as u64);
+                next.restart(machine);
+            }
+            Action::Suspect(machine) => {
+                next.left.suspicions -= 1;
+                next.suspected = Some(machine);
+            }
+        }
+        next.check();
+        next
+    }
+
+    fn take(&mut self, from: usize, to: usize) -> Option<Message> {
+        self.channels.get_mut(&(from, to)).and_then(VecDeque::pop_front)
+    }
+
+    fn live(&self, own: usize) -> Vec<(ElectorId, Place)> {
+        let is_live = |machine: &usize| *machine != own && self.suspected != Some(*machine);
+        let id = |machine: usize| ElectorId { ip: ip(machine).octets(), disk: self.disks[machine].disk };
+        (0..MACHINES).filter(is_live).map(|machine| (id(machine), place(machine))).collect()
+    }
+
+    /// What was on its way to the machine is lost with its connections.
+    fn restart(&mut self, machine: usize) {
+        self.channels.retain(|(_, to), _| *to != machine);
+        self.controllers[machine] = boot(machine, &self.disks[machine], self.now);
+    }
+
+    fn step(&mut self, machine: usize, input: Input, flaw: Flaw) {
+        let effects = self.controllers[machine].step(Instant::from_millis(self.now), input);
+        for effect in effects {
+            match effect {
+                Effect::Persist(durable) if flaw != Flaw::UnsyncedVotes => {
+                    self.disks[machine] = (*durable).clone()
+                }
+                Effect::Persist(_) | Effect::Send { message: Message::Status { .. }, .. } => {}
+                Effect::Send { to, message } => self.send(machine, index(to), message, flaw),
+                Effect::Reply { number, outcome: Outcome::Done } => self.acknowledged.push(number),
+                Effect::Reply { .. } => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message, flaw: Flaw) {
+        if let (Message::Apply { view, state }, Flaw::HeadAcknowledges) = (&message, flaw) {
+            let forged = Message::Applied { view: *view, sequence: state.sequence };
+            self.channels.entry((to, from)).or_default().push_back(forged);
+        }
+        self.channels.entry((from, to)).or_default().push_back(message);
+    }
+
+    fn check(&mut self) {
+        if self.acknowledged.len() > 1 && self.acknowledged[0] != self.acknowledged[1] {
+            self.violation = Some(format!("two changes of one version were taken: {:?}", self.acknowledged));
+        }
+        for machine in 0..MACHINES {
+            self.check_machine(machine);
+        }
+    }
+
+    fn check_machine(&mut self, machine: usize) {
+        let controller = &self.controllers[machine];
+        if let Some(state) = controller.committed_state() {
+            let revision = state.revision();
+            let held = *self.committed.entry(state.sequence).or_insert(revision);
+            if held != revision {
+                self.violation = Some(format!("write {} is {held} and {revision}", state.sequence));
+            }
+        }
+        let Some(view) = controller.view() else { return };
+        let told = format!("{view:?}");
+        let held = self.views.entry(view.number).or_insert_with(|| told.clone());
+        if *held != told {
+            self.violation = Some(format!("there are two views {}", view.number));
+        }
+        let is_lost = view.number > 1 && view.state.sequence == 0 && !self.acknowledged.is_empty();
+        if is_lost {
+            self.violation = Some(format!("view {} begins without an acknowledged change", view.number));
+        }
+    }
+
+    fn digest(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(format!("{self:?}").as_bytes())
+    }
+}
+
+fn boot(machine: usize, disk: &Durable, now: u64) -> Controller {
+    Controller::new(ip(machine), disk.clone(), ONE, Instant::from_millis(now)).placed(place(machine))
+}
+
+struct Searched {
+    states: usize,
+    /// All states up to this many steps from the start were met.
+    depth: usize,
+    /// Whether there are no more states within the bounds.
+    is_whole: bool,
+    violation: Option<String>,
+}
+
+fn search(start: State, flaw: Flaw) -> Searched {
+    let most = std::env::var("MODEL_STATES").ok().and_then(|value| value.parse().ok()).unwrap_or(STATES);
+    let mut met = HashSet::from([start.digest()]);
+    let mut level = vec![start];
+    let mut depth = 0;
+    while !level.is_empty() && met.len() < most {
+        let mut next_level = Vec::new();
+        for state in level {
+            for action in state.actions() {
+                let next = state.after(action, flaw);
+                if next.violation.is_some() {
+                    return Searched { states: met.len(), depth, is_whole: false, violation: next.violation };
+                }
+                if met.insert(next.digest()) {
+                    next_level.push(next);
+                }
+            }
+        }
+        level = next_level;
+        depth += 1;
+    }
+    Searched { states: met.len(), depth, is_whole: level.is_empty(), violation: None }
+}
+
+fn report(name: &str, searched: &Searched) {
+    let whole = if searched.is_whole { "all" } else { "not all" };
+    println!("{name}: {} states to depth {}, {whole} within the bounds", searched.states, searched.depth);
+}
+
+const QUIET: Bounds = Bounds { ticks: 0, kills: 0, wipes: 0, losses: 0, suspicions: 0 };
+
+#[test]
+fn two_writers_of_one_version_are_never_both_told_that_theirs_was_taken() {
+    let bounds = Bounds { losses: 1, ticks: 1, ..QUIET };
+    let start = State::start(bounds).put(0, 1, Flaw::None).put(1, 2, Flaw::None);
+    let searched = search(start, Flaw::None);
+    report("two writers", &searched);
+    assert_eq!(searched.violation, None);
+    assert!(searched.depth >= 5, "depth {}", searched.depth);
+}
+
+#[test]
+fn a_change_outlasts_a_view_change_with_a_kill_or_a_wipe() {
+    for (name, faults) in [("kill", Bounds { kills: 1, ..QUIET }), ("wipe", Bounds { wipes: 1, ..QUIET })] {
+        let bounds = Bounds { ticks: 3, suspicions: 1, ..faults };
+        let searched = search(State::start(bounds).put(0, 1, Flaw::None), Flaw::None);
+        report(name, &searched);
+        assert_eq!(searched.violation, None, "{name}");
+        assert!(searched.depth >= 4, "depth {}", searched.depth);
+    }
+}
+
+#[test]
+fn a_head_that_acknowledges_alone_is_caught() {
+    let bounds = Bounds { ticks: 2, suspicions: 1, ..QUIET };
+    let start = State::start(bounds).put(0, 1, Flaw::HeadAcknowledges);
+    let searched = search(start, Flaw::HeadAcknowledges);
+    report("a head that acknowledges alone", &searched);
+    assert!(searched.violation.expect("is caught").contains("without an acknowledged change"));
+}
+
+/// One controller decides a view with another, which is killed; then that one and the third are to decide.
+fn after_a_decision_and_a_kill(flaw: Flaw) -> State {
+    use Action::{Deliver, Kill, Suspect, Tick};
+    let steps = [
+        Suspect(2),
+        Tick(0),
+        Tick(0),
+        // A promise, then the acceptance: machine 0 has decided view 2.
+        Deliver(0, 1),
+        Deliver(1, 0),
+        Deliver(0, 1),
+        Deliver(1, 0),
+        Kill(1),
+        Suspect(0),
+        Tick(1),
+        Tick(1),
+    ];
+    let bounds = Bounds { ticks: 4, kills: 1, suspicions: 2, ..QUIET };
+    let state = steps.into_iter().fold(State::start(bounds), |state, step| state.after(step, flaw));
+    assert_eq!(state.violation, None);
+    assert_eq!(state.controllers[0].view().expect("a view").number, 2);
+    state
+}
+
+#[test]
+fn a_view_that_was_decided_stays_decided_and_votes_that_are_not_synced_are_caught() {
+    let searched = search(after_a_decision_and_a_kill(Flaw::None), Flaw::None);
+    report("a second decision", &searched);
+    assert_eq!(searched.violation, None);
+    let searched = search(after_a_decision_and_a_kill(Flaw::UnsyncedVotes), Flaw::UnsyncedVotes);
+    report("votes that are not synced", &searched);
+    assert!(searched.violation.expect("is caught").contains("two views 2"));
+}
