--- a/crates/onyxstile-system/src/balance.rs
+++ b/crates/onyxstile-system/src/balance.rs
@@ -9,6 +9,7 @@
 mod distances;
 mod endpoint;
 mod homes;
+mod pool;
 mod shares;
 
 pub use connections::ConnectionLimit;
@@ -20,7 +21,7 @@
 use homes::Homes;
 use shares::Shares;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
@@ -38,11 +39,6 @@
 /// Endpoints without a prompt's cost are compared in samples of this size: relays that all know the same of all
 /// endpoints would all choose the same one.
 const SAMPLE: usize = 3;
-/// Homes are in the relay's own zone where as many endpoints as this are well there: clients of a zone come through its
-/// relays, and a conversation that crosses zones is paid for by its bytes.
-const HOMES_NEAR_MIN: usize = 2;
-/// A zone with less than this part of the endpoints that zones have on average can't carry an even share of the programs.
-const HOMES_NEAR_PART: f64 = 0.67;
 
 /// What a call needs.
 #[derive(Debug, Clone, Default)]
@@ -165,32 +161,6 @@
         costs.into_iter().min_by(cheaper).map(|(_, key)| key)
     }
 
-    /// The endpoints among which a call has the choice: those that are well and to which this relay may hold one more
-    /// connection, as long as there are any; of these, this relay's subset.
-    fn pool(&self, now: Instant, need: &Need<'_>) -> Vec<EndpointKey> {
-        let keys = self.keys(need.service);
-        let candidates: Vec<EndpointKey> = keys.iter().copied().filter(|key| self.fits(*key, need)).collect();
-        let share = self.connections.share(need.service, keys.len());
-        let healthy = only_if_any(candidates, |key| self.slots[key].is_healthy(now));
-        let with_room = only_if_any(healthy, |key| self.slots[key].in_flight() < share);
-        self.subset(with_room, self.connections.reach(need.service, keys.len()))
-    }
-
-    /// Those that come first in this relay's own order: one that goes is replaced by the next, and all others stay.
-    fn subset(&self, mut pool: Vec<EndpointKey>, size: usize) -> Vec<EndpointKey> {
-        if pool.len() > size {
-            pool.select_nth_unstable_by_key(size, |key| self.slots[*key].rank);
-            pool.truncate(size);
-        }
-        pool
-    }
-
-    fn fits(&self, key: EndpointKey, need: &Need<'_>) -> bool {
-        self.slots[key].may_be_called()
-            && !need.excluded.contains(&key)
-            && need.only.is_none_or(|only| only.contains(&key))
-    }
-
     /// What those endpoints have on average that told of it lately.
     fn usual_occupancy(&self, now: Instant, pool: &[EndpointKey]) -> Occupancy {
         let told: Vec<Occupancy> = pool.iter().filter_map(|key| self.slots[*key].told(now)).collect();
@@ -232,24 +202,6 @@
         let count = self.shares.homes(first.chain, eligible.len());
         Homes::choose(&endpoints, first.chain, need.program, count)
     }
-
-    fn near(&self, pool: &[EndpointKey]) -> Vec<EndpointKey> {
-        let is_near = |key: &EndpointKey| self.distances.is_own(&self.slots[*key].instance.zone);
-        pool.iter().copied().filter(is_near).collect()
-    }
-
-    /// The endpoints that a zone must have for the programs of its clients to be at home there.
-    fn fewest_near(&self, pool: &[EndpointKey]) -> usize {
-        let zones: HashSet<&str> = pool.iter().map(|key| self.slots[*key].instance.zone.as_str()).collect();
-        let mean = pool.len() as f64 / zones.len().max(1) as f64;
-        ((mean * HOMES_NEAR_PART).ceil() as usize).max(HOMES_NEAR_MIN)
-    }
-}
-
-/// Those of `keys` that pass, or all of them where none does.
-fn only_if_any(keys: Vec<EndpointKey>, passes: impl Fn(EndpointKey) -> bool) -> Vec<EndpointKey> {
-    let passing: Vec<EndpointKey> = keys.iter().copied().filter(|key| passes(*key)).collect();
-    if passing.is_empty() { keys } else { passing }
 }
 
 /// A step through `length` places that meets each of them once, different from call to call.
