--- a/crates/onyxstile-system/src/balance/distances.rs
+++ b/crates/onyxstile-system/src/balance/distances.rs
@@ -40,7 +40,7 @@
 
     /// What a call to `zone` takes longer than one to the relay's own, in ms there and back.
     pub(super) fn to(&self, zone: &str) -> f64 {
-        if zone == self.own {
+        if self.is_own(zone) {
             return 0.0;
         }
         let time = |zone: &str| self.connect_ms.get(zone).copied().unwrap_or(0.0);
