--- a/crates/onyxstile-lab/examples/stores.rs
+++ b/crates/onyxstile-lab/examples/stores.rs
@@ -40,7 +40,7 @@
             }
             "sled" => Any::Sled(sled::Config::new().path(folder).cache_capacity(4 << 20).open()?),
             _ => {
-                let options = Options { limit, segment: 1 << 20, verify: true };
+                let options = Options { limit, segment: 1 << 20, commit: 1 << 20, verify: true };
                 Any::Ours(Box::new(Store::open(OsDisk::new(folder)?, options)?.0))
             }
         })
@@ -184,7 +184,7 @@
 fn open(name: &str, folder: &Path, count: u64) -> Outcome<()> {
     if name == "onyxstile" {
         // Closed segments by their indexes alone, before the whole log.
-        let options = Options { limit: u64::MAX / 2, segment: 1 << 20, verify: false };
+        let options = Options { limit: u64::MAX / 2, segment: 1 << 20, commit: 1 << 20, verify: false };
         let began = Instant::now();
         let store = Store::<OsDisk, 4>::open_to_read(OsDisk::read_only(folder), options)?.0;
         let opened = began.elapsed().as_secs_f64() * 1e3;
--- a/crates/onyxstile-store/src/frame.rs
+++ b/crates/onyxstile-store/src/frame.rs
@@ -9,7 +9,7 @@
 /// Bytes before a frame's changes.
 pub(crate) const FRAME: usize = 16;
 /// Bytes of a frame, at most: what recovery believes of a length.
-pub(crate) const FRAME_MAX: usize = 2 << 20;
+pub(crate) const FRAME_MAX: usize = 16 << 20;
 const MAGIC: [u8; 8] = *b"\x89oxSEG\r\n";
 const VERSION: u32 = 1;
 const PUT: u8 = 1;
--- a/crates/onyxstile-store/src/lib.rs
+++ b/crates/onyxstile-store/src/lib.rs
@@ -12,16 +12,20 @@
 //!
 //! All file work goes through [`disk::Disk`]; [`sim::SimDisk`] is one that fails on demand.
 
+mod commit;
+mod compact;
 pub mod disk;
 mod frame;
 mod hint;
 mod index;
+mod read;
 mod recover;
 pub mod sim;
 mod store;
 
+pub use read::Snapshot;
 pub use recover::Report;
-pub use store::{Change, Options, Snapshot, Store, Sync};
+pub use store::{Change, Options, Store, Sync};
 
 use std::fmt;
 
--- a/crates/onyxstile-store/src/recover.rs
+++ b/crates/onyxstile-store/src/recover.rs
@@ -25,6 +25,9 @@
     pub aside: Vec<String>,
 }
 
+/// What the names of files that were set aside end with.
+const ASIDE: &str = ".lost";
+
 /// What was read of one segment.
 struct Read<const F: usize> {
     changes: Vec<Vec<Found<F>>>,
@@ -72,6 +75,18 @@
         Ok(())
     }
 
+    /// Removes the files that were set aside, for whoever has what they held from elsewhere.
+    ///
+    /// # Errors
+    /// Some are still there; they are found again at the next opening.
+    pub fn remove_aside(&mut self) -> Result<()> {
+        for name in at("the folder", self.disk.list())?.iter().filter(|name| name.ends_with(ASIDE)) {
+            at(name, self.disk.remove(name))?;
+        }
+        self.aside = 0;
+        at("the folder", self.disk.sync_folder())
+    }
+
     fn recover(&mut self, writes: bool) -> Result<Report> {
         let names = at("the folder", self.disk.list())?;
         let mut report = Report { damaged: names.iter().any(|n| n == MARK), ..Report::default() };
@@ -117,7 +132,7 @@
             self.mark()?;
         }
         self.trim_end(writes, &mut report)?;
-        for name in names.iter().filter(|n| n.ends_with(".lost")) {
+        for name in names.iter().filter(|n| n.ends_with(ASIDE)) {
             let file = at(name, self.disk.open(name))?;
             self.aside += at(name, self.disk.length(&file))?;
         }
@@ -231,7 +246,7 @@
         if writes {
             self.mark()?;
             for id in ids.iter().rev() {
-                let (name, lost) = (segment_name(*id), format!("{id:012}.lost"));
+                let (name, lost) = (segment_name(*id), format!("{id:012}{ASIDE}"));
                 self.aside += self.length_of(&name);
                 at(&name, self.disk.rename(&name, &lost))?;
                 report.aside.push(lost);
--- a/crates/onyxstile-store/tests/cuts.rs
+++ b/crates/onyxstile-store/tests/cuts.rs
@@ -9,7 +9,7 @@
 type Contents = BTreeMap<u64, Vec<u8>>;
 
 fn options(verify: bool) -> Options {
-    Options { limit: 64 * 1024, segment: 4096, verify }
+    Options { limit: 64 * 1024, segment: 4096, commit: 1 << 20, verify }
 }
 
 /// A store with all the states that it went through, oldest first.
--- a/crates/onyxstile-store/tests/histories.rs
+++ b/crates/onyxstile-store/tests/histories.rs
@@ -70,7 +70,12 @@
 fn history(seed: u64, seen: &mut Seen) {
     let mut random = Random(Pcg64Mcg::seed_from_u64(seed));
     let disk = SimDisk::default();
-    let options = |r: &mut Random| Options { limit: 96 * 1024, segment: 4096, verify: r.below(2) == 0 };
+    let options = |r: &mut Random| Options {
+        limit: 96 * 1024,
+        segment: 4096,
+        commit: 1 << 20,
+        verify: r.below(2) == 0,
+    };
     let (mut store, _) = Store::<SimDisk, 2>::open(disk.clone(), options(&mut random)).unwrap();
     // What the store may hold after a kill, and from where on power may have lost it.
     let mut states: Vec<Contents> = vec![Contents::new()];
--- a/crates/onyxstile-system/src/disk.rs
+++ b/crates/onyxstile-system/src/disk.rs
@@ -1,15 +1,14 @@
 //! Files: versions of one record, and a log of records, both on a folder that may lose what was not synced.
 //!
-//! [`Versions`] keeps one file a version, written aside, synced and renamed. [`Log`] appends records with a checksum to
-//! segments; a new file lasts once it is synced itself, so a write costs one sync. Both work on the trait [`Folder`],
-//! whose contract a simulated folder with losses of power has to pass as well.
+//! [`Versions`] keeps one file a version, written aside, synced and renamed, on the trait [`Folder`], whose contract a
+//! simulated folder with losses of power has to pass as well. [`RecordLog`] keeps many records on `onyxstile-store`.
 
 mod folder;
-mod log;
+mod record_log;
 mod versions;
 
 pub use folder::{Folder, RealFolder};
-pub use log::{Log, Opened};
+pub use record_log::{OpenedLog, RECORD_MAX, RecordLog};
 pub use versions::Versions;
 
 /// Frames bytes with length and CRC-32.
--- a/crates/onyxstile-system/src/program.rs
+++ b/crates/onyxstile-system/src/program.rs
@@ -1,14 +1,18 @@
 //! Agent programs: their turns and budgets, where these are kept, and what one storage machine holds of them.
 
+mod index;
 mod placement;
 mod quorum;
 mod repair;
-mod store;
+mod turn_cache;
 
+pub use index::{Merge, RecordIndex, RecordNumber};
 pub use placement::{Group, groups, nearest};
 pub use quorum::Quorum;
 pub use repair::{Assessment, Copied, Progress, Source};
-pub use store::{Merge, Store};
+pub use turn_cache::TurnCache;
+
+use std::rc::Rc;
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
@@ -29,6 +33,13 @@
     pub ended_ms: u64,
 }
 
+impl Turn {
+    /// What it takes in memory, about: its contents and the ids that it names.
+    pub fn bytes(&self) -> usize {
+        self.input.len() + self.output.len() + self.id.len() * (self.ancestors.len() + 2)
+    }
+}
+
 /// One turn's claim on the budget of its program.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Entry {
@@ -41,6 +52,11 @@
 }
 
 impl Entry {
+    /// Rises when the claim changes: it is settled once.
+    pub fn version(&self) -> u8 {
+        u8::from(self.settled.is_some())
+    }
+
     /// What the budget has to bear for it.
     pub fn charge(&self) -> u64 {
         self.settled.unwrap_or(self.most)
@@ -51,7 +67,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Record {
     /// A turn.
-    Turn(Turn),
+    Turn(Rc<Turn>),
     /// A claim on a program's budget.
     Entry {
         /// The program.
@@ -89,11 +105,11 @@
         }
     }
 
-    /// Rises when the record changes: a claim is settled once.
+    /// Rises when the record changes.
     pub fn version(&self) -> u8 {
         match self {
             Record::Turn(_) => 0,
-            Record::Entry { entry, .. } => u8::from(entry.settled.is_some()),
+            Record::Entry { entry, .. } => entry.version(),
         }
     }
 }
--- /dev/null
+++ b/crates/onyxstile-system/src/program/index.rs
@@ -0,0 +1,198 @@
+//! What one storage machine holds, as a view folded from records: claims whole, turns by where they stand in the log.
+//! A counter of changes lets others pull what they miss.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use super::{Entry, Key, Record, Turn};
+use crate::clock::Instant;
+
+/// Time beyond its retention that a turn is kept: clocks differ, and a chain's last turn is younger than its first.
+const RETENTION_SLACK: Duration = Duration::from_secs(30);
+/// A program without a new claim for this time is over.
+const PROGRAM_LIFETIME: Duration = Duration::from_secs(1800);
+/// Memory that a turn takes in the index: its id twice, and its places in two tables.
+const TURN_ENTRY_BYTES: usize = 250;
+/// Memory that a claim takes: its program's and its own id, some of them twice, and its places in two tables.
+const CLAIM_ENTRY_BYTES: usize = 350;
+
+/// The number of a record in the log of its machine.
+pub type RecordNumber = u64;
+
+/// What a record did to the index.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Merge {
+    /// It was new, or newer than what was held.
+    pub has_changed: bool,
+    /// A record that need not be kept any more: the older one, or this one if the same or a newer one is held.
+    pub superfluous: Option<RecordNumber>,
+}
+
+impl Merge {
+    fn changed(replaced: Option<RecordNumber>) -> Merge {
+        Merge { has_changed: true, superfluous: replaced }
+    }
+
+    fn known(held: RecordNumber, number: RecordNumber) -> Merge {
+        Merge { has_changed: false, superfluous: (held != number).then_some(number) }
+    }
+}
+
+struct HeldTurn {
+    number: RecordNumber,
+    counter: u64,
+    expires: Instant,
+}
+
+struct HeldClaim {
+    entry: Entry,
+    number: RecordNumber,
+    counter: u64,
+}
+
+#[derive(Default)]
+struct Program {
+    claims: BTreeMap<String, HeldClaim>,
+    touched: Instant,
+}
+
+/// Which turns and claims there are.
+#[derive(Default)]
+pub struct RecordIndex {
+    turns: HashMap<String, HeldTurn>,
+    programs: HashMap<String, Program>,
+    claims: usize,
+    changes: BTreeMap<u64, Key>,
+    counter: u64,
+}
+
+impl RecordIndex {
+    /// The newest change.
+    pub fn counter(&self) -> u64 {
+        self.counter
+    }
+
+    /// Bytes of memory that the index takes, about.
+    pub fn memory_bytes(&self) -> usize {
+        self.turns.len() * TURN_ENTRY_BYTES + self.claims * CLAIM_ENTRY_BYTES
+    }
+
+    /// Turns and programs held.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.turns.len(), self.programs.len())
+    }
+
+    /// Takes in a record that stands in the log under `number`. `age` is how long ago it was written.
+    pub fn merge(&mut self, now: Instant, age: Duration, record: &Record, number: RecordNumber) -> Merge {
+        match record {
+            Record::Turn(turn) => self.merge_turn(now, age, turn, number),
+            Record::Entry { program, entry } => self.merge_entry(now, program, entry, number),
+        }
+    }
+
+    fn merge_turn(&mut self, now: Instant, age: Duration, turn: &Turn, number: RecordNumber) -> Merge {
+        if let Some(held) = self.turns.get(&turn.id) {
+            return Merge::known(held.number, number);
+        }
+        let counter = self.note(Key::Turn(turn.id.clone()));
+        let kept = Duration::from_millis(turn.retention_ms) + RETENTION_SLACK;
+        let expires = now + kept.saturating_sub(age);
+        self.turns.insert(turn.id.clone(), HeldTurn { number, counter, expires });
+        Merge::changed(None)
+    }
+
+    fn merge_entry(&mut self, now: Instant, program: &str, entry: &Entry, number: RecordNumber) -> Merge {
+        let held = self.held_claim(program, &entry.request);
+        if let Some(held) = held.filter(|held| held.entry.version() >= entry.version()) {
+            return Merge::known(held.number, number);
+        }
+        let counter = self.note(Key::Entry(program.to_owned(), entry.request.clone()));
+        let held = self.programs.entry(program.to_owned()).or_default();
+        held.touched = now;
+        let claim = HeldClaim { entry: entry.clone(), number, counter };
+        let before = held.claims.insert(entry.request.clone(), claim);
+        match &before {
+            Some(before) => drop(self.changes.remove(&before.counter)),
+            None => self.claims += 1,
+        }
+        Merge::changed(before.map(|before| before.number))
+    }
+
+    fn note(&mut self, key: Key) -> u64 {
+        self.counter += 1;
+        self.changes.insert(self.counter, key);
+        self.counter
+    }
+
+    /// All claims of a program.
+    pub fn claims(&self, program: &str) -> Vec<Entry> {
+        let held = self.programs.get(program);
+        held.map_or_else(Vec::new, |held| held.claims.values().map(|claim| claim.entry.clone()).collect())
+    }
+
+    /// A claim.
+    pub fn claim(&self, program: &str, request: &str) -> Option<&Entry> {
+        self.held_claim(program, request).map(|held| &held.entry)
+    }
+
+    fn held_claim(&self, program: &str, request: &str) -> Option<&HeldClaim> {
+        self.programs.get(program)?.claims.get(request)
+    }
+
+    /// Where a turn stands in the log.
+    pub fn turn(&self, id: &str) -> Option<RecordNumber> {
+        self.turns.get(id).map(|held| held.number)
+    }
+
+    /// Whether a record of this version or a later one is held.
+    pub fn holds(&self, key: &Key, version: u8) -> bool {
+        match key {
+            Key::Turn(id) => self.turns.contains_key(id),
+            Key::Entry(program, request) => {
+                self.claim(program, request).is_some_and(|held| held.version() >= version)
+            }
+        }
+    }
+
+    /// At most `most` keys that changed after `counter`, oldest first, each with its version; and the last one's counter.
+    pub fn changed_since(&self, counter: u64, most: usize) -> (Vec<(Key, u8)>, u64) {
+        let mut last = counter;
+        let mut keys = Vec::new();
+        for (counter, key) in self.changes.range(counter + 1..).take(most) {
+            last = *counter;
+            keys.push((key.clone(), self.version(key)));
+        }
+        (keys, last)
+    }
+
+    fn version(&self, key: &Key) -> u8 {
+        match key {
+            Key::Turn(_) => 0,
+            Key::Entry(program, request) => self.claim(program, request).map_or(0, Entry::version),
+        }
+    }
+
+    /// Drops what its retention has ended for; returns the records that need not be kept any more.
+    pub fn expire(&mut self, now: Instant) -> Vec<RecordNumber> {
+        let mut dropped = Vec::new();
+        self.turns.retain(|_, held| {
+            let is_kept = held.expires > now;
+            if !is_kept {
+                dropped.push((held.number, held.counter));
+            }
+            is_kept
+        });
+        self.programs.retain(|_, held| {
+            let is_kept = now.since(held.touched) < PROGRAM_LIFETIME;
+            if !is_kept {
+                dropped.extend(held.claims.values().map(|claim| (claim.number, claim.counter)));
+                self.claims -= held.claims.len();
+            }
+            is_kept
+        });
+        for (_, counter) in &dropped {
+            self.changes.remove(counter);
+        }
+        dropped.into_iter().map(|(number, _)| number).collect()
+    }
+}
--- a/crates/onyxstile-system/src/role/proxy/turns.rs
+++ b/crates/onyxstile-system/src/program/turn_cache.rs
@@ -1,12 +1,12 @@
-//! Turns that this proxy remembers, so that a chain need not be fetched; the one used longest ago gives way.
+//! Turns held in memory, so that they need not be fetched or read again; the one used longest ago gives way.
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use crate::program::Turn;
+use super::Turn;
 
-/// Remembered turns, bounded in bytes.
-pub(super) struct Turns {
+/// Turns in memory, bounded in bytes.
+pub struct TurnCache {
     most_bytes: usize,
     bytes: usize,
     stamp: u64,
@@ -14,14 +14,14 @@
     order: BTreeMap<u64, String>,
 }
 
-impl Turns {
-    /// Remembers at most `most_bytes` of turns.
-    pub(super) fn new(most_bytes: usize) -> Turns {
-        Turns { most_bytes, bytes: 0, stamp: 0, turns: HashMap::new(), order: BTreeMap::new() }
+impl TurnCache {
+    /// Holds at most `most_bytes` of turns.
+    pub fn new(most_bytes: usize) -> TurnCache {
+        TurnCache { most_bytes, bytes: 0, stamp: 0, turns: HashMap::new(), order: BTreeMap::new() }
     }
 
     /// A turn, which counts as used.
-    pub(super) fn get(&mut self, id: &str) -> Option<Rc<Turn>> {
+    pub fn get(&mut self, id: &str) -> Option<Rc<Turn>> {
         let (turn, stamp) = self.turns.get_mut(id)?;
         self.stamp += 1;
         self.order.remove(stamp);
@@ -30,24 +30,20 @@
         Some(turn.clone())
     }
 
-    /// Remembers a turn.
-    pub(super) fn insert(&mut self, turn: Rc<Turn>) {
+    /// Takes a turn in.
+    pub fn insert(&mut self, turn: Rc<Turn>) {
         if self.turns.contains_key(&turn.id) {
             return;
         }
         self.stamp += 1;
-        self.bytes += size(&turn);
+        self.bytes += turn.bytes();
         self.order.insert(self.stamp, turn.id.clone());
         self.turns.insert(turn.id.clone(), (turn, self.stamp));
         while self.bytes > self.most_bytes {
             let Some((_, id)) = self.order.pop_first() else { break };
             if let Some((turn, _)) = self.turns.remove(&id) {
-                self.bytes -= size(&turn);
+                self.bytes -= turn.bytes();
             }
         }
     }
 }
-
-fn size(turn: &Turn) -> usize {
-    turn.input.len() + turn.output.len() + turn.id.len() * (turn.ancestors.len() + 2)
-}
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -15,7 +15,6 @@
 mod quorum;
 mod relay_stream;
 mod sending;
-mod turns;
 mod upstream;
 
 use std::cell::{Cell, RefCell};
@@ -34,6 +33,7 @@
 use crate::balance::{EndpointKey, Endpoints};
 use crate::clock::SteadyClock;
 use crate::configuration::{ClientLimits, Configuration};
+use crate::program::TurnCache;
 use crate::retry::{Destination, Law};
 use crate::settings::Settings;
 use crate::slots::Slots;
@@ -41,7 +41,6 @@
 use crate::tolerance::Tolerance;
 use chain::Doubts;
 use lifetime::Phase;
-use turns::Turns;
 use upstream::Pools;
 
 /// Descriptors that are not for sockets, as the platform counts them.
@@ -77,7 +76,7 @@
     slots: RefCell<Slots<DestinationKey>>,
     slot_freed: Notify,
     pools: Pools,
-    turns: RefCell<Turns>,
+    turns: RefCell<TurnCache>,
     doubts: RefCell<Doubts>,
     phase: Phase,
     random: RefCell<Pcg64Mcg>,
@@ -127,7 +126,7 @@
             slots: RefCell::new(Slots::new(slots)),
             slot_freed: Notify::new(),
             pools: Pools::default(),
-            turns: RefCell::new(Turns::new(turn_bytes)),
+            turns: RefCell::new(TurnCache::new(turn_bytes)),
             doubts: RefCell::default(),
             phase: Phase::default(),
             random: RefCell::new(Pcg64Mcg::new(u128::from(life) << 1 | 1)),
--- a/crates/onyxstile-system/src/role/proxy/chain.rs
+++ b/crates/onyxstile-system/src/role/proxy/chain.rs
@@ -137,7 +137,7 @@
         let Ok(Response::Turns { turns, .. }) = self.client.call(to, &request, BEFORE_PATIENCE).await else {
             return Vec::new();
         };
-        let turns: Vec<Rc<Turn>> = turns.into_iter().flatten().map(Rc::new).collect();
+        let turns: Vec<Rc<Turn>> = turns.into_iter().flatten().collect();
         turns.iter().for_each(|turn| self.turns.borrow_mut().insert(turn.clone()));
         turns
     }
@@ -152,7 +152,6 @@
         while let Some((member, response)) = answers.next().await {
             let Response::Turns { turns, is_sure } = response else { continue };
             if let Some(turn) = turns.into_iter().flatten().next() {
-                let turn = Rc::new(turn);
                 self.turns.borrow_mut().insert(turn.clone());
                 return Ok(turn);
             }
--- a/crates/onyxstile-system/src/role/proxy/conversation.rs
+++ b/crates/onyxstile-system/src/role/proxy/conversation.rs
@@ -93,18 +93,18 @@
 
     /// Keeps a turn that was answered whole; true once a quorum has it on disk.
     pub(super) async fn keep(self: &Rc<Node>, call: &Call, chain: &Chain, output: Vec<u8>) -> bool {
-        let turn = Turn {
+        let turn = Rc::new(Turn {
             id: call.id.clone(),
             ancestors: chain.turns.iter().map(|turn| turn.id.clone()).collect(),
             input: call.body.to_vec(),
             output,
             retention_ms: (call.route.retention_s * 1000.0) as u64,
             ended_ms: wall_clock_ms(),
-        };
+        });
         let write = |epoch| Request::Write { epoch, records: vec![Record::Turn(turn.clone())] };
         let is_kept = self.write_quorum(&turn.id, write, AFTER_PATIENCE).await.is_some();
         if is_kept {
-            self.turns.borrow_mut().insert(Rc::new(turn));
+            self.turns.borrow_mut().insert(turn);
         } else {
             log::warn!("turn {} was not kept by a quorum", call.id);
         }
--- a/crates/onyxstile-system/src/role/storage/answers.rs
+++ b/crates/onyxstile-system/src/role/storage/answers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Node;
+use super::records::Lookup;
 use crate::program::{Entry, Record};
 use crate::role::rpc::Answer;
 use crate::wire::{Request, Response};
@@ -29,31 +30,13 @@
                     None => Response::Refused,
                 }
             }),
-            Request::GetTurns { epoch, ids } => {
-                let store = self.store.borrow();
-                let turns = ids.iter().map(|id| store.turn(id).cloned()).collect();
-                // By an older plan the turn may be looked for where it was never written.
-                let is_sure = self.is_whole.get() && epoch >= self.plan.borrow().epoch;
-                Box::pin(std::future::ready(Response::Turns { turns, is_sure }))
-            }
+            Request::GetTurns { epoch, ids } => Box::pin(async move { self.get_turns(epoch, &ids).await }),
             Request::Changes { origin, counter, wait_ms } => {
                 let wait = Duration::from_millis(wait_ms).min(WAIT_MAX);
                 Box::pin(async move { self.changes(origin, counter, wait).await })
             }
             Request::Fetch(keys) => {
-                let store = self.store.borrow();
-                let mut bytes = 0;
-                let records = keys.iter().filter_map(|key| store.record(key));
-                let records: Vec<Record> = records
-                    .take_while(|record| {
-                        let fits = bytes < RECORD_BYTES_AN_ANSWER;
-                        if let Record::Turn(turn) = record {
-                            bytes += turn.input.len() + turn.output.len();
-                        }
-                        fits
-                    })
-                    .collect();
-                Box::pin(std::future::ready(Response::Records(records)))
+                Box::pin(async move { Response::Records(self.records(&keys, RECORD_BYTES_AN_ANSWER).await) })
             }
             Request::Status => Box::pin(std::future::ready(Response::Status(self.status()))),
             _ => Box::pin(std::future::ready(Response::Refused)),
@@ -66,6 +49,15 @@
         (epoch < own).then_some(Response::Stale(own))
     }
 
+    async fn get_turns(&self, epoch: u64, ids: &[String]) -> Response {
+        // By an older plan the turn may be looked for where it was never written.
+        let is_sure = self.is_whole.get() && epoch >= self.plan.borrow().epoch;
+        let found = self.turns(ids).await;
+        let is_read = !found.iter().any(|lookup| matches!(lookup, Lookup::Unreadable));
+        let turns = found.into_iter().map(Lookup::turn).collect();
+        Response::Turns { turns, is_sure: is_sure && is_read }
+    }
+
     async fn reserve(&self, epoch: u64, program: String, entry: Entry) -> Response {
         if let Some(stale) = self.stale(epoch) {
             return stale;
@@ -77,7 +69,7 @@
         if !self.write(vec![record]).await {
             return Response::Refused;
         }
-        Response::Reserved(self.store.borrow().claims(&program))
+        Response::Reserved(self.index.borrow().claims(&program))
     }
 
     async fn changes(&self, origin: u64, counter: u64, wait: Duration) -> Response {
@@ -85,19 +77,19 @@
         let until = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            if self.store.borrow().counter() > after || origin != self.origin {
+            if self.index.borrow().counter() > after || origin != self.origin {
                 break;
             }
             if tokio::time::timeout_at(until, changed).await.is_err() {
                 break;
             }
         }
-        let store = self.store.borrow();
-        let (keys, last) = store.changed_since(after, KEYS_AN_ANSWER);
+        let index = self.index.borrow();
+        let (keys, last) = index.changed_since(after, KEYS_AN_ANSWER);
         let is_last = keys.len() < KEYS_AN_ANSWER;
         Response::Changes {
             origin: self.origin,
-            counter: if is_last { store.counter() } else { last },
+            counter: if is_last { index.counter() } else { last },
             is_last,
             epoch: self.plan.borrow().epoch,
             is_whole: self.is_whole.get(),
@@ -106,17 +98,17 @@
     }
 
     fn status(&self) -> Vec<String> {
-        let (turns, programs) = self.store.borrow().sizes();
+        let (turns, programs) = self.index.borrow().sizes();
         vec![
             format!("node {}", self.settings.borrow().node_name),
-            format!("turns {turns} programs {programs} bytes {}", self.store.borrow().turn_bytes()),
+            format!("turns {turns} programs {programs} index bytes {}", self.index.borrow().memory_bytes()),
             format!(
                 "whole {} epoch {} synced {}",
                 self.is_whole.get(),
                 self.plan.borrow().epoch,
                 self.synced_epoch.get()
             ),
-            format!("log bytes {}", self.journal.total_bytes()),
+            format!("log bytes {}", self.journal.used_bytes()),
         ]
     }
 }
--- a/crates/onyxstile-system/src/role/storage/journal.rs
+++ b/crates/onyxstile-system/src/role/storage/journal.rs
@@ -1,18 +1,23 @@
-//! The thread that writes the log: requests that wait while it syncs are written together with the next sync.
+//! The thread that keeps the log: requests that wait while it syncs are written together with the next sync.
 
+use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 
 use borsh::{BorshDeserialize, BorshSerialize};
+use onyxstile_store::Error;
+use onyxstile_store::disk::OsDisk;
 use tokio::sync::oneshot;
 
-use crate::disk::{Log, RealFolder};
-use crate::program::Record;
+use crate::disk::{OpenedLog, RECORD_MAX, RecordLog};
+use crate::program::{Record, RecordNumber};
 use crate::wire::{self, WireError};
 
-/// A segment ends at this size.
-const SEGMENT_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes of records that are handed over at once while the log is read.
+const BATCH_BYTES: usize = 256 * 1024;
+/// Batches that wait to be taken in while the log is read.
+const BATCHES_WAITING: usize = 4;
 
 /// One record of the log.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -35,91 +40,168 @@
     wire::decode(bytes)
 }
 
+/// A record's number and bytes.
+type Numbered = (RecordNumber, Vec<u8>);
+
+/// What the thread tells while it reads the log.
+pub(super) enum Loading {
+    /// Some of the records.
+    Records(Vec<Numbered>),
+    /// That was all; whether all that was ever acknowledged is there.
+    Done {
+        /// Whether nothing is missing.
+        is_sound: bool,
+    },
+    /// The log can't be opened.
+    Failed(Error),
+}
+
 enum Job {
-    Append(Vec<Vec<u8>>, oneshot::Sender<bool>),
-    Rotate(oneshot::Sender<u64>),
-    Compact(u64, Vec<Vec<u8>>, oneshot::Sender<bool>),
+    Append(Vec<Numbered>, oneshot::Sender<bool>),
+    Read(Vec<RecordNumber>, oneshot::Sender<Vec<Option<Vec<u8>>>>),
+    Drop(Vec<RecordNumber>),
+    AcceptLoss,
 }
 
 /// The log, as seen from the thread that serves.
 pub(super) struct Journal {
     jobs: mpsc::Sender<Job>,
-    total_bytes: Arc<AtomicUsize>,
+    used_bytes: Arc<AtomicU64>,
 }
 
 impl Journal {
-    /// Starts the writing thread.
-    pub(super) fn start(log: Log<RealFolder>) -> Journal {
+    /// Starts the thread on a folder that may hold `limit` bytes; what it reads there comes by the receiver.
+    pub(super) fn start(folder: PathBuf, limit: u64) -> (Journal, mpsc::Receiver<Loading>) {
         let (jobs, queue) = mpsc::channel();
-        let total_bytes = Arc::new(AtomicUsize::new(log.total_bytes()));
-        let shared = total_bytes.clone();
-        std::thread::spawn(move || write(log, &queue, &shared));
-        Journal { jobs, total_bytes }
+        let (sender, loading) = mpsc::sync_channel(BATCHES_WAITING);
+        let used_bytes = Arc::new(AtomicU64::new(0));
+        let shared = used_bytes.clone();
+        std::thread::spawn(move || run(folder, limit, &sender, &queue, &shared));
+        (Journal { jobs, used_bytes }, loading)
     }
 
     /// Bytes of the whole log.
-    pub(super) fn total_bytes(&self) -> usize {
-        self.total_bytes.load(Ordering::Relaxed)
+    pub(super) fn used_bytes(&self) -> u64 {
+        self.used_bytes.load(Ordering::Relaxed)
     }
 
-    /// Writes and syncs records; false if the disk refused.
-    pub(super) async fn append(&self, records: Vec<Stored>) -> bool {
-        let bytes = records.iter().map(wire::encode).collect();
+    /// Writes and syncs records; false if the disk refused, or one of them is longer than any may be.
+    pub(super) async fn append(&self, records: Vec<(RecordNumber, Stored)>) -> bool {
+        let bytes: Vec<Numbered> =
+            records.into_iter().map(|(number, stored)| (number, wire::encode(&stored))).collect();
+        if bytes.iter().any(|(_, bytes)| bytes.len() > RECORD_MAX) {
+            log::warn!("a record of more than {RECORD_MAX} bytes is refused");
+            return false;
+        }
         self.ask(|answer| Job::Append(bytes, answer)).await.unwrap_or(false)
     }
 
     /// Writes a record whose loss would only cost time.
-    pub(super) fn append_later(&self, record: Stored) {
+    pub(super) fn append_later(&self, number: RecordNumber, stored: &Stored) {
         let (answer, _) = oneshot::channel();
-        // The writing thread ends with the process only.
-        self.jobs.send(Job::Append(vec![wire::encode(&record)], answer)).ok();
+        self.tell(Job::Append(vec![(number, wire::encode(stored))], answer));
+    }
+
+    /// What some records hold, in their order; none for those that are not there or can't be read.
+    pub(super) async fn read(&self, numbers: Vec<RecordNumber>) -> Vec<Option<Vec<u8>>> {
+        self.ask(|answer| Job::Read(numbers, answer)).await.unwrap_or_default()
     }
 
-    /// Ends the present segment; returns the number of the last one that is closed.
-    pub(super) async fn rotate(&self) -> u64 {
-        self.ask(Job::Rotate).await.unwrap_or(0)
+    /// Drops records that need not be kept any more.
+    pub(super) fn drop_records(&self, numbers: Vec<RecordNumber>) {
+        if !numbers.is_empty() {
+            self.tell(Job::Drop(numbers));
+        }
+    }
+
+    /// The consequence of a loss has been drawn by all that was written until now.
+    pub(super) fn accept_loss(&self) {
+        self.tell(Job::AcceptLoss);
     }
 
-    /// Replaces the closed segments up to `last` by `records`.
-    pub(super) async fn compact(&self, last: u64, records: Vec<Stored>) -> bool {
-        let bytes = records.iter().map(wire::encode).collect();
-        self.ask(|answer| Job::Compact(last, bytes, answer)).await.unwrap_or(false)
+    fn tell(&self, job: Job) {
+        // The thread ends with the process only.
+        self.jobs.send(job).ok();
     }
 
     async fn ask<T>(&self, job: impl FnOnce(oneshot::Sender<T>) -> Job) -> Option<T> {
         let (answer, receiver) = oneshot::channel();
-        self.jobs.send(job(answer)).ok()?;
+        self.tell(job(answer));
         receiver.await.ok()
     }
 }
 
-fn write(mut log: Log<RealFolder>, queue: &mpsc::Receiver<Job>, total_bytes: &AtomicUsize) {
+fn run(
+    folder: PathBuf, limit: u64, loading: &mpsc::SyncSender<Loading>, queue: &mpsc::Receiver<Job>,
+    used_bytes: &AtomicU64,
+) {
+    let opened = OsDisk::new(&folder)
+        .map_err(|error| Error::Io(folder.display().to_string(), error))
+        .and_then(|disk| load(disk, limit, loading));
+    // Whoever started the thread waits for what it tells.
+    match opened {
+        Ok(OpenedLog { mut log, is_sound }) => {
+            used_bytes.store(log.used_bytes(), Ordering::Relaxed);
+            loading.send(Loading::Done { is_sound }).ok();
+            serve(&mut log, queue, used_bytes);
+        }
+        Err(error) => drop(loading.send(Loading::Failed(error))),
+    }
+}
+
+fn load(disk: OsDisk, limit: u64, loading: &mpsc::SyncSender<Loading>) -> Result<OpenedLog<OsDisk>, Error> {
+    let (mut batch, mut bytes) = (Vec::new(), 0);
+    let opened = RecordLog::open(disk, limit, |number, value| {
+        bytes += value.len();
+        batch.push((number, value.to_vec()));
+        if bytes > BATCH_BYTES {
+            bytes = 0;
+            loading.send(Loading::Records(std::mem::take(&mut batch))).ok();
+        }
+    });
+    loading.send(Loading::Records(batch)).ok();
+    opened
+}
+
+fn serve(log: &mut RecordLog<OsDisk>, queue: &mpsc::Receiver<Job>, used_bytes: &AtomicU64) {
     let mut next = queue.recv().ok();
     while let Some(job) = next.take() {
         match job {
-            Job::Append(records, answer) => next = append(&mut log, queue, records, answer),
-            Job::Rotate(answer) => {
-                log.begin_segment();
-                answer.send(log.last_closed()).ok();
-            }
-            Job::Compact(last, records, answer) => {
-                let result = log.compact(last, &records);
-                if let Err(error) = &result {
-                    log::error!("rewriting the log: {error}");
-                }
-                answer.send(result.is_ok()).ok();
-            }
+            Job::Append(records, answer) => next = append(log, queue, records, answer),
+            Job::Read(numbers, answer) => answer_read(log, &numbers, answer),
+            Job::Drop(numbers) => note_failure("dropping records", log.drop_records(numbers)),
+            Job::AcceptLoss => note_failure("accepting a loss", log.accept_loss()),
         }
-        total_bytes.store(log.total_bytes(), Ordering::Relaxed);
+        used_bytes.store(log.used_bytes(), Ordering::Relaxed);
         if next.is_none() {
             next = queue.recv().ok();
         }
     }
 }
 
-/// Writes one request and all appends that wait behind it; returns the first job that is no append.
+fn note_failure(what: &str, result: Result<(), Error>) {
+    if let Err(error) = result {
+        log::error!("{what}: {error}");
+    }
+}
+
+fn answer_read(
+    log: &RecordLog<OsDisk>, numbers: &[RecordNumber], answer: oneshot::Sender<Vec<Option<Vec<u8>>>>,
+) {
+    let read = |number: &RecordNumber| {
+        log.read(*number).unwrap_or_else(|error| {
+            log::error!("record {number} can't be read: {error}");
+            None
+        })
+    };
+    // Whoever asked may have gone.
+    answer.send(numbers.iter().map(read).collect()).ok();
+}
+
+/// Writes one request and all appends that wait behind it; reads between them need not wait. Returns the first job that is
+/// neither.
 fn append(
-    log: &mut Log<RealFolder>, queue: &mpsc::Receiver<Job>, mut records: Vec<Vec<u8>>,
+    log: &mut RecordLog<OsDisk>, queue: &mpsc::Receiver<Job>, mut records: Vec<Numbered>,
     answer: oneshot::Sender<bool>,
 ) -> Option<Job> {
     let mut answers = vec![answer];
@@ -130,13 +212,14 @@
                 records.extend(more);
                 answers.push(answer);
             }
+            Job::Read(numbers, answer) => answer_read(log, &numbers, answer),
             job => {
                 other = Some(job);
                 break;
             }
         }
     }
-    let result = log.append(&records);
+    let result = log.append(records);
     if let Err(error) = &result {
         log::error!("the disk refuses a write: {error}");
     }
@@ -144,8 +227,5 @@
         // Whoever asked may have gone.
         answer.send(result.is_ok()).ok();
     }
-    if log.segment_bytes() > SEGMENT_BYTES {
-        log.begin_segment();
-    }
     other
 }
--- /dev/null
+++ b/crates/onyxstile-system/src/role/storage/opening.rs
@@ -0,0 +1,112 @@
+//! What a storage machine finds on its disk at its start.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use super::journal::{self, Journal, Loading, Stored};
+use crate::clock::Instant;
+use crate::program::{RecordIndex, RecordNumber};
+use crate::role::controller::RoleError;
+use crate::role::identity::random_id;
+use crate::role::membership::wall_clock_ms;
+use crate::settings::Settings;
+
+/// The log takes at most this share of the disk; three eighths of that are for what counts, the rest is for what is over
+/// and not yet removed.
+const DISK_SHARE: f64 = 0.8;
+/// The record that holds the disk's id.
+const DISK: RecordNumber = 0;
+/// The record that says that the machine has copied all that it should hold.
+pub(super) const WHOLE: RecordNumber = 1;
+/// The first number of other records.
+const FIRST: RecordNumber = 2;
+
+/// The log and what it holds.
+pub(super) struct Found {
+    pub journal: Journal,
+    pub index: RecordIndex,
+    /// The number of the next record.
+    pub next: RecordNumber,
+    /// The id of the disk; 0 if it has none yet.
+    pub disk: u64,
+    /// Whether the machine holds all that it should.
+    pub is_whole: bool,
+}
+
+impl Found {
+    /// Opens the log and reads it.
+    pub fn open(settings: &Settings, now: Instant) -> Result<Found, RoleError> {
+        let folder = settings.data_dir.clone().ok_or(RoleError::Settings("data_dir"))?;
+        let (mut found, is_sound) = Found::read(folder, log_limit(settings.limits.disk_mb), now)?;
+        if !is_sound {
+            log::error!("the log has a gap: what it holds is kept, and all is copied anew from the others");
+            found.is_whole = false;
+            found.journal.drop_records(vec![WHOLE]);
+            found.journal.accept_loss();
+        }
+        Ok(found)
+    }
+
+    fn read(folder: PathBuf, limit: u64, now: Instant) -> Result<(Found, bool), RoleError> {
+        let (journal, loading) = Journal::start(folder, limit);
+        let mut found =
+            Found { journal, index: RecordIndex::default(), next: FIRST, disk: 0, is_whole: false };
+        let mut superfluous = Vec::new();
+        for step in loading.iter() {
+            match step {
+                Loading::Records(records) => {
+                    for (number, bytes) in records {
+                        superfluous.extend(found.take_in(now, number, &bytes));
+                    }
+                }
+                Loading::Done { is_sound } => {
+                    found.journal.drop_records(superfluous);
+                    return Ok((found, is_sound));
+                }
+                Loading::Failed(error) => return Err(unreadable(&error.to_string())),
+            }
+        }
+        Err(unreadable("the thread that reads the log has ended"))
+    }
+
+    /// Takes a record in; returns one that need not be kept.
+    fn take_in(&mut self, now: Instant, number: RecordNumber, bytes: &[u8]) -> Option<RecordNumber> {
+        self.next = self.next.max(number + 1);
+        match journal::read(bytes) {
+            Ok(Stored::Disk(id)) => self.disk = id,
+            Ok(Stored::Whole) => self.is_whole = true,
+            Ok(Stored::Record { record, written_ms }) => {
+                let age = Duration::from_millis(wall_clock_ms().saturating_sub(written_ms));
+                return self.index.merge(now, age, &record, number).superfluous;
+            }
+            Err(error) => log::error!("record {number} of the log can't be read: {error}"),
+        }
+        None
+    }
+
+    /// Gives an empty disk its id. At the first start of the whole system there is nothing to be copied.
+    pub async fn identify(&mut self, is_first_start: bool) {
+        if self.disk != 0 {
+            return;
+        }
+        self.disk = random_id();
+        self.is_whole = is_first_start;
+        let mut records = vec![(DISK, Stored::Disk(self.disk))];
+        if is_first_start {
+            records.push((WHOLE, Stored::Whole));
+        }
+        self.journal.append(records).await;
+    }
+}
+
+fn unreadable(why: &str) -> RoleError {
+    RoleError::Io("data_dir", std::io::Error::other(why.to_owned()))
+}
+
+/// Bytes that the log may take of a disk; one of unknown size bounds nothing.
+fn log_limit(disk_mb: u64) -> u64 {
+    match disk_mb {
+        0 => u64::MAX / 2,
+        disk_mb => (disk_mb as f64 * 1024.0 * 1024.0 * DISK_SHARE) as u64,
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/storage/records.rs
@@ -0,0 +1,165 @@
+//! Records of programs: written to the log before they count, turns read from memory or from the log.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Node;
+use super::journal::{self, Stored};
+use crate::program::{Key, Record, RecordNumber, Turn};
+use crate::role::membership::wall_clock_ms;
+
+/// The index of what is held takes at most this share of the memory; beyond it new records are refused.
+const INDEX_SHARE: f64 = 0.5;
+/// Records read from the log at once.
+const RECORDS_A_READ: usize = 64;
+
+/// What came of looking for a turn.
+pub(super) enum Lookup {
+    /// It is held.
+    Held(Rc<Turn>),
+    /// It is not held.
+    Absent,
+    /// It is held, but the disk does not give it.
+    Unreadable,
+}
+
+impl Lookup {
+    /// The turn, if there is one.
+    pub(super) fn turn(self) -> Option<Rc<Turn>> {
+        match self {
+            Lookup::Held(turn) => Some(turn),
+            Lookup::Absent | Lookup::Unreadable => None,
+        }
+    }
+}
+
+impl Node {
+    /// Writes records to the disk and then takes them in; false if the disk or the memory has no room.
+    pub(super) async fn write(&self, records: Vec<Record>) -> bool {
+        let fresh: Vec<Record> = {
+            let index = self.index.borrow();
+            records.into_iter().filter(|record| !index.holds(&record.key(), record.version())).collect()
+        };
+        if fresh.is_empty() {
+            return true;
+        }
+        let memory = self.settings.borrow().limits.memory_mb as f64 * 1024.0 * 1024.0 * INDEX_SHARE;
+        if self.index.borrow().memory_bytes() as f64 > memory {
+            log::warn!("no memory left for the index of records");
+            return false;
+        }
+        let fresh: Vec<(RecordNumber, Record)> =
+            fresh.into_iter().map(|record| (self.next_number(), record)).collect();
+        let written_ms = wall_clock_ms();
+        let stored = |(number, record): &(RecordNumber, Record)| {
+            (*number, Stored::Record { record: record.clone(), written_ms })
+        };
+        if !self.journal.append(fresh.iter().map(stored).collect()).await {
+            return false;
+        }
+        self.take_in(fresh);
+        true
+    }
+
+    fn next_number(&self) -> RecordNumber {
+        self.next_number.replace(self.next_number.get() + 1)
+    }
+
+    fn take_in(&self, records: Vec<(RecordNumber, Record)>) {
+        let now = self.clock.now();
+        let mut has_changed = false;
+        let mut superfluous = Vec::new();
+        for (number, record) in records {
+            let merge = self.index.borrow_mut().merge(now, Duration::ZERO, &record, number);
+            has_changed |= merge.has_changed;
+            superfluous.extend(merge.superfluous);
+            if let Record::Turn(turn) = record {
+                self.turns.borrow_mut().insert(turn);
+            }
+        }
+        self.journal.drop_records(superfluous);
+        if has_changed {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Turns by their ids, in the order of these.
+    pub(super) async fn turns(&self, ids: &[String]) -> Vec<Lookup> {
+        let mut found: HashMap<&String, Rc<Turn>> = HashMap::new();
+        let mut wanted: Vec<(&String, RecordNumber)> = Vec::new();
+        for id in ids {
+            let Some(number) = self.index.borrow().turn(id) else { continue };
+            match self.turns.borrow_mut().get(id) {
+                Some(turn) => drop(found.insert(id, turn)),
+                None => wanted.push((id, number)),
+            }
+        }
+        let numbers: Vec<RecordNumber> = wanted.iter().map(|(_, number)| *number).collect();
+        for ((id, _), record) in wanted.iter().zip(self.read(numbers).await) {
+            if let Some(Record::Turn(turn)) = record {
+                self.turns.borrow_mut().insert(turn.clone());
+                found.insert(id, turn);
+            }
+        }
+        let was_held = |id: &String| wanted.iter().any(|(wanted, _)| *wanted == id);
+        ids.iter()
+            .map(|id| match found.get(id) {
+                Some(turn) => Lookup::Held(turn.clone()),
+                None if was_held(id) => Lookup::Unreadable,
+                None => Lookup::Absent,
+            })
+            .collect()
+    }
+
+    /// Those of some records that are held, the first of them up to `most_bytes`; one at least.
+    pub(super) async fn records(&self, keys: &[Key], most_bytes: usize) -> Vec<Record> {
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for keys in keys.chunks(RECORDS_A_READ) {
+            for record in self.records_of(keys).await {
+                if bytes >= most_bytes {
+                    return records;
+                }
+                if let Record::Turn(turn) = &record {
+                    bytes += turn.bytes();
+                }
+                records.push(record);
+            }
+        }
+        records
+    }
+
+    async fn records_of(&self, keys: &[Key]) -> Vec<Record> {
+        let ids: Vec<String> = keys
+            .iter()
+            .filter_map(|key| match key {
+                Key::Turn(id) => Some(id.clone()),
+                Key::Entry(..) => None,
+            })
+            .collect();
+        let turns = self.turns(&ids).await.into_iter().filter_map(Lookup::turn).map(Record::Turn);
+        let index = self.index.borrow();
+        let claims = keys.iter().filter_map(|key| match key {
+            Key::Turn(_) => None,
+            Key::Entry(program, request) => {
+                let entry = index.claim(program, request)?.clone();
+                Some(Record::Entry { program: program.clone(), entry })
+            }
+        });
+        turns.chain(claims).collect()
+    }
+
+    async fn read(&self, numbers: Vec<RecordNumber>) -> Vec<Option<Record>> {
+        if numbers.is_empty() {
+            return Vec::new();
+        }
+        let read = self.journal.read(numbers).await;
+        read.into_iter()
+            .map(|bytes| match journal::read(&bytes?) {
+                Ok(Stored::Record { record, .. }) => Some(record),
+                _ => None,
+            })
+            .collect()
+    }
+}
--- a/crates/onyxstile-system/src/role/storage/repair.rs
+++ b/crates/onyxstile-system/src/role/storage/repair.rs
@@ -7,6 +7,7 @@
 
 use super::Node;
 use super::journal::Stored;
+use super::opening::WHOLE;
 use crate::program::{Copied, Key, Source};
 use crate::storage_plan::StoragePlan;
 use crate::wire::{Request, Response};
@@ -74,7 +75,7 @@
     async fn fetch_missing(&self, ip: Ipv4Addr, keys: Vec<(Key, u8)>) -> bool {
         let missing: Vec<Key> = keys
             .into_iter()
-            .filter(|(key, version)| self.is_mine(key) && !self.store.borrow().holds(key, *version))
+            .filter(|(key, version)| self.is_mine(key) && !self.index.borrow().holds(key, *version))
             .map(|(key, _)| key)
             .collect();
         for keys in missing.chunks(KEYS_A_FETCH) {
@@ -105,7 +106,7 @@
         if assessment.is_whole && !was_whole {
             self.is_whole.set(true);
             log::info!("copied what this machine should hold by epoch {}", plan.epoch);
-            self.journal.append_later(Stored::Whole);
+            self.journal.append_later(WHOLE, &Stored::Whole);
         }
         if assessment.is_synced {
             self.synced_epoch.set(plan.epoch);
--- a/crates/onyxstile-system/src/wire.rs
+++ b/crates/onyxstile-system/src/wire.rs
@@ -176,7 +176,7 @@
     /// Turns, in the order of the ids; `is_sure` says that what is missing was never written here and not lost either.
     Turns {
         /// A turn for each id that was found.
-        turns: Vec<Option<Turn>>,
+        turns: Vec<Option<Rc<Turn>>>,
         /// Whether the absence of a turn means anything.
         is_sure: bool,
     },
--- a/crates/onyxstile-system/tests/decoders.rs
+++ b/crates/onyxstile-system/tests/decoders.rs
@@ -5,10 +5,11 @@
 
 use std::path::Path;
 
+use onyxstile_store::sim::SimDisk;
 use onyxstile_system::balance::Load;
 use onyxstile_system::configuration;
 use onyxstile_system::control::Message;
-use onyxstile_system::disk::{Folder, Log, Versions};
+use onyxstile_system::disk::{Folder, RecordLog, Versions};
 use onyxstile_system::json;
 use onyxstile_system::prefix;
 use onyxstile_system::program::{Entry, Key, Record, Turn, fits};
@@ -22,6 +23,8 @@
 use support::memory_folder::MemoryFolder;
 
 const RUNS: u64 = 4_000;
+/// Room for a log.
+const LOG_BYTES: u64 = 1024 * 1024;
 
 /// Pieces that a mutation puts in: what separates, nests, overflows or ends early.
 const PIECES: [&[u8]; 24] = [
@@ -231,25 +234,36 @@
 
 #[test]
 fn files_of_the_disk_folder() {
-    let records: Vec<Vec<u8>> = (0..6u8).map(|number| vec![number; 5 + usize::from(number) * 9]).collect();
-    let mut log = Log::open(MemoryFolder::default()).expect("opens").log;
-    let folder = MemoryFolder::default();
-    let mut written = Log::open(folder.clone()).expect("opens").log;
-    written.append(&records).expect("is written");
-    log.append(&records).expect("is written");
-    let whole = folder.read("segment-1").expect("is there");
+    let records: Vec<(u64, Vec<u8>)> =
+        (0..6u8).map(|number| (u64::from(number), vec![number; 5 + usize::from(number) * 9])).collect();
+    let disk = SimDisk::default();
+    let mut written = RecordLog::open(disk.clone(), LOG_BYTES, |_, _| {}).expect("opens").log;
+    written.append(records.clone()).expect("is written");
+    let segment = "000000000001.seg";
+    let whole = disk.bytes(segment).expect("is there");
     hunt(&[whole], |bytes| {
+        let disk = SimDisk::default();
+        disk.set(segment, bytes.to_vec());
+        disk.set("segment-x", bytes.to_vec());
+        let mut found = Vec::new();
+        // A log of a newer format is refused.
+        RecordLog::open(disk, LOG_BYTES, |number, bytes| found.push((number, bytes.to_vec()))).ok();
+        assert!(found.iter().all(|record| records.contains(record)), "a record that nobody wrote: {found:?}");
+    });
+}
+
+#[test]
+fn versions_of_a_record() {
+    let record = vec![7; 50];
+    let folder = MemoryFolder::default();
+    let (mut versions, _) = Versions::open(folder.clone(), "version").expect("opens");
+    versions.write(&record).expect("is written");
+    hunt(&[folder.read("version-1").expect("is there")], |bytes| {
         let mut folder = MemoryFolder::default();
-        folder.append("segment-1", bytes).expect("is written");
-        folder.append("segment-x", bytes).expect("is written");
         folder.append("version-4", bytes).expect("is written");
-        let opened = Log::open(folder.clone()).expect("opens").records;
-        assert!(
-            opened.iter().all(|record| records.contains(record)),
-            "a record that nobody wrote: {opened:?}"
-        );
+        folder.append("version-x", bytes).expect("is written");
         let (_, version) = Versions::open(folder, "version").expect("opens");
-        assert!(version.is_none_or(|version| records.contains(&version)));
+        assert!(version.is_none_or(|version| version == record));
     });
 }
 
--- a/crates/onyxstile-system/tests/programs.rs
+++ b/crates/onyxstile-system/tests/programs.rs
@@ -5,11 +5,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use onyxstile_system::clock::Instant;
 use onyxstile_system::program::{
-    Entry, Key, Quorum, Record, Store, Turn, fits, groups, merge_claims, nearest,
+    Entry, Key, Quorum, Record, RecordIndex, RecordNumber, Turn, TurnCache, fits, groups, merge_claims,
+    nearest,
 };
 use onyxstile_system::storage_plan::StoragePlan;
 use onyxstile_system::tolerance::Tolerance;
@@ -17,21 +19,71 @@
 use rand_pcg::Pcg64Mcg;
 use support::{ONE, address, plan};
 
-fn turn(id: &str) -> Turn {
-    Turn {
+fn turn(id: &str) -> Rc<Turn> {
+    Rc::new(Turn {
         id: id.into(),
         ancestors: Vec::new(),
         input: b"in".to_vec(),
         output: b"out\n".to_vec(),
         retention_ms: 60_000,
         ended_ms: 0,
-    }
+    })
 }
 
 fn claim(request: &str, most: u64, settled: Option<u64>) -> Entry {
     Entry { request: request.into(), most, settled }
 }
 
+/// The index of a storage machine, with a log that drops what the index calls superfluous.
+#[derive(Default)]
+struct Store {
+    index: RecordIndex,
+    log: BTreeMap<RecordNumber, Record>,
+    next: RecordNumber,
+}
+
+impl Store {
+    fn merge(&mut self, now: Instant, age: Duration, record: &Record) {
+        let number = self.next;
+        self.next += 1;
+        self.log.insert(number, record.clone());
+        let merge = self.index.merge(now, age, record, number);
+        merge.superfluous.iter().for_each(|number| drop(self.log.remove(number)));
+    }
+
+    fn expire(&mut self, now: Instant) {
+        for number in self.index.expire(now) {
+            self.log.remove(&number).expect("what is dropped was in the log");
+        }
+    }
+
+    fn turn(&self, id: &str) -> Option<Rc<Turn>> {
+        let number = self.index.turn(id)?;
+        match self.log.get(&number).expect("what the index names is in the log") {
+            Record::Turn(turn) => Some(turn.clone()),
+            other => panic!("{id} leads to {other:?}"),
+        }
+    }
+
+    fn record(&self, key: &Key) -> Option<Record> {
+        match key {
+            Key::Turn(id) => self.turn(id).map(Record::Turn),
+            Key::Entry(program, request) => {
+                let entry = self.index.claim(program, request)?.clone();
+                Some(Record::Entry { program: program.clone(), entry })
+            }
+        }
+    }
+
+    fn claims(&self, program: &str) -> Vec<Entry> {
+        self.index.claims(program)
+    }
+
+    fn changed_since(&self, counter: u64, most: usize) -> (Vec<(Key, u8)>, u64) {
+        self.index.changed_since(counter, most)
+    }
+}
+
 /// Storage machines that may be away or hold nothing yet.
 struct Cluster {
     plan: StoragePlan,
@@ -113,9 +165,9 @@
         self.empty.remove(&ip);
     }
 
-    fn find(&self, id: &str) -> Option<Turn> {
+    fn find(&self, id: &str) -> Option<Rc<Turn>> {
         let members = Quorum::new(&self.plan, id, self.tolerance).members();
-        members.iter().filter(|ip| !self.away.contains(ip)).find_map(|ip| self.stores[ip].turn(id).cloned())
+        members.iter().filter(|ip| !self.away.contains(ip)).find_map(|ip| self.stores[ip].turn(id))
     }
 
     fn lose(&mut self, random: &mut Pcg64Mcg) -> Ipv4Addr {
@@ -290,6 +342,59 @@
     store.merge(now, Duration::ZERO, &record(None));
     store.merge(now, Duration::ZERO, &record(Some(70)));
     assert_eq!(store.claims("p"), [claim("r", 90, Some(30))]);
+    assert_eq!(store.log.len(), 1, "the log keeps the record that counts, and no other");
+}
+
+#[test]
+fn the_log_keeps_one_record_for_each_key_in_whatever_order_they_come() {
+    for seed in 0..200u64 {
+        let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+        let mut store = Store::default();
+        for _ in 0..60 {
+            let number = random.next_u32() % 6;
+            let record = match random.next_u32() % 3 {
+                0 => Record::Turn(turn(&format!("t{number}"))),
+                settled => Record::Entry {
+                    program: format!("p{}", number % 2),
+                    entry: claim(&format!("r{number}"), 90, (settled == 2).then_some(30)),
+                },
+            };
+            store.merge(Instant::from_millis(0), Duration::ZERO, &record);
+        }
+        let (keys, _) = store.changed_since(0, usize::MAX);
+        assert_eq!(store.log.len(), keys.len(), "seed {seed}");
+        let logged: BTreeSet<Key> = store.log.values().map(Record::key).collect();
+        assert_eq!(logged, keys.iter().map(|(key, _)| key.clone()).collect(), "seed {seed}");
+        for (key, version) in keys {
+            assert_eq!(store.record(&key).expect("is held").version(), version, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_record_that_is_read_twice_under_its_number_stays() {
+    let mut index = RecordIndex::default();
+    let now = Instant::from_millis(0);
+    for record in
+        [Record::Turn(turn("t")), Record::Entry { program: "p".into(), entry: claim("r", 9, Some(3)) }]
+    {
+        assert!(index.merge(now, Duration::ZERO, &record, 7).has_changed);
+        let again = index.merge(now, Duration::ZERO, &record, 7);
+        assert!(!again.has_changed && again.superfluous.is_none());
+        let copy = index.merge(now, Duration::ZERO, &record, 8);
+        assert_eq!(copy.superfluous, Some(8), "the copy need not be kept");
+    }
+}
+
+#[test]
+fn turns_in_memory_stay_within_their_bound_and_the_one_used_longest_ago_goes() {
+    let one = turn("t0").bytes();
+    let mut cache = TurnCache::new(3 * one);
+    (0..3).for_each(|number| cache.insert(turn(&format!("t{number}"))));
+    assert!(cache.get("t0").is_some());
+    cache.insert(turn("t3"));
+    let held: Vec<bool> = (0..4).map(|number| cache.get(&format!("t{number}")).is_some()).collect();
+    assert_eq!(held, [true, false, true, true]);
 }
 
 #[test]
@@ -300,7 +405,8 @@
     assert!(store.turn("t").is_some());
     store.expire(Instant::from_millis(200_000));
     assert!(store.turn("t").is_none());
-    assert_eq!(store.turn_bytes(), 0);
+    assert_eq!(store.index.memory_bytes(), 0);
+    assert!(store.log.is_empty(), "the log may drop it");
     assert!(store.changed_since(0, 10).0.is_empty(), "nothing is offered for copying");
 }
 
--- /dev/null
+++ b/crates/onyxstile-system/tests/record_log.rs
@@ -0,0 +1,211 @@
+//! The log of numbered records through losses of power, kills, refused calls, a full disk and spoilt files.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use onyxstile_store::sim::{Fault, SimDisk};
+use onyxstile_system::disk::{OpenedLog, RECORD_MAX, RecordLog};
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+
+const LIMIT: u64 = 1024 * 1024;
+
+type Contents = BTreeMap<u64, Vec<u8>>;
+
+fn open(disk: &SimDisk, limit: u64) -> (OpenedLog<SimDisk>, Contents) {
+    let mut contents = Contents::new();
+    let opened = RecordLog::open(disk.clone(), limit, |number, bytes| {
+        contents.insert(number, bytes.to_vec());
+    });
+    (opened.expect("opens"), contents)
+}
+
+fn value(number: u64) -> Vec<u8> {
+    vec![number as u8; 20 + (number as usize * 37) % 3_000]
+}
+
+/// How the process of a history ends.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    Killed,
+    PowerLost,
+}
+
+/// What one history showed: whether the log was sound at each start.
+fn history(seed: u64, end: End) -> bool {
+    let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+    let disk = SimDisk::default();
+    let mut kept: BTreeSet<u64> = BTreeSet::new();
+    let mut dropped: BTreeSet<u64> = BTreeSet::new();
+    let mut next = 0;
+    for life in 0..4 {
+        let (OpenedLog { mut log, is_sound }, found) = open(&disk, LIMIT);
+        if !is_sound {
+            return false;
+        }
+        for number in &kept {
+            assert_eq!(found.get(number), Some(&value(*number)), "seed {seed}, life {life}: {number}");
+        }
+        for (number, bytes) in &found {
+            assert_eq!(*bytes, value(*number), "seed {seed}, life {life}: nobody wrote that");
+            assert!(*number < next, "seed {seed}, life {life}: {number} was never written");
+        }
+        disk.fail(random.next_u64() % 90, Fault::Killed(random.next_u32() % 1_001));
+        while !disk.is_dead() {
+            let count = 1 + random.next_u64() % 6;
+            let numbers: Vec<u64> = (next..next + count).collect();
+            next += count;
+            let records = numbers.iter().map(|number| (*number, value(*number))).collect();
+            if log.append(records).is_ok() && !disk.is_dead() {
+                kept.extend(numbers);
+            }
+            if random.next_u32().is_multiple_of(2) && !kept.is_empty() {
+                let number = *kept.iter().next().expect("there is one");
+                kept.remove(&number);
+                dropped.insert(number);
+                // What the disk refuses is dropped later.
+                log.drop_records(vec![number]).ok();
+            }
+            for number in kept.iter().rev().take(2) {
+                let read = log.read(*number).expect("is read");
+                assert_eq!(read, Some(value(*number)), "seed {seed}, life {life}: {number}");
+            }
+        }
+        match end {
+            End::Killed => disk.restart(),
+            End::PowerLost => disk.lose_power(|below| random.next_u64() % below),
+        }
+    }
+    true
+}
+
+#[test]
+fn what_was_acknowledged_outlasts_a_loss_of_power_at_any_call() {
+    for seed in 0..600 {
+        assert!(history(seed, End::PowerLost), "seed {seed}: a loss of power is taken for a loss of records");
+    }
+}
+
+#[test]
+fn what_was_acknowledged_outlasts_a_kill_at_any_call() {
+    for seed in 0..300 {
+        assert!(history(seed, End::Killed), "seed {seed}: a kill is taken for a loss of records");
+    }
+}
+
+#[test]
+fn a_write_that_is_refused_harms_no_other() {
+    for fault in [Fault::Refused, Fault::Torn(300), Fault::Torn(1_000)] {
+        for call in 0..40 {
+            let disk = SimDisk::default();
+            let (OpenedLog { mut log, .. }, _) = open(&disk, LIMIT);
+            disk.fail(call, fault);
+            let mut kept = Vec::new();
+            for number in 0..40 {
+                if log.append(vec![(number, value(number))]).is_ok() {
+                    kept.push(number);
+                }
+            }
+            assert!(kept.len() >= 38, "{fault:?} at {call}: it goes on after one refusal");
+            disk.lose_power(|below| below - 1);
+            let (opened, found) = open(&disk, LIMIT);
+            assert!(opened.is_sound, "{fault:?} at {call}");
+            let lost: Vec<&u64> = kept.iter().filter(|number| !found.contains_key(number)).collect();
+            assert!(lost.is_empty(), "{fault:?} at {call}: {lost:?}");
+        }
+    }
+}
+
+#[test]
+fn a_full_disk_refuses_what_is_new_keeps_the_rest_and_takes_more_once_some_is_dropped() {
+    let disk = SimDisk::default();
+    let (OpenedLog { mut log, .. }, _) = open(&disk, LIMIT);
+    let big = |number: u64| vec![number as u8; 20_000];
+    let mut kept = Vec::new();
+    for number in 0..60 {
+        if log.append(vec![(number, big(number))]).is_ok() {
+            kept.push(number);
+        }
+    }
+    assert!((10..59).contains(&kept.len()), "{} records were taken", kept.len());
+    assert!(log.used_bytes() <= LIMIT);
+    log.drop_records(kept.drain(..8).collect()).expect("drops");
+    log.append(vec![(100, big(100))]).expect("there is room again");
+    kept.push(100);
+    let (opened, found) = open(&disk, LIMIT);
+    assert!(opened.is_sound);
+    assert_eq!(found.keys().copied().collect::<Vec<_>>(), kept);
+}
+
+#[test]
+fn room_is_bounded_while_records_come_and_go() {
+    let disk = SimDisk::default();
+    let (OpenedLog { mut log, .. }, _) = open(&disk, LIMIT);
+    for number in 0..3_000u64 {
+        log.append(vec![(number, vec![7; 4_000])]).expect("is written");
+        if number >= 40 {
+            log.drop_records(vec![number - 40]).expect("is dropped");
+        }
+        assert!(log.used_bytes() <= LIMIT, "{} bytes after {number}", log.used_bytes());
+    }
+    let (_, found) = open(&disk, LIMIT);
+    assert_eq!(found.len(), 40);
+}
+
+#[test]
+fn a_record_of_the_largest_size_is_written_and_read() {
+    let disk = SimDisk::default();
+    let limit = 256 * 1024 * 1024;
+    let (OpenedLog { mut log, .. }, _) = open(&disk, limit);
+    let records = vec![(1, vec![1; 100]), (2, vec![2; RECORD_MAX]), (3, vec![3; RECORD_MAX])];
+    log.append(records.clone()).expect("is written");
+    assert_eq!(log.read(2).expect("is read"), Some(records[1].1.clone()));
+    let (opened, found) = open(&disk, limit);
+    assert!(opened.is_sound);
+    assert_eq!(found, records.into_iter().collect());
+}
+
+/// A log of several segments, and its files' names.
+fn written() -> (SimDisk, Contents) {
+    let disk = SimDisk::default();
+    let (OpenedLog { mut log, .. }, _) = open(&disk, LIMIT);
+    let mut contents = Contents::new();
+    for number in 0..120 {
+        log.append(vec![(number, vec![number as u8; 3_000])]).expect("is written");
+        contents.insert(number, vec![number as u8; 3_000]);
+    }
+    (disk, contents)
+}
+
+#[test]
+fn a_spoilt_place_in_the_middle_is_a_loss_until_it_is_accepted() {
+    let (disk, contents) = written();
+    let mut first = disk.bytes("000000000001.seg").expect("is there");
+    let middle = first.len() / 2;
+    first[middle] ^= 1;
+    disk.set("000000000001.seg", first);
+    for _ in 0..2 {
+        let (opened, found) = open(&disk, LIMIT);
+        assert!(!opened.is_sound, "it is said at each start");
+        assert!(found.iter().all(|(number, bytes)| contents[number] == *bytes));
+        assert!(found.len() < contents.len());
+    }
+    let (OpenedLog { mut log, .. }, before) = open(&disk, LIMIT);
+    log.accept_loss().expect("is accepted");
+    log.append(vec![(500, b"later".to_vec())]).expect("is written");
+    let (opened, found) = open(&disk, LIMIT);
+    assert!(opened.is_sound);
+    assert_eq!(found.len(), before.len() + 1);
+}
+
+#[test]
+fn a_torn_end_is_no_loss() {
+    let (disk, _) = written();
+    let (_, whole) = open(&disk, LIMIT);
+    let last = (1..9).rev().map(|id| format!("{id:012}.seg")).find(|name| disk.bytes(name).is_some());
+    let last = last.expect("there is a segment");
+    let bytes = disk.bytes(&last).expect("is there");
+    disk.set(&last, bytes[..bytes.len() - 10].to_vec());
+    let (opened, found) = open(&disk, LIMIT);
+    assert!(opened.is_sound);
+    assert_eq!(found.len(), whole.len() - 1);
+}
--- a/crates/onyxstile-system/tests/storage_contract.rs
+++ b/crates/onyxstile-system/tests/storage_contract.rs
@@ -1,8 +1,8 @@
-//! What every folder has to do, and what versions and logs make of a loss of power at any call.
+//! What every folder has to do, and what versions make of a loss of power at any call.
 
 mod support;
 
-use onyxstile_system::disk::{Folder, Log, RealFolder, Versions};
+use onyxstile_system::disk::{Folder, RealFolder, Versions};
 use rand_pcg::Pcg64Mcg;
 use support::memory_folder::MemoryFolder;
 
@@ -56,63 +56,6 @@
     }
 }
 
-#[test]
-fn what_a_log_has_acknowledged_outlasts_a_loss_of_power_at_any_call() {
-    for seed in 0..600u64 {
-        let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
-        let folder = MemoryFolder::default();
-        let mut acknowledged: Vec<u64> = Vec::new();
-        let mut next = 0u64;
-        for life in 0..3 {
-            let opened = Log::open(folder.clone()).expect("opens");
-            assert!(life > 0 || opened.was_empty);
-            let found: Vec<u64> = opened
-                .records
-                .iter()
-                .map(|record| u64::from_le_bytes(record[..8].try_into().expect("eight bytes")))
-                .collect();
-            for number in &acknowledged {
-                assert!(found.contains(number), "seed {seed}, life {life}: {number} is lost");
-            }
-            let mut log = opened.log;
-            folder.fail_power_at(1 + (seed + life * 7) % 23);
-            loop {
-                next += 1;
-                if next.is_multiple_of(5) {
-                    log.begin_segment();
-                }
-                if next.is_multiple_of(11) {
-                    let live: Vec<Vec<u8>> =
-                        acknowledged.iter().map(|number| number.to_le_bytes().to_vec()).collect();
-                    let last = log.last_closed();
-                    // What is in the open segment is in `live` as well; twice is no harm.
-                    if log.compact(last, &live).is_err() {
-                        break;
-                    }
-                }
-                if log.append(&[next.to_le_bytes().to_vec()]).is_err() {
-                    break;
-                }
-                acknowledged.push(next);
-            }
-            folder.restore_power(&mut random);
-        }
-    }
-}
-
-#[test]
-fn a_full_disk_refuses_and_what_was_there_stays() {
-    let folder = MemoryFolder::default();
-    let mut log = Log::open(folder.clone()).expect("opens").log;
-    log.append(&[b"first".to_vec()]).expect("is written");
-    folder.set_full(true);
-    assert!(log.append(&[b"second".to_vec()]).is_err());
-    folder.set_full(false);
-    log.append(&[b"third".to_vec()]).expect("is written behind the torn one");
-    let records = Log::open(folder).expect("opens").records;
-    assert_eq!(records, [b"first".to_vec(), b"third".to_vec()]);
-}
-
 #[test]
 fn records_of_two_names_share_a_folder() {
     let folder = MemoryFolder::default();
--- a/src/net/undelivered/keeper.rs
+++ b/src/net/undelivered/keeper.rs
@@ -327,7 +327,7 @@
             bytes: limit / 4,
             customer_bytes: limit / 4,
         };
-        let store = Options { limit, segment: 1 << 20, verify: true };
+        let store = Options { limit, segment: 1 << 20, commit: 1 << 20, verify: true };
         UndeliveredSettings { folder: folder.0.clone(), store, sync: SyncPolicy::Begins, rules }
     }
 
--- a/src/net/undelivered/settings.rs
+++ b/src/net/undelivered/settings.rs
@@ -69,7 +69,7 @@
 
 /// How a store of so many bytes is kept.
 pub fn store_options(limit: u64) -> Options {
-    Options { limit, segment: 1 << 20, verify: true }
+    Options { limit, segment: 1 << 20, commit: 1 << 20, verify: true }
 }
 
 impl UndeliveredTable {
