Judge endpoints by the calls that failed, of all relays, and let that evidence fade

Cause: an endpoint that fails two calls in five was passed over for 0.3 s after a failure, and its next good answer cleared it (balance/endpoint.rs, `succeeded`); an answered 500 counted for nothing, and a call without an answer only once its time was over.

Now: fading counts of failed and answered calls an endpoint, overdue calls among them (balance/health.rs); a cost for what may be lost; samples of tools without the suspects but never of less than half; one in twenty repeatable calls as a trial. Relays share the counts of suspects through the first controller in the order of addresses (evidence.rs).

An endpoint that has not answered yet is expected to be as fast as the others; before, at 60 ms, it got nothing beside idle ones of 20 ms (a test in tests/health.rs). The version of files is apart from that of messages now.

The test of one call at a time now says that the endpoint can't be reached, which is what it is about; one that failed calls is tested in tests/health.rs. Ruled out: asking health checks (they lie), verdicts shared between relays.

--- a/crates/onyxstile-system/src/balance.rs
+++ b/crates/onyxstile-system/src/balance.rs
@@ -1,13 +1,14 @@
 //! The endpoints as one relay knows them, and the choice among them. Pure.
 //!
-//! Health is what the relay's own calls show: refused or broken connections, silence, refusals. An endpoint in trouble
-//! is passed over for a while that doubles, then one call at a time tries it. Registration says who exists and who
+//! Health is what calls show. An endpoint that can't be reached is passed over for a while that doubles, then one call at a
+//! time tries it; one that fails part of its calls costs more by the worth of what may be lost there. Registration says who exists and who
 //! leaves; an incarnation that leaves is never chosen again.
 
 mod connections;
 mod cost;
 mod distances;
 mod endpoint;
+mod health;
 mod homes;
 mod pool;
 mod shares;
@@ -16,8 +17,9 @@
 use connections::Connections;
 use cost::Prompt;
 use distances::Distances;
-use endpoint::Occupancy;
 pub use endpoint::{Endpoint, Load};
+use endpoint::{Occupancy, UNKNOWN_LATENCY_MS};
+pub use health::Health;
 use homes::Homes;
 use shares::Shares;
 
@@ -28,6 +30,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::clock::Instant;
+use crate::evidence::{self, Evidence};
 use crate::prefix::Part;
 use crate::registry::{Instance, Stage};
 
@@ -39,6 +42,8 @@
 /// Endpoints without a prompt's cost are compared in samples of this size: relays that all know the same of all
 /// endpoints would all choose the same one.
 const SAMPLE: usize = 3;
+/// This part of the calls that may be repeated goes wherever it would without evidence of failures.
+const TRIAL_PART: f64 = 0.05;
 
 /// What a call needs.
 #[derive(Debug, Clone, Default)]
@@ -49,6 +54,8 @@
     pub parts: &'a [Part],
     /// The program that it belongs to, if any.
     pub program: Option<&'a str>,
+    /// Whether it may run more than once.
+    pub may_repeat: bool,
     /// Endpoints that must not be chosen.
     pub excluded: &'a [EndpointKey],
     /// The only endpoints that may be chosen, once a try has used up its attempts.
@@ -135,6 +142,22 @@
         }
     }
 
+    /// What this relay's calls show of endpoints under suspicion, to be told to other relays.
+    pub fn evidence(&self, now: Instant) -> Vec<Evidence> {
+        let callable = self.slots.values().filter(|endpoint| endpoint.may_be_called());
+        evidence::heaviest(callable.filter_map(|endpoint| endpoint.evidence(now)).collect())
+    }
+
+    /// What all relays' calls show of endpoints under suspicion.
+    pub fn hear(&mut self, now: Instant, told: &[Evidence]) {
+        for evidence in told {
+            let key = self.by_id.get(&evidence.instance);
+            if let Some(endpoint) = key.and_then(|key| self.slots.get_mut(*key)) {
+                endpoint.health.hear(now, evidence.tally(now));
+            }
+        }
+    }
+
     /// How many endpoints of a service may be called.
     pub fn usable(&self, service: &str) -> usize {
         self.keys(service).iter().filter(|key| self.slots[**key].may_be_called()).count()
@@ -146,17 +169,24 @@
 
     /// The endpoint that is expected to answer first; `roll` in 0..1 breaks ties.
     pub fn choose(&self, now: Instant, need: &Need<'_>, roll: f64) -> Option<EndpointKey> {
+        let is_trial = is_trial(need, roll);
         let pool = self.pool(now, need);
+        let pool = if is_trial { pool } else { self.trusted(now, need, pool) };
         let usual = self.usual_occupancy(now, &pool);
         let compared = if need.parts.is_empty() { SAMPLE.min(pool.len()) } else { pool.len() };
         let offset = (roll * pool.len() as f64) as usize;
         let stride = stride(pool.len(), roll);
         let rotated = (0..compared).map(|index| pool[(offset + index * stride) % pool.len()]);
-        let costs: Vec<(f64, EndpointKey)> = if need.parts.is_empty() {
-            rotated.map(|key| (self.tool_cost(now, key, usual), key)).collect()
+        let mut costs: Vec<(f64, EndpointKey)> = if need.parts.is_empty() {
+            let latency = self.usual_latency(&pool);
+            rotated.map(|key| (self.tool_cost(now, key, usual, latency), key)).collect()
         } else {
             self.prompt_costs(now, need, &pool, rotated, usual)
         };
+        if !is_trial {
+            let loss = cost::loss(need.may_repeat);
+            costs.iter_mut().for_each(|(cost, key)| *cost += self.slots[*key].suspicion(now) * loss);
+        }
         let cheaper = |left: &(f64, EndpointKey), right: &(f64, EndpointKey)| left.0.total_cmp(&right.0);
         costs.into_iter().min_by(cheaper).map(|(_, key)| key)
     }
@@ -171,9 +201,17 @@
         cost::base(endpoint, self.distances.to(&endpoint.instance.zone))
     }
 
-    fn tool_cost(&self, now: Instant, key: EndpointKey, usual: Occupancy) -> f64 {
+    /// The mean latency, in ms, of those endpoints that have answered.
+    fn usual_latency(&self, pool: &[EndpointKey]) -> f64 {
+        let known: Vec<f64> = pool.iter().filter_map(|key| self.slots[*key].known_latency_ms()).collect();
+        if known.is_empty() { UNKNOWN_LATENCY_MS } else { known.iter().sum::<f64>() / known.len() as f64 }
+    }
+
+    /// The cost of a call of a tool; one that has not answered yet is expected to take as long as the others.
+    fn tool_cost(&self, now: Instant, key: EndpointKey, usual: Occupancy, latency: f64) -> f64 {
         let endpoint = &self.slots[key];
-        self.base_cost(endpoint) + cost::tool(endpoint, endpoint.occupancy(now, usual))
+        let latency = endpoint.known_latency_ms().unwrap_or(latency);
+        self.base_cost(endpoint) + cost::tool(endpoint, endpoint.occupancy(now, usual), latency)
     }
 
     fn prompt_costs(
@@ -204,6 +242,11 @@
     }
 }
 
+/// Whether a call is to show how endpoints are that others avoid: some of those that may be repeated.
+fn is_trial(need: &Need<'_>, roll: f64) -> bool {
+    need.may_repeat && (roll * 1e3).fract() < TRIAL_PART
+}
+
 /// A step through `length` places that meets each of them once, different from call to call.
 fn stride(length: usize, roll: f64) -> usize {
     let wanted = 1 + (roll * 1e6) as usize % length.max(1);
--- a/crates/onyxstile-system/src/balance/cost.rs
+++ b/crates/onyxstile-system/src/balance/cost.rs
@@ -20,6 +20,10 @@
 /// What a program's first turn gains at its own home, in ms: later turns come through other relays half of the time and
 /// would have a prompt of some two thousand tokens read anew.
 const PROGRAM_HOME_MS: f64 = 30.0;
+/// What it costs to lose a call that must not run twice, in ms: its program fails, or has the whole turn run anew.
+const LOSS_MS: f64 = 1500.0;
+/// What it costs to lose a call that is sent again, in ms.
+const REPEAT_MS: f64 = 200.0;
 /// The share by which a call of a tool slows an endpoint that was idle until all its slots are taken.
 const TOOL_CROWDING: f64 = 0.3;
 
@@ -68,6 +72,11 @@
     distance + silence + warmup
 }
 
+/// The cost of a call that is lost.
+pub(super) fn loss(may_repeat: bool) -> f64 {
+    if may_repeat { REPEAT_MS } else { LOSS_MS }
+}
+
 /// Requests beyond an endpoint's capacity once one more has come.
 fn queued(endpoint: &Endpoint, occupancy: Occupancy) -> f64 {
     (occupancy.total() + 1.0 - f64::from(endpoint.instance.capacity)).max(0.0)
@@ -79,9 +88,9 @@
     occupancy.running * CROWDING_MS + occupancy.waiting * WAITING_MS + queued * QUEUEING_MS
 }
 
-/// The time that a call of a tool takes.
-pub(super) fn tool(endpoint: &Endpoint, occupancy: Occupancy) -> f64 {
+/// The time that a call of a tool takes at an endpoint that answers in `latency` ms while it is idle.
+pub(super) fn tool(endpoint: &Endpoint, occupancy: Occupancy, latency: f64) -> f64 {
     let capacity = f64::from(endpoint.instance.capacity);
     let queued = queued(endpoint, occupancy);
-    endpoint.latency_ms() * (1.0 + TOOL_CROWDING * occupancy.total() / capacity + queued / capacity)
+    latency * (1.0 + TOOL_CROWDING * occupancy.total() / capacity + queued / capacity)
 }
--- a/crates/onyxstile-system/src/balance/endpoint.rs
+++ b/crates/onyxstile-system/src/balance/endpoint.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use super::health::Health;
 use crate::clock::Instant;
+use crate::evidence::Evidence;
 use crate::prefix::Cache;
 use crate::registry::{Instance, Stage};
 
@@ -14,8 +16,8 @@
 const LOAD_LIFETIME: Duration = Duration::from_millis(1500);
 /// Weight of a new sample in the usual latency.
 const LATENCY_WEIGHT: f64 = 0.1;
-/// The latency of an endpoint that has not answered yet, in ms.
-const UNKNOWN_LATENCY_MS: f64 = 60.0;
+/// The latency of an endpoint that has not answered yet, in ms, where nothing is known of others either.
+pub(super) const UNKNOWN_LATENCY_MS: f64 = 60.0;
 
 /// What an endpoint tells of its load (`Server-Load`).
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -65,6 +67,8 @@
     pub instance: Instance,
     /// What its cache is believed to hold.
     pub cache: Cache,
+    /// What calls have shown of it.
+    pub health: Health,
     /// Its place in this relay's own order of endpoints.
     pub(super) rank: u64,
     in_flight: u32,
@@ -80,6 +84,7 @@
         Endpoint {
             instance,
             cache: Cache::default(),
+            health: Health::default(),
             rank,
             in_flight: 0,
             told: None,
@@ -124,6 +129,11 @@
         Occupancy { running: expected.running + unseen.max(0.0), ..expected }
     }
 
+    /// The usual time of an answer, in ms, if it has answered.
+    pub(super) fn known_latency_ms(&self) -> Option<f64> {
+        self.latency_ms
+    }
+
     /// The usual time of an answer, in ms.
     pub fn latency_ms(&self) -> f64 {
         self.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS)
@@ -149,9 +159,25 @@
         self.told = Some((load, self.in_flight, now));
     }
 
+    /// The part of calls that is to be expected to fail.
+    pub fn suspicion(&self, now: Instant) -> f64 {
+        self.health.suspicion(now, self.latency())
+    }
+
+    /// What there is to tell other relays of its calls.
+    pub(super) fn evidence(&self, now: Instant) -> Option<Evidence> {
+        let tally = self.health.to_tell(now, self.latency())?;
+        Some(Evidence::new(&self.instance.id, tally))
+    }
+
+    fn latency(&self) -> Duration {
+        Duration::from_secs_f64(self.latency_ms() / 1000.0)
+    }
+
     /// It has answered a call.
-    pub fn succeeded(&mut self, latency: Option<Duration>) {
+    pub fn succeeded(&mut self, now: Instant, latency: Option<Duration>) {
         self.failures_in_row = 0;
+        self.health.note_answer(now);
         if let Some(latency) = latency {
             let sample = latency.as_secs_f64() * 1000.0;
             let before = self.latency_ms.unwrap_or(sample);
@@ -159,8 +185,20 @@
         }
     }
 
-    /// A connection was refused or broke, or nothing came.
+    /// It has run a call and answered with an error.
+    pub fn erred(&mut self, now: Instant) {
+        self.failures_in_row = 0;
+        self.health.note_failure(now);
+    }
+
+    /// A call was sent, and its connection broke or nothing came.
     pub fn failed(&mut self, now: Instant) {
+        self.health.note_failure(now);
+        self.unreachable(now);
+    }
+
+    /// No connection came up, or it was closed before a call was sent.
+    pub fn unreachable(&mut self, now: Instant) {
         self.failures_in_row += 1;
         let pause = FIRST_PAUSE.saturating_mul(1 << (self.failures_in_row - 1).min(8)).min(LONGEST_PAUSE);
         self.passed_over_until = self.passed_over_until.max(now + pause);
--- a/crates/onyxstile-system/src/balance/pool.rs
+++ b/crates/onyxstile-system/src/balance/pool.rs
@@ -11,6 +11,9 @@
 /// A zone with less than this part of the endpoints that zones have on average can't carry an even share of the programs.
 const HOMES_NEAR_PART: f64 = 0.67;
 
+/// Endpoints at which a larger part of calls is expected to fail are left out of samples.
+const SUSPECT: f64 = 0.05;
+
 impl Endpoints {
     /// The endpoints among which a call has the choice: those that are well and to which this relay may hold one more
     /// connection, as long as there are any; of these, this relay's subset.
@@ -32,6 +35,23 @@
         pool
     }
 
+    /// Those of a tool's endpoints from which a sample is drawn: without the suspects, but half of them at least, the least
+    /// suspect ones. Evidence never leaves a service empty.
+    pub(super) fn trusted(
+        &self, now: Instant, need: &Need<'_>, mut pool: Vec<EndpointKey>,
+    ) -> Vec<EndpointKey> {
+        if !need.parts.is_empty() {
+            return pool;
+        }
+        let suspicion = |key: &EndpointKey| self.slots[*key].suspicion(now);
+        let trusted = pool.iter().filter(|key| suspicion(key) < SUSPECT).count();
+        if trusted < pool.len() {
+            pool.sort_by(|left, right| suspicion(left).total_cmp(&suspicion(right)));
+            pool.truncate(trusted.max(pool.len().div_ceil(2)));
+        }
+        pool
+    }
+
     fn fits(&self, key: EndpointKey, need: &Need<'_>) -> bool {
         self.slots[key].may_be_called()
             && !need.excluded.contains(&key)
--- a/crates/onyxstile-system/src/disk.rs
+++ b/crates/onyxstile-system/src/disk.rs
@@ -4,10 +4,12 @@
 //! simulated folder with losses of power has to pass as well. [`RecordLog`] keeps many records on `onyxstile-store`.
 
 mod folder;
+mod format;
 mod record_log;
 mod versions;
 
 pub use folder::{Folder, RealFolder};
+pub use format::{FORMAT, decode, encode};
 pub use record_log::{OpenedLog, RECORD_MAX, RecordLog};
 pub use versions::Versions;
 
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -15,6 +15,7 @@
 use super::rpc::Client;
 use super::signals;
 use super::subscription::{self, News, Wishes};
+use crate::evidence::Evidence;
 use crate::registry::Instance;
 use crate::settings::Settings;
 use crate::wire::{Feed, Published, Request, Response};
@@ -57,6 +58,8 @@
             }
             News::Fresh => self.is_fresh = true,
             News::Relays(count) => self.relays = Some(*count),
+            // It is told anew as long as it holds.
+            News::Evidence(_) => {}
         }
     }
 
@@ -66,6 +69,7 @@
             endpoints: self.endpoints.values().cloned().collect(),
             is_fresh: self.is_fresh,
             relays: self.relays,
+            evidence: Vec::new(),
         }
     }
 }
@@ -81,12 +85,13 @@
     let grace = settings.grace();
     let settings = Rc::new(RefCell::new(settings));
     let client = Client::default();
-    let wishes = Wishes { endpoints: true, wait: POLL_WAIT, synced_epoch: Rc::new(Cell::new(0)) };
+    let evidence: Rc<RefCell<Vec<Evidence>>> = Rc::default();
+    let wishes = Wishes { relay: Some(evidence.clone()), wait: POLL_WAIT, synced_epoch: Rc::default() };
     let news = subscription::follow(settings.clone(), client.clone(), wishes);
     log::info!("agent of {} feeds {proxy}", settings.borrow().node_name);
     let is_ending = Rc::new(Cell::new(false));
     tokio::select! {
-        () = feed(client, proxy, news, is_ending.clone()) => log::info!("the proxy is gone"),
+        () = feed(client, proxy, news, is_ending.clone(), evidence) => log::info!("the proxy is gone"),
         () = signals::reread(settings, |_| {}) => {}
         () = end(grace, is_ending) => log::info!("the agent ends"),
     }
@@ -102,6 +107,7 @@
 
 async fn feed(
     client: Client, proxy: SocketAddrV4, mut news: UnboundedReceiver<News>, is_ending: Rc<Cell<bool>>,
+    evidence: Rc<RefCell<Vec<Evidence>>>,
 ) {
     let mut known = Known::default();
     let mut fed: Option<u64> = None;
@@ -109,7 +115,10 @@
         let changes = gather(&mut news, &mut known).await;
         let feed = if fed.is_some() { changes } else { known.whole() };
         match client.call(proxy, &Request::Feed(feed), FEED_PATIENCE).await {
-            Ok(Response::Fed(life)) if fed.is_none_or(|known| known == life) => fed = Some(life),
+            Ok(Response::Fed { life, evidence: shown }) if fed.is_none_or(|known| known == life) => {
+                fed = Some(life);
+                *evidence.borrow_mut() = shown;
+            }
             result => {
                 // Another life of the proxy, or none: the next feed is whole.
                 fed = None;
@@ -131,6 +140,7 @@
         match item {
             News::State(_) => feed.state = known.state.clone(),
             News::Endpoints(endpoints) => feed.endpoints.extend(endpoints),
+            News::Evidence(evidence) => feed.evidence = evidence,
             News::Fresh | News::Relays(_) => {}
         }
         next = news.try_recv().ok();
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -23,7 +23,8 @@
 use crate::clock::{Instant, SteadyClock};
 use crate::control::{Durable, ElectorId, Message, Operation, Outcome};
 use crate::controller::{Controller, Input};
-use crate::disk::{RealFolder, Versions};
+use crate::disk::{self, RealFolder, Versions};
+use crate::evidence::Pooled;
 use crate::registry::Registry;
 use crate::relays::Relays;
 use crate::settings::Settings;
@@ -82,6 +83,7 @@
     changed: Notify,
     synced: RefCell<HashMap<[u8; 4], (u64, Instant)>>,
     relays: RefCell<Relays>,
+    evidence: RefCell<Pooled>,
     is_planning: Cell<bool>,
 }
 
@@ -94,7 +96,7 @@
     let (mut versions, held) = Versions::open(folder, CONTROL_RECORD).map_err(|error| ("data_dir", error))?;
     let (kept_registry, endpoints) = KeptRegistry::open(data).map_err(|error| ("data_dir", error))?;
     let durable = match held {
-        Some(bytes) => wire::decode(&bytes).map_err(RoleError::Unreadable)?,
+        Some(bytes) => disk::decode(&bytes).map_err(RoleError::Unreadable)?,
         None => first_record(&settings, &mut versions).map_err(|error| ("first record", error))?,
     };
     let peers = socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
@@ -125,7 +127,7 @@
     let is_founder = settings.bootstrap && seeds.contains(&settings.ip);
     let durable =
         if is_founder { Controller::bootstrap(settings.ip, &seeds) } else { Controller::empty(random_id()) };
-    versions.write(&wire::encode(&durable))?;
+    versions.write(&disk::encode(&durable))?;
     Ok(durable)
 }
 
@@ -152,6 +154,7 @@
             changed: Notify::new(),
             synced: RefCell::default(),
             relays: RefCell::new(Relays::new(clock.now())),
+            evidence: RefCell::default(),
             is_planning: Cell::new(false),
         }
     }
@@ -172,6 +175,7 @@
                 self.changed.notify_waiters();
             }
             self.relays.borrow_mut().tick(self.clock.now());
+            self.evidence.borrow_mut().tick(self.clock.now());
             self.kept_registry.keep(self.clock.now(), &self.registry.borrow());
             self.clone().plan();
             tokio::time::sleep(TICK).await;
--- a/crates/onyxstile-system/src/role/controller/effects.rs
+++ b/crates/onyxstile-system/src/role/controller/effects.rs
@@ -5,7 +5,7 @@
 use super::Node;
 use crate::clock::Instant;
 use crate::controller::Effect;
-use crate::wire;
+use crate::disk;
 
 /// A write that the disk refused is tried again after this time.
 const DISK_PAUSE: Duration = Duration::from_millis(250);
@@ -19,7 +19,7 @@
             return false;
         }
         *tried = now;
-        let is_written = self.versions.borrow_mut().write(&wire::encode(&**durable)).is_ok();
+        let is_written = self.versions.borrow_mut().write(&disk::encode(&**durable)).is_ok();
         if is_written {
             *unwritten = None;
         }
@@ -30,7 +30,7 @@
     pub(super) fn carry_out(&self, now: Instant, effect: Effect) -> bool {
         match effect {
             Effect::Persist(durable) => {
-                let result = self.versions.borrow_mut().write(&wire::encode(&*durable));
+                let result = self.versions.borrow_mut().write(&disk::encode(&*durable));
                 if let Err(error) = result {
                     log::error!("the disk refuses a write: {error}");
                     *self.unwritten.borrow_mut() = Some((durable, now));
--- a/crates/onyxstile-system/src/role/controller/kept_registry.rs
+++ b/crates/onyxstile-system/src/role/controller/kept_registry.rs
@@ -13,9 +13,8 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::disk::{RealFolder, Versions};
+use crate::disk::{self, RealFolder, Versions};
 use crate::registry::{Instance, Registry};
-use crate::wire;
 
 /// The name of the record.
 const RECORD: &str = "endpoints";
@@ -35,7 +34,7 @@
     pub(super) fn open(folder: PathBuf) -> io::Result<(KeptRegistry, Vec<Instance>)> {
         let (versions, held) = Versions::open(RealFolder::open(folder)?, RECORD)?;
         let endpoints = held.map_or_else(Vec::new, |bytes| {
-            wire::decode(&bytes).unwrap_or_else(|error| {
+            disk::decode(&bytes).unwrap_or_else(|error| {
                 log::warn!("the record of endpoints can't be read: {error}");
                 Vec::new()
             })
@@ -55,7 +54,7 @@
             return;
         }
         self.tried.set(now);
-        if self.jobs.try_send(wire::encode(&registry.records())).is_ok() {
+        if self.jobs.try_send(disk::encode(&registry.records())).is_ok() {
             self.kept.set(registry.counter());
         }
     }
--- a/crates/onyxstile-system/src/role/controller/peers.rs
+++ b/crates/onyxstile-system/src/role/controller/peers.rs
@@ -96,6 +96,9 @@
             let relay = Relay { name: pull.name.clone(), revision: pull.revision };
             self.relays.borrow_mut().heard(self.clock.now(), pull.ip, relay);
         }
+        if let Some(evidence) = &pull.evidence {
+            self.evidence.borrow_mut().absorb(self.clock.now(), pull.ip, evidence);
+        }
         let wait = Duration::from_millis(pull.wait_ms).min(WAIT_MAX);
         let until = tokio::time::Instant::now() + wait;
         loop {
@@ -134,6 +137,10 @@
             counter: registry.counter(),
             endpoints: if is_behind { registry.since(pull.origin, pull.counter) } else { Vec::new() },
             relays: self.relays.borrow().count(self.clock.now()),
+            evidence: match &pull.evidence {
+                Some(_) => self.evidence.borrow().suspects(self.clock.now()),
+                None => Vec::new(),
+            },
         }
     }
 
@@ -156,6 +163,7 @@
         lines.push(format!("endpoints ready {}", self.registry.borrow().ready()));
         let revision = controller.committed_state().map_or(0, |state| state.revision());
         lines.extend(self.relays.borrow().lines(self.clock.now(), revision));
+        lines.extend(self.evidence.borrow().lines(self.clock.now()));
         lines
     }
 }
--- a/crates/onyxstile-system/src/role/proxy/attempt.rs
+++ b/crates/onyxstile-system/src/role/proxy/attempt.rs
@@ -50,6 +50,7 @@
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(key) {
             endpoint.cache.note(&call.parts, call.engine_tokens());
         }
+        let _sent = Sent::new(self.clone(), key, began);
         let attempt = async {
             match self.pools.send(key, address, request, call.route.is_repeatable()).await {
                 Ok((response, checkout)) => self.read(call, key, response, checkout).await,
@@ -160,12 +161,11 @@
         let mut endpoints = self.endpoints.borrow_mut();
         let Some(endpoint) = endpoints.get_mut(key) else { return };
         match attempt {
-            Attempt::Whole(head, _) if head.status.is_server_error() => {}
-            Attempt::Whole(..) => endpoint.succeeded(Some(now.since(began))),
-            Attempt::Streaming(_) => endpoint.succeeded(None),
+            Attempt::Whole(head, _) if head.status.is_server_error() => endpoint.erred(now),
+            Attempt::Whole(..) | Attempt::Streaming(_) => endpoint.succeeded(now, Some(now.since(began))),
             Attempt::NotExecuted => {}
             Attempt::NotSent => {
-                endpoint.failed(now);
+                endpoint.unreachable(now);
                 self.pools.drop_idle(key);
             }
             Attempt::Unknown(_) => endpoint.failed(now),
@@ -173,6 +173,30 @@
     }
 }
 
+/// A call that is out at an endpoint and not answered; dropped, it is no more.
+struct Sent {
+    node: Rc<Node>,
+    key: EndpointKey,
+    at: crate::clock::Instant,
+}
+
+impl Sent {
+    fn new(node: Rc<Node>, key: EndpointKey, at: crate::clock::Instant) -> Sent {
+        if let Some(endpoint) = node.endpoints.borrow_mut().get_mut(key) {
+            endpoint.health.sent(at);
+        }
+        Sent { node, key, at }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        if let Some(endpoint) = self.node.endpoints.borrow_mut().get_mut(self.key) {
+            endpoint.health.ended(self.at);
+        }
+    }
+}
+
 async fn begin_stream(
     head: response::Parts, mut body: Incoming, checkout: Checkout, is_framed: bool,
 ) -> Attempt {
--- a/crates/onyxstile-system/src/role/proxy/feed.rs
+++ b/crates/onyxstile-system/src/role/proxy/feed.rs
@@ -13,7 +13,10 @@
         let response = match request {
             Request::Feed(feed) => {
                 self.take(feed);
-                Response::Fed(self.life)
+                Response::Fed {
+                    life: self.life,
+                    evidence: self.endpoints.borrow().evidence(self.clock.now()),
+                }
             }
             _ => Response::Refused,
         };
@@ -34,6 +37,7 @@
                 self.pools.drop_idle(key);
             }
         }
+        self.endpoints.borrow_mut().hear(now, &feed.evidence);
         if feed.is_fresh && self.configuration.borrow().is_some() {
             self.phase.become_ready();
         }
--- a/crates/onyxstile-system/src/role/proxy/relay_stream.rs
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -67,7 +67,11 @@
     async fn run(mut self, pieces: mpsc::Sender<Result<Bytes, BrokenOff>>) {
         let mut passed = Passed { last_event: self.sending.call.last_event.clone(), ..Passed::default() };
         loop {
-            match self.pass_on(&pieces, &mut passed).await {
+            let end = self.pass_on(&pieces, &mut passed).await;
+            if matches!(end, End::Broken) {
+                self.sending.note_broken_stream();
+            }
+            match end {
                 End::Whole => break,
                 End::Abandoned => return,
                 End::Broken if self.sending.call.route.resumable => {
--- a/crates/onyxstile-system/src/role/proxy/sending.rs
+++ b/crates/onyxstile-system/src/role/proxy/sending.rs
@@ -153,6 +153,7 @@
             service: &self.call.service,
             parts: &self.call.parts,
             program,
+            may_repeat: self.may_go_on(),
             excluded: &self.failed,
             only,
         };
@@ -229,6 +230,15 @@
         log::debug!("call {} refused by {key:?}", self.call.id);
     }
 
+    /// The stream that had begun broke off at its endpoint.
+    pub(super) fn note_broken_stream(&self) {
+        let now = self.node.clock.now();
+        let mut endpoints = self.node.endpoints.borrow_mut();
+        if let Some(endpoint) = self.tried.last().and_then(|key| endpoints.get_mut(*key)) {
+            endpoint.health.note_failure(now);
+        }
+    }
+
     /// The call is answered.
     pub(super) fn finish(&mut self, began: crate::clock::Instant, has_failed: bool) {
         let Some(counted) = &mut self.counted else { return };
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -123,7 +123,7 @@
     }
 
     async fn follow(self: Rc<Node>) {
-        let wishes = Wishes { endpoints: false, wait: POLL_WAIT, synced_epoch: self.synced_epoch.clone() };
+        let wishes = Wishes { relay: None, wait: POLL_WAIT, synced_epoch: self.synced_epoch.clone() };
         let mut news = subscription::follow(self.settings.clone(), self.client.clone(), wishes);
         while let Some(item) = news.recv().await {
             if let News::State(published) = item {
--- a/crates/onyxstile-system/src/role/storage/journal.rs
+++ b/crates/onyxstile-system/src/role/storage/journal.rs
@@ -10,9 +10,9 @@
 use onyxstile_store::disk::OsDisk;
 use tokio::sync::oneshot;
 
-use crate::disk::{OpenedLog, RECORD_MAX, RecordLog};
+use crate::disk::{self, OpenedLog, RECORD_MAX, RecordLog};
 use crate::program::{Record, RecordNumber};
-use crate::wire::{self, WireError};
+use crate::wire::WireError;
 
 /// Bytes of records that are handed over at once while the log is read.
 const BATCH_BYTES: usize = 256 * 1024;
@@ -37,7 +37,7 @@
 
 /// Reads one record.
 pub(super) fn read(bytes: &[u8]) -> Result<Stored, WireError> {
-    wire::decode(bytes)
+    disk::decode(bytes)
 }
 
 /// A record's number and bytes.
@@ -88,7 +88,7 @@
     /// Writes and syncs records; false if the disk refused, or one of them is longer than any may be.
     pub(super) async fn append(&self, records: Vec<(RecordNumber, Stored)>) -> bool {
         let bytes: Vec<Numbered> =
-            records.into_iter().map(|(number, stored)| (number, wire::encode(&stored))).collect();
+            records.into_iter().map(|(number, stored)| (number, disk::encode(&stored))).collect();
         if bytes.iter().any(|(_, bytes)| bytes.len() > RECORD_MAX) {
             log::warn!("a record of more than {RECORD_MAX} bytes is refused");
             return false;
@@ -99,7 +99,7 @@
     /// Writes a record whose loss would only cost time.
     pub(super) fn append_later(&self, number: RecordNumber, stored: &Stored) {
         let (answer, _) = oneshot::channel();
-        self.tell(Job::Append(vec![(number, wire::encode(stored))], answer));
+        self.tell(Job::Append(vec![(number, disk::encode(stored))], answer));
     }
 
     /// What some records hold, in their order; none for those that are not there or can't be read.
--- a/crates/onyxstile-system/src/role/subscription.rs
+++ b/crates/onyxstile-system/src/role/subscription.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use super::rpc::Client;
+use crate::evidence::Evidence;
 use crate::registry::Instance;
 use crate::settings::Settings;
 use crate::wire::{Published, Pull, Pulled, Request, Response};
@@ -38,12 +39,14 @@
     Fresh,
     /// How many relays there are.
     Relays(u32),
+    /// What all relays' calls show of endpoints under suspicion.
+    Evidence(Vec<Evidence>),
 }
 
 /// What the subscriber wants and tells.
 pub struct Wishes {
-    /// Whether it wants endpoints.
-    pub endpoints: bool,
+    /// For a relay, which wants endpoints: what its calls show of those under suspicion.
+    pub relay: Option<Rc<RefCell<Vec<Evidence>>>>,
     /// How long a poll may wait for news.
     pub wait: Duration,
     /// The storage epoch for which it holds all that is its own; 0 elsewhere.
@@ -143,14 +146,22 @@
             sequence: if wants_state { state.sequence } else { state.sequence.max(state.told) },
             revision: state.revision,
             wants_state,
-            wants_endpoints: self.wishes.endpoints,
+            wants_endpoints: self.wishes.relay.is_some(),
             origin,
             counter,
             wait_ms: if wants_state || !is_heard { 0 } else { self.wishes.wait.as_millis() as u64 },
             synced_epoch: self.wishes.synced_epoch.get(),
+            evidence: self.evidence_for(&state, controller),
         }
     }
 
+    /// One controller sums up what relays show, the first in an agreed order: that of addresses, among those heard.
+    fn evidence_for(&self, state: &State, controller: Ipv4Addr) -> Option<Vec<Evidence>> {
+        let own = self.wishes.relay.as_ref()?;
+        let is_first = state.heard.iter().min() == Some(&controller);
+        is_first.then(|| own.borrow().clone())
+    }
+
     async fn take(&self, controller: Ipv4Addr, to: SocketAddrV4, mut pulled: Pulled) {
         let is_wanted = {
             let mut state = self.state.borrow_mut();
@@ -183,13 +194,16 @@
         if pulled.is_settled && pulled.view > 0 {
             state.heard.insert(controller);
         }
-        if let Some(count) = pulled.relays.filter(|_| self.wishes.endpoints) {
+        if let Some(count) = pulled.relays.filter(|_| self.wishes.relay.is_some()) {
             self.absorb_relays(&mut state, controller, count);
         }
         if !pulled.endpoints.is_empty() {
             self.tell(News::Endpoints(pulled.endpoints));
         }
-        if self.wishes.endpoints {
+        if !pulled.evidence.is_empty() {
+            self.tell(News::Evidence(pulled.evidence));
+        }
+        if self.wishes.relay.is_some() {
             state.registries.insert(controller, (pulled.origin, pulled.counter));
         }
         if let Some(published) = pulled.state.filter(|published| published.sequence > state.sequence) {
--- a/crates/onyxstile-system/src/wire.rs
+++ b/crates/onyxstile-system/src/wire.rs
@@ -4,13 +4,14 @@
 use quick_error::quick_error;
 
 use crate::control::{Message, StoredConfiguration};
+use crate::evidence::Evidence;
 use crate::program::{Entry, Key, Record, Turn};
 use crate::registry::Instance;
 use crate::storage_plan::StoragePlan;
 use std::rc::Rc;
 
 /// The version of the internal protocol; a frame of another is refused.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 /// Most bytes of a frame: the largest configuration and a state of many changes fit.
 pub const FRAME_MAX: usize = 32 * 1024 * 1024;
 
@@ -35,7 +36,7 @@
 }
 
 /// What an agent or a storage machine asks a controller for.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Pull {
     /// The machine that asks.
     pub ip: [u8; 4],
@@ -57,6 +58,8 @@
     pub wait_ms: u64,
     /// The storage epoch for which the sender holds all that is its own; 0 elsewhere.
     pub synced_epoch: u64,
+    /// What the sender's calls show of endpoints, if this controller is to sum that up for all relays.
+    pub evidence: Option<Vec<Evidence>>,
 }
 
 /// What every relay has to know of the control state.
@@ -71,7 +74,7 @@
 }
 
 /// A controller's answer to a [`Pull`].
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Pulled {
     /// The number of the view that the controller has installed; 0 for none.
     pub view: u64,
@@ -91,10 +94,12 @@
     pub endpoints: Vec<Instance>,
     /// How many relays the controller hears of; none while it does not know.
     pub relays: Option<u32>,
+    /// What all relays' calls show of endpoints under suspicion, if the asker told its own.
+    pub evidence: Vec<Evidence>,
 }
 
 /// What one role asks another.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Request {
     /// A message between controllers; it has no answer of its own.
     Control {
@@ -148,7 +153,7 @@
 }
 
 /// What a proxy has to know, from the agent beside it.
-#[derive(Debug, Clone, PartialEq, Eq, Default, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, Default, BorshSerialize, BorshDeserialize)]
 pub struct Feed {
     /// The control state, if it is newer than what was fed before.
     pub state: Option<Published>,
@@ -158,10 +163,12 @@
     pub is_fresh: bool,
     /// How many relays there are, if that is known.
     pub relays: Option<u32>,
+    /// What all relays' calls show of endpoints under suspicion.
+    pub evidence: Vec<Evidence>,
 }
 
 /// An answer to a [`Request`].
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Response {
     /// Done.
     Done,
@@ -197,15 +204,25 @@
     },
     /// Records.
     Records(Vec<Record>),
-    /// The feed was taken, in this life of the proxy.
-    Fed(u64),
+    /// The feed was taken.
+    Fed {
+        /// The life of the proxy.
+        life: u64,
+        /// What its calls show of endpoints under suspicion.
+        evidence: Vec<Evidence>,
+    },
     /// Lines for an operator.
     Status(Vec<String>),
 }
 
 /// The bytes of a frame's body: version, then the message.
 pub fn encode<T: BorshSerialize>(message: &T) -> Vec<u8> {
-    let mut bytes = vec![VERSION];
+    encode_as(VERSION, message)
+}
+
+/// The same behind another version.
+pub(crate) fn encode_as<T: BorshSerialize>(version: u8, message: &T) -> Vec<u8> {
+    let mut bytes = vec![version];
     // Writing to a vector can't fail but for lengths over 4 GiB, which bounds elsewhere rule out.
     if let Err(error) = message.serialize(&mut bytes) {
         log::error!("a message could not be encoded: {error}");
@@ -215,11 +232,16 @@
 
 /// Reads what [`encode`] wrote; bytes left over are an error.
 pub fn decode<T: BorshDeserialize>(bytes: &[u8]) -> Result<T, WireError> {
+    decode_as(VERSION, bytes)
+}
+
+/// The same behind another version.
+pub(crate) fn decode_as<T: BorshDeserialize>(wanted: u8, bytes: &[u8]) -> Result<T, WireError> {
     if bytes.len() > FRAME_MAX {
         return Err(WireError::TooLong(bytes.len()));
     }
     match bytes.split_first() {
-        Some((&VERSION, body)) => Ok(T::try_from_slice(body)?),
+        Some((&version, body)) if version == wanted => Ok(T::try_from_slice(body)?),
         Some((&version, _)) => Err(WireError::Version(version)),
         None => Err(WireError::Malformed(std::io::ErrorKind::UnexpectedEof.into())),
     }
--- a/crates/onyxstile-system/tests/balance.rs
+++ b/crates/onyxstile-system/tests/balance.rs
@@ -1,52 +1,16 @@
 //! The choice of endpoints, by many relays that know little of each other.
 
+mod support;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use onyxstile_system::balance::{EndpointKey, Endpoints, Load, Need};
-use onyxstile_system::clock::Instant;
-use onyxstile_system::prefix::{self, Part};
+use onyxstile_system::prefix;
 use onyxstile_system::registry::{Instance, Stage};
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
-
-fn at(ms: u64) -> Instant {
-    Instant::from_millis(ms)
-}
-
-fn instance(number: u32, service: &str) -> Instance {
-    Instance {
-        id: format!("i-{number}"),
-        service: service.into(),
-        address: ([10, 9, 0, number as u8], 80),
-        zone: format!("z{}", number % 4),
-        capacity: 32,
-        stage: Stage::Ready,
-        warmup_left_ms: 0,
-        sequence: 1,
-        is_silent: false,
-    }
-}
-
-fn relay(zone: &str, endpoints: u32) -> Endpoints {
-    named_relay(zone, "relay", endpoints)
-}
-
-fn named_relay(zone: &str, name: &str, endpoints: u32) -> Endpoints {
-    let mut relay = Endpoints::new(zone, name);
-    for number in 0..endpoints {
-        relay.update(at(0), instance(number, "llm"));
-    }
-    relay
-}
-
-fn roll(random: &mut Pcg64Mcg) -> f64 {
-    f64::from(random.next_u32()) / 4_294_967_296.0
-}
-
-fn prompt(thing: u32, session: u32) -> Vec<Part> {
-    prefix::parse(&format!("{thing:x}:2560,{:x}:800", 100_000 + session))
-}
+use support::endpoints::{at, instance, named_relay, prompt, relay, roll};
 
 /// kartli-relay-grown, quiet-1: all relays sent a first part to the same two endpoints (busiest/mean 4.28).
 #[test]
@@ -83,7 +47,7 @@
         let mut relay = named_relay("z0", &format!("relay-{number}"), 12);
         let need = Need { service: "llm", ..Need::default() };
         let warm = relay.choose(at(0), &need, 0.0).expect("an endpoint");
-        relay.get_mut(warm).expect("is known").succeeded(Some(Duration::from_millis(20)));
+        relay.get_mut(warm).expect("is known").succeeded(at(0), Some(Duration::from_millis(20)));
         let key = relay.choose(at(10), &need, roll(&mut random)).expect("an endpoint");
         *arrivals.entry(key).or_default() += 1;
     }
@@ -122,11 +86,11 @@
 }
 
 #[test]
-fn an_endpoint_in_trouble_gets_one_call_at_a_time_until_it_answers() {
+fn an_endpoint_out_of_reach_gets_one_call_at_a_time_until_it_answers() {
     let mut relay = relay("z0", 2);
     let need = Need { service: "llm", ..Need::default() };
     let sick = relay.choose(at(0), &need, 0.0).expect("an endpoint");
-    relay.get_mut(sick).expect("is known").failed(at(0));
+    relay.get_mut(sick).expect("is known").unreachable(at(0));
     let chosen = |relay: &Endpoints, now| {
         (0..20).filter(|step| relay.choose(at(now), &need, f64::from(*step) / 20.0) == Some(sick)).count()
     };
@@ -135,7 +99,7 @@
     relay.get_mut(sick).expect("is known").begin();
     assert_eq!(chosen(&relay, 400), 0, "one call at a time");
     relay.get_mut(sick).expect("is known").end();
-    relay.get_mut(sick).expect("is known").succeeded(None);
+    relay.get_mut(sick).expect("is known").succeeded(at(0), None);
     assert!(chosen(&relay, 400) > 0);
 }
 
--- a/crates/onyxstile-system/tests/decoders.rs
+++ b/crates/onyxstile-system/tests/decoders.rs
@@ -10,6 +10,7 @@
 use onyxstile_system::configuration;
 use onyxstile_system::control::Message;
 use onyxstile_system::disk::{Folder, RecordLog, Versions};
+use onyxstile_system::evidence::Evidence;
 use onyxstile_system::json;
 use onyxstile_system::prefix;
 use onyxstile_system::program::{Entry, Key, Record, Turn, fits};
@@ -202,7 +203,13 @@
         sequence: 3,
         is_silent: false,
     };
-    let feed = Feed { endpoints: vec![instance.clone(); 3], relays: Some(9), ..Feed::default() };
+    let evidence = vec![Evidence { instance: "i-7".into(), failed: 2.5, answered: 0.25 }; 2];
+    let feed = Feed {
+        endpoints: vec![instance.clone(); 3],
+        relays: Some(9),
+        evidence: evidence.clone(),
+        ..Feed::default()
+    };
     let requests = [
         Request::Register(instance),
         Request::Feed(feed),
@@ -215,6 +222,7 @@
         Response::Reserved(vec![entry("r", 40); 5]),
         Response::Status(vec!["view 1".into()]),
         Response::Turns { turns: vec![None, None], is_sure: true },
+        Response::Fed { life: 3, evidence },
     ];
     let mut seeds: Vec<Vec<u8>> = requests.iter().map(wire::encode).collect();
     seeds.extend(responses.iter().map(wire::encode));
--- /dev/null
+++ b/crates/onyxstile-system/tests/support/endpoints.rs
@@ -0,0 +1,52 @@
+//! Endpoints and relays that tests of the choice have in common.
+
+use onyxstile_system::balance::Endpoints;
+use onyxstile_system::clock::Instant;
+use onyxstile_system::prefix::{self, Part};
+use onyxstile_system::registry::{Instance, Stage};
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+
+/// The moment `ms` after the start.
+pub fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+/// A registered endpoint of a service, in one of four zones.
+pub fn instance(number: u32, service: &str) -> Instance {
+    Instance {
+        id: format!("i-{number}"),
+        service: service.into(),
+        address: ([10, 9, 0, number as u8], 80),
+        zone: format!("z{}", number % 4),
+        capacity: 32,
+        stage: Stage::Ready,
+        warmup_left_ms: 0,
+        sequence: 1,
+        is_silent: false,
+    }
+}
+
+/// A relay that knows so many endpoints of the service `llm`.
+pub fn relay(zone: &str, endpoints: u32) -> Endpoints {
+    named_relay(zone, "relay", endpoints)
+}
+
+/// One with a name of its own.
+pub fn named_relay(zone: &str, name: &str, endpoints: u32) -> Endpoints {
+    let mut relay = Endpoints::new(zone, name);
+    for number in 0..endpoints {
+        relay.update(at(0), instance(number, "llm"));
+    }
+    relay
+}
+
+/// A number in 0..1.
+pub fn roll(random: &mut Pcg64Mcg) -> f64 {
+    f64::from(random.next_u32()) / 4_294_967_296.0
+}
+
+/// A prompt of a shared part and a session's own.
+pub fn prompt(thing: u32, session: u32) -> Vec<Part> {
+    prefix::parse(&format!("{thing:x}:2560,{:x}:800", 100_000 + session))
+}
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod control_world;
+pub mod endpoints;
 pub mod memory_folder;
 pub mod tier;
 
