--- a/crates/onyxstile-store/src/lib.rs
+++ b/crates/onyxstile-store/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod commit;
 mod compact;
+mod damage;
 pub mod disk;
 mod frame;
 mod hint;
--- a/crates/onyxstile-system/src/balance.rs
+++ b/crates/onyxstile-system/src/balance.rs
@@ -6,6 +6,7 @@
 
 mod connections;
 mod cost;
+mod directory;
 mod distances;
 mod endpoint;
 mod health;
@@ -27,12 +28,11 @@
 use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Instant;
 use crate::evidence::{self, Evidence};
 use crate::prefix::Part;
-use crate::registry::{Instance, Stage};
 
 new_key_type! {
     /// Names an endpoint's incarnation inside this relay.
@@ -103,38 +103,6 @@
         }
     }
 
-    /// Takes a registration in; returns incarnations that are not to be called any more.
-    pub fn update(&mut self, now: Instant, instance: Instance) -> Option<EndpointKey> {
-        let key = match self.by_id.get(&instance.id) {
-            Some(key) => *key,
-            None => {
-                let rank = xxh3_64_with_seed(instance.id.as_bytes(), self.relay);
-                let key = self.slots.insert(Endpoint::new(now, instance.clone(), rank));
-                self.by_id.insert(instance.id.clone(), key);
-                self.by_service.entry(instance.service.clone()).or_default().push(key);
-                key
-            }
-        };
-        let endpoint = &mut self.slots[key];
-        endpoint.update(instance);
-        (endpoint.instance.stage != Stage::Ready).then_some(key)
-    }
-
-    /// An endpoint.
-    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
-        self.slots.get(key)
-    }
-
-    /// The key of an incarnation.
-    pub fn key(&self, id: &str) -> Option<EndpointKey> {
-        self.by_id.get(id).copied()
-    }
-
-    /// An endpoint, to note what a call has shown.
-    pub fn get_mut(&mut self, key: EndpointKey) -> Option<&mut Endpoint> {
-        self.slots.get_mut(key)
-    }
-
     /// A prompt is about to be sent for the first time.
     pub fn note_prompt(&mut self, parts: &[Part]) {
         if let Some(first) = parts.first() {
@@ -158,15 +126,6 @@
         }
     }
 
-    /// How many endpoints of a service may be called.
-    pub fn usable(&self, service: &str) -> usize {
-        self.keys(service).iter().filter(|key| self.slots[**key].may_be_called()).count()
-    }
-
-    fn keys(&self, service: &str) -> &[EndpointKey] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
-    }
-
     /// The endpoint that is expected to answer first; `roll` in 0..1 breaks ties.
     pub fn choose(&self, now: Instant, need: &Need<'_>, roll: f64) -> Option<EndpointKey> {
         let is_trial = is_trial(need, roll);
--- /dev/null
+++ b/crates/onyxstile-system/src/balance/directory.rs
@@ -0,0 +1,73 @@
+//! Which endpoints there are: incarnations by key, id and service, from their registration until they are forgotten. Pure.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::endpoint::Endpoint;
+use super::{EndpointKey, Endpoints};
+use crate::clock::Instant;
+use crate::registry::{Instance, Stage};
+
+/// An endpoint that has left, or that nobody has heard of, is forgotten after this time: later than controllers forget it
+/// (`registry`), so that none of them tells of it as of a new one.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(900);
+
+impl Endpoints {
+    /// Takes a registration in; returns incarnations that are not to be called any more.
+    pub fn update(&mut self, now: Instant, instance: Instance) -> Option<EndpointKey> {
+        let key = match self.by_id.get(&instance.id) {
+            Some(key) => *key,
+            None => {
+                let rank = xxh3_64_with_seed(instance.id.as_bytes(), self.relay);
+                let key = self.slots.insert(Endpoint::new(now, instance.clone(), rank));
+                self.by_id.insert(instance.id.clone(), key);
+                self.by_service.entry(instance.service.clone()).or_default().push(key);
+                key
+            }
+        };
+        let endpoint = &mut self.slots[key];
+        endpoint.update(now, instance);
+        (endpoint.instance.stage != Stage::Ready).then_some(key)
+    }
+
+    /// Forgets endpoints that left or fell silent long ago; returns their keys, which name nothing any more.
+    pub fn forget(&mut self, now: Instant) -> Vec<EndpointKey> {
+        let is_over = |endpoint: &Endpoint| endpoint.is_over(now, FORGOTTEN_AFTER);
+        let over: Vec<EndpointKey> =
+            self.slots.iter().filter(|(_, endpoint)| is_over(endpoint)).map(|(key, _)| key).collect();
+        for key in &over {
+            let Some(endpoint) = self.slots.remove(*key) else { continue };
+            self.by_id.remove(&endpoint.instance.id);
+            if let Some(keys) = self.by_service.get_mut(&endpoint.service) {
+                keys.retain(|other| other != key);
+            }
+        }
+        self.by_service.retain(|_, keys| !keys.is_empty());
+        over
+    }
+
+    /// An endpoint.
+    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.slots.get(key)
+    }
+
+    /// The key of an incarnation.
+    pub fn key(&self, id: &str) -> Option<EndpointKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// An endpoint, to note what a call has shown.
+    pub fn get_mut(&mut self, key: EndpointKey) -> Option<&mut Endpoint> {
+        self.slots.get_mut(key)
+    }
+
+    /// How many endpoints of a service may be called.
+    pub fn usable(&self, service: &str) -> usize {
+        self.keys(service).iter().filter(|key| self.slots[**key].may_be_called()).count()
+    }
+
+    pub(super) fn keys(&self, service: &str) -> &[EndpointKey] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+}
--- a/crates/onyxstile-system/src/balance/endpoint.rs
+++ b/crates/onyxstile-system/src/balance/endpoint.rs
@@ -65,6 +65,10 @@
 pub struct Endpoint {
     /// What it registered.
     pub instance: Instance,
+    /// The service under which it is listed.
+    pub(super) service: String,
+    /// When something was told of it last.
+    updated: Instant,
     /// What its cache is believed to hold.
     pub cache: Cache,
     /// What calls have shown of it.
@@ -82,6 +86,8 @@
 impl Endpoint {
     pub(super) fn new(now: Instant, instance: Instance, rank: u64) -> Endpoint {
         Endpoint {
+            service: instance.service.clone(),
+            updated: now,
             instance,
             cache: Cache::default(),
             health: Health::default(),
@@ -96,7 +102,8 @@
     }
 
     /// A registration moves an incarnation on, never back.
-    pub(super) fn update(&mut self, instance: Instance) {
+    pub(super) fn update(&mut self, now: Instant, instance: Instance) {
+        self.updated = now;
         let stage = self.instance.stage.max(instance.stage);
         if instance.sequence >= self.instance.sequence && !instance.service.is_empty() {
             self.instance = instance;
@@ -104,6 +111,12 @@
         self.instance.stage = stage;
     }
 
+    /// Whether it left or fell silent so long ago that nothing of it is wanted any more.
+    pub(super) fn is_over(&self, now: Instant, after: Duration) -> bool {
+        let is_away = !self.may_be_called() || self.instance.is_silent;
+        is_away && self.in_flight == 0 && now.since(self.updated) > after
+    }
+
     /// Whether it exists and does not leave.
     pub fn may_be_called(&self) -> bool {
         self.instance.stage == Stage::Ready && !self.is_superseded
--- /dev/null
+++ b/crates/onyxstile-system/src/known.rs
@@ -0,0 +1,95 @@
+//! All that an agent has heard, so that a proxy that starts anew can be told the whole of it. Pure.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::evidence::Evidence;
+use crate::registry::{Instance, Stage};
+use crate::wire::{Feed, Published};
+
+/// An endpoint that has left, or that nobody has heard of, is forgotten after this time; controllers do so before.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(900);
+
+/// News, in the order in which it came.
+#[derive(Debug, Clone)]
+pub enum News {
+    /// A newer control state.
+    State(Published),
+    /// Endpoints that changed.
+    Endpoints(Vec<Instance>),
+    /// A majority of the controllers has been heard, and everything that they told is here.
+    Fresh,
+    /// How many relays there are.
+    Relays(u32),
+    /// What all relays' calls show of endpoints under suspicion.
+    Evidence(Vec<Evidence>),
+}
+
+/// What was heard.
+#[derive(Debug, Default)]
+pub struct Known {
+    state: Option<Published>,
+    endpoints: HashMap<String, (Instance, Instant)>,
+    is_fresh: bool,
+    relays: Option<u32>,
+}
+
+impl Known {
+    /// Takes news in and adds to `feed` what a proxy that knows the rest has to be told.
+    pub fn absorb(&mut self, now: Instant, news: News, feed: &mut Feed) {
+        match news {
+            News::State(mut state) => {
+                let before = self.state.take().and_then(|state| state.configuration);
+                state.configuration = state.configuration.or(before);
+                feed.state = Some(state.clone());
+                self.state = Some(state);
+            }
+            News::Endpoints(endpoints) => {
+                endpoints.iter().for_each(|instance| self.hold(now, instance));
+                self.forget(now);
+                feed.endpoints.extend(endpoints);
+            }
+            News::Fresh => self.is_fresh = true,
+            News::Relays(count) => self.relays = Some(count),
+            // It is told anew as long as it holds.
+            News::Evidence(evidence) => feed.evidence = evidence,
+        }
+        (feed.is_fresh, feed.relays) = (self.is_fresh, self.relays);
+    }
+
+    /// A feed that tells of nothing that changed.
+    pub fn unchanged(&self) -> Feed {
+        Feed { is_fresh: self.is_fresh, relays: self.relays, ..Feed::default() }
+    }
+
+    fn hold(&mut self, now: Instant, instance: &Instance) {
+        let held = self.endpoints.get(&instance.id);
+        if held.is_none_or(|(held, _)| is_newer(instance, held)) {
+            self.endpoints.insert(instance.id.clone(), (instance.clone(), now));
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        self.endpoints.retain(|_, (instance, heard)| {
+            let is_away = instance.stage != Stage::Ready || instance.is_silent;
+            !is_away || now.since(*heard) < FORGOTTEN_AFTER
+        });
+    }
+
+    /// Everything, for a proxy that knows nothing.
+    pub fn whole(&self) -> Feed {
+        Feed {
+            state: self.state.clone(),
+            endpoints: self.endpoints.values().map(|(instance, _)| instance.clone()).collect(),
+            is_fresh: self.is_fresh,
+            relays: self.relays,
+            evidence: Vec::new(),
+        }
+    }
+}
+
+/// Whether a record of an incarnation supersedes another: it is further on its way, or was sent later.
+pub fn is_newer(new: &Instance, held: &Instance) -> bool {
+    (new.stage, new.sequence) >= (held.stage, held.sequence)
+}
--- a/crates/onyxstile-system/src/lib.rs
+++ b/crates/onyxstile-system/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod disk;
 pub mod evidence;
 pub mod json;
+pub mod known;
 pub mod logging;
 pub mod prefix;
 pub mod program;
--- a/crates/onyxstile-system/src/program.rs
+++ b/crates/onyxstile-system/src/program.rs
@@ -1,11 +1,13 @@
 //! Agent programs: their turns and budgets, where these are kept, and what one storage machine holds of them.
 
+mod claims;
 mod index;
 mod placement;
 mod quorum;
 mod repair;
 mod turn_cache;
 
+pub use claims::{Admission, ClaimSummary, Entry, Settled, admit, fits, merge_claims};
 pub use index::{Merge, RecordIndex, RecordNumber};
 pub use placement::{Group, groups, nearest};
 pub use quorum::Quorum;
@@ -40,29 +42,6 @@
     }
 }
 
-/// One turn's claim on the budget of its program.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct Entry {
-    /// The request id of the try.
-    pub request: String,
-    /// The most tokens that it may generate.
-    pub most: u64,
-    /// The tokens that it did generate, once that is known.
-    pub settled: Option<u64>,
-}
-
-impl Entry {
-    /// Rises when the claim changes: it is settled once.
-    pub fn version(&self) -> u8 {
-        u8::from(self.settled.is_some())
-    }
-
-    /// What the budget has to bear for it.
-    pub fn charge(&self) -> u64 {
-        self.settled.unwrap_or(self.most)
-    }
-}
-
 /// What a storage machine keeps.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Record {
@@ -113,24 +92,3 @@
         }
     }
 }
-
-/// Adds claims to those known, each request once; what is settled counts before what isn't.
-pub fn merge_claims(claims: &mut Vec<Entry>, entries: Vec<Entry>) {
-    for entry in entries {
-        match claims.iter_mut().find(|held| held.request == entry.request) {
-            Some(held) if held.settled.is_none() => *held = entry,
-            Some(_) => {}
-            None => claims.push(entry),
-        }
-    }
-}
-
-/// Whether a turn of at most `most` tokens fits a budget beside all other claims.
-///
-/// Of two turns that are reserved side by side at least one sees the other, for their quorums meet; both fit only if
-/// the budget holds both at their most.
-pub fn fits(budget: u64, own: &str, most: u64, claims: &[Entry]) -> bool {
-    let others = claims.iter().filter(|entry| entry.request != own).map(Entry::charge);
-    // A sum that is no number is over every budget.
-    others.fold(most, u64::saturating_add) <= budget
-}
--- /dev/null
+++ b/crates/onyxstile-system/src/program/claims.rs
@@ -0,0 +1,114 @@
+//! Claims on a program's budget: one a turn, at its most until it is settled. Pure.
+//!
+//! A storage machine tells the claims that are open one by one and those that are settled as a sum with a digest, so that
+//! an answer does not grow with the turns of a program. Answers with one digest stand for the same claims; where they
+//! differ and their sums together don't fit, all claims are asked for.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// One turn's claim on the budget of its program.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Entry {
+    /// The request id of the try.
+    pub request: String,
+    /// The most tokens that it may generate.
+    pub most: u64,
+    /// The tokens that it did generate, once that is known.
+    pub settled: Option<u64>,
+}
+
+impl Entry {
+    /// Rises when the claim changes: it is settled once.
+    pub fn version(&self) -> u8 {
+        u8::from(self.settled.is_some())
+    }
+
+    /// What the budget has to bear for it.
+    pub fn charge(&self) -> u64 {
+        self.settled.unwrap_or(self.most)
+    }
+}
+
+/// The sum of settled claims.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Settled {
+    /// How many they are.
+    pub count: u32,
+    /// The tokens that they generated.
+    pub tokens: u64,
+    /// Alike only for the same claims, whatever the order in which they came.
+    pub digest: u64,
+}
+
+impl Settled {
+    /// Adds a claim that is settled at `tokens`.
+    pub fn add(&mut self, request: &str, tokens: u64) {
+        self.count = self.count.saturating_add(1);
+        self.tokens = self.tokens.saturating_add(tokens);
+        self.digest ^= xxh3_64_with_seed(request.as_bytes(), tokens);
+    }
+}
+
+/// What one storage machine knows of a program's claims.
+#[derive(Debug, Clone, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct ClaimSummary {
+    /// Claims that are not settled.
+    pub open: Vec<Entry>,
+    /// The sum of the others.
+    pub settled: Settled,
+}
+
+/// Whether a turn may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It fits the budget.
+    Fits,
+    /// It does not.
+    Spent,
+    /// The answers differ in what is settled: all claims have to be known.
+    Unsure,
+}
+
+/// Whether a turn of at most `most` tokens fits a budget beside the claims that a quorum tells.
+///
+/// Where answers differ, the claims settled anywhere are no more than all sums together; if even these fit, so does the turn.
+pub fn admit(budget: u64, own: &str, most: u64, answers: &[ClaimSummary]) -> Admission {
+    let mut open = Vec::new();
+    let mut settled: Vec<Settled> = Vec::new();
+    for answer in answers {
+        merge_claims(&mut open, answer.open.clone());
+        if !settled.contains(&answer.settled) {
+            settled.push(answer.settled);
+        }
+    }
+    let tokens = settled.iter().fold(0, |sum: u64, settled| sum.saturating_add(settled.tokens));
+    if fits(budget.saturating_sub(tokens), own, most, &open) && tokens <= budget {
+        Admission::Fits
+    } else if settled.len() <= 1 {
+        Admission::Spent
+    } else {
+        Admission::Unsure
+    }
+}
+
+/// Adds claims to those known, each request once; what is settled counts before what isn't.
+pub fn merge_claims(claims: &mut Vec<Entry>, entries: Vec<Entry>) {
+    for entry in entries {
+        match claims.iter_mut().find(|held| held.request == entry.request) {
+            Some(held) if held.settled.is_none() => *held = entry,
+            Some(_) => {}
+            None => claims.push(entry),
+        }
+    }
+}
+
+/// Whether a turn of at most `most` tokens fits a budget beside all other claims.
+///
+/// Of two turns that are reserved side by side at least one sees the other, for their quorums meet; both fit only if
+/// the budget holds both at their most.
+pub fn fits(budget: u64, own: &str, most: u64, claims: &[Entry]) -> bool {
+    let others = claims.iter().filter(|entry| entry.request != own).map(Entry::charge);
+    // A sum that is no number is over every budget.
+    others.fold(most, u64::saturating_add) <= budget
+}
--- a/crates/onyxstile-system/src/program/index.rs
+++ b/crates/onyxstile-system/src/program/index.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use super::{Entry, Key, Record, Turn};
+use super::{ClaimSummary, Entry, Key, Record, Settled, Turn};
 use crate::clock::Instant;
 
 /// Time beyond its retention that a turn is kept: clocks differ, and a chain's last turn is younger than its first.
@@ -53,6 +53,7 @@
 #[derive(Default)]
 struct Program {
     claims: BTreeMap<String, HeldClaim>,
+    settled: Settled,
     touched: Instant,
 }
 
@@ -109,6 +110,9 @@
         let counter = self.note(Key::Entry(program.to_owned(), entry.request.clone()));
         let held = self.programs.entry(program.to_owned()).or_default();
         held.touched = now;
+        if let Some(tokens) = entry.settled {
+            held.settled.add(&entry.request, tokens);
+        }
         let claim = HeldClaim { entry: entry.clone(), number, counter };
         let before = held.claims.insert(entry.request.clone(), claim);
         match &before {
@@ -130,6 +134,14 @@
         held.map_or_else(Vec::new, |held| held.claims.values().map(|claim| claim.entry.clone()).collect())
     }
 
+    /// The claims of a program, those that are settled as a sum.
+    pub fn claim_summary(&self, program: &str) -> ClaimSummary {
+        let Some(held) = self.programs.get(program) else { return ClaimSummary::default() };
+        let entries = held.claims.values().map(|claim| &claim.entry);
+        let open = entries.filter(|entry| entry.settled.is_none()).cloned().collect();
+        ClaimSummary { open, settled: held.settled }
+    }
+
     /// A claim.
     pub fn claim(&self, program: &str, request: &str) -> Option<&Entry> {
         self.held_claim(program, request).map(|held| &held.entry)
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -4,7 +4,6 @@
 //! older than what it has.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,11 +13,12 @@
 use super::controller::RoleError;
 use super::rpc::Client;
 use super::signals;
-use super::subscription::{self, News, Wishes};
+use super::subscription::{self, Wishes};
+use crate::clock::SteadyClock;
 use crate::evidence::Evidence;
-use crate::registry::Instance;
+use crate::known::{Known, News};
 use crate::settings::Settings;
-use crate::wire::{Feed, Published, Request, Response};
+use crate::wire::{Feed, Request, Response};
 
 /// How long a controller may hold a poll without news.
 const POLL_WAIT: Duration = Duration::from_millis(1000);
@@ -29,56 +29,6 @@
 /// Pause after a feed that failed.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// All that the agent has heard, to feed a proxy that starts anew.
-#[derive(Default)]
-struct Known {
-    state: Option<Published>,
-    endpoints: HashMap<String, Instance>,
-    is_fresh: bool,
-    relays: Option<u32>,
-}
-
-impl Known {
-    fn absorb(&mut self, news: &News) {
-        match news {
-            News::State(published) => {
-                let before = self.state.as_ref().and_then(|state| state.configuration.clone());
-                let mut state = published.clone();
-                state.configuration = state.configuration.or(before);
-                self.state = Some(state);
-            }
-            News::Endpoints(endpoints) => {
-                for instance in endpoints {
-                    let is_newer =
-                        self.endpoints.get(&instance.id).is_none_or(|held| is_newer(instance, held));
-                    if is_newer {
-                        self.endpoints.insert(instance.id.clone(), instance.clone());
-                    }
-                }
-            }
-            News::Fresh => self.is_fresh = true,
-            News::Relays(count) => self.relays = Some(*count),
-            // It is told anew as long as it holds.
-            News::Evidence(_) => {}
-        }
-    }
-
-    fn whole(&self) -> Feed {
-        Feed {
-            state: self.state.clone(),
-            endpoints: self.endpoints.values().cloned().collect(),
-            is_fresh: self.is_fresh,
-            relays: self.relays,
-            evidence: Vec::new(),
-        }
-    }
-}
-
-/// Whether a record of an incarnation supersedes another: it is further on its way, or was sent later.
-pub fn is_newer(new: &Instance, held: &Instance) -> bool {
-    (new.stage, new.sequence) >= (held.stage, held.sequence)
-}
-
 /// Runs the role until SIGTERM, and then until the proxy beside it is gone.
 pub async fn run(settings: Settings) -> Result<(), RoleError> {
     let proxy = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
@@ -109,10 +59,11 @@
     client: Client, proxy: SocketAddrV4, mut news: UnboundedReceiver<News>, is_ending: Rc<Cell<bool>>,
     evidence: Rc<RefCell<Vec<Evidence>>>,
 ) {
+    let clock = SteadyClock::start();
     let mut known = Known::default();
     let mut fed: Option<u64> = None;
     loop {
-        let changes = gather(&mut news, &mut known).await;
+        let changes = gather(clock, &mut news, &mut known).await;
         let feed = if fed.is_some() { changes } else { known.whole() };
         match client.call(proxy, &Request::Feed(feed), FEED_PATIENCE).await {
             Ok(Response::Fed { life, evidence: shown }) if fed.is_none_or(|known| known == life) => {
@@ -132,20 +83,12 @@
 }
 
 /// Waits for news or the next regular feed; what changed, as one feed.
-async fn gather(news: &mut UnboundedReceiver<News>, known: &mut Known) -> Feed {
-    let mut feed = Feed::default();
+async fn gather(clock: SteadyClock, news: &mut UnboundedReceiver<News>, known: &mut Known) -> Feed {
+    let mut feed = known.unchanged();
     let mut next = tokio::time::timeout(FEED_EVERY, news.recv()).await.ok().flatten();
     while let Some(item) = next {
-        known.absorb(&item);
-        match item {
-            News::State(_) => feed.state = known.state.clone(),
-            News::Endpoints(endpoints) => feed.endpoints.extend(endpoints),
-            News::Evidence(evidence) => feed.evidence = evidence,
-            News::Fresh | News::Relays(_) => {}
-        }
+        known.absorb(clock.now(), item, &mut feed);
         next = news.try_recv().ok();
     }
-    feed.is_fresh = known.is_fresh;
-    feed.relays = known.relays;
     feed
 }
--- a/crates/onyxstile-system/src/role/proxy/conversation.rs
+++ b/crates/onyxstile-system/src/role/proxy/conversation.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use super::Node;
-use super::call::Call;
+use super::call::{Call, TurnHead};
 use super::chain::Chain;
-use crate::program::{Entry, Record, Turn, fits, merge_claims};
+use crate::program::{Admission, ClaimSummary, Entry, Record, Turn, admit, fits, merge_claims};
 use crate::role::membership::wall_clock_ms;
 use crate::wire::{Request, Response};
 
@@ -80,15 +80,47 @@
             delivered: Cell::new(0),
             is_settled: Cell::new(false),
         };
-        let reserve = |epoch| Request::Reserve { epoch, program: head.program.clone(), entry: entry.clone() };
         let patience = BEFORE_PATIENCE.min(call.left(self.clock.now()));
-        let answers = self.write_quorum(&head.program, reserve, patience).await.ok_or(NoTurn::Unsure)?;
+        let answers = self.reserve(head, &entry, false, patience).await?;
+        let summaries: Vec<ClaimSummary> = answers
+            .into_iter()
+            .filter_map(|answer| if let Response::Reserved(summary) = answer { Some(summary) } else { None })
+            .collect();
+        let fits = match admit(head.budget, &call.id, head.most, &summaries) {
+            Admission::Fits => true,
+            Admission::Spent => false,
+            Admission::Unsure => self.fits_all_claims(head, &entry, patience).await?,
+        };
+        if fits { Ok(Some(claim)) } else { Err(NoTurn::Spent) }
+    }
+
+    /// Whether a turn fits beside all claims, told one by one.
+    async fn fits_all_claims(
+        self: &Rc<Node>, head: &TurnHead, entry: &Entry, patience: Duration,
+    ) -> Result<bool, NoTurn> {
         let mut claims: Vec<Entry> = Vec::new();
-        for answer in answers {
-            let Response::Reserved(entries) = answer else { return Err(NoTurn::Unsure) };
-            merge_claims(&mut claims, entries);
+        for answer in self.reserve(head, entry, true, patience).await? {
+            if let Response::Claims(entries) = answer {
+                merge_claims(&mut claims, entries);
+            }
         }
-        if fits(head.budget, &call.id, head.most, &claims) { Ok(Some(claim)) } else { Err(NoTurn::Spent) }
+        Ok(fits(head.budget, &entry.request, entry.most, &claims))
+    }
+
+    /// Writes a claim to a quorum; what its members answer.
+    async fn reserve(
+        self: &Rc<Node>, head: &TurnHead, entry: &Entry, wants_all: bool, patience: Duration,
+    ) -> Result<Vec<Response>, NoTurn> {
+        let (program, entry) = (head.program.clone(), entry.clone());
+        let request =
+            |epoch| Request::Reserve { epoch, program: program.clone(), entry: entry.clone(), wants_all };
+        let answers = self.write_quorum(&program, request, patience).await.ok_or(NoTurn::Unsure)?;
+        let is_expected = |answer: &Response| match answer {
+            Response::Reserved(_) => !wants_all,
+            Response::Claims(_) => wants_all,
+            _ => false,
+        };
+        if answers.iter().all(is_expected) { Ok(answers) } else { Err(NoTurn::Unsure) }
     }
 
     /// Keeps a turn that was answered whole; true once a quorum has it on disk.
--- a/crates/onyxstile-system/src/role/proxy/feed.rs
+++ b/crates/onyxstile-system/src/role/proxy/feed.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::Node;
+use super::{DestinationKey, Node};
 use crate::configuration;
 use crate::role::rpc::Answer;
 use crate::wire::{Feed, Published, Request, Response};
@@ -38,11 +38,19 @@
             }
         }
         self.endpoints.borrow_mut().hear(now, &feed.evidence);
+        self.forget_endpoints();
         if feed.is_fresh && self.configuration.borrow().is_some() {
             self.phase.become_ready();
         }
     }
 
+    fn forget_endpoints(&self) {
+        for key in self.endpoints.borrow_mut().forget(self.clock.now()) {
+            self.pools.drop_idle(key);
+            self.destinations.borrow_mut().remove(&DestinationKey::Endpoint(key));
+        }
+    }
+
     fn take_state(&self, published: Published) {
         if published.sequence <= self.sequence.get() {
             return;
--- a/crates/onyxstile-system/src/role/storage/answers.rs
+++ b/crates/onyxstile-system/src/role/storage/answers.rs
@@ -20,8 +20,8 @@
     /// Answers one request of another machine.
     pub(super) fn answer(self: Rc<Node>, request: Request) -> Answer {
         match request {
-            Request::Reserve { epoch, program, entry } => {
-                Box::pin(async move { self.reserve(epoch, program, entry).await })
+            Request::Reserve { epoch, program, entry, wants_all } => {
+                Box::pin(async move { self.reserve(epoch, program, entry, wants_all).await })
             }
             Request::Write { epoch, records } => Box::pin(async move {
                 match self.stale(epoch) {
@@ -58,7 +58,7 @@
         Response::Turns { turns, is_sure: is_sure && is_read }
     }
 
-    async fn reserve(&self, epoch: u64, program: String, entry: Entry) -> Response {
+    async fn reserve(&self, epoch: u64, program: String, entry: Entry, wants_all: bool) -> Response {
         if let Some(stale) = self.stale(epoch) {
             return stale;
         }
@@ -69,7 +69,12 @@
         if !self.write(vec![record]).await {
             return Response::Refused;
         }
-        Response::Reserved(self.index.borrow().claims(&program))
+        let index = self.index.borrow();
+        if wants_all {
+            Response::Claims(index.claims(&program))
+        } else {
+            Response::Reserved(index.claim_summary(&program))
+        }
     }
 
     async fn changes(&self, origin: u64, counter: u64, wait: Duration) -> Response {
--- a/crates/onyxstile-system/src/role/subscription.rs
+++ b/crates/onyxstile-system/src/role/subscription.rs
@@ -13,9 +13,9 @@
 
 use super::rpc::Client;
 use crate::evidence::Evidence;
-use crate::registry::Instance;
+use crate::known::News;
 use crate::settings::Settings;
-use crate::wire::{Published, Pull, Pulled, Request, Response};
+use crate::wire::{Pull, Pulled, Request, Response};
 
 /// Time beyond the wait that a controller has to answer.
 const PATIENCE: Duration = Duration::from_millis(700);
@@ -28,21 +28,6 @@
 /// Whoever has heard no majority by then goes on with what it has: control is away for everyone.
 const ALONE_AFTER: Duration = Duration::from_secs(5);
 
-/// News, in the order in which it came.
-#[derive(Debug, Clone)]
-pub enum News {
-    /// A newer control state.
-    State(Published),
-    /// Endpoints that changed.
-    Endpoints(Vec<Instance>),
-    /// A majority of the controllers has been heard, and everything that they told is here.
-    Fresh,
-    /// How many relays there are.
-    Relays(u32),
-    /// What all relays' calls show of endpoints under suspicion.
-    Evidence(Vec<Evidence>),
-}
-
 /// What the subscriber wants and tells.
 pub struct Wishes {
     /// For a relay, which wants endpoints: what its calls show of those under suspicion.
--- a/crates/onyxstile-system/src/wire.rs
+++ b/crates/onyxstile-system/src/wire.rs
@@ -5,7 +5,7 @@
 
 use crate::control::{Message, StoredConfiguration};
 use crate::evidence::Evidence;
-use crate::program::{Entry, Key, Record, Turn};
+use crate::program::{ClaimSummary, Entry, Key, Record, Turn};
 use crate::registry::Instance;
 use crate::storage_plan::StoragePlan;
 use std::rc::Rc;
@@ -114,14 +114,16 @@
     Pull(Pull),
     /// What the controller knows, for an operator.
     Status,
-    /// A reservation of tokens; the answer tells of all others of that program.
+    /// A claim on a program's budget, which is to be on the disk before the answer.
     Reserve {
         /// The storage epoch that the sender goes by.
         epoch: u64,
         /// The program.
         program: String,
-        /// The reservation.
+        /// The claim.
         entry: Entry,
+        /// Whether all claims of the program are wanted, or their summary.
+        wants_all: bool,
     },
     /// Records that are to be on the disk before the answer.
     Write {
@@ -178,8 +180,10 @@
     Stale(u64),
     /// News.
     Pulled(Pulled),
-    /// All reservations of a program.
-    Reserved(Vec<Entry>),
+    /// The claims of a program, the new one among them.
+    Reserved(ClaimSummary),
+    /// All claims of a program, the new one among them.
+    Claims(Vec<Entry>),
     /// Turns, in the order of the ids; `is_sure` says that what is missing was never written here and not lost either.
     Turns {
         /// A turn for each id that was found.
--- a/crates/onyxstile-system/tests/decoders.rs
+++ b/crates/onyxstile-system/tests/decoders.rs
@@ -13,7 +13,7 @@
 use onyxstile_system::evidence::Evidence;
 use onyxstile_system::json;
 use onyxstile_system::prefix;
-use onyxstile_system::program::{Entry, Key, Record, Turn, fits};
+use onyxstile_system::program::{ClaimSummary, Entry, Key, Record, Settled, Turn, fits};
 use onyxstile_system::registry::{Instance, Stage};
 use onyxstile_system::settings::Settings;
 use onyxstile_system::sse::Splitter;
@@ -213,13 +213,17 @@
     let requests = [
         Request::Register(instance),
         Request::Feed(feed),
-        Request::Reserve { epoch: 4, program: "p".into(), entry: entry("r", 40) },
+        Request::Reserve { epoch: 4, program: "p".into(), entry: entry("r", 40), wants_all: true },
         Request::GetTurns { epoch: 3, ids: vec!["a".into(), "b".into()] },
         Request::Fetch(vec![Key::Turn("t".into()), Key::Entry("p".into(), "r".into())]),
         Request::Status,
     ];
     let responses = [
-        Response::Reserved(vec![entry("r", 40); 5]),
+        Response::Reserved(ClaimSummary {
+            open: vec![entry("r", 40); 5],
+            settled: Settled { count: 2, tokens: 90, digest: 7 },
+        }),
+        Response::Claims(vec![entry("r", 40); 3]),
         Response::Status(vec!["view 1".into()]),
         Response::Turns { turns: vec![None, None], is_sure: true },
         Response::Fed { life: 3, evidence },
--- a/crates/onyxstile-system/tests/programs.rs
+++ b/crates/onyxstile-system/tests/programs.rs
@@ -10,8 +10,8 @@
 
 use onyxstile_system::clock::Instant;
 use onyxstile_system::program::{
-    Entry, Key, Quorum, Record, RecordIndex, RecordNumber, Turn, TurnCache, fits, groups, merge_claims,
-    nearest,
+    Admission, ClaimSummary, Entry, Key, Quorum, Record, RecordIndex, RecordNumber, Turn, TurnCache, admit,
+    fits, groups, merge_claims, nearest,
 };
 use onyxstile_system::storage_plan::StoragePlan;
 use onyxstile_system::tolerance::Tolerance;
@@ -84,6 +84,26 @@
     }
 }
 
+/// What a quorum tells of a program's claims: one by one, and as summaries.
+#[derive(Default)]
+struct Told {
+    claims: Vec<Entry>,
+    summaries: Vec<ClaimSummary>,
+}
+
+impl Told {
+    /// Whether a turn is let in. The summaries must not say otherwise than the claims.
+    fn admits(&self, budget: u64, request: &str, most: u64) -> bool {
+        let exact = fits(budget, request, most, &self.claims);
+        match admit(budget, request, most, &self.summaries) {
+            Admission::Fits => assert!(exact, "let in beyond the budget: {:?}", self.summaries),
+            Admission::Spent => assert!(!exact, "refused within the budget: {:?}", self.summaries),
+            Admission::Unsure => {}
+        }
+        exact
+    }
+}
+
 /// Storage machines that may be away or hold nothing yet.
 struct Cluster {
     plan: StoragePlan,
@@ -117,14 +137,14 @@
     }
 
     /// Writes at a random quorum, the rest of the members are missed; the claims that the quorum tells.
-    fn write(&mut self, record: &Record, random: &mut Pcg64Mcg) -> Option<Vec<Entry>> {
+    fn write(&mut self, record: &Record, random: &mut Pcg64Mcg) -> Option<Told> {
         let key = record.key();
         let mut quorum = Quorum::new(&self.plan, key.placed_by(), self.tolerance);
         let mut members = quorum.members();
         for end in (1..members.len()).rev() {
             members.swap(end, random.next_u32() as usize % (end + 1));
         }
-        let mut claims: Vec<Entry> = Vec::new();
+        let mut told = Told::default();
         for member in members {
             if self.away.contains(&member) {
                 continue;
@@ -134,10 +154,12 @@
                 continue;
             }
             if let Key::Entry(program, _) = &key {
-                merge_claims(&mut claims, self.stores[&member].claims(program));
+                let store = &self.stores[&member];
+                merge_claims(&mut told.claims, store.claims(program));
+                told.summaries.push(store.index.claim_summary(program));
             }
             if quorum.count(member) {
-                return Some(claims);
+                return Some(told);
             }
         }
         None
@@ -222,7 +244,7 @@
         let entry = claim(&request, most, None);
         let claims = cluster.write(&Record::Entry { program: "p".into(), entry }, &mut random);
         match claims {
-            Some(claims) if fits(budget, &request, most, &claims) => open.push((request, most)),
+            Some(told) if told.admits(budget, &request, most) => open.push((request, most)),
             _ => {
                 let entry = claim(&request, most, Some(0));
                 cluster.write(&Record::Entry { program: "p".into(), entry }, &mut random);
@@ -345,6 +367,43 @@
     assert_eq!(store.log.len(), 1, "the log keeps the record that counts, and no other");
 }
 
+#[test]
+fn what_storage_tells_of_claims_does_not_grow_with_those_that_are_settled() {
+    let mut store = Store::default();
+    let mut after = Vec::new();
+    for number in 0..290 {
+        for settled in [None, Some(40)] {
+            let entry = claim(&format!("request-{number:08}"), 90, settled);
+            store.merge(
+                Instant::from_millis(0),
+                Duration::ZERO,
+                &Record::Entry { program: "p".into(), entry },
+            );
+        }
+        after.push(borsh::to_vec(&store.index.claim_summary("p")).expect("encodes").len());
+    }
+    assert_eq!(after[0], after[289], "bytes of an answer after the first and the last turn");
+    assert_eq!(store.index.claim_summary("p").settled.tokens, 290 * 40);
+}
+
+#[test]
+fn answers_that_differ_in_what_is_settled_let_a_turn_in_only_where_all_their_sums_fit() {
+    let summary = |requests: &[&str], open: &[&str]| {
+        let mut summary = ClaimSummary::default();
+        requests.iter().for_each(|request| summary.settled.add(request, 100));
+        summary.open = open.iter().map(|request| claim(request, 50, None)).collect();
+        summary
+    };
+    let alike = [summary(&["a", "b"], &["c"]), summary(&["b", "a"], &[])];
+    assert_eq!(admit(350, "own", 100, &alike), Admission::Fits);
+    assert_eq!(admit(349, "own", 100, &alike), Admission::Spent);
+    let other = [summary(&["a", "b"], &[]), summary(&["a"], &["b"])];
+    assert_eq!(admit(450, "own", 100, &other), Admission::Fits, "even if they had no claim in common");
+    assert_eq!(admit(300, "own", 100, &other), Admission::Unsure, "it may fit");
+    assert_eq!(admit(10, "own", 100, &[]), Admission::Spent);
+    assert_eq!(admit(u64::MAX, "own", u64::MAX, &alike), Admission::Spent, "a sum that is no number");
+}
+
 #[test]
 fn the_log_keeps_one_record_for_each_key_in_whatever_order_they_come() {
     for seed in 0..200u64 {
