--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -138,6 +138,9 @@
             tokio::time::sleep(HOUSEKEEPING).await;
             let superfluous = self.index.borrow_mut().expire(self.clock.now());
             self.journal.drop_records(superfluous);
+            if self.is_index_full() {
+                log::warn!("writes are refused: no memory left for the index of records");
+            }
         }
     }
 }
--- a/crates/onyxstile-system/src/role/storage/journal.rs
+++ b/crates/onyxstile-system/src/role/storage/journal.rs
@@ -164,10 +164,11 @@
 }
 
 fn serve(log: &mut RecordLog<OsDisk>, queue: &mpsc::Receiver<Job>, used_bytes: &AtomicU64) {
+    let mut has_failed = false;
     let mut next = queue.recv().ok();
     while let Some(job) = next.take() {
         match job {
-            Job::Append(records, answer) => next = append(log, queue, records, answer),
+            Job::Append(records, answer) => next = append(log, queue, records, answer, &mut has_failed),
             Job::Read(numbers, answer) => answer_read(log, &numbers, answer),
             Job::Drop(numbers) => note_failure("dropping records", log.drop_records(numbers)),
             Job::AcceptLoss => note_failure("accepting a loss", log.accept_loss()),
@@ -202,7 +203,7 @@
 /// neither.
 fn append(
     log: &mut RecordLog<OsDisk>, queue: &mpsc::Receiver<Job>, mut records: Vec<Numbered>,
-    answer: oneshot::Sender<bool>,
+    answer: oneshot::Sender<bool>, has_failed: &mut bool,
 ) -> Option<Job> {
     let mut answers = vec![answer];
     let mut other = None;
@@ -220,8 +221,11 @@
         }
     }
     let result = log.append(records);
-    if let Err(error) = &result {
-        log::error!("the disk refuses a write: {error}");
+    let had_failed = std::mem::replace(has_failed, result.is_err());
+    match &result {
+        Err(error) if !had_failed => log::error!("the disk refuses writes: {error}"),
+        Ok(()) if had_failed => log::info!("the disk takes writes again"),
+        _ => {}
     }
     for answer in answers {
         // Whoever asked may have gone.
--- a/crates/onyxstile-system/src/role/storage/records.rs
+++ b/crates/onyxstile-system/src/role/storage/records.rs
@@ -44,9 +44,8 @@
         if fresh.is_empty() {
             return true;
         }
-        let memory = self.settings.borrow().limits.memory_mb as f64 * 1024.0 * 1024.0 * INDEX_SHARE;
-        if self.index.borrow().memory_bytes() as f64 > memory {
-            log::warn!("no memory left for the index of records");
+        if self.is_index_full() {
+            log::debug!("a write is refused: no memory left for the index of records");
             return false;
         }
         let fresh: Vec<(RecordNumber, Record)> =
@@ -62,6 +61,12 @@
         true
     }
 
+    /// Whether the index has taken its share of the memory.
+    pub(super) fn is_index_full(&self) -> bool {
+        let memory = self.settings.borrow().limits.memory_mb as f64 * 1024.0 * 1024.0 * INDEX_SHARE;
+        self.index.borrow().memory_bytes() as f64 > memory
+    }
+
     fn next_number(&self) -> RecordNumber {
         self.next_number.replace(self.next_number.get() + 1)
     }
