--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -15,6 +15,7 @@
 mod quorum;
 mod relay_stream;
 mod sending;
+mod target;
 mod upstream;
 
 use std::cell::{Cell, RefCell};
--- a/crates/onyxstile-system/src/role/proxy/sending.rs
+++ b/crates/onyxstile-system/src/role/proxy/sending.rs
@@ -10,15 +10,13 @@
 use super::call::Call;
 use super::counted::Counted;
 use super::{DestinationKey, Node};
-use crate::balance::{EndpointKey, Need};
+use crate::balance::EndpointKey;
 use crate::retry::timer;
 
 /// The first timer is this part of a route's objective: a retry that comes later can't be in time.
 const TIMER_PARTS: u32 = 8;
 /// Bounds of the first timer.
 const TIMER_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(500));
-/// A call that may be repeated is given up at an endpoint after this many times the usual latency there.
-const SILENCE_FACTOR: f64 = 5.0;
 /// How sending a call ended.
 pub(super) enum Ended {
     /// With a whole answer.
@@ -39,9 +37,9 @@
     pub call: Call,
     body: Bytes,
     /// Endpoints that it was sent to.
-    tried: Vec<EndpointKey>,
+    pub tried: Vec<EndpointKey>,
     /// Endpoints where it failed.
-    failed: Vec<EndpointKey>,
+    pub failed: Vec<EndpointKey>,
     may_have_run: bool,
     firings: u32,
     counted: Option<Counted>,
@@ -139,45 +137,10 @@
     }
 
     /// Whether a call that may have run may be sent again.
-    fn may_go_on(&self) -> bool {
+    pub(super) fn may_go_on(&self) -> bool {
         self.call.route.is_repeatable()
     }
 
-    /// Another endpoint if the route allows one more, else one of those that it was sent to.
-    fn choose(&self) -> Option<EndpointKey> {
-        let node = &self.node;
-        let is_used_up = self.tried.len() >= self.call.route.max_attempts as usize;
-        let only = is_used_up.then_some(self.tried.as_slice());
-        let program = self.call.turn.as_ref().map(|turn| turn.program.as_str());
-        let mut need = Need {
-            service: &self.call.service,
-            parts: &self.call.parts,
-            program,
-            may_repeat: self.may_go_on(),
-            excluded: &self.failed,
-            only,
-        };
-        let endpoints = node.endpoints.borrow();
-        let (now, roll) = (node.clock.now(), node.roll());
-        endpoints.choose(now, &need, roll).or_else(|| {
-            need.excluded = &[];
-            endpoints.choose(now, &need, roll)
-        })
-    }
-
-    /// How long an endpoint may be silent: a call that can go elsewhere does not wait for its end.
-    fn patience(&self, key: EndpointKey) -> Duration {
-        let left = self.call.left(self.node.clock.now());
-        let has_others = self.tried.len() + 1 < self.call.route.max_attempts as usize;
-        if !self.may_go_on() || !has_others {
-            return left;
-        }
-        let usual = self.node.endpoints.borrow().get(key).map_or(0.0, |endpoint| endpoint.latency_ms());
-        let usual = Duration::from_secs_f64(usual * SILENCE_FACTOR / 1000.0);
-        let aim = if self.call.is_stream() { self.call.aim() * 4 } else { self.call.aim() * 3 / 2 };
-        usual.max(aim).min(left)
-    }
-
     fn first_timer(&self) -> Duration {
         (self.call.aim() / TIMER_PARTS).clamp(TIMER_RANGE.0, TIMER_RANGE.1)
     }
