State once when relays forget an endpoint; split the keeper's writes from the keeper

Code moved, behaviour as it was: lints, the tier's tests, the relay's library tests and tests/undelivered.rs pass.

--- a/crates/onyxstile-system/src/balance/directory.rs
+++ b/crates/onyxstile-system/src/balance/directory.rs
@@ -1,17 +1,11 @@
 //! Which endpoints there are: incarnations by key, id and service, from their registration until they are forgotten. Pure.
 
-use std::time::Duration;
-
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::endpoint::Endpoint;
 use super::{EndpointKey, Endpoints};
 use crate::clock::Instant;
-use crate::registry::{Instance, Stage};
-
-/// An endpoint that has left, or that nobody has heard of, is forgotten after this time: later than controllers forget it
-/// (`registry`), so that none of them tells of it as of a new one.
-const FORGOTTEN_AFTER: Duration = Duration::from_secs(900);
+use crate::registry::{Instance, RELAYS_FORGET_AFTER, Stage};
 
 impl Endpoints {
     /// Takes a registration in; returns incarnations that are not to be called any more.
@@ -33,7 +27,7 @@
 
     /// Forgets endpoints that left or fell silent long ago; returns their keys, which name nothing any more.
     pub fn forget(&mut self, now: Instant) -> Vec<EndpointKey> {
-        let is_over = |endpoint: &Endpoint| endpoint.is_over(now, FORGOTTEN_AFTER);
+        let is_over = |endpoint: &Endpoint| endpoint.is_over(now, RELAYS_FORGET_AFTER);
         let over: Vec<EndpointKey> =
             self.slots.iter().filter(|(_, endpoint)| is_over(endpoint)).map(|(key, _)| key).collect();
         for key in &over {
--- a/crates/onyxstile-system/src/known.rs
+++ b/crates/onyxstile-system/src/known.rs
@@ -1,16 +1,12 @@
 //! All that an agent has heard, so that a proxy that starts anew can be told the whole of it. Pure.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use crate::clock::Instant;
 use crate::evidence::Evidence;
-use crate::registry::{Instance, Stage};
+use crate::registry::{Instance, RELAYS_FORGET_AFTER};
 use crate::wire::{Feed, Published};
 
-/// An endpoint that has left, or that nobody has heard of, is forgotten after this time; controllers do so before.
-const FORGOTTEN_AFTER: Duration = Duration::from_secs(900);
-
 /// News, in the order in which it came.
 #[derive(Debug, Clone)]
 pub enum News {
@@ -71,10 +67,9 @@
     }
 
     fn forget(&mut self, now: Instant) {
-        self.endpoints.retain(|_, (instance, heard)| {
-            let is_away = instance.stage != Stage::Ready || instance.is_silent;
-            !is_away || now.since(*heard) < FORGOTTEN_AFTER
-        });
+        let is_over =
+            |instance: &Instance, heard| instance.is_away() && now.since(heard) >= RELAYS_FORGET_AFTER;
+        self.endpoints.retain(|_, (instance, heard)| !is_over(instance, *heard));
     }
 
     /// Everything, for a proxy that knows nothing.
--- a/crates/onyxstile-system/src/registry.rs
+++ b/crates/onyxstile-system/src/registry.rs
@@ -15,6 +15,9 @@
 
 /// A record of an incarnation that is gone is kept this long, so that a late heartbeat doesn't bring it back.
 const TOMBSTONE_LIFETIME: Duration = Duration::from_secs(600);
+/// Agents and proxies forget an incarnation that is away after this time: later than controllers do, so that none of these
+/// tells of it as of a new one.
+pub const RELAYS_FORGET_AFTER: Duration = Duration::from_secs(900);
 /// Heartbeats that may be missed until an endpoint counts as silent.
 const MISSED_HEARTBEATS: u32 = 4;
 
@@ -53,6 +56,11 @@
 }
 
 impl Instance {
+    /// Whether it has left, is about to, or has fallen silent.
+    pub fn is_away(&self) -> bool {
+        self.stage != Stage::Ready || self.is_silent
+    }
+
     /// Where it listens.
     pub fn socket(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.address.0.into(), self.address.1)
--- a/src/net/undelivered/keeper.rs
+++ b/src/net/undelivered/keeper.rs
@@ -5,17 +5,17 @@
 use super::shelf::{self, FACETS, Shelf};
 use crate::core::FlowNo;
 use onyxstile_store::disk::OsDisk;
-use onyxstile_store::{Change, Error, Store, Sync};
+use onyxstile_store::{Change, Error, Store};
 use onyxstile_undelivered::planner::Admission;
 use onyxstile_undelivered::{Body, Kept, Planner, State};
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+mod write;
+
 /// How soon a look is taken again that found nothing to do, at least.
 const LOOK: Duration = Duration::from_millis(50);
-/// Bytes of one commit, at most, where the store takes so many.
-const CHUNK: usize = 128 * 1024;
 /// Bytes of a message's records beside its body, about.
 const RECORDS: u32 = 512;
 /// Changes that may wait for a disk that fails; beyond that nothing more is kept.
@@ -23,14 +23,6 @@
 /// Changes of one write when the start makes many.
 const AT_ONCE: usize = 64;
 
-/// Whether a change is the last of those that one message takes: its body's comes first.
-fn ends_a_message(change: &Change<FACETS>) -> bool {
-    match change {
-        Change::Put { key, .. } => key % 2 == 0,
-        Change::Delete(key) => key % 2 == 1,
-    }
-}
-
 /// What was done since the start.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 pub struct Counts {
@@ -210,57 +202,6 @@
         self.look_soon();
     }
 
-    /// Writes what the step changed. The ends of `resends` may be written to the journal if this says so; otherwise
-    /// they wait, for without its end here a resend must look open there.
-    pub fn write(&mut self, resends: Vec<FlowNo>, begins: bool) -> Result<Vec<FlowNo>, Error> {
-        let (mut changes, mut ends) = std::mem::take(&mut self.late);
-        changes.append(&mut self.staged);
-        ends.extend(resends);
-        let lasting = self.sync == SyncPolicy::All || begins && self.sync == SyncPolicy::Begins;
-        let sync = if lasting { Sync::Lasting } else { Sync::Written };
-        // One commit takes what fits a frame; both records of a message are in one.
-        while !changes.is_empty() {
-            let most = CHUNK.min(self.shelf.store.commit_max() - 64);
-            let (mut bytes, mut fits) = (0, 0);
-            for (n, change) in changes.iter().enumerate() {
-                bytes += if let Change::Put { value, .. } = change { value.len() + 64 } else { 16 };
-                if bytes > most && fits > 0 {
-                    break;
-                }
-                if ends_a_message(change) {
-                    fits = n + 1;
-                }
-            }
-            let rest = changes.split_off(if fits > 0 { fits } else { changes.len() });
-            match self.shelf.store.commit(&changes, sync) {
-                Ok(()) => changes = rest,
-                Err(Error::TooLarge(bytes)) => {
-                    // It never will be written: what it was about is as it was before.
-                    self.counts.errors += 1;
-                    tracing::error!("undelivered: {bytes} bytes are more than the store takes at once");
-                    changes = rest;
-                }
-                Err(e) => {
-                    self.counts.errors += 1;
-                    changes.extend(rest);
-                    self.late = (changes, ends);
-                    return Err(e);
-                }
-            }
-        }
-        Ok(ends)
-    }
-
-    /// Gives up what was staged for the beginning of a resend that was not written.
-    pub fn take_back(&mut self, kept: &Kept) {
-        self.late.0.retain(|c| *c != shelf::put(kept));
-    }
-
-    /// Whether something waits to be written.
-    pub fn is_late(&self) -> bool {
-        !self.late.0.is_empty()
-    }
-
     // ---- When ---------------------------------------------------------------------------------------------
 
     /// When the owner has to look again.
