Let storage newcomers wait for settled members only, and let no time make a copy

Cause: Progress::assess counted every member of both plans that was not complete, and a copy is complete only from a machine that is whole: f + 2 newcomers of one plan each missed f + 1 others that held nothing yet ("plan 2 never ends", turns 503 from then on). And COPY_PATIENCE turned "not copied" into "copied" after 8 s: f = 1, a turn on A and C, C away, A wiped: A counted as whole, A and B were a quorum, the turn was 404.

What is missing is now counted among the settled members, with the quorum argument beside it. A settled member that is gone for good before the change ends is not missed where the current members are synced (told in Changes, kept on disk as Synced). A change that all newcomers have copied for ends before another begins. A machine that no plan holds is not whole by holding nothing. A write whose plan was superseded while the disk was written is answered as stale: a copy by the newer plan may have come before it.

--- a/crates/onyxstile-system/src/program/repair.rs
+++ b/crates/onyxstile-system/src/program/repair.rs
@@ -1,4 +1,17 @@
 //! How far a storage machine has copied what it should hold from the others, and what it may say because of it. Pure.
+//!
+//! Nothing here follows from time alone. The argument, for one key whose group has 2f + 1 members, of which f + 1 hold each
+//! acknowledged record. *Settled* members are those before a change that is under way, else the current ones.
+//!
+//! - A settled member that lost its disk may itself have been one of the f + 1; f others of the remaining 2f still hold the
+//!   record. It meets one of them once it has copied from all settled members but f - 1, each of which was whole.
+//! - A newcomer, or a member that merely missed a write, needs one of f + 1 holders among 2f + 1, or among the other 2f:
+//!   all settled members but f are enough.
+//! - Newcomers are asked for nothing: what they hold was written by quorums of the settled members as well. So newcomers do
+//!   not wait for each other, and a member that lost its disk does not wait for them.
+//! - While a plan changes, a current member that is *synced* for its epoch holds every record of its keys from before that
+//!   epoch, and records written since are on f + 1 current members. So a copy from all current members but f (f - 1 for one
+//!   that is a member itself), each of them synced, is as good: a settled member that is gone for good is then not missed.
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
@@ -8,10 +21,8 @@
 use crate::storage_plan::{StorageNode, StoragePlan};
 use crate::tolerance::{Place, Tolerance};
 
-/// A machine that has not answered for this long counts as out of reach.
+/// A machine that has not answered for this long counts as out of reach; it is then not waited for where it isn't needed.
 const OUT_OF_REACH: Duration = Duration::from_millis(900);
-/// After this time a machine that lost its disk goes on with what it could copy from those in reach.
-const COPY_PATIENCE: Duration = Duration::from_secs(8);
 
 /// How far the copy from one other machine is.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -22,6 +33,8 @@
     pub counter: u64,
     /// The epoch that both went by when all its changes had been dealt with; 0 if they never were.
     complete_epoch: u64,
+    /// The epoch for which that machine was synced when all its changes had been dealt with by that epoch.
+    synced_epoch: u64,
     answered: Option<Instant>,
 }
 
@@ -38,6 +51,8 @@
     pub epoch: u64,
     /// Whether it holds all that it should.
     pub is_whole: bool,
+    /// The newest epoch for which it was synced.
+    pub synced_epoch: u64,
     /// The epoch that this machine went by when it looked which keys are its own.
     pub looked_by: u64,
 }
@@ -56,15 +71,11 @@
 pub struct Progress {
     sources: HashMap<Ipv4Addr, Source>,
     members: Vec<Ipv4Addr>,
-    began: Option<Instant>,
 }
 
 impl Progress {
     /// Goes by a newer plan; returns the machines that have to be copied from and weren't before.
-    pub fn take_plan(
-        &mut self, now: Instant, own: Ipv4Addr, before: &StoragePlan, plan: &StoragePlan,
-    ) -> Vec<Ipv4Addr> {
-        self.began.get_or_insert(now);
+    pub fn take_plan(&mut self, own: Ipv4Addr, before: &StoragePlan, plan: &StoragePlan) -> Vec<Ipv4Addr> {
         if plan.current != before.current {
             // Other keys are its own now: what was passed over has to be looked at again.
             self.sources.values_mut().for_each(|source| *source = Source::default());
@@ -105,6 +116,9 @@
         if copied.is_last && copied.is_whole {
             source.complete_epoch = copied.epoch.min(epoch);
         }
+        if copied.is_last && copied.epoch >= copied.synced_epoch {
+            source.synced_epoch = copied.synced_epoch.min(epoch);
+        }
     }
 
     /// Forgets a machine that is no member any more.
@@ -116,32 +130,50 @@
     pub fn assess(
         &self, now: Instant, own: Ipv4Addr, plan: &StoragePlan, is_whole: bool, tolerance: Tolerance,
     ) -> Assessment {
-        let members = plan.all();
-        let missing: Vec<&StorageNode> = members
-            .iter()
-            .filter(|node| node.address() != own && !self.is_complete(node.address(), plan.epoch))
-            .collect();
-        let is_whole = is_whole || (plan.epoch > 0 && self.has_copied(now, own, plan, &missing, tolerance));
+        if !plan.holds(own) {
+            // It is to hold nothing, which says nothing of what a later plan gives it.
+            return Assessment { is_whole, is_synced: false };
+        }
+        let settled = plan.settled();
+        let is_complete = |node: &StorageNode| self.is_complete(node.address(), plan.epoch);
+        let missing = missing(settled, own, is_complete);
+        let has_copied_current = self.has_copied_current(own, plan, tolerance);
+        let is_whole =
+            is_whole || has_copied_current || tolerance.covers(&with_own_loss(&missing, settled, own));
         let is_reachable = |node: &&StorageNode| {
             let answered = self.sources.get(&node.address()).and_then(|source| source.answered);
             answered.is_some_and(|at| now.since(at) < OUT_OF_REACH)
         };
-        let places: Vec<&Place> = missing.iter().map(|node| &node.place).collect();
-        let is_synced = is_whole && tolerance.covers(&places) && !missing.iter().any(is_reachable);
-        Assessment { is_whole, is_synced }
+        let has_copied_settled =
+            tolerance.covers(&places(&missing)) && !missing.iter().copied().any(|node| is_reachable(&node));
+        Assessment { is_whole, is_synced: is_whole && (has_copied_settled || has_copied_current) }
     }
 
-    fn has_copied(
-        &self, now: Instant, own: Ipv4Addr, plan: &StoragePlan, missing: &[&StorageNode],
-        tolerance: Tolerance,
-    ) -> bool {
-        let settled = if plan.is_changing() { &plan.previous } else { &plan.current };
-        let places: Vec<&Place> = missing.iter().map(|node| &node.place).collect();
-        // A member that lost its disk is itself one of the losses that are tolerated; a newcomer is none.
-        let own_loss = settled.iter().filter(|node| node.address() == own).map(|node| &node.place);
-        let lost: Vec<&Place> = places.iter().copied().chain(own_loss).collect();
-        let began = self.began.unwrap_or(now);
-        let has_waited = now.since(began) > COPY_PATIENCE && tolerance.covers(&places);
-        missing.is_empty() || tolerance.covers(&lost) || has_waited
+    /// Whether enough current members were copied from that were synced for the plan's epoch.
+    fn has_copied_current(&self, own: Ipv4Addr, plan: &StoragePlan, tolerance: Tolerance) -> bool {
+        let is_synced = |node: &StorageNode| {
+            self.sources.get(&node.address()).is_some_and(|source| source.synced_epoch >= plan.epoch)
+        };
+        let missing = missing(&plan.current, own, is_synced);
+        plan.is_changing() && tolerance.covers(&with_own_loss(&missing, &plan.current, own))
     }
 }
+
+/// Those of some other machines that are not as far as `is_done` asks.
+fn missing(
+    nodes: &[StorageNode], own: Ipv4Addr, is_done: impl Fn(&StorageNode) -> bool,
+) -> Vec<&StorageNode> {
+    nodes.iter().filter(|node| node.address() != own && !is_done(node)).collect()
+}
+
+fn places<'a>(nodes: &[&'a StorageNode]) -> Vec<&'a Place> {
+    nodes.iter().map(|node| &node.place).collect()
+}
+
+/// The places of missing machines, and of this one where its lost disk may have been one of a quorum among `members`.
+fn with_own_loss<'a>(
+    missing: &[&'a StorageNode], members: &'a [StorageNode], own: Ipv4Addr,
+) -> Vec<&'a Place> {
+    let own_loss = members.iter().filter(|node| node.address() == own).map(|node| &node.place);
+    places(missing).into_iter().chain(own_loss).collect()
+}
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -85,7 +85,7 @@
         plan: RefCell::default(),
         origin: random_id(),
         is_whole: Cell::new(found.is_whole),
-        synced_epoch: Rc::default(),
+        synced_epoch: Rc::new(Cell::new(found.synced_epoch)),
         changed: Notify::new(),
         repair: RefCell::default(),
         swim,
--- a/crates/onyxstile-system/src/role/storage/answers.rs
+++ b/crates/onyxstile-system/src/role/storage/answers.rs
@@ -23,13 +23,7 @@
             Request::Reserve { epoch, program, entry, wants_all } => {
                 Box::pin(async move { self.reserve(epoch, program, entry, wants_all).await })
             }
-            Request::Write { epoch, records } => Box::pin(async move {
-                match self.stale(epoch) {
-                    Some(stale) => stale,
-                    None if self.write(records).await => Response::Done,
-                    None => Response::Refused,
-                }
-            }),
+            Request::Write { epoch, records } => Box::pin(async move { self.write_by(epoch, records).await }),
             Request::GetTurns { epoch, ids } => Box::pin(async move { self.get_turns(epoch, &ids).await }),
             Request::Changes { origin, counter, wait_ms } => {
                 let wait = Duration::from_millis(wait_ms).min(WAIT_MAX);
@@ -49,6 +43,18 @@
         (epoch < own).then_some(Response::Stale(own))
     }
 
+    /// Writes records for a sender that goes by `epoch`. A plan that came while the disk was written counts: whoever copied
+    /// by the newer plan may have asked before the records were there.
+    async fn write_by(&self, epoch: u64, records: Vec<Record>) -> Response {
+        if let Some(stale) = self.stale(epoch) {
+            return stale;
+        }
+        if !self.write(records).await {
+            return Response::Refused;
+        }
+        self.stale(epoch).unwrap_or(Response::Done)
+    }
+
     async fn get_turns(&self, epoch: u64, ids: &[String]) -> Response {
         // By an older plan the turn may be looked for where it was never written.
         let is_sure = self.is_whole.get() && epoch >= self.plan.borrow().epoch;
@@ -59,15 +65,13 @@
     }
 
     async fn reserve(&self, epoch: u64, program: String, entry: Entry, wants_all: bool) -> Response {
-        if let Some(stale) = self.stale(epoch) {
-            return stale;
-        }
-        if !self.is_whole.get() {
+        if !self.is_whole.get() && epoch >= self.plan.borrow().epoch {
             return Response::Refused;
         }
         let record = Record::Entry { program: program.clone(), entry };
-        if !self.write(vec![record]).await {
-            return Response::Refused;
+        match self.write_by(epoch, vec![record]).await {
+            Response::Done => {}
+            other => return other,
         }
         let index = self.index.borrow();
         if wants_all {
@@ -98,6 +102,7 @@
             is_last,
             epoch: self.plan.borrow().epoch,
             is_whole: self.is_whole.get(),
+            synced_epoch: self.synced_epoch.get(),
             keys,
         }
     }
--- a/crates/onyxstile-system/src/role/storage/journal.rs
+++ b/crates/onyxstile-system/src/role/storage/journal.rs
@@ -33,6 +33,8 @@
         /// When it was written, in ms of the time of day.
         written_ms: u64,
     },
+    /// The newest epoch for which the machine holds all that the plan gives it.
+    Synced(u64),
 }
 
 /// Reads one record.
--- a/crates/onyxstile-system/src/role/storage/opening.rs
+++ b/crates/onyxstile-system/src/role/storage/opening.rs
@@ -18,6 +18,8 @@
 const DISK: RecordNumber = 0;
 /// The record that says that the machine has copied all that it should hold.
 pub(super) const WHOLE: RecordNumber = 1;
+/// The record of the epoch for which the machine is synced. Other records count up from [`FIRST`] and never come this far.
+pub(super) const SYNCED: RecordNumber = RecordNumber::MAX;
 /// The first number of other records.
 const FIRST: RecordNumber = 2;
 
@@ -31,6 +33,8 @@
     pub disk: u64,
     /// Whether the machine holds all that it should.
     pub is_whole: bool,
+    /// The newest epoch for which it holds all that the plan gives it.
+    pub synced_epoch: u64,
 }
 
 impl Found {
@@ -41,7 +45,8 @@
         if !is_sound {
             log::error!("the log has a gap: what it holds is kept, and all is copied anew from the others");
             found.is_whole = false;
-            found.journal.drop_records(vec![WHOLE]);
+            found.synced_epoch = 0;
+            found.journal.drop_records(vec![WHOLE, SYNCED]);
             found.journal.accept_loss();
         }
         Ok(found)
@@ -49,8 +54,14 @@
 
     fn read(folder: PathBuf, limit: u64, now: Instant) -> Result<(Found, bool), RoleError> {
         let (journal, loading) = Journal::start(folder, limit);
-        let mut found =
-            Found { journal, index: RecordIndex::default(), next: FIRST, disk: 0, is_whole: false };
+        let mut found = Found {
+            journal,
+            index: RecordIndex::default(),
+            next: FIRST,
+            disk: 0,
+            is_whole: false,
+            synced_epoch: 0,
+        };
         let mut superfluous = Vec::new();
         for step in loading.iter() {
             match step {
@@ -71,10 +82,13 @@
 
     /// Takes a record in; returns one that need not be kept.
     fn take_in(&mut self, now: Instant, number: RecordNumber, bytes: &[u8]) -> Option<RecordNumber> {
-        self.next = self.next.max(number + 1);
+        if number != SYNCED {
+            self.next = self.next.max(number + 1);
+        }
         match journal::read(bytes) {
             Ok(Stored::Disk(id)) => self.disk = id,
             Ok(Stored::Whole) => self.is_whole = true,
+            Ok(Stored::Synced(epoch)) => self.synced_epoch = epoch,
             Ok(Stored::Record { record, written_ms }) => {
                 let age = Duration::from_millis(wall_clock_ms().saturating_sub(written_ms));
                 return self.index.merge(now, age, &record, number).superfluous;
--- a/crates/onyxstile-system/src/role/storage/repair.rs
+++ b/crates/onyxstile-system/src/role/storage/repair.rs
@@ -7,7 +7,7 @@
 
 use super::Node;
 use super::journal::Stored;
-use super::opening::WHOLE;
+use super::opening::{SYNCED, WHOLE};
 use crate::program::{Copied, Key, Source};
 use crate::storage_plan::StoragePlan;
 use crate::wire::{Request, Response};
@@ -30,7 +30,7 @@
         }
         *self.plan.borrow_mut() = plan.clone();
         log::info!("storage epoch {} with {} members", plan.epoch, plan.current.len());
-        let fresh = self.repair.borrow_mut().take_plan(self.clock.now(), self.own(), &before, &plan);
+        let fresh = self.repair.borrow_mut().take_plan(self.own(), &before, &plan);
         for ip in fresh {
             tokio::task::spawn_local(self.clone().copy_from(ip));
         }
@@ -62,12 +62,15 @@
     }
 
     async fn copy(&self, ip: Ipv4Addr, before: Source, response: Response) {
-        let Response::Changes { origin, counter, is_last, epoch, is_whole, keys } = response else { return };
+        let Response::Changes { origin, counter, is_last, epoch, is_whole, synced_epoch, keys } = response
+        else {
+            return;
+        };
         let looked_by = self.plan.borrow().epoch;
         if !self.fetch_missing(ip, keys).await {
             return;
         }
-        let copied = Copied { origin, counter, is_last, epoch, is_whole, looked_by };
+        let copied = Copied { origin, counter, is_last, epoch, is_whole, synced_epoch, looked_by };
         let own_epoch = self.plan.borrow().epoch;
         self.repair.borrow_mut().note(self.clock.now(), ip, before, copied, own_epoch);
     }
@@ -108,8 +111,9 @@
             log::info!("copied what this machine should hold by epoch {}", plan.epoch);
             self.journal.append_later(WHOLE, &Stored::Whole);
         }
-        if assessment.is_synced {
+        if assessment.is_synced && self.synced_epoch.get() < plan.epoch {
             self.synced_epoch.set(plan.epoch);
+            self.journal.append_later(SYNCED, &Stored::Synced(plan.epoch));
         }
     }
 }
--- a/crates/onyxstile-system/src/storage_plan.rs
+++ b/crates/onyxstile-system/src/storage_plan.rs
@@ -78,6 +78,16 @@
         all
     }
 
+    /// The members whose quorums hold every acknowledged record: those before a change that is under way, else the current.
+    pub fn settled(&self) -> &[StorageNode] {
+        if self.is_changing() { &self.previous } else { &self.current }
+    }
+
+    /// Whether a machine is a member, or was one before a change that is under way.
+    pub fn holds(&self, ip: Ipv4Addr) -> bool {
+        self.epoch > 0 && self.current.iter().chain(&self.previous).any(|node| node.address() == ip)
+    }
+
     /// Whether a change is under way.
     pub fn is_changing(&self) -> bool {
         !self.previous.is_empty()
@@ -114,16 +124,32 @@
     }
 
     /// The plan that should follow this one, given what is seen; `None` if it is to stay.
+    ///
+    /// A change that all newcomers have copied for is ended before another begins: until its end the members before are
+    /// needed, and one of them that is gone for good would be missed at the next loss.
     pub fn next(&self, observed: &[Observed], tolerance: Tolerance) -> Option<StoragePlan> {
+        if self.are_newcomers_synced(observed) && self.is_synced(observed, tolerance) {
+            return Some(self.ended());
+        }
         let target = self.target(observed, tolerance);
         if target != self.current {
             return Some(self.with_current(target));
         }
-        (self.is_changing() && self.is_synced(observed, tolerance)).then(|| StoragePlan {
-            epoch: self.epoch + 1,
-            previous: Vec::new(),
-            ..self.clone()
-        })
+        self.is_synced(observed, tolerance).then(|| self.ended())
+    }
+
+    fn ended(&self) -> StoragePlan {
+        StoragePlan { epoch: self.epoch + 1, previous: Vec::new(), ..self.clone() }
+    }
+
+    fn are_newcomers_synced(&self, observed: &[Observed]) -> bool {
+        let mut newcomers = self.current.iter().filter(|node| !self.previous.contains(node));
+        newcomers.all(|node| self.has_synced(node, observed))
+    }
+
+    /// Whether a machine has said that it holds what this plan gives it.
+    fn has_synced(&self, node: &StorageNode, observed: &[Observed]) -> bool {
+        observed.iter().any(|seen| seen.node == *node && seen.synced >= self.epoch)
     }
 
     /// The first plan: all machines that are there. One that can't bear all losses that should be is made only once
@@ -170,20 +196,18 @@
         target
     }
 
+    /// Whether a change is under way and may end: all current members are synced but for dead ones that may be lost.
     fn is_synced(&self, observed: &[Observed], tolerance: Tolerance) -> bool {
         let mut missing = Vec::new();
-        for node in &self.current {
+        for node in self.current.iter().filter(|node| !self.has_synced(node, observed)) {
             let seen = observed.iter().find(|seen| seen.node == *node);
-            if seen.is_some_and(|seen| seen.synced >= self.epoch) {
-                continue;
-            }
             let is_dead = seen.is_none_or(|seen| seen.dead_for.is_some_and(|time| time >= SYNC_WAIT));
             if !is_dead {
                 return false;
             }
             missing.push(&node.place);
         }
-        tolerance.covers(&missing)
+        self.is_changing() && tolerance.covers(&missing)
     }
 }
 
--- a/crates/onyxstile-system/src/wire.rs
+++ b/crates/onyxstile-system/src/wire.rs
@@ -15,7 +15,7 @@
 use crate::registry::Instance;
 
 /// The version of the internal protocol; a frame of another is refused.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 /// Most bytes of a frame: the largest configuration and a state of many changes fit.
 pub const FRAME_MAX: usize = 32 * 1024 * 1024;
 
@@ -129,6 +129,8 @@
         epoch: u64,
         /// Whether the machine holds all that it should.
         is_whole: bool,
+        /// The newest epoch for which it holds all that the plan gives it.
+        synced_epoch: u64,
         /// Keys with versions.
         keys: Vec<(Key, u8)>,
     },
--- a/crates/onyxstile-system/tests/repair.rs
+++ b/crates/onyxstile-system/tests/repair.rs
@@ -14,15 +14,22 @@
 /// A machine that goes by `plan` from the start.
 fn begun(plan: &StoragePlan) -> Progress {
     let mut progress = Progress::default();
-    progress.take_plan(at(0), address(1), &StoragePlan::default(), plan);
+    progress.take_plan(address(1), &StoragePlan::default(), plan);
     progress
 }
 
 /// Everything of a machine has been copied.
 fn copy(progress: &mut Progress, now: u64, from: u8, epoch: u64, is_whole: bool) {
     let before = progress.source(address(from));
-    let copied =
-        Copied { origin: 5, counter: before.counter + 1, is_last: true, epoch, is_whole, looked_by: epoch };
+    let copied = Copied {
+        origin: 5,
+        counter: before.counter + 1,
+        is_last: true,
+        epoch,
+        is_whole,
+        synced_epoch: 0,
+        looked_by: epoch,
+    };
     progress.note(at(now), address(from), before, copied, epoch);
 }
 
@@ -52,18 +59,57 @@
     assert!(progress.assess(at(30), address(1), &plan, false, ONE).is_whole);
 }
 
+/// f = 1, a turn on 1 and 3; 3 is away, 1 has lost its disk: no time that passes makes a copy of it.
 #[test]
-fn a_machine_does_not_wait_for_ever_for_one_that_never_comes() {
+fn time_alone_never_makes_a_machine_whole_that_lost_its_disk() {
     let plan = plan(1, &[1, 2, 3], &[]);
     let mut progress = begun(&plan);
     copy(&mut progress, 10, 2, 1, true);
-    assert!(!progress.assess(at(7_000), address(1), &plan, false, ONE).is_whole);
-    assert!(progress.assess(at(9_000), address(1), &plan, false, ONE).is_whole);
-    let nobody = begun(&plan);
-    assert!(
-        !nobody.assess(at(60_000), address(1), &plan, false, ONE).is_whole,
-        "two missing are one too many"
-    );
+    for ms in [7_000, 9_000, 60_000, 86_400_000] {
+        let assessment = progress.assess(at(ms), address(1), &plan, false, ONE);
+        assert!(!assessment.is_whole && !assessment.is_synced, "after {ms} ms");
+    }
+    copy(&mut progress, 86_400_010, 3, 1, true);
+    assert!(progress.assess(at(86_400_020), address(1), &plan, false, ONE).is_whole);
+}
+
+/// warmstead-hearth, own day: f + 2 machines joined by one plan, each missed f + 1 that held nothing, and no change ended.
+#[test]
+fn newcomers_do_not_wait_for_each_other() {
+    for (current, previous, newcomers) in [
+        (&[1, 2, 3, 4, 5, 6][..], &[4, 5, 6][..], &[1, 2, 3][..]),
+        (&[1, 2, 4, 5, 6], &[4, 5, 6], &[1, 2]),
+        (&[1, 2, 3, 4, 5, 6, 7, 8, 9], &[7, 8, 9], &[1, 2, 3, 4, 5, 6]),
+    ] {
+        let plan = plan(2, current, previous);
+        for own in newcomers {
+            let mut progress = Progress::default();
+            progress.take_plan(address(*own), &StoragePlan::default(), &plan);
+            for old in previous {
+                copy(&mut progress, 10, *old, 2, true);
+            }
+            for other in newcomers.iter().filter(|other| *other != own) {
+                copy(&mut progress, 20, *other, 2, false);
+            }
+            let assessment = progress.assess(at(60_000), address(*own), &plan, false, ONE);
+            assert!(assessment.is_whole, "{own} of {current:?}");
+            assert!(assessment.is_synced, "{own} of {current:?} holds up the end of the change");
+        }
+    }
+}
+
+/// A member that lost its disk while newcomers join needs all other settled members and no newcomer.
+#[test]
+fn a_member_that_lost_its_disk_does_not_wait_for_newcomers() {
+    let plan = plan(2, &[1, 2, 3, 4, 5, 6], &[4, 5, 6]);
+    let mut progress = Progress::default();
+    progress.take_plan(address(4), &StoragePlan::default(), &plan);
+    copy(&mut progress, 10, 5, 2, true);
+    (1..=3).for_each(|newcomer| copy(&mut progress, 20, newcomer, 2, false));
+    assert!(!progress.assess(at(60_000), address(4), &plan, false, ONE).is_whole, "6 may hold the only copy");
+    copy(&mut progress, 60_010, 6, 2, true);
+    let assessment = progress.assess(at(60_020), address(4), &plan, false, ONE);
+    assert!(assessment.is_whole && assessment.is_synced);
 }
 
 #[test]
@@ -72,7 +118,15 @@
     let mut progress = begun(&plan);
     copy(&mut progress, 10, 2, 1, true);
     let before = progress.source(address(3));
-    let more = Copied { origin: 5, counter: 9, is_last: false, epoch: 1, is_whole: true, looked_by: 1 };
+    let more = Copied {
+        origin: 5,
+        counter: 9,
+        is_last: false,
+        epoch: 1,
+        is_whole: true,
+        synced_epoch: 0,
+        looked_by: 1,
+    };
     progress.note(at(20), address(3), before, more, 1);
     assert!(!progress.assess(at(30), address(1), &plan, true, ONE).is_synced);
     assert!(progress.assess(at(2_000), address(1), &plan, true, ONE).is_synced, "it is out of reach now");
@@ -83,9 +137,17 @@
     let (old, new) = (plan(1, &[1, 2, 3], &[]), plan(2, &[1, 2, 3, 4], &[1, 2, 3]));
     let mut progress = begun(&old);
     let before = progress.source(address(2));
-    let fresh = progress.take_plan(at(10), address(1), &old, &new);
+    let fresh = progress.take_plan(address(1), &old, &new);
     assert_eq!(fresh, [address(4)]);
-    let late = Copied { origin: 5, counter: 9, is_last: true, epoch: 1, is_whole: true, looked_by: 1 };
+    let late = Copied {
+        origin: 5,
+        counter: 9,
+        is_last: true,
+        epoch: 1,
+        is_whole: true,
+        synced_epoch: 0,
+        looked_by: 1,
+    };
     progress.note(at(20), address(2), before, late, 2);
     assert!(!progress.is_complete(address(2), 1));
     assert_eq!(progress.source(address(2)).counter, 0, "its keys are looked at again");
@@ -96,8 +158,55 @@
     let plan = plan(2, &[1, 2, 3], &[1, 2, 3, 4]);
     let mut progress = begun(&plan);
     let before = progress.source(address(2));
-    let behind = Copied { origin: 5, counter: 3, is_last: true, epoch: 1, is_whole: true, looked_by: 2 };
+    let behind = Copied {
+        origin: 5,
+        counter: 3,
+        is_last: true,
+        epoch: 1,
+        is_whole: true,
+        synced_epoch: 0,
+        looked_by: 2,
+    };
     progress.note(at(10), address(2), before, behind, 2);
     assert!(!progress.is_complete(address(2), 2));
     assert_eq!(progress.source(address(2)).counter, 3, "but what it had was copied");
 }
+
+/// 1 and 4 were settled; 4 is gone for good, 5 has taken its place and is synced; then 1 loses its disk before the change ends.
+#[test]
+fn a_member_that_lost_its_disk_goes_on_with_synced_members_where_a_settled_one_is_gone_for_good() {
+    let plan = plan(2, &[1, 2, 5], &[1, 2, 4]);
+    let mut progress = begun(&plan);
+    let synced = |progress: &mut Progress, from: u8, synced_epoch: u64| {
+        let before = progress.source(address(from));
+        let counter = before.counter + 1;
+        let copied = Copied {
+            origin: 5,
+            counter,
+            is_last: true,
+            epoch: 2,
+            is_whole: true,
+            synced_epoch,
+            looked_by: 2,
+        };
+        progress.note(at(10), address(from), before, copied, 2);
+    };
+    synced(&mut progress, 2, 2);
+    synced(&mut progress, 5, 1);
+    assert!(
+        !progress.assess(at(60_000), address(1), &plan, false, ONE).is_whole,
+        "5 was synced by no such plan"
+    );
+    synced(&mut progress, 5, 2);
+    let assessment = progress.assess(at(60_010), address(1), &plan, false, ONE);
+    assert!(assessment.is_whole && assessment.is_synced);
+}
+
+#[test]
+fn a_machine_that_no_plan_has_taken_in_is_not_whole_by_holding_nothing() {
+    let plan = plan(1, &[2, 3, 4], &[]);
+    let mut progress = begun(&plan);
+    (2..=4).for_each(|other| copy(&mut progress, 10, other, 1, true));
+    let assessment = progress.assess(at(20), address(1), &plan, false, ONE);
+    assert!(!assessment.is_whole && !assessment.is_synced);
+}
