--- a/crates/onyxstile-system/src/control.rs
+++ b/crates/onyxstile-system/src/control.rs
@@ -1,8 +1,10 @@
 //! What the control plane keeps: views, the control state and the messages by which controllers agree on both.
 
 mod message;
+mod write;
 
-pub use message::Message;
+pub use message::{Message, Written};
+pub use write::{Change, REMEMBERED_CHANGES, Write};
 
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -56,6 +58,8 @@
 pub struct ControlState {
     /// Rises by one with each write.
     pub sequence: u64,
+    /// Follows from all writes so far: states of one digest came about by the same writes.
+    pub digest: u64,
     /// The newest configuration.
     pub configuration: Option<Rc<StoredConfiguration>>,
     /// Changes that were taken, oldest first.
@@ -65,6 +69,12 @@
 }
 
 impl ControlState {
+    /// Bytes that it takes, about.
+    pub fn bytes(&self) -> u64 {
+        let body = self.configuration.as_ref().map_or(0, |configuration| configuration.body.len());
+        (body + self.accepted.len() * size_of::<AcceptedChange>()) as u64
+    }
+
     /// The current revision; 0 before the first configuration.
     pub fn revision(&self) -> Revision {
         self.configuration.as_ref().map_or(0, |configuration| configuration.revision)
--- a/crates/onyxstile-system/src/control/message.rs
+++ b/crates/onyxstile-system/src/control/message.rs
@@ -4,7 +4,26 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-use super::{Ballot, ControlState, ElectorId, Life, Operation, Outcome, Token, View};
+use super::{Ballot, ControlState, ElectorId, Life, Operation, Outcome, Token, View, Write};
+
+/// A write on its way down the chain.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Written {
+    /// The write itself.
+    Write(Rc<Write>),
+    /// The state that it made, from a member that no longer knows the write: it was started since.
+    State(ControlState),
+}
+
+impl Written {
+    /// The sequence of the state that it makes.
+    pub fn sequence(&self) -> u64 {
+        match self {
+            Written::Write(write) => write.sequence,
+            Written::State(state) => state.sequence,
+        }
+    }
+}
 
 /// What controllers say to each other. Every message may be lost, late, doubled or out of order.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -26,6 +45,8 @@
         view: u64,
         /// The proposal's ballot.
         ballot: Ballot,
+        /// The newest state that the proposer has written in the view before.
+        sequence: u64,
     },
     /// A promise not to take part in lower ballots, nor to write in the view before.
     Promise {
@@ -37,8 +58,9 @@
         ballot: Ballot,
         /// What the sender has accepted for that view.
         accepted: Option<(Ballot, Rc<View>)>,
-        /// The newest state that it has written.
-        state: ControlState,
+        /// The newest state that it has written, if it is newer than the proposer's; in one view states of one sequence
+        /// are the same.
+        state: Option<ControlState>,
     },
     /// The ballot is too low.
     Refused {
@@ -67,8 +89,8 @@
     Apply {
         /// The view in which it is written.
         view: u64,
-        /// The state that it makes.
-        state: ControlState,
+        /// What was written.
+        written: Written,
     },
     /// A write that the tail has synced, on its way up the chain.
     Applied {
--- a/crates/onyxstile-system/src/controller.rs
+++ b/crates/onyxstile-system/src/controller.rs
@@ -27,7 +27,9 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::control::{ControlState, Durable, ElectorId, Life, Message, Operation, Outcome, Token, View};
+use crate::control::{
+    ControlState, Durable, ElectorId, Life, Message, Operation, Outcome, Token, View, Write,
+};
 use crate::tolerance::{Place, Tolerance};
 
 /// A write that its successor has not acknowledged goes again after this time.
@@ -36,7 +38,7 @@
 const OPERATION_LIFETIME: Duration = Duration::from_secs(4);
 
 #[derive(Debug, Clone)]
-struct Write {
+struct PendingWrite {
     tokens: Vec<Token>,
     operation: Operation,
     sequence: u64,
@@ -67,11 +69,15 @@
     proposal: Option<agreement::Proposal>,
     round: u64,
     wanted_since: Option<Instant>,
-    write: Option<Write>,
+    write: Option<PendingWrite>,
+    /// The write that made the newest state, if it was made in this life.
+    last_write: Option<Rc<Write>>,
     queue: VecDeque<(Token, Operation, Instant)>,
     forwarded: HashMap<u64, Instant>,
     checks: Vec<Check>,
     nonce: u64,
+    /// When a machine that lacks the view was sent it last.
+    helped: HashMap<Ipv4Addr, Instant>,
     next_status: Instant,
     loopback: VecDeque<Message>,
     effects: Vec<Effect>,
@@ -94,6 +100,8 @@
             round: 0,
             wanted_since: None,
             write: None,
+            last_write: None,
+            helped: HashMap::new(),
             queue: VecDeque::new(),
             forwarded: HashMap::new(),
             checks: Vec::new(),
@@ -115,6 +123,11 @@
         self.durable.view.as_ref()
     }
 
+    /// What is to be on the disk.
+    pub fn durable(&self) -> &Durable {
+        &self.durable
+    }
+
     /// The newest state that is known to be committed; `None` where no view has taken this machine in.
     pub fn committed_state(&self) -> Option<&ControlState> {
         self.durable.view.as_ref().map(|_| &self.settled)
@@ -155,18 +168,18 @@
 
     fn receive(&mut self, now: Instant, from: Ipv4Addr, message: Message) {
         match message {
-            Message::Status { from: id, view, committed } => self.heard_status(id, view, committed),
+            Message::Status { from: id, view, committed } => self.heard_status(now, id, view, committed),
             Message::Installed(view) => self.install(now, view),
-            Message::Prepare { view, ballot } => self.prepare(from, view, ballot),
+            Message::Prepare { view, ballot, sequence } => self.prepare(now, from, view, ballot, sequence),
             Message::Promise { from: id, view, ballot, accepted, state } => {
                 self.promised(id, view, ballot, accepted, state);
             }
             Message::Refused { view, promised } => self.refused(view, promised),
-            Message::Accept { ballot, value } => self.accept(from, ballot, value),
+            Message::Accept { ballot, value } => self.accept(now, from, ballot, value),
             Message::Accepted { from: id, view, ballot } => self.accepted(now, id, view, ballot),
-            Message::Apply { view, state } => self.apply(from, view, state),
+            Message::Apply { view, written } => self.apply(from, view, written),
             Message::Applied { view, sequence } => self.applied(now, view, sequence),
-            Message::Confirm { view, life, nonce } => self.confirm(from, view, life, nonce),
+            Message::Confirm { view, life, nonce } => self.confirm(now, from, view, life, nonce),
             Message::Confirmed { from: id, view, life, nonce } if life == self.life => {
                 self.confirmed(id, view, nonce);
             }
--- a/crates/onyxstile-system/src/controller/agreement.rs
+++ b/crates/onyxstile-system/src/controller/agreement.rs
@@ -14,15 +14,19 @@
 const PROPOSAL_LIFETIME: Duration = Duration::from_millis(400);
 /// Each elector waits this much longer than the one before it until it proposes.
 const STAGGER: Duration = Duration::from_millis(250);
+/// A machine that lacks the view is sent it again after this time, and a second more for each so many bytes of state.
+const HELP_AGAIN: Duration = Duration::from_millis(100);
+const HELP_BYTES_A_SECOND: u64 = 4 * 1024 * 1024;
 /// How long a view must be wished for before it is proposed.
 const PATIENCE: Duration = Duration::from_millis(40);
 
-/// What one elector promised with: what it has accepted, and the newest state that it has written.
+/// What one elector promised with: what it has accepted, and the newest state that it has written if the proposer has none
+/// as new.
 #[derive(Debug, Clone)]
 struct Promised {
     from: ElectorId,
     accepted: Option<(Ballot, Rc<View>)>,
-    state: ControlState,
+    state: Option<ControlState>,
 }
 
 #[derive(Debug, Clone)]
@@ -84,12 +88,13 @@
             accepted: Vec::new(),
         });
         for elector in &view.electors {
-            self.send(elector.address(), Message::Prepare { view: number, ballot });
+            let sequence = self.durable.state.sequence;
+            self.send(elector.address(), Message::Prepare { view: number, ballot, sequence });
         }
     }
 
-    pub(super) fn prepare(&mut self, from: Ipv4Addr, view: u64, ballot: Ballot) {
-        if !self.is_next(from, view) {
+    pub(super) fn prepare(&mut self, now: Instant, from: Ipv4Addr, view: u64, ballot: Ballot, sequence: u64) {
+        if !self.is_next(now, from, view) {
             return;
         }
         if ballot <= self.durable.promised {
@@ -104,16 +109,16 @@
             view,
             ballot,
             accepted: self.durable.accepted.clone(),
-            state: self.durable.state.clone(),
+            state: (self.durable.state.sequence > sequence).then(|| self.durable.state.clone()),
         };
         self.send(from, message);
     }
 
     /// Whether `view` is the one after the installed one; helps whoever is behind, and asks for help otherwise.
-    fn is_next(&mut self, from: Ipv4Addr, view: u64) -> bool {
+    fn is_next(&mut self, now: Instant, from: Ipv4Addr, view: u64) -> bool {
         let installed = self.installed();
         if view <= installed {
-            self.help(from);
+            self.help(now, from);
         } else if view > installed + 1 || installed == 0 {
             let message = Message::Status { from: self.id, view: installed, committed: self.committed };
             self.send(from, message);
@@ -121,11 +126,15 @@
         installed > 0 && view == installed + 1
     }
 
-    /// Sends the installed view to one that lacks it.
-    pub(super) fn help(&mut self, to: Ipv4Addr) {
-        if let Some(view) = self.durable.view.clone() {
-            self.send(to, Message::Installed(view));
+    /// Sends the installed view to one that lacks it, not more often than it can be taken in.
+    pub(super) fn help(&mut self, now: Instant, to: Ipv4Addr) {
+        let Some(view) = self.durable.view.clone() else { return };
+        let pause = HELP_AGAIN + Duration::from_millis(view.state.bytes() * 1000 / HELP_BYTES_A_SECOND);
+        if self.helped.get(&to).is_some_and(|helped| now.since(*helped) < pause) {
+            return;
         }
+        self.helped.insert(to, now);
+        self.send(to, Message::Installed(view));
     }
 
     pub(super) fn refused(&mut self, view: u64, promised: Ballot) {
@@ -136,7 +145,7 @@
 
     pub(super) fn promised(
         &mut self, from: ElectorId, view: u64, ballot: Ballot, accepted: Option<(Ballot, Rc<View>)>,
-        state: ControlState,
+        state: Option<ControlState>,
     ) {
         let Some(current) = self.durable.view.clone() else { return };
         let alive = self.alive();
@@ -150,16 +159,17 @@
         if proposal.promises.len() < current.majority() {
             return;
         }
-        let value = Rc::new(choose(&current, proposal, &alive, self.tolerance, &self.places));
+        let own = &self.durable.state;
+        let value = Rc::new(choose(&current, proposal, own, &alive, self.tolerance, &self.places));
         proposal.value = Some(value.clone());
         for elector in &current.electors {
             self.send(elector.address(), Message::Accept { ballot, value: value.clone() });
         }
     }
 
-    pub(super) fn accept(&mut self, from: Ipv4Addr, ballot: Ballot, value: Rc<View>) {
+    pub(super) fn accept(&mut self, now: Instant, from: Ipv4Addr, ballot: Ballot, value: Rc<View>) {
         let view = value.number;
-        if !self.is_next(from, view) {
+        if !self.is_next(now, from, view) {
             return;
         }
         if ballot < self.durable.promised {
@@ -214,6 +224,8 @@
         self.committed = view.state.sequence;
         self.settled = view.state.clone();
         self.durable.view = Some(view);
+        self.last_write = None;
+        self.helped.clear();
         self.proposal = None;
         self.wanted_since = None;
         self.round = 0;
@@ -221,10 +233,10 @@
         self.restart_operations(now);
     }
 
-    pub(super) fn heard_status(&mut self, from: ElectorId, view: u64, committed: u64) {
+    pub(super) fn heard_status(&mut self, now: Instant, from: ElectorId, view: u64, committed: u64) {
         let installed = self.installed();
         if view < installed {
-            self.help(from.address());
+            self.help(now, from.address());
         }
         let is_chained = self.durable.view.as_ref().is_some_and(|view| view.chain.contains(&from));
         if view == installed && is_chained && committed <= self.durable.state.sequence {
@@ -233,15 +245,18 @@
     }
 }
 
-/// The view to propose: what was accepted under the highest ballot, or the desired one with the newest promised state.
+/// The view to propose: what was accepted under the highest ballot, or the desired one with the newest state of those who
+/// promised and of the proposer, which has told its own.
 fn choose(
-    current: &View, proposal: &Proposal, alive: &[ElectorId], tolerance: Tolerance, places: &Places,
+    current: &View, proposal: &Proposal, own: &ControlState, alive: &[ElectorId], tolerance: Tolerance,
+    places: &Places,
 ) -> View {
     let accepted = proposal.promises.iter().filter_map(|promised| promised.accepted.as_ref());
     if let Some((_, value)) = accepted.max_by_key(|(ballot, _)| *ballot) {
         return (**value).clone();
     }
-    let newest = proposal.promises.iter().map(|promised| &promised.state).max_by_key(|state| state.sequence);
+    let promised = proposal.promises.iter().filter_map(|promised| promised.state.as_ref());
+    let newest = promised.chain([own]).max_by_key(|state| state.sequence);
     let state = newest.cloned().unwrap_or_else(|| current.state.clone());
     let (electors, chain) = desired(current, alive, tolerance, places)
         .unwrap_or_else(|| (current.electors.clone(), current.chain.clone()));
--- a/crates/onyxstile-system/src/controller/chain.rs
+++ b/crates/onyxstile-system/src/controller/chain.rs
@@ -2,9 +2,11 @@
 
 use std::net::Ipv4Addr;
 
-use super::{Controller, RESEND_AFTER};
+use super::{Controller, Effect, RESEND_AFTER};
 use crate::clock::Instant;
-use crate::control::{ControlState, ElectorId, Message};
+use std::rc::Rc;
+
+use crate::control::{ElectorId, Message, Write, Written};
 
 impl Controller {
     fn neighbour(&self, step: isize) -> Option<ElectorId> {
@@ -24,7 +26,7 @@
     }
 
     /// A write from the predecessor. One that came before is passed on again, for what followed it may have been lost.
-    pub(super) fn apply(&mut self, from: Ipv4Addr, view: u64, state: ControlState) {
+    pub(super) fn apply(&mut self, from: Ipv4Addr, view: u64, written: Written) {
         let installed = self.installed();
         if view != installed {
             let message = Message::Status { from: self.id, view: installed, committed: self.committed };
@@ -35,23 +37,52 @@
         if self.is_wedged() || !is_predecessor {
             return;
         }
-        if state.sequence == self.durable.state.sequence + 1 {
-            self.durable.state = state;
-            self.persist();
-        } else if state.sequence != self.durable.state.sequence {
+        let written_before = written.sequence() == self.durable.state.sequence;
+        let is_next = written.sequence() == self.durable.state.sequence + 1;
+        if is_next && !self.take_write(written) {
+            log::error!("view {view}: a write that follows another state than this machine's");
             return;
         }
-        self.pass_down();
+        if is_next || written_before {
+            self.pass_down();
+        }
+    }
+
+    fn take_write(&mut self, written: Written) -> bool {
+        match written {
+            Written::Write(write) => self.append(write),
+            Written::State(state) => {
+                self.durable.state = state;
+                self.last_write = None;
+                self.persist();
+                true
+            }
+        }
+    }
+
+    /// Makes a write to the newest state and has it written to the disk; false if it follows another state.
+    pub(super) fn append(&mut self, write: Rc<Write>) -> bool {
+        if !self.durable.state.apply(&write) {
+            return false;
+        }
+        self.last_write = Some(write.clone());
+        self.effects.push(Effect::Append { view: self.installed(), write });
+        true
     }
 
     /// Sends the newest write to the successor; the tail commits it.
     pub(super) fn pass_down(&mut self) {
         let view = self.installed();
-        let state = self.durable.state.clone();
+        let sequence = self.durable.state.sequence;
         match self.neighbour(1) {
-            Some(successor) => self.send(successor.address(), Message::Apply { view, state }),
+            Some(successor) => {
+                let written = match self.last_write.clone() {
+                    Some(write) => Written::Write(write),
+                    None => Written::State(self.durable.state.clone()),
+                };
+                self.send(successor.address(), Message::Apply { view, written });
+            }
             None => {
-                let sequence = state.sequence;
                 self.loopback.push_back(Message::Applied { view, sequence });
             }
         }
--- a/crates/onyxstile-system/src/controller/events.rs
+++ b/crates/onyxstile-system/src/controller/events.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 
-use crate::control::{Durable, ElectorId, Message, Operation, Outcome};
+use crate::control::{Durable, ElectorId, Message, Operation, Outcome, Write};
 use crate::tolerance::Place;
 
 /// What a controller takes in.
@@ -34,6 +34,13 @@
 pub enum Effect {
     /// Write and sync this before any later effect.
     Persist(Rc<Durable>),
+    /// Write and sync a write that was made to the newest state in this view before any later effect.
+    Append {
+        /// The view.
+        view: u64,
+        /// The write.
+        write: Rc<Write>,
+    },
     /// Send a message.
     Send {
         /// The machine that it goes to.
--- a/crates/onyxstile-system/src/controller/operations.rs
+++ b/crates/onyxstile-system/src/controller/operations.rs
@@ -1,24 +1,23 @@
 //! Operations: where each is answered, what it does to the control state, and when its outcome may be told.
 
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 
-use super::{Check, Controller, OPERATION_LIFETIME, Write};
+use super::{Check, Controller, OPERATION_LIFETIME, PendingWrite};
 use crate::clock::Instant;
 use crate::configuration::{self, ConfigurationError, Revision};
 use crate::control::{
-    AcceptedChange, ControlState, ElectorId, Life, Message, Operation, Outcome, StoredConfiguration, Token,
+    AcceptedChange, Change, ControlState, ElectorId, Life, Message, Operation, Outcome, StoredConfiguration,
+    Token,
 };
 use crate::storage_plan::RetireRefusal;
 use crate::tolerance::Tolerance;
 
-/// Taken changes that are remembered; without a bound the state grows with every change of a deployment's life.
-const REMEMBERED_CHANGES: usize = 8192;
-
 /// What an operation does to a state.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Evaluation {
-    /// It makes this state.
-    Write(Box<ControlState>),
+    /// It makes this change.
+    Write(Change),
     /// It was taken before, which no later event can change.
     TakenBefore,
     /// It ends like this, if the state is still the newest.
@@ -71,16 +70,16 @@
             match evaluate(&self.durable.state, &operation, self.tolerance) {
                 Evaluation::TakenBefore => self.finish(token, Outcome::Done),
                 Evaluation::Answer(outcome) => self.answer_once_confirmed(now, token, outcome),
-                Evaluation::Write(state) => self.begin_write(now, vec![token], operation, *state),
+                Evaluation::Write(change) => self.begin_write(now, vec![token], operation, change),
             }
         }
     }
 
-    fn begin_write(&mut self, now: Instant, tokens: Vec<Token>, operation: Operation, state: ControlState) {
-        let sequence = state.sequence;
-        self.durable.state = state;
-        self.persist();
-        self.write = Some(Write { tokens, operation, sequence, sent: now });
+    fn begin_write(&mut self, now: Instant, tokens: Vec<Token>, operation: Operation, change: Change) {
+        let write = self.durable.state.write(change);
+        let sequence = write.sequence;
+        self.append(Rc::new(write));
+        self.write = Some(PendingWrite { tokens, operation, sequence, sent: now });
         self.pass_down();
     }
 
@@ -88,7 +87,7 @@
     fn adopt_unsettled(&mut self, now: Instant) {
         let sequence = self.durable.state.sequence;
         let operation = Operation::GetConfiguration;
-        self.write = Some(Write { tokens: Vec::new(), operation, sequence, sent: now });
+        self.write = Some(PendingWrite { tokens: Vec::new(), operation, sequence, sent: now });
         self.pass_down();
     }
 
@@ -134,12 +133,12 @@
         }
     }
 
-    pub(super) fn confirm(&mut self, from: std::net::Ipv4Addr, view: u64, life: Life, nonce: u64) {
+    pub(super) fn confirm(&mut self, now: Instant, from: Ipv4Addr, view: u64, life: Life, nonce: u64) {
         if view == self.installed() && !self.is_wedged() {
             let id = self.id;
             self.send(from, Message::Confirmed { from: id, view, life, nonce });
         } else if view < self.installed() {
-            self.help(from);
+            self.help(now, from);
         }
     }
 
@@ -175,25 +174,15 @@
             Evaluation::Answer(state.storage.retirement(name).map_or(Outcome::NotFound, Outcome::Retirement))
         }
         Operation::Plan(plan) if plan.epoch == state.storage.epoch + 1 => {
-            let mut next = successor(state);
-            next.storage = plan.clone();
-            Evaluation::Write(Box::new(next))
+            Evaluation::Write(Change::Storage(plan.clone()))
         }
         Operation::Plan(_) => Evaluation::Answer(Outcome::Conflict(state.storage.epoch)),
     }
 }
 
-fn successor(state: &ControlState) -> ControlState {
-    ControlState { sequence: state.sequence + 1, ..state.clone() }
-}
-
 fn retire(state: &ControlState, name: &str, tolerance: Tolerance) -> Evaluation {
     match state.storage.retire(name, tolerance) {
-        Ok(Some(plan)) => {
-            let mut next = successor(state);
-            next.storage = Rc::new(plan);
-            Evaluation::Write(Box::new(next))
-        }
+        Ok(Some(plan)) => Evaluation::Write(Change::Storage(Rc::new(plan))),
         Ok(None) => Evaluation::TakenBefore,
         Err(RetireRefusal::Unknown) => Evaluation::Answer(Outcome::NotFound),
         Err(RetireRefusal::TooFew) => Evaluation::Answer(Outcome::TooFew),
@@ -204,24 +193,23 @@
     let Some(base) = base else {
         return Evaluation::Answer(Outcome::Invalid("If-Match is missing or no number".into()));
     };
-    let change = AcceptedChange { base, digest: xxhash_rust::xxh3::xxh3_128(body) };
-    if state.accepted.contains(&change) {
+    let accepted = AcceptedChange { base, digest: xxhash_rust::xxh3::xxh3_128(body) };
+    if state.accepted.contains(&accepted) {
         return Evaluation::TakenBefore;
     }
     let current = state.revision();
+    if base > current || state.has_forgotten(base) {
+        // The version that it is built on may be on its way, or it was itself taken and is no longer remembered: a refusal
+        // would be a guess.
+        return Evaluation::Answer(Outcome::Unknown);
+    }
     if base != current {
         return Evaluation::Answer(Outcome::Conflict(current));
     }
     match check(body, current) {
         Ok(revision) => {
-            let mut next = successor(state);
-            next.configuration = Some(Rc::new(StoredConfiguration { revision, body: body.to_vec() }));
-            let mut accepted = (*state.accepted).clone();
-            accepted.push(change);
-            let surplus = accepted.len().saturating_sub(REMEMBERED_CHANGES);
-            accepted.drain(..surplus);
-            next.accepted = Rc::new(accepted);
-            Evaluation::Write(Box::new(next))
+            let configuration = Rc::new(StoredConfiguration { revision, body: body.to_vec() });
+            Evaluation::Write(Change::Configuration { configuration, accepted })
         }
         Err(error) => Evaluation::Answer(Outcome::Invalid(error.to_string())),
     }
--- a/crates/onyxstile-system/src/disk/format.rs
+++ b/crates/onyxstile-system/src/disk/format.rs
@@ -5,7 +5,7 @@
 use crate::wire::{self, WireError};
 
 /// The version of the records on disk.
-pub const FORMAT: u8 = 3;
+pub const FORMAT: u8 = 4;
 
 /// The bytes of a record.
 pub fn encode<T: BorshSerialize>(record: &T) -> Vec<u8> {
--- a/crates/onyxstile-system/src/disk/versions.rs
+++ b/crates/onyxstile-system/src/disk/versions.rs
@@ -12,20 +12,28 @@
 }
 
 impl<F: Folder> Versions<F> {
-    /// Opens the versions of the record called `name`; returns the newest whole one, if there is any.
+    /// Opens the versions of the record called `name`; returns the newest, if there is any. One that is torn, short or
+    /// foreign is an error that names its file: it was synced before it got its name, and what an older one lacks was told.
     pub fn open(folder: F, name: &'static str) -> io::Result<(Versions<F>, Option<Vec<u8>>)> {
         let mut numbers: Vec<u64> = folder.list()?.iter().filter_map(|file| number(name, file)).collect();
         numbers.sort_unstable();
         let newest = numbers.last().copied().unwrap_or(0);
-        let mut found = None;
-        for number in numbers.iter().rev() {
-            let bytes = folder.read(&file(name, *number))?;
-            if let Some((body, _)) = unseal(&bytes) {
-                found = Some(body.to_vec());
-                break;
-            }
+        if newest == 0 {
+            return Ok((Versions { folder, name, newest }, None));
         }
-        Ok((Versions { folder, name, newest }, found))
+        let file = file(name, newest);
+        let bytes = folder.read(&file)?;
+        let Some((body, _)) = unseal(&bytes) else {
+            let reason = format!("{file} is torn or none of ours");
+            return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
+        };
+        let body = body.to_vec();
+        Ok((Versions { folder, name, newest }, Some(body)))
+    }
+
+    /// The name of the newest version's file.
+    pub fn newest_file(&self) -> String {
+        file(self.name, self.newest)
     }
 
     /// Writes a version; once this returns it outlasts a loss of power.
--- a/crates/onyxstile-system/src/registry.rs
+++ b/crates/onyxstile-system/src/registry.rs
@@ -3,6 +3,10 @@
 //! Entries are soft, for endpoints repeat themselves. What isn't soft is a drain: an incarnation that has said that it
 //! leaves never comes back, whatever arrives later. Pure.
 
+mod copies;
+
+pub use copies::{Copies, holders_needed};
+
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -191,6 +195,14 @@
         changed.into_iter().map(|entry| entry.instance.clone()).collect()
     }
 
+    /// Records of endpoints that have left or are about to, likewise. Other records are soft: a controller that does not
+    /// hear an endpoint itself would only come to call it silent.
+    pub fn leaving_since(&self, origin: u64, counter: u64) -> Vec<Instance> {
+        let mut changed = self.since(origin, counter);
+        changed.retain(|instance| instance.stage != Stage::Ready);
+        changed
+    }
+
     /// All records, to be kept on disk.
     pub fn records(&self) -> Vec<Instance> {
         self.entries.values().map(|entry| entry.instance.clone()).collect()
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -1,6 +1,7 @@
 //! The controller role: the state machine's disk, clock and peers, the registry, and the operator's API.
 
 mod api;
+mod drains;
 mod effects;
 mod kept_registry;
 mod peers;
@@ -10,6 +11,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,22 +25,20 @@
 use crate::clock::{Instant, SteadyClock};
 use crate::control::{Durable, ElectorId, Message, Operation, Outcome};
 use crate::controller::{Controller, Input};
-use crate::disk::{self, RealFolder, Versions};
+use crate::disk::{ControlRecord, RealFolder};
 use crate::evidence::Pooled;
-use crate::registry::Registry;
+use crate::registry::{Copies, Registry};
 use crate::relays::Relays;
 use crate::settings::Settings;
 use crate::swim::{Class, Standing};
 use crate::tolerance::{Place, Tolerance};
-use crate::wire::{self, Request};
+use crate::wire::Request;
 use kept_registry::KeptRegistry;
 
 /// How often the state machine's clock is looked at.
 const TICK: Duration = Duration::from_millis(25);
 /// The operator's callers go on to another machine after a second of silence, so an answer comes before that.
 const OPERATION_PATIENCE: Duration = Duration::from_millis(850);
-/// The name of the record that holds the view, the control state and the votes.
-const CONTROL_RECORD: &str = "version";
 
 quick_error! {
     /// Why a role can't run.
@@ -52,10 +52,6 @@
         Settings(field: &'static str) {
             display("the settings lack {}", field)
         }
-        /// The disk holds what this version can't read.
-        Unreadable(error: wire::WireError) {
-            display("the controller's record: {}", error)
-        }
     }
 }
 
@@ -74,9 +70,10 @@
     controller: RefCell<Controller>,
     registry: RefCell<Registry>,
     kept_registry: KeptRegistry,
+    copies: RefCell<Copies>,
     swim: Shared,
     client: Client,
-    versions: RefCell<Versions<RealFolder>>,
+    record: RefCell<ControlRecord<RealFolder>>,
     unwritten: RefCell<Option<(Rc<Durable>, Instant)>>,
     replies: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
     last_number: Cell<u64>,
@@ -92,28 +89,27 @@
     let clock = SteadyClock::start();
     let data = settings.data_dir.clone().ok_or(RoleError::Settings("data_dir"))?;
     let control = settings.listen.control.ok_or(RoleError::Settings("listen.control"))?;
-    let folder = RealFolder::open(data.clone()).map_err(|error| ("data_dir", error))?;
-    let (mut versions, held) = Versions::open(folder, CONTROL_RECORD).map_err(|error| ("data_dir", error))?;
-    let (kept_registry, endpoints) = KeptRegistry::open(data).map_err(|error| ("data_dir", error))?;
-    let durable = match held {
-        Some(bytes) => disk::decode(&bytes).map_err(RoleError::Unreadable)?,
-        None => first_record(&settings, &mut versions).map_err(|error| ("first record", error))?,
-    };
+    let (record, durable) = open_record(&settings, &data).map_err(|error| ("data_dir", error))?;
+    let (kept_registry, kept) = KeptRegistry::open(data).map_err(|error| ("data_dir", error))?;
     let peers = socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
         .map_err(|error| ("peer port", error))?;
     let api = socket::listen(control).map_err(|error| ("control port", error))?;
     let swim = membership::start(&settings, Class::Core, durable.disk, clock)
         .await
         .map_err(|error| ("membership port", error))?;
-    let node = Rc::new(Node::new(settings, clock, durable, swim, versions, kept_registry));
-    log::info!("{} endpoints were registered before", endpoints.len());
-    node.registry.borrow_mut().restore(clock.now(), endpoints);
+    let node = Rc::new(Node::new(settings, clock, durable, swim, record, kept_registry));
+    log::info!("{} endpoints were registered before, whole {}", kept.instances.len(), kept.is_whole);
+    node.registry.borrow_mut().restore(clock.now(), kept.instances);
+    // At the first start of the whole system there is nothing to be copied.
+    let is_first_start = node.settings.borrow().bootstrap;
+    *node.copies.borrow_mut() = Copies::new(kept.is_whole || is_first_start);
     log::info!("controller {} listens at {control}", node.settings.borrow().node_name);
     let (answering, asked) = (node.clone(), node.clone());
     tokio::select! {
         () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
         () = http::serve(api, clock, move |request| api::answer(asked.clone(), request)) => {}
         () = node.clone().tick() => {}
+        () = node.clone().follow_drains() => {}
         () = signals::reread(node.settings.clone(), |fresh| {
             node.swim.borrow_mut().set_seeds(fresh.seed_addresses());
         }) => {}
@@ -122,19 +118,34 @@
     Ok(())
 }
 
-fn first_record(settings: &Settings, versions: &mut Versions<RealFolder>) -> io::Result<Durable> {
+/// What the disk holds. A record that can't be read counts as a lost disk: its votes are forgotten, so it is another elector.
+fn open_record(settings: &Settings, data: &Path) -> io::Result<(ControlRecord<RealFolder>, Durable)> {
+    let open = || ControlRecord::open(RealFolder::open(data.into())?, RealFolder::open(data.into())?);
+    let mut may_found = settings.bootstrap;
+    let (mut record, held) = match open() {
+        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+            log::error!("{error}: this disk counts as lost");
+            ControlRecord::discard(&mut RealFolder::open(data.into())?)?;
+            may_found = false;
+            open()?
+        }
+        opened => opened?,
+    };
+    if let Some(durable) = held {
+        return Ok((record, durable));
+    }
     let seeds = settings.seed_addresses();
-    let is_founder = settings.bootstrap && seeds.contains(&settings.ip);
+    let is_founder = may_found && seeds.contains(&settings.ip);
     let durable =
         if is_founder { Controller::bootstrap(settings.ip, &seeds) } else { Controller::empty(random_id()) };
-    versions.write(&disk::encode(&durable))?;
-    Ok(durable)
+    record.save(&durable)?;
+    Ok((record, durable))
 }
 
 impl Node {
     fn new(
         settings: Settings, clock: SteadyClock, durable: Durable, swim: Shared,
-        versions: Versions<RealFolder>, kept_registry: KeptRegistry,
+        record: ControlRecord<RealFolder>, kept_registry: KeptRegistry,
     ) -> Node {
         let heartbeat = Duration::from_millis(settings.heartbeat_ms);
         let controller =
@@ -146,9 +157,10 @@
             controller: RefCell::new(controller),
             registry: RefCell::new(Registry::new(random_id(), heartbeat)),
             kept_registry,
+            copies: RefCell::default(),
             swim,
             client: Client::default(),
-            versions: RefCell::new(versions),
+            record: RefCell::new(record),
             unwritten: RefCell::new(None),
             replies: RefCell::default(),
             last_number: Cell::new(0),
@@ -164,6 +176,10 @@
         self.settings.borrow().fault_tolerance
     }
 
+    fn own(&self) -> [u8; 4] {
+        self.settings.borrow().ip.octets()
+    }
+
     fn peer(&self, ip: Ipv4Addr) -> SocketAddrV4 {
         SocketAddrV4::new(ip, self.settings.borrow().peer_port())
     }
@@ -177,7 +193,8 @@
             }
             self.relays.borrow_mut().tick(self.clock.now());
             self.evidence.borrow_mut().tick(self.clock.now());
-            self.kept_registry.keep(self.clock.now(), &self.registry.borrow());
+            let is_whole = self.copies.borrow().is_whole();
+            self.kept_registry.keep(self.clock.now(), &self.registry.borrow(), is_whole);
             self.clone().plan();
             tokio::time::sleep(TICK).await;
         }
@@ -208,6 +225,7 @@
                 return;
             }
         }
+        self.fold_writes(now);
         if self.position() != before {
             self.changed.notify_waiters();
         }
--- a/crates/onyxstile-system/src/role/controller/effects.rs
+++ b/crates/onyxstile-system/src/role/controller/effects.rs
@@ -1,11 +1,13 @@
 //! Effects of the state machine, carried out in their order; the disk may refuse for a while.
 
+use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::Node;
 use crate::clock::Instant;
+use crate::control::Durable;
 use crate::controller::Effect;
-use crate::disk;
 
 /// A write that the disk refused is tried again after this time.
 const DISK_PAUSE: Duration = Duration::from_millis(250);
@@ -19,7 +21,7 @@
             return false;
         }
         *tried = now;
-        let is_written = self.versions.borrow_mut().write(&disk::encode(&**durable)).is_ok();
+        let is_written = self.record.borrow_mut().save(durable).is_ok();
         if is_written {
             *unwritten = None;
         }
@@ -30,12 +32,13 @@
     pub(super) fn carry_out(&self, now: Instant, effect: Effect) -> bool {
         match effect {
             Effect::Persist(durable) => {
-                let result = self.versions.borrow_mut().write(&disk::encode(&*durable));
-                if let Err(error) = result {
-                    log::error!("the disk refuses a write: {error}");
-                    *self.unwritten.borrow_mut() = Some((durable, now));
-                    return false;
-                }
+                let result = self.record.borrow_mut().save(&durable);
+                return self.is_written(now, result, |_| durable);
+            }
+            Effect::Append { view, write } => {
+                let result = self.record.borrow_mut().append(view, &write);
+                // The whole of what this machine has come to goes in its place.
+                return self.is_written(now, result, |node| node.durable());
             }
             Effect::Send { to, message } => self.send(to, message),
             Effect::Reply { number, outcome } => {
@@ -47,4 +50,28 @@
         }
         true
     }
+
+    /// Whether the disk took a write; if it refused, `whole` is tried again until it does.
+    fn is_written(
+        &self, now: Instant, result: io::Result<()>, whole: impl FnOnce(&Node) -> Rc<Durable>,
+    ) -> bool {
+        if let Err(error) = &result {
+            log::error!("the disk refuses a write: {error}");
+            *self.unwritten.borrow_mut() = Some((whole(self), now));
+        }
+        result.is_ok()
+    }
+
+    fn durable(&self) -> Rc<Durable> {
+        Rc::new(self.controller.borrow().durable().clone())
+    }
+
+    /// Folds writes into a snapshot where there are enough of them.
+    pub(super) fn fold_writes(&self, now: Instant) {
+        if self.record.borrow().is_due() {
+            let durable = self.durable();
+            let result = self.record.borrow_mut().save(&durable);
+            self.is_written(now, result, |_| durable);
+        }
+    }
 }
--- a/crates/onyxstile-system/src/role/controller/kept_registry.rs
+++ b/crates/onyxstile-system/src/role/controller/kept_registry.rs
@@ -1,73 +1,148 @@
-//! The registry on disk, so that endpoints are known right after all controllers have lost power.
+//! The registry on disk, so that endpoints are known right after all controllers have lost power, and drains outlast it.
 //!
-//! Written by a thread of its own, shortly after a change and never before an acknowledgement: what a loss of power takes of
-//! the last moment comes again with the next heartbeats, and a call to an endpoint that has gone meanwhile is refused by
-//! whoever has its address (`Expect-Instance`).
+//! Written by a thread of its own. Most changes are soft and are written shortly after, together: what a loss of power takes
+//! of the last moment comes again with the next heartbeats, and a call to an endpoint that has gone meanwhile is refused by
+//! whoever has its address (`Expect-Instance`). A drain is written before it is acknowledged.
 
 use std::cell::Cell;
 use std::io;
 use std::path::PathBuf;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use borsh::{BorshDeserialize, BorshSerialize};
+use tokio::sync::oneshot;
+
 use crate::clock::Instant;
 use crate::disk::{self, RealFolder, Versions};
 use crate::registry::{Instance, Registry};
 
 /// The name of the record.
-const RECORD: &str = "endpoints";
+const RECORD: &str = "registry";
 /// Changes within this time are written together.
 const GATHERED_FOR: Duration = Duration::from_millis(250);
 
+/// What the record holds.
+#[derive(Debug, Default, BorshSerialize, BorshDeserialize)]
+pub(super) struct Kept {
+    /// Whether the controller held every acknowledged drain.
+    pub is_whole: bool,
+    /// All endpoints that it knew.
+    pub instances: Vec<Instance>,
+}
+
+/// What waits to be written. A newer record takes the place of an older one, all of which it holds.
+#[derive(Default)]
+struct Waiting {
+    /// The record, and the registry's newest change in it.
+    record: Option<(Vec<u8>, u64)>,
+    answers: Vec<oneshot::Sender<bool>>,
+}
+
+#[derive(Default)]
+struct Shared {
+    waiting: Mutex<Waiting>,
+    has_work: Condvar,
+    is_busy: AtomicBool,
+    has_failed: AtomicBool,
+    /// The registry's newest change that is on the disk.
+    written: AtomicU64,
+}
+
+impl Shared {
+    /// A thread that panicked while it held the lock has left nothing half done in here.
+    fn waiting(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn next(&self) -> (Vec<u8>, u64, Vec<oneshot::Sender<bool>>) {
+        let mut waiting = self.waiting();
+        loop {
+            if let Some((record, counter)) = waiting.record.take() {
+                return (record, counter, std::mem::take(&mut waiting.answers));
+            }
+            waiting = self.has_work.wait(waiting).unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+}
+
 /// The writing end.
 pub(super) struct KeptRegistry {
-    jobs: mpsc::SyncSender<Vec<u8>>,
-    has_failed: Arc<AtomicBool>,
-    kept: Cell<u64>,
+    shared: Arc<Shared>,
+    handed: Cell<u64>,
     tried: Cell<Instant>,
 }
 
 impl KeptRegistry {
-    /// Opens the record in a folder; returns what it holds as well. One that can't be read counts as empty.
-    pub(super) fn open(folder: PathBuf) -> io::Result<(KeptRegistry, Vec<Instance>)> {
+    /// Opens the record in a folder; returns what it holds as well. One that can't be read counts as lost.
+    pub(super) fn open(folder: PathBuf) -> io::Result<(KeptRegistry, Kept)> {
         let (versions, held) = Versions::open(RealFolder::open(folder)?, RECORD)?;
-        let endpoints = held.map_or_else(Vec::new, |bytes| {
+        let kept = held.map_or_else(Kept::default, |bytes| {
             disk::decode(&bytes).unwrap_or_else(|error| {
                 log::warn!("the record of endpoints can't be read: {error}");
-                Vec::new()
+                Kept::default()
             })
         });
-        let (jobs, queue) = mpsc::sync_channel(1);
-        let has_failed = Arc::new(AtomicBool::new(false));
-        let failed = has_failed.clone();
-        std::thread::spawn(move || write(versions, &queue, &failed));
-        Ok((KeptRegistry { jobs, has_failed, kept: Cell::new(0), tried: Cell::default() }, endpoints))
+        let shared: Arc<Shared> = Arc::default();
+        let writing = shared.clone();
+        std::thread::spawn(move || run(versions, &writing));
+        Ok((KeptRegistry { shared, handed: Cell::new(0), tried: Cell::default() }, kept))
     }
 
     /// Has the registry written if it has changed, or if the disk refused it before; while the disk is busy that waits.
-    pub(super) fn keep(&self, now: Instant, registry: &Registry) {
+    pub(super) fn keep(&self, now: Instant, registry: &Registry, is_whole: bool) {
         let is_due = now.since(self.tried.get()) >= GATHERED_FOR;
-        let is_kept = registry.counter() == self.kept.get() && !self.has_failed.load(Ordering::Relaxed);
-        if is_kept || !is_due {
+        let has_failed = self.shared.has_failed.load(Ordering::Relaxed);
+        let is_handed = registry.counter() == self.handed.get() && !has_failed;
+        if is_handed || !is_due || self.shared.is_busy.load(Ordering::Relaxed) {
             return;
         }
         self.tried.set(now);
-        if self.jobs.try_send(disk::encode(&registry.records())).is_ok() {
-            self.kept.set(registry.counter());
+        drop(self.write(registry, is_whole));
+    }
+
+    /// Has the registry written now unless it is; what comes back is whether it is on the disk.
+    pub(super) fn keep_now(&self, registry: &Registry, is_whole: bool) -> oneshot::Receiver<bool> {
+        if self.shared.written.load(Ordering::Acquire) >= registry.counter() {
+            let (answer, receiver) = oneshot::channel();
+            answer.send(true).ok();
+            return receiver;
         }
+        self.write(registry, is_whole)
+    }
+
+    /// Has the registry written, changed or not.
+    pub(super) fn write(&self, registry: &Registry, is_whole: bool) -> oneshot::Receiver<bool> {
+        let (answer, receiver) = oneshot::channel();
+        let record = disk::encode(&Kept { is_whole, instances: registry.records() });
+        let mut waiting = self.shared.waiting();
+        waiting.record = Some((record, registry.counter()));
+        waiting.answers.push(answer);
+        self.shared.has_work.notify_one();
+        self.handed.set(registry.counter());
+        receiver
     }
 }
 
-fn write(mut versions: Versions<RealFolder>, queue: &mpsc::Receiver<Vec<u8>>, has_failed: &AtomicBool) {
-    while let Ok(record) = queue.recv() {
+fn run(mut versions: Versions<RealFolder>, shared: &Shared) {
+    loop {
+        let (record, counter, answers) = shared.next();
+        shared.is_busy.store(true, Ordering::Relaxed);
         let result = versions.write(&record);
-        let had_failed = has_failed.swap(result.is_err(), Ordering::Relaxed);
-        match result {
+        let had_failed = shared.has_failed.swap(result.is_err(), Ordering::Relaxed);
+        match &result {
             Err(error) if !had_failed => log::warn!("the record of endpoints is not written: {error}"),
             Ok(()) if had_failed => log::info!("the record of endpoints is written again"),
             _ => {}
         }
+        if result.is_ok() {
+            shared.written.store(counter, Ordering::Release);
+        }
+        for answer in answers {
+            // Nobody waits for what is soft.
+            answer.send(result.is_ok()).ok();
+        }
+        shared.is_busy.store(false, Ordering::Relaxed);
     }
 }
--- a/crates/onyxstile-system/src/role/controller/peers.rs
+++ b/crates/onyxstile-system/src/role/controller/peers.rs
@@ -6,14 +6,11 @@
 
 use super::Node;
 use crate::controller::Input;
-use crate::registry::Instance;
 use crate::relays::Relay;
 use crate::role::rpc::Answer;
 use crate::swim::Standing;
 use crate::wire::{Published, Pull, Pulled, Request, Response};
 
-/// How long another controller has to take a registry record.
-const REGISTER_PATIENCE: Duration = Duration::from_millis(700);
 /// The longest that an answer waits for news.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
@@ -25,9 +22,9 @@
                 self.step(Input::Message { from: from.into(), message });
                 Box::pin(std::future::ready(Response::Done))
             }
-            Request::Register(instance) => {
-                self.hold(instance);
-                Box::pin(std::future::ready(Response::Done))
+            Request::Register(instance) => Box::pin(async move { self.hold_for(instance).await }),
+            Request::Drains { origin, counter, wait_ms } => {
+                Box::pin(async move { self.drains(origin, counter, wait_ms).await })
             }
             Request::Pull(pull) => Box::pin(async move { Response::Pulled(self.pulled(pull).await) }),
             Request::Status => Box::pin(std::future::ready(Response::Status(self.status()))),
@@ -35,40 +32,6 @@
         }
     }
 
-    /// Takes a registry record in and wakes those who wait for news.
-    pub(super) fn hold(&self, instance: Instance) {
-        if self.registry.borrow_mut().merge(self.clock.now(), instance) {
-            self.changed.notify_waiters();
-        }
-    }
-
-    /// Has a record held by as many controllers as may be lost, besides this one.
-    pub(super) async fn replicate(&self, instance: &Instance) -> bool {
-        let needed = self.tolerance().losses();
-        let own = self.settings.borrow().ip.octets();
-        let others: Vec<[u8; 4]> = self.electors().into_iter().filter(|ip| *ip != own).collect();
-        let (sender, mut receiver) = tokio::sync::mpsc::unbounded_channel();
-        for ip in others {
-            let (client, sender) = (self.client.clone(), sender.clone());
-            let (to, request) = (self.peer(ip.into()), Request::Register(instance.clone()));
-            tokio::task::spawn_local(async move {
-                let result = client.call(to, &request, REGISTER_PATIENCE).await;
-                // Enough others may have answered before.
-                sender.send(matches!(result, Ok(Response::Done))).ok();
-            });
-        }
-        drop(sender);
-        let mut held = 0;
-        while held < needed {
-            match receiver.recv().await {
-                Some(true) => held += 1,
-                Some(false) => {}
-                None => return false,
-            }
-        }
-        true
-    }
-
     /// Where a standby sends endpoints: an elector that membership holds alive. `None` at an elector, or if none is known.
     pub(super) fn elector_to_ask(&self) -> Option<SocketAddrV4> {
         let controller = self.controller.borrow();
@@ -89,7 +52,8 @@
     }
 
     async fn pulled(&self, pull: Pull) -> Pulled {
-        if pull.synced_epoch > 0 {
+        if !pull.wants_endpoints {
+            // Told also when it is 0: a storage machine that lost its disk takes back what it said before.
             self.synced.borrow_mut().insert(pull.ip, (pull.synced_epoch, self.clock.now()));
         }
         if pull.wants_endpoints {
@@ -123,7 +87,7 @@
             electors: controller
                 .view()
                 .map_or_else(Vec::new, |view| view.electors.iter().map(|id| id.ip).collect()),
-            is_settled: controller.is_settled(),
+            is_settled: controller.is_settled() && self.copies.borrow().is_whole(),
             sequence,
             state: wanted.map(|state| Published {
                 sequence,
@@ -160,7 +124,11 @@
             lines.push(format!("storage epoch {} changing {}", plan.epoch, plan.is_changing()));
             lines.extend(plan.current.iter().map(|node| format!("storage {} {}", node.name, node.address())));
         }
-        lines.push(format!("endpoints ready {}", self.registry.borrow().ready()));
+        lines.push(format!(
+            "endpoints ready {} drains whole {}",
+            self.registry.borrow().ready(),
+            self.copies.borrow().is_whole()
+        ));
         let revision = controller.committed_state().map_or(0, |state| state.revision());
         lines.extend(self.relays.borrow().lines(self.clock.now(), revision));
         lines.extend(self.evidence.borrow().lines(self.clock.now()));
--- a/crates/onyxstile-system/src/wire.rs
+++ b/crates/onyxstile-system/src/wire.rs
@@ -51,6 +51,15 @@
     },
     /// A registry record that is to be held before it is acknowledged.
     Register(Instance),
+    /// Endpoints that leave, as another controller knows them.
+    Drains {
+        /// The life that the counter belongs to.
+        origin: u64,
+        /// The newest change of that registry that the sender has dealt with.
+        counter: u64,
+        /// How long the answer may wait for news, in ms.
+        wait_ms: u64,
+    },
     /// News of the control state and of endpoints.
     Pull(Pull),
     /// What the controller knows, for an operator.
@@ -104,6 +113,17 @@
     Refused,
     /// The sender goes by an older storage epoch than this.
     Stale(u64),
+    /// Endpoints that leave and changed.
+    Drains {
+        /// The life that the counter belongs to.
+        origin: u64,
+        /// The newest change of the registry.
+        counter: u64,
+        /// Whether the controller holds every drain that was acknowledged.
+        is_whole: bool,
+        /// Their records.
+        leaving: Vec<Instance>,
+    },
     /// News.
     Pulled(Pulled),
     /// The claims of a program, the new one among them.
--- a/crates/onyxstile-system/tests/configuration.rs
+++ b/crates/onyxstile-system/tests/configuration.rs
@@ -4,7 +4,7 @@
 
 use expect_test::expect;
 use onyxstile_system::configuration::{RouteType, parse};
-use onyxstile_system::control::{ControlState, Operation, Outcome};
+use onyxstile_system::control::{ControlState, Operation, Outcome, REMEMBERED_CHANGES};
 use onyxstile_system::controller::{Evaluation, evaluate};
 use onyxstile_system::tolerance::Tolerance;
 
@@ -83,14 +83,22 @@
     assert_eq!(configuration.routes["a.example"][0].route_type, RouteType::Idempotent);
 }
 
+fn put(state: &ControlState, base: u64, body: &str) -> Evaluation {
+    let operation = Operation::PutConfiguration { base: Some(base), body: Rc::new(body.as_bytes().to_vec()) };
+    evaluate(state, &operation, Tolerance::of_machines(1))
+}
+
+/// The state after a change that is taken.
+fn taken(state: &ControlState, base: u64, body: &str) -> ControlState {
+    let Evaluation::Write(change) = put(state, base, body) else { panic!("is written") };
+    let mut next = state.clone();
+    assert!(next.apply(&state.write(change)));
+    next
+}
+
 #[test]
 fn only_a_valid_change_on_the_newest_version_is_written() {
-    let put = |state: &ControlState, base: u64, body: &str| {
-        let operation =
-            Operation::PutConfiguration { base: Some(base), body: Rc::new(body.as_bytes().to_vec()) };
-        evaluate(state, &operation, Tolerance::of_machines(1))
-    };
-    let Evaluation::Write(first) = put(&ControlState::default(), 0, &good(2)) else { panic!("is written") };
+    let first = taken(&ControlState::default(), 0, &good(2));
     assert_eq!((first.sequence, first.revision()), (1, 2));
     assert_eq!(put(&first, 0, &good(2)), Evaluation::TakenBefore);
     assert_eq!(put(&first, 0, &good(3)), Evaluation::Answer(Outcome::Conflict(2)));
@@ -98,7 +106,42 @@
         let answer = put(&first, 2, &good(revision));
         assert!(matches!(answer, Evaluation::Answer(Outcome::Invalid(_))), "revision {revision}: {answer:?}");
     }
-    let Evaluation::Write(second) = put(&first, 2, &good(9)) else { panic!("is written") };
+    let second = taken(&first, 2, &good(9));
     assert_eq!(put(&second, 0, &good(2)), Evaluation::TakenBefore, "also when it has been replaced");
     assert_eq!(second.configuration.as_ref().map(|held| held.body.clone()), Some(good(9).into_bytes()));
+    assert!(matches!(put(&second, 9, &good(9)), Evaluation::Answer(Outcome::Invalid(_))), "on another base");
+}
+
+/// A version may be on its way to whoever sends the next one; that next one, refused and then late, would come into force.
+#[test]
+fn a_change_on_a_version_that_is_not_known_yet_is_left_without_a_clear_answer() {
+    let first = taken(&ControlState::default(), 0, &good(2));
+    assert_eq!(put(&first, 7, &good(9)), Evaluation::Answer(Outcome::Unknown));
+}
+
+#[test]
+fn a_change_that_was_taken_is_never_refused_however_many_followed() {
+    let mut state = taken(&ControlState::default(), 0, &good(1));
+    for base in 1..=REMEMBERED_CHANGES as u64 {
+        state = taken(&state, base, &good(base + 1));
+    }
+    let current = state.revision();
+    assert_eq!(state.accepted.len(), REMEMBERED_CHANGES);
+    assert_eq!(put(&state, 0, &good(1)), Evaluation::Answer(Outcome::Unknown), "forgotten");
+    assert_eq!(put(&state, 1, &good(2)), Evaluation::TakenBefore);
+    assert_eq!(put(&state, 1, &good(current + 1)), Evaluation::Answer(Outcome::Conflict(current)));
+}
+
+#[test]
+fn a_write_is_made_only_to_the_state_that_it_follows() {
+    let first = taken(&ControlState::default(), 0, &good(2));
+    let other = taken(&ControlState::default(), 0, &good(3));
+    let Evaluation::Write(change) = put(&first, 2, &good(9)) else { panic!("is written") };
+    let write = first.write(change);
+    let mut target = other.clone();
+    assert!(!target.apply(&write), "one sequence, other writes");
+    assert_eq!(target, other);
+    let mut later = first.clone();
+    assert!(later.apply(&write));
+    assert!(!later.apply(&write), "made before");
 }
--- a/crates/onyxstile-system/tests/control_model.rs
+++ b/crates/onyxstile-system/tests/control_model.rs
@@ -199,7 +199,12 @@
                 Effect::Persist(durable) if flaw != Flaw::UnsyncedVotes => {
                     self.disks[machine] = (*durable).clone()
                 }
-                Effect::Persist(_) | Effect::Send { message: Message::Status { .. }, .. } => {}
+                Effect::Append { write, .. } if flaw != Flaw::UnsyncedVotes => {
+                    assert!(self.disks[machine].state.apply(&write), "follows what is on the disk");
+                }
+                Effect::Persist(_)
+                | Effect::Append { .. }
+                | Effect::Send { message: Message::Status { .. }, .. } => {}
                 Effect::Send { to, message } => self.send(machine, index(to), message, flaw),
                 Effect::Reply { number, outcome: Outcome::Done } => self.acknowledged.push(number),
                 Effect::Reply { .. } => {}
@@ -208,8 +213,8 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: Message, flaw: Flaw) {
-        if let (Message::Apply { view, state }, Flaw::HeadAcknowledges) = (&message, flaw) {
-            let forged = Message::Applied { view: *view, sequence: state.sequence };
+        if let (Message::Apply { view, written }, Flaw::HeadAcknowledges) = (&message, flaw) {
+            let forged = Message::Applied { view: *view, sequence: written.sequence() };
             self.channels.entry((to, from)).or_default().push_back(forged);
         }
         self.channels.entry((from, to)).or_default().push_back(message);
--- /dev/null
+++ b/crates/onyxstile-system/tests/control_record.rs
@@ -0,0 +1,175 @@
+//! What a controller has on its disk, through losses of power, and what one change costs it.
+
+mod support;
+
+use std::rc::Rc;
+
+use onyxstile_system::control::{
+    AcceptedChange, Change, ControlState, Durable, Message, StoredConfiguration, View, Write, Written,
+};
+use onyxstile_system::controller::Controller;
+use onyxstile_system::disk::{ControlRecord, Folder};
+use onyxstile_system::wire;
+use rand_pcg::Pcg64Mcg;
+use support::address;
+use support::memory_folder::MemoryFolder;
+
+fn change(revision: u64, bytes: usize) -> Change {
+    Change::Configuration {
+        configuration: Rc::new(StoredConfiguration { revision, body: vec![b'x'; bytes] }),
+        accepted: AcceptedChange { base: revision - 1, digest: revision.into() },
+    }
+}
+
+fn founder() -> Durable {
+    let seeds = [address(1), address(2), address(3)];
+    Controller::bootstrap(address(1), &seeds)
+}
+
+fn open(folder: &MemoryFolder) -> (ControlRecord<MemoryFolder>, Option<Durable>) {
+    ControlRecord::open(folder.clone(), folder.clone()).expect("opens")
+}
+
+/// Makes the next write and returns it.
+fn next(durable: &mut Durable, bytes: usize) -> Write {
+    let write = durable.state.write(change(durable.state.sequence + 1, bytes));
+    assert!(durable.state.apply(&write));
+    write
+}
+
+#[test]
+fn a_write_outlasts_a_loss_of_power_at_any_later_call() {
+    for seed in 0..600u64 {
+        let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+        let folder = MemoryFolder::default();
+        let mut durable = founder();
+        let (mut record, none) = open(&folder);
+        assert!(none.is_none());
+        record.save(&durable).expect("is saved");
+        folder.fail_power_at(1 + seed % 150);
+        let mut written = durable.clone();
+        loop {
+            let write = next(&mut durable, 30_000);
+            if record.append(1, &write).is_err() {
+                break;
+            }
+            written = durable.clone();
+            if record.is_due() && record.save(&durable).is_err() {
+                break;
+            }
+        }
+        folder.restore_power(&mut random);
+        let (_, held) = open(&folder);
+        let held = held.expect("a record");
+        assert!(held == written || held == durable, "seed {seed}: {} written", written.state.sequence);
+    }
+}
+
+#[test]
+fn a_write_of_an_earlier_view_is_not_made_after_a_restart() {
+    let folder = MemoryFolder::default();
+    let mut durable = founder();
+    let (mut record, _) = open(&folder);
+    record.save(&durable).expect("is saved");
+    let lost = next(&mut durable, 10);
+    record.append(1, &lost).expect("is written");
+    // The next view begins without it: it was never acknowledged.
+    let view = durable.view.clone().expect("a view");
+    let later = View { number: 2, ..(*view).clone() };
+    let begun = Durable { state: later.state.clone(), view: Some(Rc::new(later)), ..founder() };
+    record.save(&begun).expect("is saved");
+    // Its file comes back with a loss of power.
+    let mut other = folder.clone();
+    let mut bytes = Vec::new();
+    let source = MemoryFolder::default();
+    let (mut copy, _) = open(&source);
+    copy.append(1, &lost).expect("is written");
+    bytes.extend(source.read("write-0").expect("is there"));
+    other.append("write-77", &bytes).expect("is written");
+    assert_eq!(open(&folder).1, Some(begun));
+}
+
+#[test]
+fn a_snapshot_that_is_torn_or_foreign_is_refused_by_its_name_and_no_older_one_is_taken() {
+    for spoilt in [&b"short"[..], &[0; 4000]] {
+        let mut folder = MemoryFolder::default();
+        let (mut record, _) = open(&folder);
+        record.save(&founder()).expect("is saved");
+        folder.append("version-9", spoilt).expect("is written");
+        let error = ControlRecord::open(folder.clone(), folder.clone()).err().expect("is refused");
+        assert!(error.to_string().contains("version-9"), "{error}");
+        ControlRecord::discard(&mut folder).expect("is removed");
+        assert!(open(&folder).1.is_none());
+    }
+}
+
+/// One change of 1 KB after 9,000 others costs its own size and some bytes, on the disk and on the wire, whatever the state
+/// holds; the state itself was written with each change before (24 bytes for each change remembered, up to three times).
+#[test]
+fn a_change_costs_its_own_size_however_many_went_before() {
+    let folder = MemoryFolder::default();
+    let mut durable = founder();
+    let (mut record, _) = open(&folder);
+    for _ in 0..9_000 {
+        next(&mut durable, 100);
+    }
+    record.save(&durable).expect("is saved");
+    let write = next(&mut durable, 1024);
+    record.append(1, &write).expect("is written");
+    let on_disk = folder.read("write-0").expect("is there").len();
+    let apply = Message::Apply { view: 1, written: Written::Write(Rc::new(write)) };
+    let on_wire = wire::encode(&apply).len();
+    println!("1,024 bytes: {on_disk} on disk, {on_wire} on the wire, state {}", durable.state.bytes());
+    assert!(on_disk < 1024 + 200, "{on_disk} on disk");
+    assert!(on_wire < 1024 + 200, "{on_wire} on the wire");
+}
+
+/// Snapshots are so rare that all that is written for many small changes stays within a few times their own size.
+#[test]
+fn snapshots_do_not_make_changes_dear() {
+    let folder = MemoryFolder::default();
+    let mut durable = founder();
+    let (mut record, _) = open(&folder);
+    for _ in 0..9_000 {
+        next(&mut durable, 100);
+    }
+    record.save(&durable).expect("is saved");
+    let snapshot = |folder: &MemoryFolder| -> usize {
+        let names = folder.list().expect("is listed");
+        names
+            .iter()
+            .filter(|name| name.starts_with("version-"))
+            .map(|name| folder.read(name).expect("is read").len())
+            .sum()
+    };
+    let (mut own, mut written) = (0, 0);
+    for _ in 0..1_000 {
+        let write = next(&mut durable, 1024);
+        own += 1024;
+        record.append(1, &write).expect("is written");
+        written += 1024 + 100;
+        if record.is_due() {
+            record.save(&durable).expect("is saved");
+            written += snapshot(&folder);
+        }
+    }
+    println!("{own} bytes of changes, {written} written");
+    assert!(written < 5 * own, "{written} bytes written for {own}");
+    assert!(folder.list().expect("is listed").len() < 300, "files of writes are removed");
+}
+
+/// A member that missed 1,000 changes gets one snapshot: the largest configuration and 8,192 remembered changes.
+#[test]
+fn what_a_member_that_missed_a_thousand_changes_is_sent_fits_a_frame() {
+    let mut state = ControlState::default();
+    for _ in 0..9_000 {
+        let write = state.write(change(state.sequence + 1, 10));
+        assert!(state.apply(&write));
+    }
+    let write = state.write(change(9_001, 8 * 1024 * 1024));
+    assert!(state.apply(&write));
+    let view = View { state, ..(*founder().view.expect("a view")).clone() };
+    let bytes = wire::encode(&Message::Installed(Rc::new(view))).len();
+    println!("a snapshot of {bytes} bytes");
+    assert!(bytes < wire::FRAME_MAX / 3, "{bytes} bytes");
+}
--- a/crates/onyxstile-system/tests/decoders.rs
+++ b/crates/onyxstile-system/tests/decoders.rs
@@ -274,8 +274,10 @@
         let mut folder = MemoryFolder::default();
         folder.append("version-4", bytes).expect("is written");
         folder.append("version-x", bytes).expect("is written");
-        let (_, version) = Versions::open(folder, "version").expect("opens");
-        assert!(version.is_none_or(|version| version == record));
+        match Versions::open(folder, "version") {
+            Ok((_, version)) => assert_eq!(version, Some(record.clone())),
+            Err(error) => assert!(error.to_string().contains("version-4"), "{error}"),
+        }
     });
 }
 
--- a/crates/onyxstile-system/tests/drain_histories.rs
+++ b/crates/onyxstile-system/tests/drain_histories.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use onyxstile_system::clock::Instant;
-use onyxstile_system::registry::{Instance, Registry, Stage};
+use onyxstile_system::registry::{Copies, Instance, Registry, Stage, holders_needed};
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 
@@ -52,6 +52,8 @@
     tolerated: usize,
     lives: u64,
     violations: Vec<String>,
+    /// Whether controllers pull drains from each other.
+    is_exchanging: bool,
 }
 
 impl World {
@@ -70,6 +72,7 @@
             tolerated,
             lives: 100,
             violations: Vec::new(),
+            is_exchanging: true,
         }
     }
 
@@ -100,8 +103,27 @@
         }
         let others: Vec<usize> =
             (0..self.controllers.len()).filter(|index| *index != first && self.is_up(*index)).collect();
-        for index in others.into_iter().take(self.tolerated) {
-            self.controllers[index].registry.merge(now, instance(stage, sequence));
+        let needed = holders_needed(self.controllers.len(), self.tolerated);
+        for index in others.into_iter().take(needed).chain([first]) {
+            let controller = &mut self.controllers[index];
+            controller.registry.merge(now, instance(stage, sequence));
+            // A drain is on the disk before it is acknowledged.
+            controller.kept = controller.registry.records();
+        }
+    }
+
+    /// Each controller that is up pulls the drains of one other.
+    fn exchange(&mut self) {
+        let now = Instant::from_millis(self.now);
+        for index in 0..self.controllers.len() {
+            let from = self.roll(self.controllers.len());
+            if from == index || !self.is_up(index) || !self.is_up(from) || self.roll(5) == 0 {
+                continue;
+            }
+            let leaving = self.controllers[from].registry.leaving_since(0, 0);
+            leaving.into_iter().for_each(|instance| {
+                self.controllers[index].registry.merge(now, instance);
+            });
         }
     }
 
@@ -111,14 +133,21 @@
         if lost >= self.tolerated || self.controllers[index].lost_until > self.now {
             return;
         }
+        let is_wiped = self.roll(3) == 0;
+        self.stop(index, is_wiped);
+    }
+
+    /// Ends a controller's process for a while, its disk lost or not.
+    fn stop(&mut self, index: usize, is_wiped: bool) {
         let down = 200 + self.roll(1500) as u64;
         self.lives += 1;
-        let (now, is_wiped) = (self.now, self.roll(3) == 0);
+        let now = self.now;
         let controller = &mut self.controllers[index];
         controller.registry = Registry::new(self.lives, Duration::from_millis(HEARTBEAT));
-        if !is_wiped {
-            controller.registry.restore(Instant::from_millis(now + down), controller.kept.clone());
+        if is_wiped {
+            controller.kept.clear();
         }
+        controller.registry.restore(Instant::from_millis(now + down), controller.kept.clone());
         controller.down_until = now + down;
         controller.lost_until = now + down + CATCH_UP;
     }
@@ -170,18 +199,11 @@
             let index = self.roll(self.controllers.len());
             self.lose(index);
         }
-        if self.now.is_multiple_of(240) {
-            let index = self.roll(self.controllers.len());
-            self.controllers[index].kept = self.controllers[index].registry.records();
-        }
-        if self.now.is_multiple_of(POLL) {
-            (0..self.relays.len()).for_each(|number| self.poll(number));
-        }
+        self.go_on();
         if self.roll(150) == 0 {
             // A relay that starts anew is ready only once it has heard a majority.
             let number = self.roll(self.relays.len());
-            self.relays[number] = Relay::default();
-            (0..4).for_each(|_| self.poll(number));
+            self.restart_relay(number);
         }
         if acknowledged.is_some_and(|at| self.now > at + DRAIN_BOUND) {
             let behind = self.relays.iter().filter(|relay| relay.stage == Some(Stage::Ready)).count();
@@ -190,6 +212,50 @@
             }
         }
     }
+
+    fn restart_relay(&mut self, number: usize) {
+        self.relays[number] = Relay::default();
+        (0..4).for_each(|_| self.poll(number));
+    }
+
+    /// What happens all the while: records go to disks, relays poll, controllers pull.
+    fn go_on(&mut self) {
+        if self.now.is_multiple_of(240) {
+            let index = self.roll(self.controllers.len());
+            self.controllers[index].kept = self.controllers[index].registry.records();
+        }
+        if self.now.is_multiple_of(POLL) {
+            (0..self.relays.len()).for_each(|number| self.poll(number));
+        }
+        if self.is_exchanging && self.now.is_multiple_of(100) {
+            self.exchange();
+        }
+    }
+
+    fn pass(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / 20 {
+            self.now += 20;
+            self.go_on();
+        }
+    }
+}
+
+/// An endpoint says once that it has left; then controllers lose their disks in turn, each after the one before has caught
+/// up. What a relay that starts after that takes the endpoint for.
+fn after_wipes_in_turn(seed: u64, is_exchanging: bool) -> Option<Stage> {
+    let mut world = World { is_exchanging, ..World::new(3, 1, seed) };
+    for sequence in 1..=8 {
+        world.pass(200);
+        world.heartbeat(Stage::Ready, sequence, true);
+    }
+    world.heartbeat(Stage::Gone, 9, true);
+    let first = world.roll(3);
+    for index in [first, (first + 1) % 3] {
+        world.stop(index, true);
+        world.pass(1700 + CATCH_UP);
+    }
+    world.restart_relay(0);
+    world.relays[0].stage
 }
 
 fn broken(count: usize, tolerated: usize, is_replicated: bool, seeds: u64) -> Vec<String> {
@@ -211,3 +277,56 @@
 fn the_checker_catches_a_drain_that_only_one_controller_holds() {
     assert!(!broken(3, 1, false, 400).is_empty());
 }
+
+#[test]
+fn a_drain_outlasts_the_wipe_of_one_that_holds_it_and_then_of_the_other() {
+    for seed in 0..400 {
+        let stage = after_wipes_in_turn(seed, true);
+        assert!(stage.is_none_or(|stage| stage == Stage::Gone), "seed {seed}: {stage:?}");
+    }
+}
+
+#[test]
+fn the_checker_catches_controllers_that_pull_nothing_from_each_other() {
+    assert!((0..400).any(|seed| after_wipes_in_turn(seed, false) == Some(Stage::Ready)));
+}
+
+const ELECTORS: [[u8; 4]; 6] =
+    [[10, 0, 0, 1], [10, 0, 0, 2], [10, 0, 0, 3], [10, 0, 0, 4], [10, 0, 0, 5], [10, 0, 0, 6]];
+
+#[test]
+fn a_controller_that_lost_its_disk_counts_once_it_has_pulled_from_both_others() {
+    let electors = &ELECTORS[..3];
+    let mut copies = Copies::new(false);
+    assert!(!copies.review(ELECTORS[0], electors));
+    copies.pulled(ELECTORS[1], true);
+    assert!(!copies.review(ELECTORS[0], electors), "the other may hold the only copy");
+    copies.pulled(ELECTORS[2], true);
+    assert!(copies.review(ELECTORS[0], electors));
+    assert!(copies.is_whole());
+}
+
+#[test]
+fn controllers_that_join_together_do_not_wait_for_each_other() {
+    let mut copies = Copies::new(false);
+    ELECTORS[3..5].iter().for_each(|newcomer| copies.pulled(*newcomer, false));
+    copies.pulled(ELECTORS[0], true);
+    assert!(!copies.review(ELECTORS[5], &ELECTORS));
+    copies.pulled(ELECTORS[1], true);
+    copies.pulled(ELECTORS[2], true);
+    assert!(copies.review(ELECTORS[5], &ELECTORS));
+    assert!(!Copies::new(false).review([9, 9, 9, 9], &ELECTORS), "whoever is no elector holds nothing yet");
+}
+
+/// Whoever hears a majority of the electors hears one that holds the drain, as many lost as may be.
+#[test]
+fn every_majority_meets_a_holder() {
+    for electors in 1..=9usize {
+        for losses in 0..=electors / 2 {
+            let holders = 1 + holders_needed(electors, losses);
+            let majority = electors / 2 + 1;
+            assert!(holders + majority > electors, "{electors} electors");
+            assert!(holders > losses);
+        }
+    }
+}
--- a/crates/onyxstile-system/tests/support/control_world.rs
+++ b/crates/onyxstile-system/tests/support/control_world.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use onyxstile_system::clock::Instant;
-use onyxstile_system::control::{Durable, ElectorId, Life, Message, Operation, Outcome};
+use onyxstile_system::control::{Durable, ElectorId, Life, Message, Operation, Outcome, Write};
 use onyxstile_system::controller::{Controller, Effect, Input};
 use onyxstile_system::tolerance::{Place, Tolerance};
 use rand_core::RngCore;
@@ -428,6 +428,7 @@
         for effect in effects {
             match effect {
                 Effect::Persist(durable) => self.persist(ip, &durable),
+                Effect::Append { view, write } => self.append(ip, view, &write),
                 Effect::Send { to, message } => self.send(ip, to, message),
                 Effect::Reply { number, outcome } => self.reply(ip, number, outcome),
             }
@@ -443,6 +444,19 @@
         }
     }
 
+    fn append(&mut self, ip: Ipv4Addr, view: u64, write: &Write) {
+        if self.flaw == Flaw::UnsyncedVotes && self.roll(3) > 0 {
+            return;
+        }
+        let Some(machine) = self.machines.get_mut(&ip) else { return };
+        let is_in_view = machine.disk.view.as_ref().is_some_and(|held| held.number == view);
+        let is_made = is_in_view && machine.disk.state.apply(write);
+        if !is_made && self.flaw == Flaw::None {
+            self.violations
+                .push(format!("{}: a write that does not follow what {ip} has on its disk", self.now));
+        }
+    }
+
     fn send(&mut self, from: Ipv4Addr, to: Ipv4Addr, message: Message) {
         match (&message, self.flaw) {
             (Message::Confirm { view, life, nonce }, Flaw::UncheckedReads) => {
@@ -453,8 +467,8 @@
                 // Forged by the world, so it comes even through a cut.
                 return;
             }
-            (Message::Apply { view, state }, Flaw::HeadAcknowledges) => {
-                let forged = Message::Applied { view: *view, sequence: state.sequence };
+            (Message::Apply { view, written }, Flaw::HeadAcknowledges) => {
+                let forged = Message::Applied { view: *view, sequence: written.sequence() };
                 self.queue(to, from, forged, 1);
             }
             _ => {}
