--- a/crates/onyxstile-system/src/program/repair.rs
+++ b/crates/onyxstile-system/src/program/repair.rs
@@ -37,7 +37,8 @@
     complete_epoch: u64,
     /// The epoch for which that machine was synced when all its changes had been dealt with by that epoch.
     synced_epoch: u64,
-    answered: Option<Instant>,
+    /// When it answered last as one that is whole.
+    answered_whole: Option<Instant>,
 }
 
 /// One answer about the changes at another machine, once everything in it has been copied.
@@ -107,7 +108,9 @@
     /// Notes an answer that followed a question with `before`.
     pub fn note(&mut self, now: Instant, ip: Ipv4Addr, before: Source, copied: Copied, epoch: u64) {
         let source = self.sources.entry(ip).or_default();
-        source.answered = Some(now);
+        if copied.is_whole {
+            source.answered_whole = Some(now);
+        }
         let was_reset = source.origin != before.origin || source.counter != before.counter;
         if was_reset || copied.looked_by != epoch {
             // A plan came in between; the answer was looked at by the old one.
@@ -143,8 +146,9 @@
         let has_copied_current = self.has_copied_current(own, plan, tolerance);
         let is_whole =
             is_whole || has_copied_current || tolerance.covers(&with_own_loss(&missing, settled, own));
+        // One that holds nothing itself is not waited for: it may wait for this machine, or be about to leave for good.
         let is_reachable = |node: &&StorageNode| {
-            let answered = self.sources.get(&node.address()).and_then(|source| source.answered);
+            let answered = self.sources.get(&node.address()).and_then(|source| source.answered_whole);
             answered.is_some_and(|at| now.since(at) < OUT_OF_REACH)
         };
         let has_copied_settled =
--- a/crates/onyxstile-system/src/storage_plan.rs
+++ b/crates/onyxstile-system/src/storage_plan.rs
@@ -217,11 +217,14 @@
             let Some(dead_for) = seen.dead_for else { continue };
             // Where a successor is there, the loss of the dead one soon counts no more, and another may follow.
             let has_successor = target.len() > self.size as usize;
-            let patience = if has_successor { REPLACE_AFTER } else { DROP_AFTER };
-            // One that no change has filled yet may always be taken out again.
+            // One that no change has filled yet is taken out again as soon: as a member that holds nothing it would be a loss
+            // that nobody counts.
             let is_unfilled = self.is_changing() && !self.previous.contains(&seen.node);
+            let patience = if has_successor || is_unfilled { REPLACE_AFTER } else { DROP_AFTER };
             let rest: Vec<StorageNode> = target.iter().filter(|node| **node != seen.node).cloned().collect();
-            if dead_for >= patience && (may_shrink(&target, &rest, tolerance) || is_unfilled) {
+            let may_go =
+                may_shrink(&target, &rest, tolerance) || (is_unfilled && rest.len() > tolerance.losses());
+            if dead_for >= patience && may_go {
                 target = rest;
             }
         }
@@ -229,14 +232,14 @@
         target
     }
 
-    /// Whether a change is under way and may end: all current members are synced but for dead ones that may be lost, and for
-    /// none as long as a member that leaves is there to be asked.
+    /// Whether a change is under way and may end: all current members are synced but for dead ones of those before that may be
+    /// lost, and for none as long as a member that leaves is there to be asked.
     fn is_synced(&self, observed: &[Observed], tolerance: Tolerance) -> bool {
         let mut missing = Vec::new();
         for node in self.current.iter().filter(|node| !self.has_synced(node, observed)) {
             let seen = observed.iter().find(|seen| seen.node == *node);
             let is_dead = seen.is_none_or(|seen| seen.dead_for.is_some_and(|time| time >= SYNC_WAIT));
-            if !is_dead {
+            if !is_dead || !self.previous.contains(node) {
                 return false;
             }
             missing.push(&node.place);
--- a/crates/onyxstile-system/tests/support/control_world.rs
+++ b/crates/onyxstile-system/tests/support/control_world.rs
@@ -250,6 +250,7 @@
                 });
             }
         }
+        self.calm_since = self.now;
         self.kill(ip, for_ms);
     }
 
--- a/crates/onyxstile-system/tests/support/tier_world.rs
+++ b/crates/onyxstile-system/tests/support/tier_world.rs
@@ -29,6 +29,8 @@
 /// Relays; all but the first hear of a newer plan once in a long time.
 const RELAYS: usize = 3;
 const LATE: u32 = 400;
+/// Of so many steps a storage machine asks another for changes in one, as a rule.
+pub const COPIES_ONE_IN: u32 = 3;
 /// Numbers of storage machines begin here.
 const FIRST_STORE: u8 = 101;
 /// The budget of each program, in tokens.
@@ -162,7 +164,7 @@
             next_life: 0,
             planned_at: 0,
             calm_since: 0,
-            copies_one_in: 3,
+            copies_one_in: COPIES_ONE_IN,
             seen: BTreeMap::new(),
         };
         for _ in 0..stores {
@@ -223,6 +225,7 @@
         if let Some(store) = self.stores.get_mut(&ip) {
             store.lose_disk();
         }
+        self.calm_since = self.now();
         self.kill_store(ip, for_ms);
     }
 
@@ -737,7 +740,9 @@
 
     fn watch_calm(&mut self) {
         let now = self.now();
-        if !self.stores.values().all(|store| store.is_in_touch(now)) {
+        // Machines that copy so slowly are not back.
+        let is_slow = self.copies_one_in > COPIES_ONE_IN;
+        if is_slow || !self.stores.values().all(|store| store.is_in_touch(now)) {
             self.calm_since = now;
         }
         // Disks count as lost until all machines have been in touch for the time that a return takes.
--- a/crates/onyxstile-system/tests/tier_histories.rs
+++ b/crates/onyxstile-system/tests/tier_histories.rs
@@ -5,7 +5,7 @@
 
 use support::control_world::CATCH_UP;
 use support::store_world::StoreFlaw;
-use support::tier_world::Tier;
+use support::tier_world::{COPIES_ONE_IN, Tier};
 
 fn variable(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
@@ -164,7 +164,7 @@
     if tier.disks_lost() < 1 {
         tier.wipe_store(members[2], 100);
     }
-    tier.copies_one_in = 3;
+    tier.copies_one_in = COPIES_ONE_IN;
     follow(tier);
 }
 
