--- a/crates/onyxstile-system/src/controller.rs
+++ b/crates/onyxstile-system/src/controller.rs
@@ -13,6 +13,7 @@
 mod chain;
 mod events;
 mod founding;
+mod help;
 mod membership;
 mod operations;
 mod timers;
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -4,6 +4,7 @@
 mod drains;
 mod effects;
 mod kept_registry;
+mod opening;
 mod peers;
 mod planner;
 
@@ -11,7 +12,6 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +34,7 @@
 use crate::tolerance::{Place, Tolerance};
 use crate::wire::Request;
 use kept_registry::KeptRegistry;
+use opening::open_record;
 
 /// How often the state machine's clock is looked at.
 const TICK: Duration = Duration::from_millis(25);
@@ -103,6 +104,10 @@
     // At the first start of the whole system there is nothing to be copied.
     let is_first_start = node.settings.borrow().bootstrap;
     *node.copies.borrow_mut() = Copies::new(kept.is_whole || is_first_start);
+    if is_first_start && !kept.is_whole {
+        // So that a kill of all controllers before the first endpoint leaves none that knows it.
+        drop(node.kept_registry.write(&node.registry.borrow(), true));
+    }
     log::info!("controller {} listens at {control}", node.settings.borrow().node_name);
     let (answering, asked) = (node.clone(), node.clone());
     tokio::select! {
@@ -118,30 +123,6 @@
     Ok(())
 }
 
-/// What the disk holds. A record that can't be read counts as a lost disk: its votes are forgotten, so it is another elector.
-fn open_record(settings: &Settings, data: &Path) -> io::Result<(ControlRecord<RealFolder>, Durable)> {
-    let open = || ControlRecord::open(RealFolder::open(data.into())?, RealFolder::open(data.into())?);
-    let mut may_found = settings.bootstrap;
-    let (mut record, held) = match open() {
-        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-            log::error!("{error}: this disk counts as lost");
-            ControlRecord::discard(&mut RealFolder::open(data.into())?)?;
-            may_found = false;
-            open()?
-        }
-        opened => opened?,
-    };
-    if let Some(durable) = held {
-        return Ok((record, durable));
-    }
-    let seeds = settings.seed_addresses();
-    let is_founder = may_found && seeds.contains(&settings.ip);
-    let durable =
-        if is_founder { Controller::bootstrap(settings.ip, &seeds) } else { Controller::empty(random_id()) };
-    record.save(&durable)?;
-    Ok((record, durable))
-}
-
 impl Node {
     fn new(
         settings: Settings, clock: SteadyClock, durable: Durable, swim: Shared,
