--- a/crates/onyxstile-system/src/role/subscription.rs
+++ b/crates/onyxstile-system/src/role/subscription.rs
@@ -19,7 +19,7 @@
 
 /// Time beyond the wait that a controller has to answer.
 const PATIENCE: Duration = Duration::from_millis(700);
-/// Pause after a poll that failed.
+/// Pause after a poll that failed, or that a controller answered which is not sure of what it holds.
 const PAUSE: Duration = Duration::from_millis(150);
 /// The same as long as no majority has been heard: then all controllers may be about to return.
 const PAUSE_ALONE: Duration = Duration::from_millis(40);
@@ -106,11 +106,17 @@
             let pull = self.question(controller, false);
             let patience = Duration::from_millis(pull.wait_ms) + PATIENCE;
             match self.client.call(to, &Request::Pull(pull), patience).await {
-                Ok(Response::Pulled(pulled)) => self.take(controller, to, pulled).await,
+                Ok(Response::Pulled(pulled)) => {
+                    self.take(controller, to, pulled).await;
+                    // One that is not sure of what it holds answers at once.
+                    let is_heard = self.state.borrow().heard.contains(&controller);
+                    if !is_heard {
+                        self.pause().await;
+                    }
+                }
                 Ok(_) | Err(_) => {
                     self.state.borrow_mut().heard.remove(&controller);
-                    let hears_majority = self.hears_majority(&self.state.borrow());
-                    tokio::time::sleep(if hears_majority { PAUSE } else { PAUSE_ALONE }).await;
+                    self.pause().await;
                 }
             }
         }
@@ -120,6 +126,11 @@
         state.relays.remove(&controller);
     }
 
+    async fn pause(&self) {
+        let hears_majority = self.hears_majority(&self.state.borrow());
+        tokio::time::sleep(if hears_majority { PAUSE } else { PAUSE_ALONE }).await;
+    }
+
     fn question(&self, controller: Ipv4Addr, wants_state: bool) -> Pull {
         let settings = self.settings.borrow();
         let state = self.state.borrow();
