Start with a spoilt record of endpoints, and make no write that a crash left

Two faults of this change, found by reading it again. A torn registry record ended the controller at each start ("data_dir ... registry-3 is torn or none of ours"), though its comment says that it counts as lost: an older version is no longer taken, and only the control record knew what to do then. open_or_discard now serves both.

--- a/crates/onyxstile-system/src/disk.rs
+++ b/crates/onyxstile-system/src/disk.rs
@@ -1,7 +1,8 @@
 //! Files: versions of one record, and a log of records, both on a folder that may lose what was not synced.
 //!
 //! [`Versions`] keeps one file a version, written aside, synced and renamed, on the trait [`Folder`], whose contract a
-//! simulated folder with losses of power has to pass as well. [`ControlRecord`] adds a file a write. [`RecordLog`] keeps many records on `onyxstile-store`.
+//! simulated folder with losses of power has to pass as well. [`ControlRecord`] adds a file a write. [`RecordLog`] keeps
+//! many records on `onyxstile-store`.
 
 mod control_record;
 mod folder;
--- a/crates/onyxstile-system/src/disk/control_record.rs
+++ b/crates/onyxstile-system/src/disk/control_record.rs
@@ -5,12 +5,12 @@
 //! itself which view and which state it belongs to; whatever does not follow the newest snapshot is of the past.
 
 use std::io;
+use std::rc::Rc;
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
 use super::{Folder, Versions, decode, encode, seal, unseal};
 use crate::control::{Ballot, ControlState, Durable, View, Write};
-use std::rc::Rc;
 
 /// The name of the snapshots.
 const SNAPSHOT: &str = "version";
@@ -80,7 +80,13 @@
         let snapshot_bytes = held.as_ref().map_or(0, Vec::len);
         let mut record =
             ControlRecord { versions, folder, next: 0, snapshot_bytes, logged_bytes: 0, logged: 0 };
-        let Some(bytes) = held else { return Ok((record, None)) };
+        let Some(bytes) = held else {
+            // Writes without a snapshot are what a crash left of one that was being discarded: they follow nothing.
+            if !record.writes()?.is_empty() {
+                ControlRecord::discard(&mut record.folder)?;
+            }
+            return Ok((record, None));
+        };
         let unreadable = |error| {
             io::Error::new(io::ErrorKind::InvalidData, format!("{}: {error}", record.versions.newest_file()))
         };
@@ -92,12 +98,10 @@
 
     /// Removes what can't be read; the disk is then as if it had been empty.
     pub fn discard(folder: &mut F) -> io::Result<()> {
-        for file in folder.list()? {
-            if file.starts_with(WRITE) || file.starts_with(SNAPSHOT) {
-                folder.remove(&file)?;
-            }
+        for file in folder.list()?.iter().filter(|file| file.starts_with(WRITE)) {
+            folder.remove(file)?;
         }
-        folder.sync_folder()
+        Versions::discard(folder, SNAPSHOT)
     }
 
     /// Makes the writes that follow the snapshot, in their order.
--- a/crates/onyxstile-system/src/disk/versions.rs
+++ b/crates/onyxstile-system/src/disk/versions.rs
@@ -15,12 +15,9 @@
     /// Opens the versions of the record called `name`; returns the newest, if there is any. One that is torn, short or
     /// foreign is an error that names its file: it was synced before it got its name, and what an older one lacks was told.
     pub fn open(folder: F, name: &'static str) -> io::Result<(Versions<F>, Option<Vec<u8>>)> {
-        let mut numbers: Vec<u64> = folder.list()?.iter().filter_map(|file| number(name, file)).collect();
-        numbers.sort_unstable();
-        let newest = numbers.last().copied().unwrap_or(0);
-        if newest == 0 {
-            return Ok((Versions { folder, name, newest }, None));
-        }
+        let Some(newest) = folder.list()?.iter().filter_map(|file| number(name, file)).max() else {
+            return Ok((Versions { folder, name, newest: 0 }, None));
+        };
         let file = file(name, newest);
         let bytes = folder.read(&file)?;
         let Some((body, _)) = unseal(&bytes) else {
@@ -31,6 +28,14 @@
         Ok((Versions { folder, name, newest }, Some(body)))
     }
 
+    /// Removes all versions of the record called `name`, for one that can't be read.
+    pub fn discard(folder: &mut F, name: &str) -> io::Result<()> {
+        for file in folder.list()?.iter().filter(|file| number(name, file).is_some()) {
+            folder.remove(file)?;
+        }
+        folder.sync_folder()
+    }
+
     /// The name of the newest version's file.
     pub fn newest_file(&self) -> String {
         file(self.name, self.newest)
--- a/crates/onyxstile-system/src/role/controller/kept_registry.rs
+++ b/crates/onyxstile-system/src/role/controller/kept_registry.rs
@@ -14,6 +14,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use tokio::sync::oneshot;
 
+use super::opening::open_or_discard;
 use crate::clock::Instant;
 use crate::disk::{self, RealFolder, Versions};
 use crate::registry::{Instance, Registry};
@@ -77,7 +78,10 @@
 impl KeptRegistry {
     /// Opens the record in a folder; returns what it holds as well. One that can't be read counts as lost.
     pub(super) fn open(folder: PathBuf) -> io::Result<(KeptRegistry, Kept)> {
-        let (versions, held) = Versions::open(RealFolder::open(folder)?, RECORD)?;
+        let ((versions, held), _) = open_or_discard(
+            || Versions::open(RealFolder::open(folder.clone())?, RECORD),
+            || Versions::discard(&mut RealFolder::open(folder.clone())?, RECORD),
+        )?;
         let kept = held.map_or_else(Kept::default, |bytes| {
             disk::decode(&bytes).unwrap_or_else(|error| {
                 log::warn!("the record of endpoints can't be read: {error}");
--- a/crates/onyxstile-system/src/role/controller/opening.rs
+++ b/crates/onyxstile-system/src/role/controller/opening.rs
@@ -9,26 +9,34 @@
 use crate::role::identity::random_id;
 use crate::settings::Settings;
 
+/// Opens a record; one that can't be read is discarded and opened anew, as if the disk had been empty. The second says
+/// whether that was so.
+pub(super) fn open_or_discard<T>(
+    open: impl Fn() -> io::Result<T>, discard: impl FnOnce() -> io::Result<()>,
+) -> io::Result<(T, bool)> {
+    match open() {
+        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+            log::error!("{error}: this counts as lost");
+            discard()?;
+            Ok((open()?, true))
+        }
+        opened => Ok((opened?, false)),
+    }
+}
+
 /// What the disk holds. A record that can't be read counts as a lost disk: its votes are forgotten, so it is another elector.
 pub(super) fn open_record(
     settings: &Settings, data: &Path,
 ) -> io::Result<(ControlRecord<RealFolder>, Durable)> {
-    let open = || ControlRecord::open(RealFolder::open(data.into())?, RealFolder::open(data.into())?);
-    let mut may_found = settings.bootstrap;
-    let (mut record, held) = match open() {
-        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-            log::error!("{error}: this disk counts as lost");
-            ControlRecord::discard(&mut RealFolder::open(data.into())?)?;
-            may_found = false;
-            open()?
-        }
-        opened => opened?,
-    };
+    let ((mut record, held), is_lost) = open_or_discard(
+        || ControlRecord::open(RealFolder::open(data.into())?, RealFolder::open(data.into())?),
+        || ControlRecord::discard(&mut RealFolder::open(data.into())?),
+    )?;
     if let Some(durable) = held {
         return Ok((record, durable));
     }
     let seeds = settings.seed_addresses();
-    let is_founder = may_found && seeds.contains(&settings.ip);
+    let is_founder = settings.bootstrap && !is_lost && seeds.contains(&settings.ip);
     let durable =
         if is_founder { Controller::bootstrap(settings.ip, &seeds) } else { Controller::empty(random_id()) };
     record.save(&durable)?;
--- a/crates/onyxstile-system/tests/control_record.rs
+++ b/crates/onyxstile-system/tests/control_record.rs
@@ -30,6 +30,17 @@
     ControlRecord::open(folder.clone(), folder.clone()).expect("opens")
 }
 
+/// A record whose snapshot follows 9,000 changes: more than are remembered.
+fn after_many(folder: &MemoryFolder) -> (ControlRecord<MemoryFolder>, Durable) {
+    let mut durable = founder();
+    let (mut record, _) = open(folder);
+    for _ in 0..9_000 {
+        next(&mut durable, 100);
+    }
+    record.save(&durable).expect("is saved");
+    (record, durable)
+}
+
 /// Makes the next write and returns it.
 fn next(durable: &mut Durable, bytes: usize) -> Write {
     let write = durable.state.write(change(durable.state.sequence + 1, bytes));
@@ -103,17 +114,28 @@
     }
 }
 
+/// A crash while a record was discarded leaves writes without a snapshot; they follow nothing that comes later.
+#[test]
+fn a_write_that_a_crash_left_behind_is_not_made_to_a_later_snapshot() {
+    let folder = MemoryFolder::default();
+    let mut durable = founder();
+    let left = next(&mut durable, 10);
+    open(&folder).0.append(1, &left).expect("is written");
+    let mut durable = founder();
+    let (mut record, none) = open(&folder);
+    assert!(none.is_none());
+    record.save(&durable).expect("is saved");
+    let write = next(&mut durable, 20);
+    record.append(1, &write).expect("is written");
+    assert_eq!(open(&folder).1, Some(durable));
+}
+
 /// One change of 1 KB after 9,000 others costs its own size and some bytes, on the disk and on the wire, whatever the state
 /// holds; the state itself was written with each change before (24 bytes for each change remembered, up to three times).
 #[test]
 fn a_change_costs_its_own_size_however_many_went_before() {
     let folder = MemoryFolder::default();
-    let mut durable = founder();
-    let (mut record, _) = open(&folder);
-    for _ in 0..9_000 {
-        next(&mut durable, 100);
-    }
-    record.save(&durable).expect("is saved");
+    let (mut record, mut durable) = after_many(&folder);
     let write = next(&mut durable, 1024);
     record.append(1, &write).expect("is written");
     let on_disk = folder.read("write-0").expect("is there").len();
@@ -128,12 +150,7 @@
 #[test]
 fn snapshots_do_not_make_changes_dear() {
     let folder = MemoryFolder::default();
-    let mut durable = founder();
-    let (mut record, _) = open(&folder);
-    for _ in 0..9_000 {
-        next(&mut durable, 100);
-    }
-    record.save(&durable).expect("is saved");
+    let (mut record, mut durable) = after_many(&folder);
     let snapshot = |folder: &MemoryFolder| -> usize {
         let names = folder.list().expect("is listed");
         names
