--- a/crates/onyxstile-system/src/role/controller/drains.rs
+++ b/crates/onyxstile-system/src/role/controller/drains.rs
@@ -15,8 +15,6 @@
 const WAIT: Duration = Duration::from_millis(1000);
 /// Time beyond the wait that another controller has to answer.
 const PATIENCE: Duration = Duration::from_millis(700);
-/// The longest wait that is granted.
-const WAIT_MAX: Duration = Duration::from_secs(5);
 /// Pause after a pull that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 /// How often the electors are looked at.
@@ -77,24 +75,20 @@
 
     /// Tells another controller of endpoints that leave.
     pub(super) async fn drains(&self, origin: u64, counter: u64, wait_ms: u64) -> Response {
-        let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms).min(WAIT_MAX);
-        loop {
-            let changed = self.changed.notified();
-            let is_news = {
-                let registry = self.registry.borrow();
-                registry.origin() != origin || registry.counter() > counter
-            };
-            if is_news || tokio::time::timeout_at(until, changed).await.is_err() {
-                break;
+        let answer = || {
+            let registry = self.registry.borrow();
+            Response::Drains {
+                origin: registry.origin(),
+                counter: registry.counter(),
+                is_whole: self.copies.borrow().is_whole(),
+                leaving: registry.leaving_since(origin, counter),
             }
-        }
-        let registry = self.registry.borrow();
-        Response::Drains {
-            origin: registry.origin(),
-            counter: registry.counter(),
-            is_whole: self.copies.borrow().is_whole(),
-            leaving: registry.leaving_since(origin, counter),
-        }
+        };
+        let is_news = |response: &Response| {
+            matches!(response, Response::Drains { origin: own, counter: newest, .. }
+                if *own != origin || *newest > counter)
+        };
+        self.on_news(wait_ms, answer, is_news).await
     }
 
     /// Pulls drains from all other electors, whoever they are.
--- a/crates/onyxstile-system/src/role/controller/peers.rs
+++ b/crates/onyxstile-system/src/role/controller/peers.rs
@@ -63,13 +63,19 @@
         if let Some(evidence) = &pull.evidence {
             self.evidence.borrow_mut().absorb(self.clock.now(), pull.ip, evidence);
         }
-        let wait = Duration::from_millis(pull.wait_ms).min(WAIT_MAX);
-        let until = tokio::time::Instant::now() + wait;
+        self.on_news(pull.wait_ms, || self.snapshot(&pull), |pulled| has_news(pulled, &pull)).await
+    }
+
+    /// The first answer that is news to whoever asked, or the last one before `wait_ms` are over.
+    pub(super) async fn on_news<T>(
+        &self, wait_ms: u64, answer: impl Fn() -> T, is_news: impl Fn(&T) -> bool,
+    ) -> T {
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms).min(WAIT_MAX);
         loop {
             let changed = self.changed.notified();
-            let pulled = self.snapshot(&pull);
-            if has_news(&pulled, &pull) || tokio::time::timeout_at(until, changed).await.is_err() {
-                return pulled;
+            let answer = answer();
+            if is_news(&answer) || tokio::time::timeout_at(until, changed).await.is_err() {
+                return answer;
             }
         }
     }
--- a/crates/onyxstile-system/src/role/controller/planner.rs
+++ b/crates/onyxstile-system/src/role/controller/planner.rs
@@ -51,18 +51,19 @@
         });
     }
 
-    /// Members of the storage plan that membership holds dead or does not know.
+    /// Members of the storage plan that membership holds dead or does not know; only the head has to know them.
     pub(super) fn dead_storage(&self) -> Vec<String> {
         let controller = self.controller.borrow();
-        let Some(state) = controller.committed_state() else { return Vec::new() };
+        let Some(state) = controller.committed_state().filter(|_| controller.is_head()) else {
+            return Vec::new();
+        };
         let swim = self.swim.borrow();
         let is_alive = |node: &StorageNode| {
             swim.members().any(|member| {
                 member.ip == node.ip && member.disk == node.disk && member.standing != Standing::Dead
             })
         };
-        let dead = state.storage.all().into_iter().filter(|node| !is_alive(node));
-        dead.map(|node| node.name).collect()
+        state.storage.members().filter(|node| !is_alive(node)).map(|node| node.name.clone()).collect()
     }
 
     fn observe(&self) -> Vec<Observed> {
--- a/crates/onyxstile-system/src/role/storage/answers.rs
+++ b/crates/onyxstile-system/src/role/storage/answers.rs
@@ -65,7 +65,10 @@
     }
 
     async fn reserve(&self, epoch: u64, program: String, entry: Entry, wants_all: bool) -> Response {
-        if !self.is_whole.get() && epoch >= self.epoch.get() {
+        if let Some(stale) = self.stale(epoch) {
+            return stale;
+        }
+        if !self.is_whole.get() {
             return Response::Refused;
         }
         let record = Record::Entry { program: program.clone(), entry };
--- a/crates/onyxstile-system/src/storage_plan.rs
+++ b/crates/onyxstile-system/src/storage_plan.rs
@@ -73,6 +73,11 @@
 }
 
 impl StoragePlan {
+    /// Members of the plan and of the one before; those of both twice.
+    pub fn members(&self) -> impl Iterator<Item = &StorageNode> {
+        self.current.iter().chain(&self.previous)
+    }
+
     /// Members of the plan and of the one before, each once.
     pub fn all(&self) -> Vec<StorageNode> {
         let mut all = self.current.clone();
@@ -88,7 +93,7 @@
     /// Whether a machine with this disk is a member, or was one before a change that is under way.
     pub fn holds(&self, ip: Ipv4Addr, disk: u64) -> bool {
         let is_own = |node: &StorageNode| node.address() == ip && node.disk == disk;
-        self.epoch > 0 && self.current.iter().chain(&self.previous).any(is_own)
+        self.epoch > 0 && self.members().any(is_own)
     }
 
     /// Whether each key has the same groups by this plan as by another: the same machines at the same places, whatever disks
@@ -138,7 +143,7 @@
 
     /// Whether a retired machine may be taken away; `None` if it was never retired.
     pub fn retirement(&self, name: &str) -> Option<bool> {
-        let is_member = self.all().iter().any(|node| node.name == name);
+        let is_member = self.members().any(|node| node.name == name);
         self.retired.iter().any(|retired| retired == name).then_some(!is_member)
     }
 
--- a/crates/onyxstile-system/tests/bad_endpoints.rs
+++ b/crates/onyxstile-system/tests/bad_endpoints.rs
@@ -5,14 +5,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use socket2::SockRef;
+use support::listener::listen;
 use support::tier::{Answer, LIMITS, Tier, ask, play};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 /// What an endpoint does with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,28 +70,12 @@
 }
 
 async fn endpoint(script: Rc<Script>) -> SocketAddrV4 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
-    let port = listener.local_addr().expect("its address").port();
-    tokio::task::spawn_local(async move {
-        loop {
-            let (stream, _) = listener.accept().await.expect("a connection");
-            tokio::task::spawn_local(serve(stream, script.clone()));
-        }
-    });
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+    listen(move |stream| serve(stream, script.clone())).await
 }
 
 /// An endpoint that has all the connections it takes: it resets each new one.
 async fn full_endpoint() -> SocketAddrV4 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
-    let port = listener.local_addr().expect("its address").port();
-    tokio::task::spawn_local(async move {
-        loop {
-            let (stream, _) = listener.accept().await.expect("a connection");
-            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("the option");
-        }
-    });
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+    listen(|stream| async move { reset(&stream) }).await
 }
 
 async fn serve(mut stream: TcpStream, script: Rc<Script>) {
@@ -355,15 +340,7 @@
 /// An endpoint that answers as soon as it has a request's head, keeps the connection and reads the body after that. Counts
 /// bodies that were not all `b`: bytes of something else stood where the rest of a body was due.
 async fn early_endpoint(spoilt: Rc<Cell<u32>>) -> SocketAddrV4 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
-    let port = listener.local_addr().expect("its address").port();
-    tokio::task::spawn_local(async move {
-        loop {
-            let (stream, _) = listener.accept().await.expect("a connection");
-            tokio::task::spawn_local(answer_early(stream, spoilt.clone()));
-        }
-    });
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+    listen(move |stream| answer_early(stream, spoilt.clone())).await
 }
 
 async fn answer_early(mut stream: TcpStream, spoilt: Rc<Cell<u32>>) -> Option<()> {
--- a/crates/onyxstile-system/tests/control_histories.rs
+++ b/crates/onyxstile-system/tests/control_histories.rs
@@ -7,6 +7,7 @@
 use onyxstile_system::controller::{Controller, Input, Places, desired};
 use onyxstile_system::tolerance::Tolerance;
 use support::control_world::{CATCH_UP, Flaw, World};
+use support::variable;
 
 /// One history of faults and operators; what the checker found.
 fn play(count: u8, tolerated: usize, seed: u64, flaw: Flaw, rounds: u32) -> (World, usize) {
@@ -78,10 +79,6 @@
     variable("HISTORIES", 150)
 }
 
-fn variable(name: &str, default: u64) -> u64 {
-    std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
-}
-
 /// One history of losses that overlap as they come, cuts of 20 s among them; no more disks are lost at a time than are
 /// tolerated. Operators press all the while. At the end all machines are back.
 fn play_rough(count: u8, tolerated: usize, seed: u64, flaw: Flaw, rounds: u32) -> World {
--- a/crates/onyxstile-system/tests/control_model.rs
+++ b/crates/onyxstile-system/tests/control_model.rs
@@ -6,7 +6,7 @@
 
 mod support;
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 
@@ -14,6 +14,7 @@
 use onyxstile_system::control::{Durable, ElectorId, Life, Message, Operation, Outcome};
 use onyxstile_system::controller::{Controller, Effect, Input};
 use onyxstile_system::tolerance::Place;
+use support::search::{self, Searched};
 use support::{ONE, address};
 
 const MACHINES: usize = 3;
@@ -259,42 +260,34 @@
     Controller::new(ip(machine), disk.clone(), ONE, life, Instant::from_millis(now)).placed(place(machine))
 }
 
-struct Searched {
-    states: usize,
-    /// All states up to this many steps from the start were met.
-    depth: usize,
-    /// Whether there are no more states within the bounds.
-    is_whole: bool,
-    violation: Option<String>,
+/// A state of a variant that departs from what should be done.
+struct Flawed {
+    state: State,
+    flaw: Flaw,
 }
 
-fn search(start: State, flaw: Flaw) -> Searched {
-    let most = std::env::var("MODEL_STATES").ok().and_then(|value| value.parse().ok()).unwrap_or(STATES);
-    let mut met = HashSet::from([start.digest()]);
-    let mut level = vec![start];
-    let mut depth = 0;
-    while !level.is_empty() && met.len() < most {
-        let mut next_level = Vec::new();
-        for state in level {
-            for action in state.actions() {
-                let next = state.after(action, flaw);
-                if next.violation.is_some() {
-                    return Searched { states: met.len(), depth, is_whole: false, violation: next.violation };
-                }
-                if met.insert(next.digest()) {
-                    next_level.push(next);
-                }
-            }
-        }
-        level = next_level;
-        depth += 1;
+impl search::State for Flawed {
+    type Action = Action;
+
+    fn actions(&self) -> Vec<Action> {
+        self.state.actions()
+    }
+
+    fn after(&self, action: Action) -> Flawed {
+        Flawed { state: self.state.after(action, self.flaw), flaw: self.flaw }
+    }
+
+    fn digest(&self) -> u128 {
+        self.state.digest().into()
+    }
+
+    fn violation(&self) -> Option<String> {
+        self.state.violation.clone()
     }
-    Searched { states: met.len(), depth, is_whole: level.is_empty(), violation: None }
 }
 
-fn report(name: &str, searched: &Searched) {
-    let whole = if searched.is_whole { "all" } else { "not all" };
-    println!("{name}: {} states to depth {}, {whole} within the bounds", searched.states, searched.depth);
+fn search(state: State, flaw: Flaw) -> Searched {
+    search::search(Flawed { state, flaw }, STATES)
 }
 
 const QUIET: Bounds = Bounds { ticks: 0, kills: 0, wipes: 0, losses: 0, suspicions: 0 };
@@ -304,7 +297,7 @@
     let bounds = Bounds { losses: 1, ticks: 1, ..QUIET };
     let start = State::start(bounds).put(0, 1, Flaw::None).put(1, 2, Flaw::None);
     let searched = search(start, Flaw::None);
-    report("two writers", &searched);
+    searched.report("two writers");
     assert_eq!(searched.violation, None);
     assert!(searched.depth >= 5, "depth {}", searched.depth);
 }
@@ -314,7 +307,7 @@
     for (name, faults) in [("kill", Bounds { kills: 1, ..QUIET }), ("wipe", Bounds { wipes: 1, ..QUIET })] {
         let bounds = Bounds { ticks: 3, suspicions: 1, ..faults };
         let searched = search(State::start(bounds).put(0, 1, Flaw::None), Flaw::None);
-        report(name, &searched);
+        searched.report(name);
         assert_eq!(searched.violation, None, "{name}");
         assert!(searched.depth >= 4, "depth {}", searched.depth);
     }
@@ -325,7 +318,7 @@
     let bounds = Bounds { ticks: 2, suspicions: 1, ..QUIET };
     let start = State::start(bounds).put(0, 1, Flaw::HeadAcknowledges);
     let searched = search(start, Flaw::HeadAcknowledges);
-    report("a head that acknowledges alone", &searched);
+    searched.report("a head that acknowledges alone");
     assert!(searched.violation.expect("is caught").contains("without an acknowledged change"));
 }
 
@@ -356,9 +349,9 @@
 #[test]
 fn a_view_that_was_decided_stays_decided_and_votes_that_are_not_synced_are_caught() {
     let searched = search(after_a_decision_and_a_kill(Flaw::None), Flaw::None);
-    report("a second decision", &searched);
+    searched.report("a second decision");
     assert_eq!(searched.violation, None);
     let searched = search(after_a_decision_and_a_kill(Flaw::UnsyncedVotes), Flaw::UnsyncedVotes);
-    report("votes that are not synced", &searched);
+    searched.report("votes that are not synced");
     assert!(searched.violation.expect("is caught").contains("two views 2"));
 }
--- a/crates/onyxstile-system/tests/decoders.rs
+++ b/crates/onyxstile-system/tests/decoders.rs
@@ -22,6 +22,7 @@
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 use support::memory_folder::MemoryFolder;
+use support::variable;
 
 const RUNS: u64 = 4_000;
 /// Room for a log.
@@ -55,10 +56,6 @@
     b"\xe2\x80\xa8",
 ];
 
-fn variable(name: &str, default: u64) -> u64 {
-    std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
-}
-
 fn below(random: &mut Pcg64Mcg, bound: usize) -> usize {
     random.next_u64() as usize % bound.max(1)
 }
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -3,7 +3,9 @@
 
 pub mod control_world;
 pub mod endpoints;
+pub mod listener;
 pub mod memory_folder;
+pub mod search;
 pub mod store_world;
 pub mod tier;
 pub mod tier_world;
@@ -16,6 +18,11 @@
 /// The loss of one machine.
 pub const ONE: Tolerance = Tolerance { machines: 1, zones: 0, regions: 0 };
 
+/// A number from the environment, or the default.
+pub fn variable(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
+}
+
 /// The address of machine number `number`.
 pub fn address(number: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, number)
--- a/crates/onyxstile-system/tests/tier_histories.rs
+++ b/crates/onyxstile-system/tests/tier_histories.rs
@@ -6,10 +6,7 @@
 use support::control_world::CATCH_UP;
 use support::store_world::StoreFlaw;
 use support::tier_world::{COPIES_ONE_IN, Tier};
-
-fn variable(name: &str, default: u64) -> u64 {
-    std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
-}
+use support::variable;
 
 /// One history; what the checkers found, or `Err` where service does not return.
 fn play(seed: u64, flaw: StoreFlaw) -> (Tier, Result<(), String>) {
--- a/crates/onyxstile-system/tests/turn_model.rs
+++ b/crates/onyxstile-system/tests/turn_model.rs
@@ -9,12 +9,12 @@
 
 mod support;
 
-use std::collections::HashSet;
 use std::time::Duration;
 
 use onyxstile_system::clock::Instant;
 use onyxstile_system::program::{Copied, Progress, Quorum};
 use onyxstile_system::storage_plan::{Observed, StorageNode, StoragePlan};
+use support::search::{self, Searched};
 use support::{ONE, address, plan, storage};
 
 const STATES: usize = 8_000;
@@ -412,35 +412,34 @@
     }
 }
 
-struct Searched {
-    states: usize,
-    depth: usize,
-    is_whole: bool,
-    violation: Option<String>,
+/// A state of a variant that departs from what should be done.
+struct Flawed {
+    state: State,
+    flaw: Flaw,
 }
 
-fn search(start: State, flaw: Flaw) -> Searched {
-    let most = std::env::var("MODEL_STATES").ok().and_then(|value| value.parse().ok()).unwrap_or(STATES);
-    let mut met = HashSet::from([start.digest()]);
-    let mut level = vec![start];
-    let mut depth = 0;
-    while !level.is_empty() && met.len() < most {
-        let mut next_level = Vec::new();
-        for state in level {
-            for action in state.actions() {
-                let next = state.after(action, flaw);
-                if next.violation.is_some() {
-                    return Searched { states: met.len(), depth, is_whole: false, violation: next.violation };
-                }
-                if met.insert(next.digest()) {
-                    next_level.push(next);
-                }
-            }
-        }
-        level = next_level;
-        depth += 1;
+impl search::State for Flawed {
+    type Action = Action;
+
+    fn actions(&self) -> Vec<Action> {
+        self.state.actions()
+    }
+
+    fn after(&self, action: Action) -> Flawed {
+        Flawed { state: self.state.after(action, self.flaw), flaw: self.flaw }
     }
-    Searched { states: met.len(), depth, is_whole: level.is_empty(), violation: None }
+
+    fn digest(&self) -> u128 {
+        self.state.digest()
+    }
+
+    fn violation(&self) -> Option<String> {
+        self.state.violation.clone()
+    }
+}
+
+fn search(state: State, flaw: Flaw) -> Searched {
+    search::search(Flawed { state, flaw }, STATES)
 }
 
 #[test]
@@ -454,8 +453,7 @@
         ("one joins, a wipe and a cut", State::start(true, 1, 0, 1)),
     ] {
         let searched = search(start, Flaw::None);
-        let whole = if searched.is_whole { "all" } else { "not all" };
-        println!("{name}: {} states to depth {}, {whole} within the bounds", searched.states, searched.depth);
+        searched.report(name);
         assert_eq!(searched.violation, None, "{name}");
         assert!(searched.is_whole || searched.depth >= 4, "{name}: depth {}", searched.depth);
     }
