--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -36,8 +36,9 @@
 const POLL_WAIT: Duration = Duration::from_millis(400);
 /// How often what is over is dropped.
 const HOUSEKEEPING: Duration = Duration::from_secs(1);
-/// Turns held in memory beside the disk take at most one part in this many of it.
-const MEMORY_PARTS_FOR_TURNS: usize = 8;
+/// Turns held in memory beside the disk take at most one part in this many of it: some seconds of writes, after which a program's
+/// next turn has mostly come. Others are read from the log.
+const MEMORY_PARTS_FOR_TURNS: usize = 32;
 
 /// One storage process.
 pub struct Node {
