Refuse programs in time while endpoints are busy, by how much longer streams take

A relay now learns how fast a service's endpoints read and write (pace), how many times longer its streams take (admission), and lets a part of the programs begin; turns of programs that have begun always go on. The part is drawn by the program's name, so all relays and tries draw alike. Where turns are not retained the claims on the budget tell whether a program has begun.

--- a/crates/onyxstile-lab/src/arguments.rs
+++ b/crates/onyxstile-lab/src/arguments.rs
@@ -24,6 +24,22 @@
     Replay(Replay),
     Outage(Outage),
     Comeback(Comeback),
+    Goodput(Goodput),
+}
+
+/// Programs in their aim over load, with and without admission, in virtual time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "goodput")]
+pub(crate) struct Goodput {
+    /// where goodput.csv and goodput.svg go
+    #[argh(option, default = "PathBuf::from(\".\")")]
+    pub(crate) folder: PathBuf,
+    /// seeds all draws
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+    /// seconds of arrivals
+    #[argh(option, default = "30.0")]
+    pub(crate) seconds: f64,
 }
 
 /// A fleet's return after a loss of power, in virtual time: with peers, without, and all at once.
--- a/crates/onyxstile-lab/src/lib.rs
+++ b/crates/onyxstile-lab/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`replay`](mod@replay) - a recorded day again, through a relay by another configuration
 //! * [`outage`] - a partner shut under load, and what is kept and sent again
 //! * [`comeback`] - a fleet's return after a loss of power, in virtual time
+//! * [`goodput`] - programs in their aim over load, with the tier's own decisions, in virtual time
 //! * [`tier`] - a small serving tier as processes, and a conversation through it
 //! * [`chart`] - pictures of what was measured
 
@@ -19,6 +20,7 @@
 pub mod compare;
 pub mod cost;
 pub mod demo;
+pub mod goodput;
 pub mod http;
 pub mod load;
 pub mod outage;
--- a/crates/onyxstile-lab/src/main.rs
+++ b/crates/onyxstile-lab/src/main.rs
@@ -6,8 +6,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use arguments::{Arguments, Command, Compare, Cost, Demo, Failures, LoadCommand, Replay, Tier};
-use onyxstile_lab::{Failed, comeback, compare, cost, demo, load, outage, replay, tier};
+use arguments::{Arguments, Command, Compare, Cost, Demo, Failures, Goodput, LoadCommand, Replay, Tier};
+use onyxstile_lab::{Failed, comeback, compare, cost, demo, goodput, load, outage, replay, tier};
 
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -92,6 +92,7 @@
             let sizes = c.relays.split(',').map(str::parse).collect::<Result<Vec<usize>, _>>()?;
             comeback::report::run(&sizes, c.kept, c.seeds, &c.chart)
         }
+        Command::Goodput(Goodput { folder, seed, seconds }) => goodput::report::run(&folder, seed, seconds),
         Command::Compare(c) => compare_all(&c).await,
     }
 }
--- /dev/null
+++ b/crates/onyxstile-system/src/admission.rs
@@ -0,0 +1,144 @@
+//! Whether a program may begin while the model endpoints of its service are busy. Pure.
+//!
+//! What earns is a program that ends in time, and a service that lets all of them begin ends none in time. So first turns are
+//! refused while turns take much longer than they would at idle endpoints; turns of programs that have begun are not. Each
+//! relay decides by its own streams: all see the same endpoints, and nothing is asked of anybody.
+//!
+//! The *stretch* is the time that streams have taken lately over the time of the same progress at idle endpoints. Up to a
+//! target all programs begin; beyond it a part of them, which falls to [`ALWAYS`]. A less urgent class falls first and never
+//! has the larger part. Which programs begin is drawn by their names, so that all relays, and all tries, draw alike.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::Instant;
+
+/// Streams of this age are worth half.
+const HALF_LIFE: Duration = Duration::from_millis(1000);
+/// The stretch up to which the most urgent programs all begin.
+const TARGET: f64 = 2.5;
+/// The part of the most urgent class that begins, as a multiple of that of the least urgent one.
+const MOST_URGENT_TIMES: f64 = 1.3;
+/// By how much the logarithm of the level falls in a second at twice the target, and rises at none of it: slower than programs
+/// take, for those that have begun stay.
+const FALL_A_SECOND: f64 = 1.6;
+const RISE_A_SECOND: f64 = 0.8;
+/// A level that was not looked at for longer moves as if after this time.
+const LONGEST_STEP: Duration = Duration::from_millis(500);
+/// Ranks of urgency that differ: class 0 is refused last, this class and those behind it first.
+const LEAST_URGENT: u8 = 1;
+/// This part of the programs begins whatever the load, so that it shows when endpoints are free again.
+const ALWAYS: f64 = 0.02;
+/// Time of streams, in ms, before their stretch is acted on.
+const KNOWN_AFTER_MS: f64 = 400.0;
+/// A stream that waits counts up to this many times what its wait should be, so that a silent endpoint is not load.
+const WAIT_TIMES: f64 = 4.0;
+/// The least and the largest time after which a refused client is told to come back.
+const COME_BACK: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(60));
+
+/// How a service's streams go on lately.
+#[derive(Debug, Clone)]
+pub struct Admission {
+    took_ms: f64,
+    idle_ms: f64,
+    counted_at: Instant,
+    waiting: Vec<(Instant, f64)>,
+    level: f64,
+    moved_at: Instant,
+}
+
+/// What is asked about a program.
+#[derive(Debug, Clone, Copy)]
+pub struct Applicant<'a> {
+    /// Its name, or that of a request which belongs to none.
+    pub name: &'a str,
+    /// Its route's rank; 0 is the most urgent.
+    pub priority: u8,
+    /// The time until it should be over, in ms, if it tells that.
+    pub left_ms: Option<f64>,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Admission {
+            took_ms: 0.0,
+            idle_ms: 0.0,
+            counted_at: Instant::default(),
+            waiting: Vec::new(),
+            level: 1.0,
+            moved_at: Instant::default(),
+        }
+    }
+}
+
+impl Admission {
+    /// A stream made progress in `took_ms` that takes `idle_ms` at an idle endpoint.
+    pub fn note(&mut self, now: Instant, took_ms: f64, idle_ms: f64) {
+        let left = left_after(now.since(self.counted_at));
+        self.took_ms = self.took_ms * left + took_ms;
+        self.idle_ms = self.idle_ms * left + idle_ms;
+        self.counted_at = now;
+    }
+
+    /// A stream is waited for since `now`; its first event takes `idle_ms` at an idle endpoint.
+    pub fn wait(&mut self, now: Instant, idle_ms: f64) {
+        self.waiting.push((now, idle_ms));
+    }
+
+    /// The stream that is waited for since `since` has begun or is given up.
+    pub fn stop_waiting(&mut self, since: Instant) {
+        if let Some(place) = self.waiting.iter().position(|(sent, _)| *sent == since) {
+            self.waiting.swap_remove(place);
+        }
+    }
+
+    /// How many times longer streams take than at idle endpoints; 1 while too little is known.
+    pub fn stretch(&self, now: Instant) -> f64 {
+        let left = left_after(now.since(self.counted_at));
+        let (mut took, mut idle) = (self.took_ms * left, self.idle_ms * left);
+        for (sent, expected) in &self.waiting {
+            let waited = now.since(*sent).as_secs_f64() * 1e3;
+            took += waited.min(expected * WAIT_TIMES);
+            idle += waited.min(*expected);
+        }
+        if took < KNOWN_AFTER_MS { 1.0 } else { took / idle.max(1.0) }
+    }
+
+    /// When a program that may not begin now may come back; `None` if it may begin. A usual turn takes `turn_ms` at an idle
+    /// endpoint.
+    pub fn refuse(&mut self, now: Instant, applicant: Applicant<'_>, turn_ms: f64) -> Option<Duration> {
+        let stretch = self.stretch(now);
+        self.move_level(now, stretch);
+        let part = part_admitted(self.level, applicant.priority);
+        let is_too_late = applicant.left_ms.is_some_and(|left_ms| left_ms < turn_ms * stretch);
+        if part >= 1.0 || (rank(applicant.name) < part && !is_too_late) {
+            return None;
+        }
+        Some(COME_BACK.0 + (COME_BACK.1 - COME_BACK.0).mul_f64(1.0 - part))
+    }
+
+    /// Moves the level by how far the stretch is from its target.
+    fn move_level(&mut self, now: Instant, stretch: f64) {
+        let passed = now.since(self.moved_at).min(LONGEST_STEP).as_secs_f64();
+        self.moved_at = now;
+        let excess = (stretch / TARGET - 1.0).clamp(-0.5, 1.0);
+        let gain = if excess > 0.0 { FALL_A_SECOND } else { RISE_A_SECOND };
+        self.level = (self.level * (-gain * excess * passed).exp()).clamp(ALWAYS, 1.0);
+    }
+}
+
+/// The part of a class's programs that begin at a level.
+pub fn part_admitted(level: f64, priority: u8) -> f64 {
+    let urgency = 1.0 - f64::from(priority.min(LEAST_URGENT)) / f64::from(LEAST_URGENT);
+    (level * (1.0 + (MOST_URGENT_TIMES - 1.0) * urgency)).min(1.0)
+}
+
+/// A program's place in 0..1, the same at all relays.
+fn rank(name: &str) -> f64 {
+    (xxh3_64(name.as_bytes()) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+fn left_after(age: Duration) -> f64 {
+    0.5f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+}
--- a/crates/onyxstile-system/src/balance.rs
+++ b/crates/onyxstile-system/src/balance.rs
@@ -13,6 +13,7 @@
 mod homes;
 mod pool;
 mod shares;
+mod streams;
 
 pub use connections::ConnectionLimit;
 use connections::Connections;
@@ -23,6 +24,7 @@
 pub use health::Health;
 use homes::Homes;
 use shares::Shares;
+pub use streams::Expected;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -30,8 +32,10 @@
 use slotmap::{SlotMap, new_key_type};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::Admission;
 use crate::clock::Instant;
 use crate::evidence::{self, Evidence};
+use crate::pace::Pace;
 use crate::prefix::Part;
 
 new_key_type! {
@@ -71,6 +75,8 @@
     shares: Shares,
     connections: Connections,
     distances: Distances,
+    paces: HashMap<String, Pace>,
+    admissions: HashMap<String, Admission>,
     relay: u64,
 }
 
--- a/crates/onyxstile-system/src/balance/endpoint.rs
+++ b/crates/onyxstile-system/src/balance/endpoint.rs
@@ -135,6 +135,11 @@
         Some(Occupancy { running, waiting: f64::from(told.waiting) })
     }
 
+    /// The load that it told last.
+    pub fn last_load(&self) -> Option<Load> {
+        self.told.map(|(load, _, _)| load)
+    }
+
     /// What to expect: what it told, else what is usual among the others; this relay's own calls at the least.
     pub(super) fn occupancy(&self, now: Instant, usual: Occupancy) -> Occupancy {
         let expected = self.told(now).unwrap_or(usual);
--- /dev/null
+++ b/crates/onyxstile-system/src/balance/streams.rs
@@ -0,0 +1,118 @@
+//! What a relay's streams show of how fast and how busy the endpoints of each service are, and which programs may begin. Pure.
+
+use std::time::Duration;
+
+use super::{EndpointKey, Endpoints};
+use crate::admission::Applicant;
+use crate::clock::Instant;
+use crate::pace::Pace;
+use crate::prefix::Part;
+
+/// Endpoints count as busy from this part of their places on. Prompts wait somewhere then, though few endpoints have told a relay so.
+const BUSY_PART: f64 = 0.25;
+
+/// A pause counts up to this many times its usual length: a longer one is a client that does not read, or an endpoint in trouble.
+const LONGEST_TIMES: f64 = 10.0;
+
+/// A stream that was sent and has not begun.
+#[derive(Debug, Clone)]
+pub struct Expected {
+    key: EndpointKey,
+    service: String,
+    since: Instant,
+    /// Tokens that the endpoint is believed to have to read.
+    tokens: f64,
+    /// Whether that is more than a guess.
+    is_sure: bool,
+    /// When its first event would come from an idle endpoint, in ms; `None` while that is not known.
+    idle_ms: Option<f64>,
+}
+
+impl Endpoints {
+    /// When a program that may not begin now may come back; `None` if it may begin.
+    pub fn refuse(&mut self, now: Instant, service: &str, applicant: Applicant<'_>) -> Option<Duration> {
+        let is_busy = self.is_busy(now, service);
+        let turn_ms =
+            self.paces.get(service).map_or(0.0, |pace| pace.usual_reading_ms() + pace.usual_writing_ms());
+        self.admissions.get_mut(service)?.refuse(now, applicant, turn_ms).filter(|_| is_busy)
+    }
+
+    /// A stream is sent to an endpoint; its cache does not know of it yet.
+    pub fn stream_sent(&mut self, now: Instant, key: EndpointKey, parts: &[Part]) -> Option<Expected> {
+        let endpoint = self.slots.get(key)?;
+        let service = endpoint.service.clone();
+        let all: u64 = parts.iter().map(|part| u64::from(part.tokens)).sum();
+        let last = parts.last().map_or(0, |part| u64::from(part.tokens));
+        let held = endpoint.cache.read_before(parts);
+        let tokens = (all - held) as f64;
+        let pace = self.paces.entry(service.clone()).or_default();
+        let idle_ms = pace.is_known().then(|| pace.first_event_ms(tokens));
+        if let Some(idle_ms) = idle_ms {
+            self.admissions.entry(service.clone()).or_default().wait(now, idle_ms);
+        }
+        let is_sure = !parts.is_empty() && held >= all - last;
+        Some(Expected { key, service, since: now, tokens, is_sure, idle_ms })
+    }
+
+    /// Its first event has come.
+    pub fn stream_began(&mut self, now: Instant, expected: &Expected) {
+        let ms = now.since(expected.since).as_secs_f64() * 1e3;
+        if let (Some(idle_ms), Some(admission)) =
+            (expected.idle_ms, self.admissions.get_mut(&expected.service))
+        {
+            admission.note(now, ms, idle_ms);
+        }
+        let Some(endpoint) = self.slots.get(expected.key) else { return };
+        if let Some(pace) = self.paces.get_mut(&expected.service) {
+            pace.note_first_event(expected.tokens, expected.is_sure, ms, endpoint.last_load());
+        }
+    }
+
+    /// It is not waited for any more.
+    pub fn stream_not_awaited(&mut self, expected: &Expected) {
+        if expected.idle_ms.is_some()
+            && let Some(admission) = self.admissions.get_mut(&expected.service)
+        {
+            admission.stop_waiting(expected.since);
+        }
+    }
+
+    /// `count` events of a stream have come after they were waited for.
+    pub fn stream_went_on(&mut self, now: Instant, key: EndpointKey, count: u32, waited: Duration) {
+        let Some(endpoint) = self.slots.get(key) else { return };
+        let ms = waited.as_secs_f64() * 1e3;
+        let Some(pace) = self.paces.get_mut(&endpoint.service) else { return };
+        pace.note_events(count, ms, endpoint.last_load());
+        if pace.is_known() {
+            let idle_ms = f64::from(count) * pace.event_ms();
+            self.admissions.entry(endpoint.service.clone()).or_default().note(
+                now,
+                ms.min(idle_ms * LONGEST_TIMES),
+                idle_ms,
+            );
+        }
+    }
+
+    /// How fast a service's endpoints are, if anything was sent there.
+    pub fn pace(&self, service: &str) -> Option<&Pace> {
+        self.paces.get(service)
+    }
+
+    /// How many times longer a service's streams take than at idle endpoints.
+    pub fn stretch(&self, now: Instant, service: &str) -> f64 {
+        self.admissions.get(service).map_or(1.0, |admission| admission.stretch(now))
+    }
+
+    /// Whether half of the places of a service's endpoints are taken, or anything waits there, by what they told lately.
+    fn is_busy(&self, now: Instant, service: &str) -> bool {
+        let (mut taken, mut places, mut waiting) = (0.0, 0.0, 0.0);
+        for key in self.keys(service) {
+            let endpoint = &self.slots[*key];
+            let Some(occupancy) = endpoint.told(now) else { continue };
+            taken += occupancy.total();
+            places += f64::from(endpoint.instance.capacity);
+            waiting += occupancy.waiting;
+        }
+        waiting > 0.0 || (places > 0.0 && taken >= places * BUSY_PART)
+    }
+}
--- a/crates/onyxstile-system/src/lib.rs
+++ b/crates/onyxstile-system/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! What decides is pure: `now`, a seed and events in, effects out. Sockets, files and the clock are in [`role`].
 
+pub mod admission;
 pub mod balance;
 pub mod clock;
 pub mod configuration;
@@ -13,6 +14,7 @@
 pub mod json;
 pub mod known;
 pub mod logging;
+pub mod pace;
 pub mod prefix;
 pub mod program;
 pub mod registry;
--- a/crates/onyxstile-system/src/prefix.rs
+++ b/crates/onyxstile-system/src/prefix.rs
@@ -36,22 +36,34 @@
 impl Cache {
     /// Tokens at the front of a prompt that need not be read again.
     pub fn held(&self, parts: &[Part]) -> u64 {
-        parts
-            .iter()
-            .take_while(|part| self.parts.contains_key(&part.chain))
-            .map(|part| u64::from(part.tokens))
-            .sum()
+        let is_held = |part: &&Part| self.parts.contains_key(&part.chain);
+        parts.iter().take_while(is_held).map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// Tokens at the front of a prompt that were read before: of a session's part, which grows from turn to turn under one id,
+    /// as many as it had then.
+    pub fn read_before(&self, parts: &[Part]) -> u64 {
+        let mut held = 0;
+        for part in parts {
+            let Some((tokens, _)) = self.parts.get(&part.chain) else { break };
+            held += u64::from(part.tokens.min(*tokens));
+            if *tokens < part.tokens {
+                // A session's part grows from turn to turn under one id.
+                break;
+            }
+        }
+        held
     }
 
     /// A prompt was sent there; `room` is what the endpoint's memory holds in tokens.
     pub fn note(&mut self, parts: &[Part], room: u64) {
         for part in parts {
             self.stamp += 1;
-            if let Some((_, stamp)) = self.parts.insert(part.chain, (part.tokens, self.stamp)) {
+            if let Some((tokens, stamp)) = self.parts.insert(part.chain, (part.tokens, self.stamp)) {
                 self.order.remove(&stamp);
-            } else {
-                self.tokens += u64::from(part.tokens);
+                self.tokens -= u64::from(tokens);
             }
+            self.tokens += u64::from(part.tokens);
             self.order.insert(self.stamp, part.chain);
         }
         while self.tokens > room {
--- a/crates/onyxstile-system/src/program.rs
+++ b/crates/onyxstile-system/src/program.rs
@@ -7,7 +7,7 @@
 mod repair;
 mod turn_cache;
 
-pub use claims::{Admission, ClaimSummary, Entry, Settled, admit, fits, merge_claims};
+pub use claims::{Admission, ClaimSummary, Entry, Settled, admit, fits, is_first, merge_claims};
 pub use index::{Merge, RecordIndex, RecordNumber};
 pub use placement::{Group, groups, nearest};
 pub use quorum::Quorum;
--- a/crates/onyxstile-system/src/program/claims.rs
+++ b/crates/onyxstile-system/src/program/claims.rs
@@ -92,6 +92,13 @@
     }
 }
 
+/// Whether a claim is a program's first by what a quorum tells: nothing was generated before, and no other turn is under way.
+pub fn is_first(own: &str, answers: &[ClaimSummary]) -> bool {
+    answers
+        .iter()
+        .all(|answer| answer.settled.tokens == 0 && answer.open.iter().all(|entry| entry.request == own))
+}
+
 /// Adds claims to those known, each request once; what is settled counts before what isn't.
 pub fn merge_claims(claims: &mut Vec<Entry>, entries: Vec<Entry>) {
     for entry in entries {
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -3,6 +3,7 @@
 //! Guarantees: a 429 or 503 is given only for what never ran and never will; what may have run and may not run twice is
 //! never sent again; a turn's answer ends only once the turn is kept; what is given up is answered at once.
 
+mod admit;
 mod answer;
 mod attempt;
 mod call;
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/admit.rs
@@ -0,0 +1,57 @@
+//! Which programs may begin, and what streams show of how busy the endpoints are.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Node;
+use super::call::Call;
+use crate::admission::Applicant;
+use crate::balance::{EndpointKey, Expected};
+
+impl Node {
+    /// When the client of a stream that goes on from nothing may come back, if no program may begin now with it.
+    pub(super) fn refuse(&self, call: &Call) -> Option<Duration> {
+        if !call.may_be_first() {
+            return None;
+        }
+        let name = call.turn.as_ref().map_or(call.id.as_str(), |turn| turn.program.as_str());
+        let applicant = Applicant { name, priority: call.route.priority, left_ms: call.finish_ms };
+        self.endpoints.borrow_mut().refuse(self.clock.now(), &call.service, applicant)
+    }
+
+    /// Events of a stream came after they were waited for.
+    pub(super) fn note_events(&self, key: EndpointKey, count: u32, waited: Duration) {
+        self.endpoints.borrow_mut().stream_went_on(self.clock.now(), key, count, waited);
+    }
+}
+
+/// A first event that is waited for; dropped, it is no more.
+pub(super) struct Awaited {
+    node: Rc<Node>,
+    expected: Option<Expected>,
+}
+
+impl Awaited {
+    /// A call that is sent now, before its prompt is noted in the endpoint's cache.
+    pub(super) fn new(node: Rc<Node>, call: &Call, key: EndpointKey) -> Awaited {
+        let expected = call
+            .is_stream()
+            .then(|| node.endpoints.borrow_mut().stream_sent(node.clock.now(), key, &call.parts));
+        Awaited { node, expected: expected.flatten() }
+    }
+
+    /// It has come.
+    pub(super) fn came(&self) {
+        if let Some(expected) = &self.expected {
+            self.node.endpoints.borrow_mut().stream_began(self.node.clock.now(), expected);
+        }
+    }
+}
+
+impl Drop for Awaited {
+    fn drop(&mut self) {
+        if let Some(expected) = &self.expected {
+            self.node.endpoints.borrow_mut().stream_not_awaited(expected);
+        }
+    }
+}
--- a/crates/onyxstile-system/src/role/proxy/attempt.rs
+++ b/crates/onyxstile-system/src/role/proxy/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, StatusCode, Uri};
 
 use super::Node;
+use super::admit::Awaited;
 use super::call::Call;
 use super::upstream::{Checkout, SendError};
 use crate::balance::{EndpointKey, Load};
@@ -46,6 +47,7 @@
         let began = self.clock.now();
         let Some((address, instance)) = self.address(key) else { return Attempt::NotSent };
         let request = self.request(call, body, &instance, last_event);
+        let awaited = Awaited::new(self.clone(), call, key);
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(key) {
             endpoint.cache.note(&call.parts, call.engine_tokens());
         }
@@ -65,6 +67,9 @@
         };
         let attempt = tokio::time::timeout(patience, attempt).await.unwrap_or(Attempt::Unknown("silence"));
         self.learn(key, &attempt, began);
+        if matches!(attempt, Attempt::Streaming(_)) {
+            awaited.came();
+        }
         attempt
     }
 
--- a/crates/onyxstile-system/src/role/proxy/call.rs
+++ b/crates/onyxstile-system/src/role/proxy/call.rs
@@ -62,6 +62,8 @@
     pub deadline: Instant,
     pub parts: Vec<Part>,
     pub turn: Option<TurnHead>,
+    /// The time until its program should be over, in ms.
+    pub finish_ms: Option<f64>,
     pub previous: Option<String>,
     pub last_event: Option<String>,
 }
@@ -94,6 +96,7 @@
             deadline: now + Duration::from_millis(deadline_ms),
             parts: parts.unwrap_or_default(),
             turn,
+            finish_ms: text("finish-ms").and_then(|left| left.trim().parse().ok()),
             previous: text("previous").filter(|_| route.retained).map(str::to_owned),
             last_event: text("last-event-id").map(str::to_owned),
             configuration,
@@ -110,6 +113,16 @@
         self.route.route_type == RouteType::Streaming
     }
 
+    /// Whether a program may begin with it: a stream that names no turn before it.
+    pub(super) fn may_be_first(&self) -> bool {
+        self.is_stream() && self.previous.is_none()
+    }
+
+    /// Whether a program begins with it for sure; where turns are not retained, only the claims on its budget tell.
+    pub(super) fn is_surely_first(&self) -> bool {
+        self.may_be_first() && (self.route.retained || self.turn.is_none())
+    }
+
     /// Tokens in one event of a stream.
     pub(super) fn tokens_an_event(&self) -> u64 {
         let service = self.configuration.services.get(&*self.service);
--- a/crates/onyxstile-system/src/role/proxy/conversation.rs
+++ b/crates/onyxstile-system/src/role/proxy/conversation.rs
@@ -7,7 +7,7 @@
 use super::Node;
 use super::call::{Call, TurnHead};
 use super::chain::Chain;
-use crate::program::{Admission, ClaimSummary, Entry, Record, Turn, admit, fits, merge_claims};
+use crate::program::{Admission, ClaimSummary, Entry, Record, Turn, admit, fits, is_first, merge_claims};
 use crate::role::membership::wall_clock_ms;
 use crate::wire::{Request, Response};
 
@@ -35,6 +35,7 @@
     most: u64,
     delivered: Cell<u64>,
     is_settled: Cell<bool>,
+    is_first: bool,
 }
 
 impl Claim {
@@ -43,6 +44,11 @@
         self.delivered.set(self.delivered.get() + tokens);
     }
 
+    /// Whether nothing was generated for its program before, and nothing else is under way.
+    pub(super) fn is_first(&self) -> bool {
+        self.is_first
+    }
+
     /// Records what the turn has generated. Nobody has to wait for it: until then the turn counts at its most.
     pub(super) fn settle(&self) {
         if self.is_settled.replace(true) {
@@ -72,13 +78,14 @@
     pub(super) async fn claim(self: &Rc<Node>, call: &Call) -> Result<Option<Claim>, NoTurn> {
         let Some(head) = &call.turn else { return Ok(None) };
         let entry = Entry { request: call.id.clone(), most: head.most, settled: None };
-        let claim = Claim {
+        let mut claim = Claim {
             node: self.clone(),
             program: head.program.clone(),
             request: call.id.clone(),
             most: head.most,
             delivered: Cell::new(0),
             is_settled: Cell::new(false),
+            is_first: false,
         };
         let patience = BEFORE_PATIENCE.min(call.left(self.clock.now()));
         let answers = self.reserve(head, &entry, false, patience).await?;
@@ -86,6 +93,7 @@
             .into_iter()
             .filter_map(|answer| if let Response::Reserved(summary) = answer { Some(summary) } else { None })
             .collect();
+        claim.is_first = is_first(&call.id, &summaries);
         let fits = match admit(head.budget, &call.id, head.most, &summaries) {
             Admission::Fits => true,
             Admission::Spent => false,
--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -60,16 +60,27 @@
     if node.endpoints.borrow().usable(&call.service) == 0 {
         return not_run(COME_BACK, "no endpoint");
     }
+    let refused = node.refuse(&call);
+    if let Some(wait) = refused.filter(|_| call.is_surely_first()) {
+        return busy(wait);
+    }
     node.endpoints.borrow_mut().note_prompt(&call.parts);
     let (claim, chain) = tokio::join!(node.claim(&call), node.chain(&call));
     match (claim, chain) {
-        (Ok(claim), Ok(chain)) => serve(node, call, claim, chain, entered).await,
+        (Ok(claim), Ok(chain)) => match refused {
+            Some(wait) if claim.as_ref().is_none_or(Claim::is_first) => busy(wait),
+            _ => serve(node, call, claim, chain, entered).await,
+        },
         (Err(NoTurn::Spent), _) => own(StatusCode::PAYMENT_REQUIRED, "the budget is spent"),
         (_, Err(NoTurn::NoPrevious)) => own(StatusCode::NOT_FOUND, "no such turn to go on from"),
         _ => not_run(COME_BACK, "too few storage machines answer"),
     }
 }
 
+fn busy(wait: Duration) -> ClientAnswer {
+    not_run(wait, "the endpoints are busy")
+}
+
 async fn serve(
     node: &Rc<Node>, call: Call, claim: Option<Claim>, chain: Chain, entered: Entered,
 ) -> ClientAnswer {
--- a/crates/onyxstile-system/src/role/proxy/relay_stream.rs
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -24,6 +24,9 @@
 /// A stream that may be taken up elsewhere is, after a silence of this many times the longest pause in time.
 const SILENCE_FACTOR: u32 = 2;
 
+/// Events whose pace is told at once: single ones may come together.
+const EVENTS_NOTED: u32 = 3;
+
 /// A stream that is passed on.
 pub(super) struct Relay {
     node: Rc<Node>,
@@ -47,6 +50,12 @@
     TimedOut,
 }
 
+/// Events that have come since their pace was told last.
+struct Progress {
+    events: u32,
+    since: Instant,
+}
+
 /// What has been passed on.
 #[derive(Default)]
 struct Passed {
@@ -106,12 +115,15 @@
     /// Passes events on until the endpoint's part ends.
     async fn pass_on(&mut self, pieces: &mpsc::Sender<Result<Bytes, BrokenOff>>, passed: &mut Passed) -> End {
         let mut splitter = Splitter::default();
+        let mut progress = Progress { events: 0, since: self.node.clock.now() };
         let mut next = std::mem::take(&mut self.stream.first);
         loop {
             let events = splitter.push(&next);
             if splitter.is_overfull() {
                 return End::Broken;
             }
+            progress.events += events.iter().filter(|event| event.data.is_some()).count() as u32;
+            self.note_progress(&mut progress);
             if !self.pass_events(events, pieces, passed).await {
                 return End::Abandoned;
             }
@@ -131,6 +143,17 @@
         }
     }
 
+    /// Tells how fast events come, some at a time.
+    fn note_progress(&self, progress: &mut Progress) {
+        if progress.events >= EVENTS_NOTED
+            && let Some(key) = self.sending.tried.last()
+        {
+            let now = self.node.clock.now();
+            self.node.note_events(*key, progress.events, now.since(progress.since));
+            *progress = Progress { events: 0, since: now };
+        }
+    }
+
     fn silence(&self) -> Duration {
         let route = &self.sending.call.route;
         if route.resumable && route.gap_aim_ms > 0 {
--- a/crates/onyxstile-system/tests/programs.rs
+++ b/crates/onyxstile-system/tests/programs.rs
@@ -10,8 +10,8 @@
 
 use onyxstile_system::clock::Instant;
 use onyxstile_system::program::{
-    Admission, ClaimSummary, Entry, Key, Quorum, Record, RecordIndex, RecordNumber, Turn, TurnCache, admit,
-    fits, groups, merge_claims, nearest,
+    Admission, ClaimSummary, Entry, Key, Quorum, Record, RecordIndex, RecordNumber, Settled, Turn, TurnCache,
+    admit, fits, groups, is_first, merge_claims, nearest,
 };
 use onyxstile_system::storage_plan::StoragePlan;
 use onyxstile_system::tolerance::Tolerance;
@@ -509,3 +509,17 @@
         );
     }
 }
+
+/// Where turns are not retained, only the claims tell whether a program begins.
+#[test]
+fn a_program_is_under_way_once_it_has_generated_or_another_turn_is_out() {
+    let open = |request: &str| Entry { request: request.into(), most: 40, settled: None };
+    let summary = |open: Vec<Entry>, tokens: u64| ClaimSummary {
+        open,
+        settled: Settled { count: 1, tokens, digest: 1 },
+    };
+    assert!(is_first("r", &[summary(vec![open("r")], 0), ClaimSummary::default()]));
+    assert!(is_first("r", &[]), "nobody knows of any");
+    assert!(!is_first("r", &[ClaimSummary::default(), summary(vec![open("r")], 12)]));
+    assert!(!is_first("r", &[summary(vec![open("r"), open("s")], 0)]));
+}
--- a/crates/onyxstile-system/tests/streams.rs
+++ b/crates/onyxstile-system/tests/streams.rs
@@ -125,3 +125,15 @@
         drop(wire::decode::<Response>(&spoilt));
     }
 }
+
+/// A session's part has one id and grows: what of it is new counted as read.
+#[test]
+fn what_a_growing_part_has_gained_was_not_read_before() {
+    let mut cache = Cache::default();
+    cache.note(&prefix::parse("a:100,b:50"), 1000);
+    let grown = prefix::parse("a:100,b:80");
+    assert_eq!(cache.read_before(&grown), 150);
+    assert_eq!(cache.read_before(&prefix::parse("a:100,b:80,c:9")), 150, "nothing behind it was read");
+    cache.note(&grown, 1000);
+    assert_eq!(cache.read_before(&grown), 180);
+}
