--- a/crates/onyxstile-lab/src/goodput/calls.rs
+++ b/crates/onyxstile-lab/src/goodput/calls.rs
@@ -114,6 +114,8 @@
     fn last_event(&mut self, id: u64) {
         self.event(id);
         let Some(call) = self.end_call(id) else { return };
+        let events = self.lines[call.line].turns[self.lines[call.line].next].events;
+        self.relays[self.lines[call.line].relay].endpoints.stream_ended(call.key, events);
         let number = call.line;
         let line = &mut self.lines[number];
         let turn = line.turns[line.next].clone();
--- a/crates/onyxstile-system/src/admission.rs
+++ b/crates/onyxstile-system/src/admission.rs
@@ -5,8 +5,8 @@
 //! relay decides by its own streams: all see the same endpoints, and nothing is asked of anybody.
 //!
 //! The *stretch* is the time that streams have taken lately over the time of the same progress at idle endpoints. Up to a
-//! target all programs begin; beyond it a part of them, which falls to [`ALWAYS`]. A less urgent class falls first and never
-//! has the larger part. Which programs begin is drawn by their names, so that all relays, and all tries, draw alike.
+//! target all programs begin; while it is beyond, the *level* falls, the part of programs that begin, and rises again below it. A
+//! less urgent class never has the larger part. Which programs begin is drawn by their names, so that all relays, and all tries, draw alike.
 
 use std::time::Duration;
 
@@ -16,7 +16,8 @@
 
 /// Streams of this age are worth half.
 const HALF_LIFE: Duration = Duration::from_millis(1000);
-/// The stretch up to which the most urgent programs all begin.
+/// The stretch that is aimed at. Aims are two times and more of what a program takes on idle endpoints, and some half of that are
+/// tools, pauses and the way, which don't stretch.
 const TARGET: f64 = 2.5;
 /// The part of the most urgent class that begins, as a multiple of that of the least urgent one.
 const MOST_URGENT_TIMES: f64 = 1.3;
@@ -34,8 +35,8 @@
 const KNOWN_AFTER_MS: f64 = 400.0;
 /// A stream that waits counts up to this many times what its wait should be, so that a silent endpoint is not load.
 const WAIT_TIMES: f64 = 4.0;
-/// The least and the largest time after which a refused client is told to come back.
-const COME_BACK: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(60));
+/// When a refused client may come back: soon, for a program that has waited long before it begins ends late.
+const COME_BACK: Duration = Duration::from_millis(60);
 
 /// How a service's streams go on lately.
 #[derive(Debug, Clone)]
@@ -115,7 +116,7 @@
         if part >= 1.0 || (rank(applicant.name) < part && !is_too_late) {
             return None;
         }
-        Some(COME_BACK.0 + (COME_BACK.1 - COME_BACK.0).mul_f64(1.0 - part))
+        Some(COME_BACK)
     }
 
     /// Moves the level by how far the stretch is from its target.
--- a/crates/onyxstile-system/src/balance/streams.rs
+++ b/crates/onyxstile-system/src/balance/streams.rs
@@ -93,6 +93,14 @@
         }
     }
 
+    /// A stream has ended whole after `events`.
+    pub fn stream_ended(&mut self, key: EndpointKey, events: u32) {
+        let service = self.slots.get(key).map(|endpoint| &endpoint.service);
+        if let Some(pace) = service.and_then(|service| self.paces.get_mut(service)) {
+            pace.note_turn(events);
+        }
+    }
+
     /// How fast a service's endpoints are, if anything was sent there.
     pub fn pace(&self, service: &str) -> Option<&Pace> {
         self.paces.get(service)
@@ -103,7 +111,7 @@
         self.admissions.get(service).map_or(1.0, |admission| admission.stretch(now))
     }
 
-    /// Whether half of the places of a service's endpoints are taken, or anything waits there, by what they told lately.
+    /// Whether a good part of the places of a service's endpoints is taken, or anything waits there, by what they told lately.
     fn is_busy(&self, now: Instant, service: &str) -> bool {
         let (mut taken, mut places, mut waiting) = (0.0, 0.0, 0.0);
         for key in self.keys(service) {
--- a/crates/onyxstile-system/src/role/proxy/call.rs
+++ b/crates/onyxstile-system/src/role/proxy/call.rs
@@ -113,9 +113,10 @@
         self.route.route_type == RouteType::Streaming
     }
 
-    /// Whether a program may begin with it: a stream that names no turn before it.
+    /// Whether a program may begin with it: a stream that names no turn before it, and that
+    /// is not taken up after a cut.
     pub(super) fn may_be_first(&self) -> bool {
-        self.is_stream() && self.previous.is_none()
+        self.is_stream() && self.previous.is_none() && self.last_event.is_none()
     }
 
     /// Whether a program begins with it for sure; where turns are not retained, only the claims on its budget tell.
--- a/crates/onyxstile-system/src/role/proxy/relay_stream.rs
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -59,6 +59,7 @@
 /// What has been passed on.
 #[derive(Default)]
 struct Passed {
+    events: u32,
     last_event: Option<String>,
     output: Vec<u8>,
 }
@@ -98,6 +99,9 @@
             }
         }
         self.sending.finish(self.began, false);
+        if let Some(key) = self.sending.tried.last() {
+            self.node.endpoints.borrow_mut().stream_ended(*key, passed.events);
+        }
         if let Some(checkout) = self.stream.checkout.take() {
             self.node.give_back(checkout);
         }
@@ -173,6 +177,7 @@
         for event in events {
             bytes.extend_from_slice(&event.bytes);
             if let Some(data) = &event.data {
+                passed.events += 1;
                 if let Some(claim) = &self.claim {
                     claim.deliver(self.sending.call.tokens_an_event());
                 }
