--- a/crates/onyxstile-system/src/controller.rs
+++ b/crates/onyxstile-system/src/controller.rs
@@ -66,7 +66,6 @@
     live: Vec<ElectorId>,
     dead_storage: Vec<String>,
     places: Places,
-    started: Instant,
     committed: u64,
     settled: ControlState,
     proposal: Option<agreement::Proposal>,
@@ -98,7 +97,6 @@
             live: Vec::new(),
             dead_storage: Vec::new(),
             places: Places::new(),
-            started: now,
             committed: settled.sequence,
             settled,
             proposal: None,
@@ -123,12 +121,6 @@
         self
     }
 
-    /// The same controller with the write that made the newest state on its disk, so that it need not pass the whole of it on.
-    pub fn with_last_write(mut self, write: Option<Rc<Write>>) -> Controller {
-        self.last_write = write.filter(|write| write.sequence == self.durable.state.sequence);
-        self
-    }
-
     /// The installed view.
     pub fn view(&self) -> Option<&Rc<View>> {
         self.durable.view.as_ref()
--- a/crates/onyxstile-system/src/role/controller/peers.rs
+++ b/crates/onyxstile-system/src/role/controller/peers.rs
@@ -146,5 +146,5 @@
     let is_newer = pulled.sequence > pull.sequence;
     let has_endpoints =
         pull.wants_endpoints && (pulled.origin != pull.origin || pulled.counter > pull.counter);
-    is_newer || has_endpoints || pulled.is_settled && !pull.is_heard
+    is_newer || has_endpoints
 }
--- a/crates/onyxstile-system/src/role/subscription.rs
+++ b/crates/onyxstile-system/src/role/subscription.rs
@@ -53,8 +53,6 @@
     view: u64,
     electors: Vec<Ipv4Addr>,
     heard: HashSet<Ipv4Addr>,
-    /// Controllers whose last poll was answered: they may hold the next one until there is news.
-    answering: HashSet<Ipv4Addr>,
     told: u64,
     polled: HashSet<Ipv4Addr>,
     registries: HashMap<Ipv4Addr, (u64, u64)>,
@@ -109,7 +107,6 @@
             let patience = Duration::from_millis(pull.wait_ms) + PATIENCE;
             match self.client.call(to, &Request::Pull(pull), patience).await {
                 Ok(Response::Pulled(pulled)) => {
-                    self.state.borrow_mut().answering.insert(controller);
                     self.take(controller, to, pulled).await;
                     // One that is not sure of what it holds answers at once.
                     let is_heard = self.state.borrow().heard.contains(&controller);
@@ -118,7 +115,7 @@
                     }
                 }
                 Ok(_) | Err(_) => {
-                    self.forget(controller);
+                    self.state.borrow_mut().heard.remove(&controller);
                     self.pause().await;
                 }
             }
@@ -126,16 +123,9 @@
         let mut state = self.state.borrow_mut();
         state.polled.remove(&controller);
         state.heard.remove(&controller);
-        state.answering.remove(&controller);
         state.relays.remove(&controller);
     }
 
-    fn forget(&self, controller: Ipv4Addr) {
-        let mut state = self.state.borrow_mut();
-        state.heard.remove(&controller);
-        state.answering.remove(&controller);
-    }
-
     async fn pause(&self) {
         let hears_majority = self.hears_majority(&self.state.borrow());
         tokio::time::sleep(if hears_majority { PAUSE } else { PAUSE_ALONE }).await;
@@ -145,7 +135,7 @@
         let settings = self.settings.borrow();
         let state = self.state.borrow();
         let (origin, counter) = state.registries.get(&controller).copied().unwrap_or_default();
-        let may_wait = !wants_state && state.answering.contains(&controller);
+        let is_heard = state.heard.contains(&controller);
         Pull {
             ip: settings.ip.octets(),
             name: settings.node_name.clone(),
@@ -155,8 +145,7 @@
             wants_endpoints: self.wishes.relay.is_some(),
             origin,
             counter,
-            is_heard: state.heard.contains(&controller),
-            wait_ms: if may_wait { self.wishes.wait.as_millis() as u64 } else { 0 },
+            wait_ms: if wants_state || !is_heard { 0 } else { self.wishes.wait.as_millis() as u64 },
             synced_epoch: self.wishes.synced_epoch.get(),
             evidence: self.evidence_for(&state, controller),
         }
--- a/crates/onyxstile-system/src/wire.rs
+++ b/crates/onyxstile-system/src/wire.rs
@@ -15,7 +15,7 @@
 use crate::registry::Instance;
 
 /// The version of the internal protocol; a frame of another is refused.
-pub const VERSION: u8 = 6;
+pub const VERSION: u8 = 5;
 /// Most bytes of a frame: the largest configuration and a state of many changes fit.
 pub const FRAME_MAX: usize = 32 * 1024 * 1024;
 
--- a/crates/onyxstile-system/tests/control_model.rs
+++ b/crates/onyxstile-system/tests/control_model.rs
@@ -69,9 +69,6 @@
     violation: Option<String>,
 }
 
-/// When the search begins, in ms: past the time that a controller gives others to return.
-const LONG_AFTER_START_MS: u64 = 10_000;
-
 fn index(ip: Ipv4Addr) -> usize {
     usize::from(ip.octets()[3]) - 1
 }
@@ -92,14 +89,14 @@
     fn start(left: Bounds) -> State {
         let seeds: Vec<Ipv4Addr> = (0..MACHINES).map(ip).collect();
         let disks: Vec<Durable> = seeds.iter().map(|seed| Controller::bootstrap(*seed, &seeds)).collect();
-        let controllers = (0..MACHINES).map(|machine| boot(machine, &disks[machine], 1)).collect();
+        let controllers = (0..MACHINES).map(|machine| boot(machine, &disks[machine], 1, 0)).collect();
         State {
             controllers,
             lives: vec![1; MACHINES],
             disks,
             channels: BTreeMap::new(),
             suspected: None,
-            now: LONG_AFTER_START_MS,
+            now: 0,
             left,
             acknowledged: Vec::new(),
             committed: BTreeMap::new(),
@@ -129,7 +126,7 @@
     fn restart(&mut self, machine: usize) {
         self.channels.retain(|(_, to), _| *to != machine);
         self.lives[machine] += 1;
-        self.controllers[machine] = boot(machine, &self.disks[machine], self.lives[machine]);
+        self.controllers[machine] = boot(machine, &self.disks[machine], self.lives[machine], self.now);
     }
 
     fn step(&mut self, machine: usize, input: Input, flaw: Flaw) {
@@ -191,10 +188,8 @@
     }
 }
 
-/// A controller that has started long ago: the time that it gives others to return would only take orders of events out of the
-/// search, and no rule rests on it.
-fn boot(machine: usize, disk: &Durable, life: Life) -> Controller {
-    Controller::new(ip(machine), disk.clone(), ONE, life, Instant::default()).placed(place(machine))
+fn boot(machine: usize, disk: &Durable, life: Life, now: u64) -> Controller {
+    Controller::new(ip(machine), disk.clone(), ONE, life, Instant::from_millis(now)).placed(place(machine))
 }
 
 impl Model for State {
