--- a/crates/onyxstile-system/src/pace.rs
+++ b/crates/onyxstile-system/src/pace.rs
@@ -10,8 +10,8 @@
 const PRIOR_TOKEN_MS: f64 = 1.0 / 38.0;
 /// The time of a first event beside reading, before anything is known, in ms.
 const PRIOR_FIRST_MS: f64 = 10.0;
-/// The time of an event before anything is known, in ms.
-const PRIOR_EVENT_MS: f64 = 15.0;
+/// The time of an event before anything is known, in ms: rather slow, for faster events show at any load and slower ones at idle endpoints only.
+const PRIOR_EVENT_MS: f64 = 20.0;
 /// Events in a turn before anything is known.
 const PRIOR_EVENTS: f64 = 10.0;
 /// Tokens that a turn has read anew before anything is known.
