--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What the project's people run; .ci/run calls `make check` and nothing else.
-.PHONY: build system run check fmt lint test doc demo demo-tier compare failures bench trace-figures fuzz hunt \
+.PHONY: build system run check fmt lint test doc demo demo-tier goodput compare failures bench trace-figures fuzz hunt \
 	fleet kills outage store-figures store-histories properties scale
 
 build:
@@ -46,6 +46,10 @@
 	cargo run --release --locked --quiet -p onyxstile-lab -- failures --chart docs/reports/failures.svg
 	cargo run --release --locked --quiet -p onyxstile-lab -- failures --primaries --chart docs/reports/return.svg
 
+# Programs in their aim over load, in virtual time (a minute).
+goodput:
+	cargo run --release --locked --quiet -p onyxstile-lab -- goodput --folder docs/reports
+
 # What a look-up and a choice cost.
 bench:
 	cargo bench --locked -p onyxstile-routing
