--- a/crates/onyxstile-lab/src/goodput/report.rs
+++ b/crates/onyxstile-lab/src/goodput/report.rs
@@ -26,7 +26,7 @@
     let mut rows = Vec::new();
     let mut slow = Shape::small();
     slow.engine.read_per_ms /= 4.0;
-    slow.name = "small, reading four times slower";
+    slow.name = "small and slow to read";
     for shape in [Shape::small(), Shape::medium(), Shape::large(), slow] {
         for admits in [false, true] {
             for load in LOADS {
