Make one piece of each thing that admission wrote again

Cause, found by reading the change once more: a text's place in 0..1 stood in admission.rs and in role/proxy/call.rs (now draw::place_of); the fading of counts in admission.rs and tally.rs (left_of); the sum of a prompt's tokens in streams.rs, cost.rs, prefix.rs and the laboratory (prefix::tokens); the events noted at once in the proxy and the laboratory (balance::EVENTS_NOTED); a line of turns was built in two places. A service's pace and admission were two maps under one name, looked up and the name copied with every third event: one now. Events of a stream were counted twice.

--- a/crates/onyxstile-lab/src/goodput/calls.rs
+++ b/crates/onyxstile-lab/src/goodput/calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use onyxstile_system::balance::{EndpointKey, Expected, Need};
+use onyxstile_system::balance::{EVENTS_NOTED, EndpointKey, Expected, Need};
 use onyxstile_system::prefix::Part;
 
 use super::clients::{DEADLINE_MS, SILENCE_MS, Tries};
@@ -10,8 +10,6 @@
 use super::play::{CLIENT_MS, Event, Line, Play, SERVICE, STORAGE_MS};
 use super::programs::{longer, roll};
 
-/// Events that a relay notes at once.
-const EVENTS_NOTED: u32 = 3;
 /// A call that is out.
 pub(super) struct Call {
     pub(super) line: usize,
@@ -114,11 +112,10 @@
     fn last_event(&mut self, id: u64) {
         self.event(id);
         let Some(call) = self.end_call(id) else { return };
-        let events = self.lines[call.line].turns[self.lines[call.line].next].events;
-        self.relays[self.lines[call.line].relay].endpoints.stream_ended(call.key, events);
         let number = call.line;
         let line = &mut self.lines[number];
         let turn = line.turns[line.next].clone();
+        self.relays[line.relay].endpoints.stream_ended(call.key, turn.events);
         let written = turn.events * self.shape.engine.stride;
         line.parts = longer(&call.parts, id ^ 1 << 40, written);
         line.next += 1;
@@ -130,16 +127,7 @@
         }
         for turns in turn.sub_agents {
             let parent = &self.lines[number];
-            let child = Line {
-                program: parent.program,
-                turns,
-                next: 0,
-                parts: parent.parts.clone(),
-                parent: Some(number),
-                open_children: 0,
-                relay: parent.relay,
-                tries: Tries::default(),
-            };
+            let child = Line::new(parent.program, turns, parent.parts.clone(), Some(number), parent.relay);
             self.lines.push(child);
             self.after(STORAGE_MS + CLIENT_MS * 2.0, Event::Try(self.lines.len() - 1));
         }
--- a/crates/onyxstile-lab/src/goodput/engine.rs
+++ b/crates/onyxstile-lab/src/goodput/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use onyxstile_system::balance::Load;
-use onyxstile_system::prefix::{Cache, Part};
+use onyxstile_system::prefix::{Cache, Part, tokens};
 
 use super::shape::EngineShape;
 
@@ -83,8 +83,7 @@
     pub(super) fn begin_step(&mut self) -> Option<f64> {
         while self.running.len() + self.reading.len() < self.shape.batch {
             let Some(job) = self.waiting.pop_front() else { break };
-            let all: u64 = job.parts.iter().map(|part| u64::from(part.tokens)).sum();
-            let unread = (all - self.cache.held(&job.parts)) as f64;
+            let unread = (tokens(&job.parts) - self.cache.held(&job.parts)) as f64;
             self.reading.push_back(Reading { job, unread });
         }
         if self.running.is_empty() && self.reading.is_empty() {
@@ -103,12 +102,7 @@
             self.finished.extend(self.reading.pop_front());
         }
         self.is_at_work = true;
-        let context: u64 = self
-            .running
-            .iter()
-            .flat_map(|running| &running.job.parts)
-            .map(|part| u64::from(part.tokens))
-            .sum();
+        let context: u64 = self.running.iter().map(|running| tokens(&running.job.parts)).sum();
         let step = self.shape.step_ms
             + self.shape.step_ms_per_slot * self.running.len() as f64
             + self.shape.context_ms_per_k * context as f64 / 1000.0;
--- a/crates/onyxstile-lab/src/goodput/play.rs
+++ b/crates/onyxstile-lab/src/goodput/play.rs
@@ -64,6 +64,15 @@
     pub(super) tries: Tries,
 }
 
+impl Line {
+    /// A line that has taken no turn yet.
+    pub(super) fn new(
+        program: usize, turns: Vec<Turn>, parts: Vec<Part>, parent: Option<usize>, relay: usize,
+    ) -> Line {
+        Line { program, turns, next: 0, parts, parent, open_children: 0, relay, tries: Tries::default() }
+    }
+}
+
 pub(super) struct Play<'a> {
     pub(super) shape: &'a Shape,
     pub(super) random: Pcg64Mcg,
@@ -145,21 +154,10 @@
 
     fn begin(&mut self, program: usize) {
         self.outcome.asked[self.programs[program].class] += 1;
-        let line = Line {
-            program,
-            turns: self.programs[program].turns.clone(),
-            next: 0,
-            parts: vec![first_part(self.programs[program].first_part)],
-            parent: None,
-            open_children: 0,
-            relay: 0,
-            tries: Tries::default(),
-        };
-        self.lines.push(line);
+        let turns = self.programs[program].turns.clone();
+        let parts = vec![first_part(self.programs[program].first_part)];
         let relay = self.any_relay(program);
-        if let Some(line) = self.lines.last_mut() {
-            line.relay = relay;
-        }
+        self.lines.push(Line::new(program, turns, parts, None, relay));
         self.after(CLIENT_MS, Event::Try(self.lines.len() - 1));
     }
 
--- a/crates/onyxstile-lab/src/goodput/relay.rs
+++ b/crates/onyxstile-lab/src/goodput/relay.rs
@@ -12,6 +12,7 @@
 /// The way to an endpoint, there or back, in ms: in the relay's zone, and to another.
 const NEAR_MS: f64 = 0.2;
 const FAR_MS: f64 = 1.4;
+
 /// One relay.
 pub(super) struct Relay {
     pub(super) endpoints: Endpoints,
--- a/crates/onyxstile-lab/src/goodput/report.rs
+++ b/crates/onyxstile-lab/src/goodput/report.rs
@@ -12,7 +12,7 @@
 
 /// One row of the table.
 struct Row {
-    shape: String,
+    shape: &'static str,
     load: f64,
     admits: bool,
     outcome: Outcome,
@@ -33,7 +33,7 @@
                 let shape = Shape { load, admits, seed, seconds, ..shape.clone() };
                 let outcome = play(&shape);
                 println!("{}", line(shape.name, load, admits, &outcome));
-                rows.push(Row { shape: shape.name.to_owned(), load, admits, outcome });
+                rows.push(Row { shape: shape.name, load, admits, outcome });
             }
         }
     }
@@ -58,10 +58,10 @@
         "shape,load,admits,asked,in_aim,late,least_urgent_part,most_urgent_part,refusals,given_up\n",
     );
     for row in rows {
-        writeln!(table, "{}", line(&row.shape, row.load, row.admits, &row.outcome))?;
+        writeln!(table, "{}", line(row.shape, row.load, row.admits, &row.outcome))?;
     }
     std::fs::write(folder.join("goodput.csv"), table)?;
-    let mut names: Vec<&str> = rows.iter().map(|row| row.shape.as_str()).collect();
+    let mut names: Vec<&str> = rows.iter().map(|row| row.shape).collect();
     names.dedup();
     let panel = |name: &str| {
         let of = |admits: bool, label: &str| {
--- a/crates/onyxstile-system/src/admission.rs
+++ b/crates/onyxstile-system/src/admission.rs
@@ -10,9 +10,9 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use crate::clock::Instant;
+use crate::draw::place_of;
+use crate::tally::left_of;
 
 /// Streams of this age are worth half.
 const HALF_LIFE: Duration = Duration::from_millis(1000);
@@ -76,7 +76,7 @@
 impl Admission {
     /// A stream made progress in `took_ms` that takes `idle_ms` at an idle endpoint.
     pub fn note(&mut self, now: Instant, took_ms: f64, idle_ms: f64) {
-        let left = left_after(now.since(self.counted_at));
+        let left = left_of(now.since(self.counted_at), HALF_LIFE);
         self.took_ms = self.took_ms * left + took_ms;
         self.idle_ms = self.idle_ms * left + idle_ms;
         self.counted_at = now;
@@ -96,7 +96,7 @@
 
     /// How many times longer streams take than at idle endpoints; 1 while too little is known.
     pub fn stretch(&self, now: Instant) -> f64 {
-        let left = left_after(now.since(self.counted_at));
+        let left = left_of(now.since(self.counted_at), HALF_LIFE);
         let (mut took, mut idle) = (self.took_ms * left, self.idle_ms * left);
         for (sent, expected) in &self.waiting {
             let waited = now.since(*sent).as_secs_f64() * 1e3;
@@ -113,7 +113,7 @@
         self.move_level(now, stretch);
         let part = part_admitted(self.level, applicant.priority);
         let is_too_late = applicant.left_ms.is_some_and(|left_ms| left_ms < turn_ms * stretch);
-        if part >= 1.0 || (rank(applicant.name) < part && !is_too_late) {
+        if part >= 1.0 || (place_of(applicant.name) < part && !is_too_late) {
             return None;
         }
         Some(COME_BACK)
@@ -134,12 +134,3 @@
     let urgency = 1.0 - f64::from(priority.min(LEAST_URGENT)) / f64::from(LEAST_URGENT);
     (level * (1.0 + (MOST_URGENT_TIMES - 1.0) * urgency)).min(1.0)
 }
-
-/// A program's place in 0..1, the same at all relays.
-fn rank(name: &str) -> f64 {
-    (xxh3_64(name.as_bytes()) >> 11) as f64 / (1u64 << 53) as f64
-}
-
-fn left_after(age: Duration) -> f64 {
-    0.5f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
-}
--- a/crates/onyxstile-system/src/balance.rs
+++ b/crates/onyxstile-system/src/balance.rs
@@ -24,7 +24,8 @@
 pub use health::Health;
 use homes::Homes;
 use shares::Shares;
-pub use streams::Expected;
+use streams::Shown;
+pub use streams::{EVENTS_NOTED, Expected};
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -32,10 +33,8 @@
 use slotmap::{SlotMap, new_key_type};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::admission::Admission;
 use crate::clock::Instant;
 use crate::evidence::{self, Evidence};
-use crate::pace::Pace;
 use crate::prefix::Part;
 
 new_key_type! {
@@ -75,8 +74,7 @@
     shares: Shares,
     connections: Connections,
     distances: Distances,
-    paces: HashMap<String, Pace>,
-    admissions: HashMap<String, Admission>,
+    shown: HashMap<String, Shown>,
     relay: u64,
 }
 
--- a/crates/onyxstile-system/src/balance/cost.rs
+++ b/crates/onyxstile-system/src/balance/cost.rs
@@ -3,7 +3,7 @@
 use super::EndpointKey;
 use super::endpoint::{Endpoint, Occupancy};
 use super::homes::Homes;
-use crate::prefix::Part;
+use crate::prefix::{Part, tokens};
 
 /// Tokens that an endpoint reads in a ms, until more is known: of the order of a large model on one accelerator.
 const READ_TOKENS_PER_MS: f64 = 38.0;
@@ -44,21 +44,20 @@
 
     /// Tokens that need not be read at an endpoint that is known to hold `known` of them.
     fn expected_held(&self, key: EndpointKey, known: u64) -> f64 {
-        let tokens = |parts: &[Part]| parts.iter().map(|part| f64::from(part.tokens)).sum::<f64>();
         let mut expected = known as f64;
         if self.homes.has_first_part(key) {
-            expected = expected.max(HOME_TRUST * tokens(&self.parts[..1]));
+            expected = expected.max(HOME_TRUST * tokens(&self.parts[..1]) as f64);
         }
         if self.homes.is_of_program(key) && !self.is_followed && self.parts.len() > 2 {
             // Its last part is new with this turn; what came before went to the program's home through another relay.
-            expected = expected.max(HOME_TRUST * tokens(&self.parts[..self.parts.len() - 1]));
+            expected = expected.max(HOME_TRUST * tokens(&self.parts[..self.parts.len() - 1]) as f64);
         }
         expected
     }
 
     /// The cost of reading the prompt at an endpoint that is known to hold `known` tokens of it.
     pub(super) fn reading(&self, key: EndpointKey, known: u64) -> f64 {
-        let all: f64 = self.parts.iter().map(|part| f64::from(part.tokens)).sum();
+        let all = tokens(self.parts) as f64;
         let is_first_turn = self.parts.len() <= 2;
         let gain = if is_first_turn && self.homes.is_of_program(key) { PROGRAM_HOME_MS } else { 0.0 };
         (all - self.expected_held(key, known)).max(0.0) / READ_TOKENS_PER_MS - gain
--- a/crates/onyxstile-system/src/lib.rs
+++ b/crates/onyxstile-system/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod controller;
 pub mod disk;
+pub mod draw;
 pub mod evidence;
 pub mod json;
 pub mod known;
--- a/crates/onyxstile-system/src/prefix.rs
+++ b/crates/onyxstile-system/src/prefix.rs
@@ -24,6 +24,11 @@
     parts
 }
 
+/// Tokens of all parts together.
+pub fn tokens(parts: &[Part]) -> u64 {
+    parts.iter().map(|part| u64::from(part.tokens)).sum()
+}
+
 /// A least-recently-used estimate of one endpoint's cache.
 #[derive(Debug, Default)]
 pub struct Cache {
@@ -34,7 +39,8 @@
 }
 
 impl Cache {
-    /// Tokens at the front of a prompt that need not be read again.
+    /// Tokens at the front of a prompt whose parts are held, a session's part counted whole though it grows: what the choice of an
+    /// endpoint goes by, so that a session stays where it is.
     pub fn held(&self, parts: &[Part]) -> u64 {
         let is_held = |part: &&Part| self.parts.contains_key(&part.chain);
         parts.iter().take_while(is_held).map(|part| u64::from(part.tokens)).sum()
@@ -48,7 +54,6 @@
             let Some((tokens, _)) = self.parts.get(&part.chain) else { break };
             held += u64::from(part.tokens.min(*tokens));
             if *tokens < part.tokens {
-                // A session's part grows from turn to turn under one id.
                 break;
             }
         }
--- a/crates/onyxstile-system/src/role/proxy/admit.rs
+++ b/crates/onyxstile-system/src/role/proxy/admit.rs
@@ -18,11 +18,6 @@
         let applicant = Applicant { name, priority: call.route.priority, left_ms: call.finish_ms };
         self.endpoints.borrow_mut().refuse(self.clock.now(), &call.service, applicant)
     }
-
-    /// Events of a stream came after they were waited for.
-    pub(super) fn note_events(&self, key: EndpointKey, count: u32, waited: Duration) {
-        self.endpoints.borrow_mut().stream_went_on(self.clock.now(), key, count, waited);
-    }
 }
 
 /// A first event that is waited for; dropped, it is no more.
--- a/crates/onyxstile-system/src/role/proxy/call.rs
+++ b/crates/onyxstile-system/src/role/proxy/call.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::Instant;
 use crate::configuration::{Configuration, Route, RouteType};
+use crate::draw::place_of;
 use crate::prefix::{self, Part};
 
 /// A request without a deadline of its own has this long, in ms.
@@ -78,7 +79,7 @@
         let whole = |name: &str| text(name).and_then(|value| value.trim().parse::<u64>().ok());
         let deadline_ms = whole("deadline-ms").unwrap_or(DEFAULT_DEADLINE_MS);
         let held_ms = deadline_ms.min(route.timeout_ms);
-        let split_by = text("session").map_or(roll, share);
+        let split_by = text("session").map_or(roll, place_of);
         let is_stream = route.route_type == RouteType::Streaming;
         let turn = match (text("program"), whole("budget")) {
             (Some(program), Some(budget)) if is_stream => {
@@ -113,8 +114,7 @@
         self.route.route_type == RouteType::Streaming
     }
 
-    /// Whether a program may begin with it: a stream that names no turn before it, and that
-    /// is not taken up after a cut.
+    /// Whether a program may begin with it: a stream that names no turn before it, and that is not taken up after a cut.
     pub(super) fn may_be_first(&self) -> bool {
         self.is_stream() && self.previous.is_none() && self.last_event.is_none()
     }
@@ -173,11 +173,6 @@
     }
 }
 
-/// A number from 0 to 1 that stays the same for one text.
-fn share(text: &str) -> f64 {
-    (xxhash_rust::xxh3::xxh3_64(text.as_bytes()) >> 11) as f64 / (1u64 << 53) as f64
-}
-
 fn pick(route: &Route, roll: f64) -> Rc<str> {
     let total: f64 = route.split.iter().map(|(_, weight)| weight).sum();
     let mut left = roll * total;
--- a/crates/onyxstile-system/src/role/proxy/relay_stream.rs
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -16,6 +16,7 @@
 use super::forward::copy_head;
 use super::lifetime::Entered;
 use super::sending::Sending;
+use crate::balance::EVENTS_NOTED;
 use crate::clock::Instant;
 use crate::sse::{Event, Splitter};
 
@@ -24,9 +25,6 @@
 /// A stream that may be taken up elsewhere is, after a silence of this many times the longest pause in time.
 const SILENCE_FACTOR: u32 = 2;
 
-/// Events whose pace is told at once: single ones may come together.
-const EVENTS_NOTED: u32 = 3;
-
 /// A stream that is passed on.
 pub(super) struct Relay {
     node: Rc<Node>,
@@ -50,10 +48,10 @@
     TimedOut,
 }
 
-/// Events that have come since their pace was told last.
-struct Progress {
+/// How many events there were when their pace was noted last, and when that was.
+struct Noted {
     events: u32,
-    since: Instant,
+    at: Instant,
 }
 
 /// What has been passed on.
@@ -119,15 +117,15 @@
     /// Passes events on until the endpoint's part ends.
     async fn pass_on(&mut self, pieces: &mpsc::Sender<Result<Bytes, BrokenOff>>, passed: &mut Passed) -> End {
         let mut splitter = Splitter::default();
-        let mut progress = Progress { events: 0, since: self.node.clock.now() };
+        let mut noted = Noted { events: passed.events, at: self.node.clock.now() };
         let mut next = std::mem::take(&mut self.stream.first);
         loop {
             let events = splitter.push(&next);
             if splitter.is_overfull() {
                 return End::Broken;
             }
-            progress.events += events.iter().filter(|event| event.data.is_some()).count() as u32;
-            self.note_progress(&mut progress);
+            passed.events += events.iter().filter(|event| event.data.is_some()).count() as u32;
+            self.note_progress(passed.events, &mut noted);
             if !self.pass_events(events, pieces, passed).await {
                 return End::Abandoned;
             }
@@ -147,14 +145,15 @@
         }
     }
 
-    /// Tells how fast events come, some at a time.
-    fn note_progress(&self, progress: &mut Progress) {
-        if progress.events >= EVENTS_NOTED
+    /// Notes how fast events come, some at a time.
+    fn note_progress(&self, events: u32, noted: &mut Noted) {
+        let count = events - noted.events;
+        if count >= EVENTS_NOTED
             && let Some(key) = self.sending.tried.last()
         {
             let now = self.node.clock.now();
-            self.node.note_events(*key, progress.events, now.since(progress.since));
-            *progress = Progress { events: 0, since: now };
+            self.node.endpoints.borrow_mut().stream_went_on(now, *key, count, now.since(noted.at));
+            *noted = Noted { events, at: now };
         }
     }
 
@@ -177,7 +176,6 @@
         for event in events {
             bytes.extend_from_slice(&event.bytes);
             if let Some(data) = &event.data {
-                passed.events += 1;
                 if let Some(claim) = &self.claim {
                     claim.deliver(self.sending.call.tokens_an_event());
                 }
--- a/crates/onyxstile-system/src/tally.rs
+++ b/crates/onyxstile-system/src/tally.rs
@@ -50,5 +50,10 @@
 
 /// What a count of an age is still worth.
 pub fn left_after(age: Duration) -> f64 {
-    0.5f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+    left_of(age, HALF_LIFE)
+}
+
+/// What is left at an age of something that loses half in `half_life`.
+pub fn left_of(age: Duration, half_life: Duration) -> f64 {
+    0.5f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
 }
