--- a/crates/onyxstile-system/src/admission.rs
+++ b/crates/onyxstile-system/src/admission.rs
@@ -119,6 +119,11 @@
         Some(COME_BACK)
     }
 
+    /// The part of the most urgent programs that may begin.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
     /// Moves the level by how far the stretch is from its target.
     fn move_level(&mut self, now: Instant, stretch: f64) {
         let passed = now.since(self.moved_at).min(LONGEST_STEP).as_secs_f64();
--- a/crates/onyxstile-system/src/balance/directory.rs
+++ b/crates/onyxstile-system/src/balance/directory.rs
@@ -56,6 +56,13 @@
         self.slots.get_mut(key)
     }
 
+    /// Services that have endpoints, in the order of their names.
+    pub fn services(&self) -> Vec<String> {
+        let mut services: Vec<String> = self.by_service.keys().cloned().collect();
+        services.sort_unstable();
+        services
+    }
+
     /// How many endpoints of a service may be called.
     pub fn usable(&self, service: &str) -> usize {
         self.keys(service).iter().filter(|key| self.slots[**key].may_be_called()).count()
--- a/crates/onyxstile-system/src/balance/streams.rs
+++ b/crates/onyxstile-system/src/balance/streams.rs
@@ -105,6 +105,21 @@
         self.shown.get(service).map_or(1.0, |shown| shown.admission.stretch(now))
     }
 
+    /// The part of a service's programs that may begin.
+    pub fn level(&self, service: &str) -> f64 {
+        self.shown.get(service).map_or(1.0, |shown| shown.admission.level())
+    }
+
+    /// How long an idle endpoint of a service takes to read a token, in ms; 0 where no stream was sent.
+    pub fn token_ms(&self, service: &str) -> f64 {
+        self.shown.get(service).map_or(0.0, |shown| shown.pace.token_ms())
+    }
+
+    /// How long it takes to write an event, in ms, likewise.
+    pub fn event_ms(&self, service: &str) -> f64 {
+        self.shown.get(service).map_or(0.0, |shown| shown.pace.event_ms())
+    }
+
     /// Whether a good part of the places of a service's endpoints is taken, or anything waits there, by what they told lately.
     fn is_busy(&self, now: Instant, service: &str) -> bool {
         let (mut taken, mut places, mut waiting) = (0.0, 0.0, 0.0);
--- a/crates/onyxstile-system/src/controller.rs
+++ b/crates/onyxstile-system/src/controller.rs
@@ -16,6 +16,7 @@
 mod help;
 mod membership;
 mod operations;
+mod position;
 mod settlement;
 mod timers;
 
@@ -29,9 +30,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::control::{
-    ControlState, Durable, ElectorId, Life, Message, Operation, Outcome, Token, View, Write,
-};
+use crate::control::{ControlState, Durable, ElectorId, Life, Message, Operation, Outcome, Token, Write};
 use crate::tolerance::{Place, Tolerance};
 
 /// A write that its successor has not acknowledged goes again after this time.
@@ -127,38 +126,12 @@
         self
     }
 
-    /// The installed view.
-    pub fn view(&self) -> Option<&Rc<View>> {
-        self.durable.view.as_ref()
-    }
-
-    /// What is to be on the disk.
-    pub fn durable(&self) -> &Durable {
-        &self.durable
-    }
-
     /// The same controller with the write that made the newest state on its disk, so that it need not pass the whole of it on.
     pub fn with_last_write(mut self, write: Option<Rc<Write>>) -> Controller {
         self.last_write = write.filter(|write| write.sequence == self.durable.state.sequence);
         self
     }
 
-    /// The newest state that no later view can lack; `None` where no view has taken this machine in.
-    pub fn committed_state(&self) -> Option<&ControlState> {
-        self.durable.view.as_ref().map(|_| &self.settled)
-    }
-
-    /// Whether no later view can lack anything that this controller has on its disk.
-    pub fn is_settled(&self) -> bool {
-        self.durable.view.is_some() && self.settled.sequence == self.durable.state.sequence
-    }
-
-    /// Whether this controller is the head of a chain that still writes.
-    pub fn is_head(&self) -> bool {
-        !self.is_wedged()
-            && self.durable.view.as_ref().is_some_and(|view| view.chain.first() == Some(&self.id))
-    }
-
     /// Takes one input in.
     pub fn step(&mut self, now: Instant, input: Input) -> Vec<Effect> {
         match input {
@@ -230,15 +203,6 @@
         }
     }
 
-    fn installed(&self) -> u64 {
-        self.durable.view.as_ref().map_or(0, |view| view.number)
-    }
-
-    /// Whether this machine votes in the installed view; one that doesn't is a standby.
-    pub fn is_elector(&self) -> bool {
-        self.durable.view.as_ref().is_some_and(|view| view.electors.contains(&self.id))
-    }
-
     /// Whether a promise for the next view keeps this controller from writing in its view.
     fn is_wedged(&self) -> bool {
         self.durable.promised != Default::default()
--- a/crates/onyxstile-system/src/known.rs
+++ b/crates/onyxstile-system/src/known.rs
@@ -1,6 +1,7 @@
 //! All that an agent has heard, so that a proxy that starts anew can be told the whole of it. Pure.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::clock::Instant;
 use crate::evidence::Evidence;
@@ -27,7 +28,7 @@
 pub struct Known {
     state: Option<Published>,
     endpoints: HashMap<String, (Instance, Instant)>,
-    is_fresh: bool,
+    fresh_since: Option<Instant>,
     relays: Option<u32>,
 }
 
@@ -47,17 +48,24 @@
                 self.forget(now);
                 feed.endpoints.extend(endpoints);
             }
-            News::Fresh => self.is_fresh = true,
+            News::Fresh => {
+                self.fresh_since.get_or_insert(now);
+            }
             News::Relays(count) => self.relays = Some(count),
             // It is told anew as long as it holds.
             News::Evidence(evidence) => feed.evidence = evidence,
         }
-        (feed.is_fresh, feed.relays) = (self.is_fresh, self.relays);
+        (feed.is_fresh, feed.relays) = (self.fresh_since.is_some(), self.relays);
+    }
+
+    /// When a majority of the controllers had been heard, from the start of the clock; `None` before.
+    pub fn fresh_after(&self) -> Option<Duration> {
+        self.fresh_since.map(|since| since.since(Instant::default()))
     }
 
     /// A feed that tells of nothing that changed.
     pub fn unchanged(&self) -> Feed {
-        Feed { is_fresh: self.is_fresh, relays: self.relays, ..Feed::default() }
+        Feed { is_fresh: self.fresh_since.is_some(), relays: self.relays, ..Feed::default() }
     }
 
     /// Holds a record; false if it says nothing that is not known.
@@ -81,7 +89,7 @@
         Feed {
             state: self.state.clone(),
             endpoints: self.endpoints.values().map(|(instance, _)| instance.clone()).collect(),
-            is_fresh: self.is_fresh,
+            is_fresh: self.fresh_since.is_some(),
             relays: self.relays,
             evidence: Vec::new(),
         }
--- a/crates/onyxstile-system/src/lib.rs
+++ b/crates/onyxstile-system/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod disk;
 pub mod draw;
 pub mod evidence;
+pub mod figures;
 pub mod json;
 pub mod known;
 pub mod logging;
--- a/crates/onyxstile-system/src/main.rs
+++ b/crates/onyxstile-system/src/main.rs
@@ -4,10 +4,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use onyxstile_system::role::controller::RoleError;
 use onyxstile_system::role::{agent, controller, proxy, status, storage};
-use onyxstile_system::settings::{Settings, SettingsError};
+use onyxstile_system::settings::{MetricsAddress, Settings, SettingsError};
 use onyxstile_system::{configuration, logging};
 
 /// The serving tier for agent programs.
@@ -18,16 +18,24 @@
     command: Command,
 }
 
+/// What all roles take.
+#[derive(Args)]
+struct Role {
+    /// Tells the role's figures as text over HTTP at this port and path of the machine's address.
+    #[arg(long, value_name = "PORT/PATH")]
+    metrics: Option<MetricsAddress>,
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Serves clients on an edge machine; needs listen.front and listen.readiness.
-    Proxy,
+    Proxy(Role),
     /// Keeps the link to the controllers and feeds the proxy of its machine.
-    Agent,
+    Agent(Role),
     /// Keeps the control state on a core machine; needs data_dir and listen.control.
-    Controller,
+    Controller(Role),
     /// Keeps turns and budgets on a storage machine; needs data_dir.
-    Storage,
+    Storage(Role),
     /// Asks a controller or a storage machine what it knows: view, chain, revision, storage plan, repair.
     Status {
         /// Its address with the first of its internal ports.
@@ -45,6 +53,19 @@
     },
 }
 
+impl Command {
+    /// Where a role tells its figures.
+    fn metrics(&self) -> Option<MetricsAddress> {
+        match self {
+            Command::Proxy(role)
+            | Command::Agent(role)
+            | Command::Controller(role)
+            | Command::Storage(role) => role.metrics.clone(),
+            _ => None,
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     if let Err(error) = logging::start(logging::level_from_environment()) {
@@ -60,7 +81,10 @@
             report(run(&Command::Status { address }, None).map(|()| "asked".into()))
         }
         command => match Settings::from_environment() {
-            Ok(settings) => report(run(&command, Some(settings)).map(|()| "ended".into())),
+            Ok(settings) => {
+                let settings = Settings { metrics: command.metrics(), ..settings };
+                report(run(&command, Some(settings)).map(|()| "ended".into()))
+            }
             Err(error) => report::<SettingsError>(Err(error)),
         },
     }
@@ -86,10 +110,10 @@
     let local = tokio::task::LocalSet::new();
     runtime.block_on(local.run_until(async {
         match (command, settings) {
-            (Command::Proxy, Some(settings)) => proxy::run(settings).await,
-            (Command::Agent, Some(settings)) => agent::run(settings).await,
-            (Command::Controller, Some(settings)) => controller::run(settings).await,
-            (Command::Storage, Some(settings)) => storage::run(settings).await,
+            (Command::Proxy(_), Some(settings)) => proxy::run(settings).await,
+            (Command::Agent(_), Some(settings)) => agent::run(settings).await,
+            (Command::Controller(_), Some(settings)) => controller::run(settings).await,
+            (Command::Storage(_), Some(settings)) => storage::run(settings).await,
             (Command::Status { address }, _) => status::run(*address).await,
             _ => Ok(()),
         }
--- a/crates/onyxstile-system/src/registry.rs
+++ b/crates/onyxstile-system/src/registry.rs
@@ -212,6 +212,19 @@
         }
     }
 
+    /// How many incarnations are how far.
+    pub fn counts(&self) -> [(&'static str, usize); 4] {
+        let count = |is_wanted: fn(&Instance) -> bool| {
+            self.entries.values().filter(|entry| is_wanted(&entry.instance)).count()
+        };
+        [
+            ("ready", self.ready()),
+            ("silent", count(|instance| instance.stage == Stage::Ready && instance.is_silent)),
+            ("draining", count(|instance| instance.stage == Stage::Draining)),
+            ("gone", count(|instance| instance.stage == Stage::Gone)),
+        ]
+    }
+
     /// How many incarnations are ready and heard of.
     pub fn ready(&self) -> usize {
         self.entries
--- a/crates/onyxstile-system/src/relays.rs
+++ b/crates/onyxstile-system/src/relays.rs
@@ -50,6 +50,11 @@
         is_known.then(|| self.by_address.values().filter(heard).count() as u32)
     }
 
+    /// How many relays have an older revision in force than `revision`.
+    pub fn behind(&self, revision: u64) -> usize {
+        self.by_address.values().filter(|(relay, _)| relay.revision < revision).count()
+    }
+
     /// A line for each relay, for operators: what it has in force, whether that is behind `revision`, and how long ago it
     /// said so.
     pub fn lines(&self, now: Instant, revision: u64) -> Vec<String> {
--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod identity;
 pub mod membership;
+pub mod metrics;
 pub mod proxy;
 pub mod rpc;
 pub mod signals;
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -11,11 +11,13 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::controller::RoleError;
+use super::metrics;
 use super::rpc::Client;
 use super::signals;
 use super::subscription::{self, Wishes};
 use crate::clock::SteadyClock;
 use crate::evidence::Evidence;
+use crate::figures::Figures;
 use crate::known::{Known, News};
 use crate::settings::Settings;
 use crate::wire::{Feed, Request, Response};
@@ -33,7 +35,11 @@
 pub async fn run(settings: Settings) -> Result<(), RoleError> {
     let proxy = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
     let grace = settings.grace();
+    let clock = SteadyClock::start();
+    let figures_settings = settings.clone();
     let settings = Rc::new(RefCell::new(settings));
+    let known: Rc<RefCell<Known>> = Rc::default();
+    let told = known.clone();
     let client = Client::default();
     let evidence: Rc<RefCell<Vec<Evidence>>> = Rc::default();
     let wishes = Wishes { relay: Some(evidence.clone()), wait: POLL_WAIT, synced_epoch: Rc::default() };
@@ -41,7 +47,8 @@
     log::info!("agent of {} feeds {proxy}", settings.borrow().node_name);
     let is_ending = Rc::new(Cell::new(false));
     tokio::select! {
-        () = feed(client, proxy, news, is_ending.clone(), evidence) => log::info!("the proxy is gone"),
+        () = metrics::serve(figures_settings, clock, move || figures(&told.borrow())) => {}
+        () = feed(Link { client, proxy, clock }, news, &known, is_ending.clone(), evidence) => log::info!("the proxy is gone"),
         () = signals::reread(settings, |_| {}) => {}
         () = end(grace, is_ending) => log::info!("the agent ends"),
     }
@@ -55,16 +62,22 @@
     tokio::time::sleep(grace.mul_f64(0.9)).await;
 }
 
+/// The way to the proxy.
+struct Link {
+    client: Client,
+    proxy: SocketAddrV4,
+    clock: SteadyClock,
+}
+
 async fn feed(
-    client: Client, proxy: SocketAddrV4, mut news: UnboundedReceiver<News>, is_ending: Rc<Cell<bool>>,
+    link: Link, mut news: UnboundedReceiver<News>, known: &RefCell<Known>, is_ending: Rc<Cell<bool>>,
     evidence: Rc<RefCell<Vec<Evidence>>>,
 ) {
-    let clock = SteadyClock::start();
-    let mut known = Known::default();
+    let Link { client, proxy, clock } = link;
     let mut fed: Option<u64> = None;
     loop {
-        let changes = gather(clock, &mut news, &mut known).await;
-        let feed = if fed.is_some() { changes } else { known.whole() };
+        let changes = gather(clock, &mut news, known).await;
+        let feed = if fed.is_some() { changes } else { known.borrow().whole() };
         match client.call(proxy, &Request::Feed(feed), FEED_PATIENCE).await {
             Ok(Response::Fed { life, evidence: shown }) if fed.is_none_or(|known| known == life) => {
                 fed = Some(life);
@@ -83,12 +96,33 @@
 }
 
 /// Waits for news or the next regular feed; what changed, as one feed.
-async fn gather(clock: SteadyClock, news: &mut UnboundedReceiver<News>, known: &mut Known) -> Feed {
-    let mut feed = known.unchanged();
+async fn gather(clock: SteadyClock, news: &mut UnboundedReceiver<News>, known: &RefCell<Known>) -> Feed {
+    let mut feed = known.borrow().unchanged();
     let mut next = tokio::time::timeout(FEED_EVERY, news.recv()).await.ok().flatten();
     while let Some(item) = next {
-        known.absorb(clock.now(), item, &mut feed);
+        known.borrow_mut().absorb(clock.now(), item, &mut feed);
         next = news.try_recv().ok();
     }
     feed
 }
+
+/// What an agent tells of itself in figures.
+fn figures(known: &Known) -> Figures {
+    let mut figures = Figures::default();
+    let whole = known.whole();
+    figures.flag("fresh", "Whether a majority of the controllers was heard since the start.", whole.is_fresh);
+    let help = "Time from the start until it was heard; -1 before.";
+    figures.time_taken("fresh_after_seconds", help, known.fresh_after());
+    let sequence = whole.state.as_ref().map_or(0, |state| state.sequence);
+    figures.gauge("sequence", "Number of the newest control state.", sequence as f64);
+    let configuration = whole.state.and_then(|state| state.configuration);
+    let revision = configuration.map_or(0, |configuration| configuration.revision);
+    figures.gauge("revision", "Revision of the newest configuration.", revision as f64);
+    figures.gauge("endpoints_known", "Endpoints that it has heard of.", whole.endpoints.len() as f64);
+    figures.gauge(
+        "relays",
+        "Relays that controllers count; 0 if unknown.",
+        f64::from(whole.relays.unwrap_or(0)),
+    );
+    figures
+}
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -3,10 +3,12 @@
 mod api;
 mod effects;
 mod exchange;
+mod figures;
 mod kept_registry;
 mod opening;
 mod peers;
 mod planner;
+mod stepping;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -21,25 +23,22 @@
 use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
-use super::{http, signals, socket};
+use super::{http, metrics, signals, socket};
 use crate::clock::{Instant, SteadyClock};
-use crate::control::{Durable, ElectorId, Message, Operation, Outcome};
+use crate::control::{Durable, Outcome};
 use crate::controller::{Controller, Input};
 use crate::disk::{ControlRecord, RealFolder};
 use crate::evidence::Pooled;
 use crate::registry::{Copies, Registry};
 use crate::relays::Relays;
 use crate::settings::Settings;
-use crate::swim::{Class, Standing};
-use crate::tolerance::{Place, Tolerance};
-use crate::wire::Request;
+use crate::swim::Class;
+use crate::tolerance::Tolerance;
 use kept_registry::KeptRegistry;
 use opening::open_record;
 
-/// How often the state machine's clock is looked at.
-const TICK: Duration = Duration::from_millis(25);
-/// The operator's callers go on to another machine after a second of silence, so an answer comes before that.
-const OPERATION_PATIENCE: Duration = Duration::from_millis(850);
+/// What it takes to send a first message to the other controllers; nothing depends on it.
+const GREETING: Duration = Duration::from_millis(4);
 
 quick_error! {
     /// Why a role can't run.
@@ -83,8 +82,8 @@
     relays: RefCell<Relays>,
     evidence: RefCell<Pooled>,
     is_planning: Cell<bool>,
-    /// Whether it was sure of what it holds at any time since its start.
-    was_sure: Cell<bool>,
+    /// How long after its start it was sure of what it holds for the first time.
+    sure_after: Cell<Option<Duration>>,
 }
 
 /// Runs the role until SIGTERM.
@@ -111,10 +110,13 @@
         drop(node.kept_registry.write(&node.registry.borrow(), true));
     }
     log::info!("controller {} listens at {control}", node.settings.borrow().node_name);
-    let (answering, asked) = (node.clone(), node.clone());
+    node.greet().await;
+    let (answering, asked, told) = (node.clone(), node.clone(), node.clone());
+    let settings = node.settings.borrow().clone();
     tokio::select! {
         () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
         () = http::serve(api, clock, move |request| api::answer(asked.clone(), request)) => {}
+        () = metrics::serve(settings, clock, move || told.figures()) => {}
         () = node.clone().tick() => {}
         () = node.clone().follow_registries() => {}
         () = signals::reread(node.settings.clone(), |fresh| {
@@ -153,10 +155,17 @@
             relays: RefCell::new(Relays::new(clock.now())),
             evidence: RefCell::default(),
             is_planning: Cell::new(false),
-            was_sure: Cell::new(false),
+            sure_after: Cell::new(None),
         }
     }
 
+    /// Tells the other controllers how far this one is before it takes anything up: after a loss of power some hundred
+    /// connections wait at each, and relays wait for what controllers tell each other.
+    async fn greet(&self) {
+        self.step(Input::Tick);
+        tokio::time::sleep(GREETING).await;
+    }
+
     fn tolerance(&self) -> Tolerance {
         self.settings.borrow().fault_tolerance
     }
@@ -168,78 +177,4 @@
     fn peer(&self, ip: Ipv4Addr) -> SocketAddrV4 {
         SocketAddrV4::new(ip, self.settings.borrow().peer_port())
     }
-
-    async fn tick(self: Rc<Node>) {
-        loop {
-            self.step(Input::Live(self.live_controllers()));
-            self.step(Input::DeadStorage(self.dead_storage()));
-            self.step(Input::Tick);
-            if self.registry.borrow_mut().tick(self.clock.now()) {
-                self.changed.notify_waiters();
-            }
-            self.relays.borrow_mut().tick(self.clock.now());
-            self.evidence.borrow_mut().tick(self.clock.now());
-            let is_whole = self.copies.borrow().is_whole();
-            self.kept_registry.keep(self.clock.now(), &self.registry.borrow(), is_whole);
-            self.clone().plan();
-            tokio::time::sleep(TICK).await;
-        }
-    }
-
-    fn live_controllers(&self) -> Vec<(ElectorId, Place)> {
-        let swim = self.swim.borrow();
-        let settings = self.settings.borrow();
-        let is_live =
-            |member: &&crate::swim::Member| member.class == Class::Core && member.standing != Standing::Dead;
-        swim.members()
-            .filter(is_live)
-            .map(|member| (ElectorId { ip: member.ip, disk: member.disk }, settings.place(&member.zone)))
-            .collect()
-    }
-
-    /// Takes one input into the state machine and carries its effects out. While the disk refuses to write, inputs are
-    /// dropped, as if the machine were cut off.
-    fn step(&self, input: Input) {
-        let now = self.clock.now();
-        if !self.retry_disk(now) {
-            return;
-        }
-        let before = self.position();
-        let effects = self.controller.borrow_mut().step(now, input);
-        for effect in effects {
-            if !self.carry_out(now, effect) {
-                return;
-            }
-        }
-        self.fold_writes(now);
-        if self.position() != before {
-            self.changed.notify_waiters();
-        }
-    }
-
-    fn position(&self) -> (u64, u64) {
-        let controller = self.controller.borrow();
-        let view = controller.view().map_or(0, |view| view.number);
-        (view, controller.committed_state().map_or(0, |state| state.sequence))
-    }
-
-    fn send(&self, to: Ipv4Addr, message: Message) {
-        let from = self.settings.borrow().ip.octets();
-        self.client.cast(self.peer(to), &Request::Control { from, message });
-    }
-
-    /// Hands an operation in and waits for its outcome.
-    async fn operate(&self, operation: Operation) -> Outcome {
-        let number = self.last_number.get() + 1;
-        self.last_number.set(number);
-        let (sender, receiver) = oneshot::channel();
-        self.replies.borrow_mut().insert(number, sender);
-        self.step(Input::Operation { number, operation });
-        let outcome = tokio::time::timeout(OPERATION_PATIENCE, receiver).await;
-        self.replies.borrow_mut().remove(&number);
-        match outcome {
-            Ok(Ok(outcome)) => outcome,
-            _ => Outcome::Unknown,
-        }
-    }
 }
--- a/crates/onyxstile-system/src/role/controller/peers.rs
+++ b/crates/onyxstile-system/src/role/controller/peers.rs
@@ -12,6 +12,8 @@
 use crate::swim::Standing;
 use crate::wire::{Published, Pull, Pulled, Request, Response};
 
+/// For this long after its start a controller that is not sure of what it holds keeps its answers short.
+const STARTING_FOR: Duration = Duration::from_millis(500);
 /// A controller that is not sure of what it holds for this long after its start sends what it has all the same: control is
 /// away for everyone.
 const UNSURE_FOR: Duration = Duration::from_secs(4);
@@ -68,13 +70,17 @@
             self.evidence.borrow_mut().absorb(self.clock.now(), pull.ip, evidence);
         }
         // Nobody counts on a controller that has just started and is not sure of anything yet, and all are about to ask again.
-        let is_news = |pulled: &Pulled| self.was_sure.get() && has_news(pulled, &pull);
+        let is_news = |pulled: &Pulled| !self.is_starting() && has_news(pulled, &pull);
         self.on_news(pull.wait_ms, || self.snapshot(&pull), is_news).await
     }
 
+    fn was_sure(&self) -> bool {
+        self.sure_after.get().is_some()
+    }
+
     /// Whether this controller sends a state to those who ask: not an older one while it may be about to learn of the newest.
     fn may_send_state(&self) -> bool {
-        self.was_sure.get() || self.clock.now().since(Instant::default()) >= UNSURE_FOR
+        self.was_sure() || self.clock.now().since(Instant::default()) >= UNSURE_FOR
     }
 
     /// The first answer that is news to whoever asked, or the last one before `wait_ms` are over.
@@ -94,12 +100,9 @@
     fn snapshot(&self, pull: &Pull) -> Pulled {
         let controller = self.controller.borrow();
         let registry = self.registry.borrow();
-        let is_settled = controller.is_settled() && self.copies.borrow().is_whole();
-        if is_settled && !self.was_sure.replace(true) {
-            log::info!(
-                "sure of what it holds {} ms after its start",
-                self.clock.now().since(Instant::default()).as_millis()
-            );
+        self.note_sure();
+        if self.is_starting() {
+            return self.introduction(pull);
         }
         let state = controller.committed_state();
         let sequence = state.map_or(0, |state| state.sequence);
@@ -111,7 +114,7 @@
             electors: controller
                 .view()
                 .map_or_else(Vec::new, |view| view.electors.iter().map(|id| id.ip).collect()),
-            is_settled,
+            is_settled: self.is_sure(),
             sequence,
             state: wanted.map(|state| Published {
                 sequence,
@@ -132,6 +135,39 @@
         }
     }
 
+    /// Whether relays may count on what this controller holds.
+    pub(super) fn is_sure(&self) -> bool {
+        self.controller.borrow().is_settled() && self.copies.borrow().is_whole()
+    }
+
+    /// Notes when it was sure of what it holds for the first time.
+    pub(super) fn note_sure(&self) {
+        if !self.was_sure() && self.is_sure() {
+            let after = self.clock.now().since(Instant::default());
+            log::info!("sure of what it holds {} ms after its start", after.as_millis());
+            self.sure_after.set(Some(after));
+        }
+    }
+
+    /// Whether it has just started and may be sure of what it holds in a moment.
+    fn is_starting(&self) -> bool {
+        !self.was_sure() && self.clock.now().since(Instant::default()) < STARTING_FOR
+    }
+
+    /// The answer of a controller that has just started: who the electors are, and nothing that costs time, for all machines ask
+    /// at once after a loss of power, and the controllers have to hear each other first.
+    fn introduction(&self, pull: &Pull) -> Pulled {
+        let controller = self.controller.borrow();
+        let view = controller.view();
+        Pulled {
+            view: view.map_or(0, |view| view.number),
+            electors: view.map_or_else(Vec::new, |view| view.electors.iter().map(|id| id.ip).collect()),
+            origin: pull.origin,
+            counter: pull.counter,
+            ..Pulled::default()
+        }
+    }
+
     /// Lines that tell an operator what this controller knows.
     pub(super) fn status(&self) -> Vec<String> {
         let controller = self.controller.borrow();
--- /dev/null
+++ b/crates/onyxstile-system/src/role/controller/stepping.rs
@@ -0,0 +1,98 @@
+//! The state machine's inputs: time, what membership sees, and operations.
+
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::Node;
+use crate::control::{ElectorId, Message, Operation, Outcome};
+use crate::controller::Input;
+use crate::swim::{Class, Standing};
+use crate::tolerance::Place;
+use crate::wire::Request;
+
+/// How often the state machine's clock is looked at.
+const TICK: Duration = Duration::from_millis(25);
+/// The operator's callers go on to another machine after a second of silence, so an answer comes before that.
+const OPERATION_PATIENCE: Duration = Duration::from_millis(850);
+
+impl Node {
+    /// Looks at the clock again and again.
+    pub(super) async fn tick(self: Rc<Node>) {
+        loop {
+            self.note_sure();
+            self.step(Input::Live(self.live_controllers()));
+            self.step(Input::DeadStorage(self.dead_storage()));
+            self.step(Input::Tick);
+            if self.registry.borrow_mut().tick(self.clock.now()) {
+                self.changed.notify_waiters();
+            }
+            self.relays.borrow_mut().tick(self.clock.now());
+            self.evidence.borrow_mut().tick(self.clock.now());
+            let is_whole = self.copies.borrow().is_whole();
+            self.kept_registry.keep(self.clock.now(), &self.registry.borrow(), is_whole);
+            self.clone().plan();
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    fn live_controllers(&self) -> Vec<(ElectorId, Place)> {
+        let swim = self.swim.borrow();
+        let settings = self.settings.borrow();
+        let is_live =
+            |member: &&crate::swim::Member| member.class == Class::Core && member.standing != Standing::Dead;
+        swim.members()
+            .filter(is_live)
+            .map(|member| (ElectorId { ip: member.ip, disk: member.disk }, settings.place(&member.zone)))
+            .collect()
+    }
+
+    /// Takes one input into the state machine and carries its effects out. While the disk refuses to write, inputs are
+    /// dropped, as if the machine were cut off.
+    pub(super) fn step(&self, input: Input) {
+        let now = self.clock.now();
+        if !self.retry_disk(now) {
+            return;
+        }
+        let before = self.position();
+        let effects = self.controller.borrow_mut().step(now, input);
+        for effect in effects {
+            if !self.carry_out(now, effect) {
+                return;
+            }
+        }
+        self.fold_writes(now);
+        if self.position() != before {
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn position(&self) -> (u64, u64) {
+        let controller = self.controller.borrow();
+        let view = controller.view().map_or(0, |view| view.number);
+        (view, controller.committed_state().map_or(0, |state| state.sequence))
+    }
+
+    /// Sends a message to another controller.
+    pub(super) fn send(&self, to: Ipv4Addr, message: Message) {
+        let from = self.settings.borrow().ip.octets();
+        self.client.cast(self.peer(to), &Request::Control { from, message });
+    }
+
+    /// Hands an operation in and waits for its outcome.
+    pub(super) async fn operate(&self, operation: Operation) -> Outcome {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let (sender, receiver) = oneshot::channel();
+        self.replies.borrow_mut().insert(number, sender);
+        self.step(Input::Operation { number, operation });
+        let outcome = tokio::time::timeout(OPERATION_PATIENCE, receiver).await;
+        self.replies.borrow_mut().remove(&number);
+        match outcome {
+            Ok(Ok(outcome)) => outcome,
+            _ => Outcome::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/metrics.rs
@@ -0,0 +1,49 @@
+//! The listener at which a role tells its figures.
+
+use std::future::pending;
+use std::net::SocketAddrV4;
+
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+
+use super::http::{self, Answer, text};
+use super::socket;
+use crate::clock::SteadyClock;
+use crate::figures::Figures;
+use crate::settings::Settings;
+
+/// The format's name.
+const FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Tells figures to whoever asks, if the role is to tell any. Where it can't listen it says so and goes on: nothing depends on
+/// figures.
+pub async fn serve(settings: Settings, clock: SteadyClock, figures: impl Fn() -> Figures + 'static) {
+    let Some(metrics) = settings.metrics else { return pending().await };
+    let address = SocketAddrV4::new(settings.ip, metrics.port);
+    match socket::listen(address) {
+        Ok(listener) => {
+            let answer = move |request: Request<Incoming>| {
+                let answer = answer(&request, &metrics.path, &figures);
+                async move { answer }
+            };
+            http::serve(listener, clock, answer).await;
+        }
+        Err(error) => {
+            log::warn!("figures are not told at {address}: {error}");
+            pending().await
+        }
+    }
+}
+
+fn answer(request: &Request<Incoming>, path: &str, figures: &impl Fn() -> Figures) -> Answer {
+    if request.uri().path() != path {
+        return text(StatusCode::NOT_FOUND, "");
+    }
+    if request.method() != Method::GET {
+        return text(StatusCode::METHOD_NOT_ALLOWED, "");
+    }
+    let mut answer = text(StatusCode::OK, figures().text());
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(FORMAT));
+    answer
+}
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -10,7 +10,9 @@
 mod chain;
 mod conversation;
 mod counted;
+mod counts;
 mod feed;
+mod figures;
 mod forward;
 mod lifetime;
 mod quorum;
@@ -31,7 +33,7 @@
 use super::controller::RoleError;
 use super::identity::random_id;
 use super::rpc::{self, Client};
-use super::{http, signals, socket};
+use super::{http, metrics, signals, socket};
 use crate::balance::{EndpointKey, Endpoints};
 use crate::clock::SteadyClock;
 use crate::configuration::{ClientLimits, Configuration};
@@ -42,6 +44,7 @@
 use crate::storage_plan::StoragePlan;
 use crate::tolerance::Tolerance;
 use chain::Doubts;
+use counts::Counts;
 use lifetime::Phase;
 use upstream::Pools;
 
@@ -81,6 +84,7 @@
     turns: RefCell<TurnCache>,
     doubts: RefCell<Doubts>,
     phase: Phase,
+    counts: Counts,
     random: RefCell<Pcg64Mcg>,
     law: Law,
 }
@@ -96,8 +100,10 @@
     let feed = socket::listen(fed_at).map_err(|error| ("feed port", error))?;
     log::info!("proxy {} listens at {front}", settings.node_name);
     let node = Rc::new(Node::new(settings, clock));
-    let (fed, asked) = (node.clone(), node.clone());
+    let (fed, asked, told) = (node.clone(), node.clone(), node.clone());
+    let settings = node.settings.borrow().clone();
     tokio::select! {
+        () = metrics::serve(settings, clock, move || told.figures()) => {}
         () = rpc::serve(feed, Rc::new(move |request| fed.clone().answer_agent(request))) => {}
         () = http::serve(readiness, clock, move |request| lifetime::readiness(asked.clone(), request)) => {}
         () = lifetime::accept(node.clone(), clients) => {}
@@ -131,6 +137,7 @@
             turns: RefCell::new(TurnCache::new(turn_bytes)),
             doubts: RefCell::default(),
             phase: Phase::default(),
+            counts: Counts::default(),
             random: RefCell::new(Pcg64Mcg::new(u128::from(life) << 1 | 1)),
             law: Law::default(),
             settings: Rc::new(RefCell::new(settings)),
--- a/crates/onyxstile-system/src/role/proxy/attempt.rs
+++ b/crates/onyxstile-system/src/role/proxy/attempt.rs
@@ -13,6 +13,7 @@
 use super::Node;
 use super::admit::Awaited;
 use super::call::Call;
+use super::counts::Miss;
 use super::upstream::{Checkout, SendError};
 use crate::balance::{EndpointKey, Load};
 
@@ -30,6 +31,19 @@
     Unknown(&'static str),
 }
 
+impl Attempt {
+    /// Why there is nothing to pass on, if there isn't.
+    fn miss(&self) -> Option<Miss> {
+        match self {
+            Attempt::Whole(head, _) if head.status.is_server_error() => Some(Miss::ServerError),
+            Attempt::Whole(..) | Attempt::Streaming(_) => None,
+            Attempt::NotExecuted => Some(Miss::NotExecuted),
+            Attempt::NotSent => Some(Miss::NotSent),
+            Attempt::Unknown(_) => Some(Miss::Unknown),
+        }
+    }
+}
+
 /// A stream that has begun.
 pub(super) struct Stream {
     pub head: response::Parts,
@@ -120,7 +134,8 @@
         let is_refusal =
             head.headers.contains_key("not-executed") || head.status == StatusCode::MISDIRECTED_REQUEST;
         if is_refusal {
-            return self.refused(key, &head, body, checkout).await;
+            let is_other = head.status == StatusCode::MISDIRECTED_REQUEST && !call.asks_for_version();
+            return self.refused(key, is_other, body, checkout).await;
         }
         if text(&head.headers, "request-id").is_none() {
             return Attempt::Unknown("an answer without an id");
@@ -141,11 +156,9 @@
         }
     }
 
-    async fn refused(
-        &self, key: EndpointKey, head: &response::Parts, body: Incoming, checkout: Checkout,
-    ) -> Attempt {
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
-            // Another incarnation, perhaps of another service, has the address.
+    /// `is_other` says that another incarnation, perhaps of another service, has the address.
+    async fn refused(&self, key: EndpointKey, is_other: bool, body: Incoming, checkout: Checkout) -> Attempt {
+        if is_other {
             if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(key) {
                 endpoint.superseded();
             }
@@ -158,6 +171,9 @@
 
     /// Notes what a send has shown of its endpoint.
     fn learn(&self, key: EndpointKey, attempt: &Attempt, began: crate::clock::Instant) {
+        if let Some(miss) = attempt.miss() {
+            self.counts.miss(miss);
+        }
         let now = self.clock.now();
         let mut endpoints = self.endpoints.borrow_mut();
         let Some(endpoint) = endpoints.get_mut(key) else { return };
--- a/crates/onyxstile-system/src/role/proxy/call.rs
+++ b/crates/onyxstile-system/src/role/proxy/call.rs
@@ -124,6 +124,11 @@
         self.may_be_first() && (self.route.retained || self.turn.is_none())
     }
 
+    /// Whether its client asks for a version of weights: a 421 may then mean that the endpoint has another.
+    pub(super) fn asks_for_version(&self) -> bool {
+        self.headers.contains_key("expect-version")
+    }
+
     /// Tokens in one event of a stream.
     pub(super) fn tokens_an_event(&self) -> u64 {
         let service = self.configuration.services.get(&*self.service);
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/counts.rs
@@ -0,0 +1,99 @@
+//! What became of sends and requests, counted since the start of the process.
+
+use std::cell::Cell;
+
+/// Why a send brought no answer that is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Miss {
+    /// The endpoint did not run it.
+    NotExecuted,
+    /// Nothing of it was sent.
+    NotSent,
+    /// It may have run.
+    Unknown,
+    /// The endpoint answered with an error of its own.
+    ServerError,
+}
+
+/// Why the proxy itself answered a request, which then did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// The configuration has no such route.
+    NoRoute,
+    /// No endpoint of the service is known.
+    NoEndpoint,
+    /// Endpoints are busy, and no program may begin.
+    Busy,
+    /// Too few storage machines answer.
+    NoStorage,
+    /// No endpoint took it.
+    NotTaken,
+    /// The program's budget is spent.
+    BudgetSpent,
+    /// There is no such turn to go on from.
+    NoPrevious,
+}
+
+const MISSES: [(Miss, &str); 4] = [
+    (Miss::NotExecuted, "not_executed"),
+    (Miss::NotSent, "not_sent"),
+    (Miss::Unknown, "unknown"),
+    (Miss::ServerError, "server_error"),
+];
+
+const REFUSALS: [(Refusal, &str); 8] = [
+    (Refusal::NoConfiguration, "no_configuration"),
+    (Refusal::NoRoute, "no_route"),
+    (Refusal::NoEndpoint, "no_endpoint"),
+    (Refusal::Busy, "busy"),
+    (Refusal::NoStorage, "no_storage"),
+    (Refusal::NotTaken, "not_taken"),
+    (Refusal::BudgetSpent, "budget_spent"),
+    (Refusal::NoPrevious, "no_previous"),
+];
+
+/// The counts.
+#[derive(Debug, Default)]
+pub(super) struct Counts {
+    requests: Cell<u64>,
+    misses: [Cell<u64>; MISSES.len()],
+    refusals: [Cell<u64>; REFUSALS.len()],
+}
+
+impl Counts {
+    /// A request of a client has come.
+    pub fn request(&self) {
+        add(&self.requests);
+    }
+
+    /// A send has missed.
+    pub fn miss(&self, miss: Miss) {
+        add(&self.misses[miss as usize]);
+    }
+
+    /// A request was answered by the proxy itself.
+    pub fn refuse(&self, refusal: Refusal) {
+        add(&self.refusals[refusal as usize]);
+    }
+
+    /// Requests of clients.
+    pub fn requests(&self) -> u64 {
+        self.requests.get()
+    }
+
+    /// Sends that missed, by cause.
+    pub fn misses(&self) -> Vec<(&'static str, u64)> {
+        MISSES.iter().map(|(miss, name)| (*name, self.misses[*miss as usize].get())).collect()
+    }
+
+    /// Requests that the proxy answered, by cause.
+    pub fn refusals(&self) -> Vec<(&'static str, u64)> {
+        REFUSALS.iter().map(|(refusal, name)| (*name, self.refusals[*refusal as usize].get())).collect()
+    }
+}
+
+fn add(count: &Cell<u64>) {
+    count.set(count.get() + 1);
+}
--- a/crates/onyxstile-system/src/role/proxy/feed.rs
+++ b/crates/onyxstile-system/src/role/proxy/feed.rs
@@ -40,7 +40,7 @@
         self.endpoints.borrow_mut().hear(now, &feed.evidence);
         self.forget_endpoints();
         if feed.is_fresh && self.configuration.borrow().is_some() {
-            self.phase.become_ready();
+            self.phase.become_ready(now);
         }
     }
 
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/figures.rs
@@ -0,0 +1,55 @@
+//! What a proxy tells of itself in figures.
+
+use super::Node;
+use crate::figures::Figures;
+
+impl Node {
+    /// The figures of this moment.
+    pub(super) fn figures(&self) -> Figures {
+        let mut figures = Figures::default();
+        self.tell_phase(&mut figures);
+        self.tell_requests(&mut figures);
+        self.tell_services(&mut figures);
+        figures
+    }
+
+    fn tell_phase(&self, figures: &mut Figures) {
+        figures.flag("ready", "Whether the proxy calls itself ready.", self.phase.is_ready());
+        let help = "Time from the start until it was ready; -1 before.";
+        figures.time_taken("ready_after_seconds", help, self.phase.ready_after());
+        let revision = self.configuration.borrow().as_ref().map_or(0, |held| held.revision);
+        figures.gauge("revision", "Revision of the configuration in force.", revision as f64);
+        figures.gauge("sequence", "Number of the newest control state.", self.sequence.get() as f64);
+        let epoch = self.plan.borrow().epoch;
+        figures.gauge("storage_epoch", "Number of the storage plan that it goes by.", epoch as f64);
+    }
+
+    fn tell_requests(&self, figures: &mut Figures) {
+        figures.gauge("requests_open", "Requests that are being answered.", self.phase.open() as f64);
+        let requests = [("client", self.counts.requests())];
+        figures.counters("requests", "Requests of clients.", "from", &requests);
+        let help = "Sends to endpoints that brought no answer to pass on.";
+        figures.counters("sends_missed", help, "cause", &self.counts.misses());
+        let help = "Requests that the proxy answered itself; none of them ran.";
+        figures.counters("refusals", help, "cause", &self.counts.refusals());
+    }
+
+    fn tell_services(&self, figures: &mut Figures) {
+        let now = self.clock.now();
+        let endpoints = self.endpoints.borrow();
+        let services = endpoints.services();
+        let each = |value: &dyn Fn(&str) -> f64| -> Vec<(String, f64)> {
+            services.iter().map(|service| (service.clone(), value(service))).collect()
+        };
+        let usable = each(&|service| endpoints.usable(service) as f64);
+        figures.gauges("endpoints_usable", "Endpoints that may be called.", "service", &usable);
+        let stretch = each(&|service| endpoints.stretch(now, service));
+        figures.gauges("stretch", "Time of streams over their time at idle endpoints.", "service", &stretch);
+        let level = each(&|service| endpoints.level(service));
+        figures.gauges("admission_level", "Part of the programs that may begin.", "service", &level);
+        let reading = each(&|service| endpoints.token_ms(service));
+        figures.gauges("token_milliseconds", "Learnt time to read a token.", "service", &reading);
+        let writing = each(&|service| endpoints.event_ms(service));
+        figures.gauges("event_milliseconds", "Learnt time to write an event.", "service", &writing);
+    }
+}
--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -14,6 +14,7 @@
 use super::call::{Call, is_passed};
 use super::chain::Chain;
 use super::conversation::{Claim, NoTurn};
+use super::counts::Refusal;
 use super::lifetime::{Entered, Phase};
 use super::relay_stream::{self, Relay};
 use super::sending::{Ended, Sending};
@@ -28,6 +29,7 @@
 
 /// Answers one request of a client.
 pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>, answering: Answering) -> ClientAnswer {
+    node.counts.request();
     let entered = Phase::enter(&node, answering);
     let mut answer = route(&node, request, entered).await;
     if node.phase.is_draining() {
@@ -40,10 +42,12 @@
     let (head, body) = request.into_parts();
     let Some(configuration) = node.configuration.borrow().clone() else {
         let since_start = node.clock.now().since(Instant::default());
+        node.counts.refuse(Refusal::NoConfiguration);
         return not_run(START.saturating_sub(since_start).max(COME_BACK), "no configuration yet");
     };
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let Some(route) = configuration.route(host, head.uri.path()).cloned() else {
+        node.counts.refuse(Refusal::NoRoute);
         return own(StatusCode::NOT_FOUND, "no route");
     };
     let most = configuration.limits.max_body_bytes;
@@ -58,26 +62,37 @@
         }
     };
     if node.endpoints.borrow().usable(&call.service) == 0 {
+        node.counts.refuse(Refusal::NoEndpoint);
         return not_run(COME_BACK, "no endpoint");
     }
     let refused = node.refuse(&call);
     if let Some(wait) = refused.filter(|_| call.is_surely_first()) {
-        return busy(wait);
+        return busy(node, wait);
     }
     node.endpoints.borrow_mut().note_prompt(&call.parts);
     let (claim, chain) = tokio::join!(node.claim(&call), node.chain(&call));
     match (claim, chain) {
         (Ok(claim), Ok(chain)) => match refused {
-            Some(wait) if claim.as_ref().is_none_or(Claim::is_first) => busy(wait),
+            Some(wait) if claim.as_ref().is_none_or(Claim::is_first) => busy(node, wait),
             _ => serve(node, call, claim, chain, entered).await,
         },
-        (Err(NoTurn::Spent), _) => own(StatusCode::PAYMENT_REQUIRED, "the budget is spent"),
-        (_, Err(NoTurn::NoPrevious)) => own(StatusCode::NOT_FOUND, "no such turn to go on from"),
-        _ => not_run(COME_BACK, "too few storage machines answer"),
+        (Err(NoTurn::Spent), _) => {
+            node.counts.refuse(Refusal::BudgetSpent);
+            own(StatusCode::PAYMENT_REQUIRED, "the budget is spent")
+        }
+        (_, Err(NoTurn::NoPrevious)) => {
+            node.counts.refuse(Refusal::NoPrevious);
+            own(StatusCode::NOT_FOUND, "no such turn to go on from")
+        }
+        _ => {
+            node.counts.refuse(Refusal::NoStorage);
+            not_run(COME_BACK, "too few storage machines answer")
+        }
     }
 }
 
-fn busy(wait: Duration) -> ClientAnswer {
+fn busy(node: &Node, wait: Duration) -> ClientAnswer {
+    node.counts.refuse(Refusal::Busy);
     not_run(wait, "the endpoints are busy")
 }
 
@@ -91,7 +106,10 @@
         Ended::Streaming(stream) => {
             relay_stream::begin(Relay::new(node.clone(), sending, stream, claim, chain, entered))
         }
-        Ended::NotRun => not_run(COME_BACK, "no endpoint took it"),
+        Ended::NotRun => {
+            node.counts.refuse(Refusal::NotTaken);
+            not_run(COME_BACK, "no endpoint took it")
+        }
         Ended::Failed => own(StatusCode::BAD_GATEWAY, "the endpoint's answer was lost"),
         Ended::TimedOut => own(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
     }
--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use super::{Node, forward};
+use crate::clock::Instant;
 use crate::configuration::ClientLimits;
 use crate::role::http::{Answer, text};
 use crate::role::watched::{Answering, Watched};
@@ -32,7 +33,8 @@
 /// How far the process is; it only moves on.
 #[derive(Default)]
 pub(super) struct Phase {
-    is_ready: Cell<bool>,
+    /// How long after the start it was ready.
+    ready_after: Cell<Option<Duration>>,
     is_draining: Cell<bool>,
     is_closing: Cell<bool>,
     open: Cell<usize>,
@@ -41,12 +43,28 @@
 
 impl Phase {
     /// The proxy has all that it needs.
-    pub(super) fn become_ready(&self) {
-        if !self.is_ready.replace(true) {
+    pub(super) fn become_ready(&self, now: Instant) {
+        if self.ready_after.get().is_none() {
             log::info!("ready");
+            self.ready_after.set(Some(now.since(Instant::default())));
         }
     }
 
+    /// How long after the start it had all that it needs; `None` before.
+    pub(super) fn ready_after(&self) -> Option<Duration> {
+        self.ready_after.get()
+    }
+
+    /// Whether new clients are to be sent here.
+    pub(super) fn is_ready(&self) -> bool {
+        self.ready_after.get().is_some() && !self.is_draining.get()
+    }
+
+    /// Requests that are being answered.
+    pub(super) fn open(&self) -> usize {
+        self.open.get()
+    }
+
     /// Whether SIGTERM has come.
     pub(super) fn is_draining(&self) -> bool {
         self.is_draining.get()
@@ -77,8 +95,7 @@
     if request.uri().path() != "/api/readyz" {
         return text(StatusCode::NOT_FOUND, "");
     }
-    let is_ready = node.phase.is_ready.get() && !node.phase.is_draining.get();
-    text(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
+    text(if node.phase.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
 }
 
 /// Takes up clients' connections until the drain closes the door.
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -4,6 +4,7 @@
 //! question until it has copied what it should hold.
 
 mod answers;
+mod figures;
 mod journal;
 mod opening;
 mod records;
@@ -21,7 +22,7 @@
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
 use super::subscription::{self, Wishes};
-use super::{signals, socket};
+use super::{metrics, signals, socket};
 use crate::clock::SteadyClock;
 use crate::known::News;
 use crate::program::{Key, Progress, RecordIndex, RecordNumber, TurnCache, groups};
@@ -96,8 +97,10 @@
         swim,
         disk: found.disk,
     });
-    let answering = node.clone();
+    let (answering, told) = (node.clone(), node.clone());
+    let settings = node.settings.borrow().clone();
     tokio::select! {
+        () = metrics::serve(settings, clock, move || told.figures()) => {}
         () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
         () = node.clone().follow() => {}
         () = node.clone().keep_house() => {}
--- /dev/null
+++ b/crates/onyxstile-system/src/role/storage/figures.rs
@@ -0,0 +1,25 @@
+//! What a storage machine tells of itself in figures.
+
+use super::Node;
+use crate::figures::Figures;
+
+impl Node {
+    /// The figures of this moment.
+    pub(super) fn figures(&self) -> Figures {
+        let mut figures = Figures::default();
+        let index = self.index.borrow();
+        let (turns, programs) = index.sizes();
+        figures.gauge("turns", "Turns on this machine's disk.", turns as f64);
+        figures.gauge("programs", "Programs with claims on this machine's disk.", programs as f64);
+        figures.gauge("index_bytes", "Memory that the index of records takes.", index.memory_bytes() as f64);
+        figures.gauge("log_bytes", "Disk that the log takes.", self.journal.used_bytes() as f64);
+        figures.flag("index_full", "Whether writes are refused for want of memory.", self.is_index_full());
+        figures.flag("whole", "Whether this machine's answers count towards quorums.", self.is_whole.get());
+        let (epoch, synced) = (self.plan.borrow().epoch, self.synced_epoch.get());
+        figures.gauge("storage_epoch", "Number of the storage plan that it goes by.", epoch as f64);
+        figures.gauge("synced_epoch", "Newest plan for which it holds all that is its own.", synced as f64);
+        let is_repairing = !self.is_whole.get() || synced < epoch;
+        figures.flag("repairing", "Whether it copies what it should hold.", is_repairing);
+        figures
+    }
+}
--- a/crates/onyxstile-system/src/wire/news.rs
+++ b/crates/onyxstile-system/src/wire/news.rs
@@ -50,7 +50,7 @@
 }
 
 /// A controller's answer to a [`Pull`].
-#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, Default, BorshSerialize, BorshDeserialize)]
 pub struct Pulled {
     /// The number of the view that the controller has installed; 0 for none.
     pub view: u64,
--- a/crates/onyxstile-system/tests/membership.rs
+++ b/crates/onyxstile-system/tests/membership.rs
@@ -213,3 +213,48 @@
     let (small, large) = (sent(6), sent(120));
     assert!(large <= small + small / 10, "{small} datagrams among 6, {large} among 120");
 }
+
+/// A share of a core as a quota: full speed for a fifth of each tenth of a second, then nothing. Each machine's time falls
+/// elsewhere; what comes meanwhile waits.
+#[test]
+fn nobody_is_held_dead_where_processor_time_is_a_quota() {
+    const PERIOD_MS: u64 = 100;
+    const RUNS_MS: u64 = 20;
+    const STEP_MS: u64 = 5;
+    for seed in 0..10 {
+        let mut network = Network::new(9, seed, 2);
+        let mut waiting: BTreeMap<Ipv4Addr, Vec<(Ipv4Addr, Outgoing)>> = BTreeMap::new();
+        let machines: Vec<Ipv4Addr> = network.nodes.keys().copied().collect();
+        for step in 0..60_000 / STEP_MS {
+            network.now = step * STEP_MS;
+            let now = Instant::from_millis(network.now);
+            for (index, ip) in (0u64..).zip(&machines) {
+                if (network.now + index * 37) % PERIOD_MS >= RUNS_MS {
+                    continue;
+                }
+                let mut sent: Vec<(Ipv4Addr, Outgoing)> = Vec::new();
+                for (from, outgoing) in waiting.remove(ip).unwrap_or_default() {
+                    sent.extend(network.deliver(now, from, outgoing));
+                }
+                let ticked = network.nodes.get_mut(ip).map(|node| node.tick(now)).unwrap_or_default();
+                sent.extend(ticked.into_iter().map(|outgoing| (*ip, outgoing)));
+                for (from, outgoing) in sent {
+                    waiting.entry(outgoing.to).or_default().push((from, outgoing));
+                }
+            }
+            if network.now > 5000 && network.now.is_multiple_of(500) {
+                for at in 1..=9 {
+                    for of in (1..=9).filter(|of| *of != at) {
+                        let standing = network.standing(at, of);
+                        assert_ne!(
+                            standing,
+                            Some(Standing::Dead),
+                            "seed {seed}, {} ms: {of} at {at}",
+                            network.now
+                        );
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/metrics.rs
@@ -0,0 +1,117 @@
+//! Figures of each role, as whoever watches a tier reads them.
+
+mod support;
+
+use std::net::SocketAddrV4;
+
+use onyxstile_system::figures::{Figures, VALUES_MAX};
+use onyxstile_system::settings::{MetricsAddress, MetricsAddressError};
+use support::tier::{FIGURES, LIMITS, Tier, ask, ask_until, play};
+
+/// The text of a role's figures.
+async fn read(from: SocketAddrV4) -> String {
+    let answer = ask_until(200, from, "GET", FIGURES, &[], "").await;
+    assert!(
+        answer.headers["content-type"].to_str().expect("text").starts_with("application/openmetrics-text")
+    );
+    String::from_utf8(answer.body.expect("a whole answer").to_vec()).expect("text")
+}
+
+/// The value of a figure; `name` with its labels.
+fn value(text: &str, name: &str) -> f64 {
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.unwrap_or_else(|| panic!("no {name} in\n{text}")).parse().expect("a number")
+}
+
+/// Reads until a figure has this value.
+async fn read_until(from: SocketAddrV4, name: &str, wanted: f64) -> String {
+    loop {
+        let text = read(from).await;
+        if value(&text, name) == wanted {
+            return text;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+fn configuration() -> String {
+    format!(
+        r#"{{"revision":4,"routes":[{{"name":"r","host":"a.example","path_prefix":"/r/","route_type":"idempotent","timeout_ms":500,"target_latency_ms":100,"priority":0,"service":"api","max_attempts":2}}],"services":[{{"name":"api","health_check":"/healthz","max_connections":20,"protocol":"h1","tls":false}}],"limits":{LIMITS}}}"#
+    )
+}
+
+#[test]
+fn each_role_tells_how_far_it_is() {
+    play(async {
+        let nobody = "127.0.0.1:9".parse().expect("an address");
+        let tier = Tier::start("figures", &configuration(), &[("i-1", "api", nobody)]).await;
+        for host in 2..=4 {
+            let text = read_until(tier.figures(host), "onyxstile_endpoints{stage=\"ready\"}", 1.0).await;
+            assert!(text.ends_with("# EOF\n"));
+            assert_eq!(value(&text, "onyxstile_electors"), 3.0);
+            assert_eq!(value(&text, "onyxstile_sure"), 1.0);
+            assert!(value(&text, "onyxstile_sure_after_seconds") >= 0.0);
+        }
+        read_until(tier.figures(2), "onyxstile_revision", 4.0).await;
+        for host in 5..=7 {
+            read_until(tier.figures(host), "onyxstile_storage_epoch", 1.0).await;
+            let text = read_until(tier.figures(host), "onyxstile_repairing", 0.0).await;
+            assert_eq!(value(&text, "onyxstile_whole"), 1.0);
+        }
+        let text = read_until(tier.agent_figures(), "onyxstile_endpoints_known", 1.0).await;
+        assert_eq!(value(&text, "onyxstile_fresh"), 1.0);
+        let text = read_until(tier.figures(1), "onyxstile_endpoints_usable{service=\"api\"}", 1.0).await;
+        assert_eq!((value(&text, "onyxstile_ready"), value(&text, "onyxstile_revision")), (1.0, 4.0));
+    });
+}
+
+#[test]
+fn refusals_and_missed_sends_are_counted_by_their_cause() {
+    play(async {
+        let nobody = "127.0.0.1:9".parse().expect("an address");
+        let tier = Tier::start("counted", &configuration(), &[("i-1", "api", nobody)]).await;
+        read_until(tier.figures(1), "onyxstile_endpoints_usable{service=\"api\"}", 1.0).await;
+        for _ in 0..3 {
+            ask(tier.front(), "GET", "/other/x", &[("request-id", "r1")], "").await.expect("an answer");
+        }
+        let headers = [("request-id", "r2"), ("deadline-ms", "400")];
+        let answer = ask(tier.front(), "GET", "/r/x", &headers, "").await.expect("an answer");
+        assert_eq!(answer.status, 503, "nobody listens there");
+        let text = read(tier.figures(1)).await;
+        assert_eq!(value(&text, "onyxstile_refusals_total{cause=\"no_route\"}"), 3.0);
+        assert_eq!(value(&text, "onyxstile_refusals_total{cause=\"not_taken\"}"), 1.0);
+        assert!(value(&text, "onyxstile_sends_missed_total{cause=\"not_sent\"}") >= 1.0);
+        assert!(value(&text, "onyxstile_requests_total{from=\"client\"}") >= 4.0);
+    });
+}
+
+#[test]
+fn only_the_path_that_was_named_tells_figures() {
+    play(async {
+        let tier = Tier::start("path", &configuration(), &[]).await;
+        let other = ask(tier.figures(2), "GET", "/", &[], "").await.expect("an answer");
+        assert_eq!(other.status, 404);
+        let write = ask(tier.figures(2), "POST", FIGURES, &[], "x").await.expect("an answer");
+        assert_eq!(write.status, 405);
+    });
+}
+
+/// A label's values come from a configuration, which may name any number of services.
+#[test]
+fn a_figure_has_so_many_values_at_the_most() {
+    let values: Vec<(String, f64)> = (0..1000).map(|number| (format!("s{number}"), 1.0)).collect();
+    let mut figures = Figures::default();
+    figures.gauges("endpoints_usable", "Endpoints that may be called.", "service", &values);
+    let text = figures.text();
+    assert_eq!(text.lines().filter(|line| !line.starts_with('#')).count(), VALUES_MAX);
+}
+
+#[test]
+fn a_place_for_figures_is_a_port_and_a_path() {
+    let read = |text: &str| text.parse::<MetricsAddress>();
+    assert_eq!(read("9464/metrics"), Ok(MetricsAddress { port: 9464, path: "/metrics".into() }));
+    assert_eq!(read("9464"), Err(MetricsAddressError::NoPath));
+    for port in ["", "0", "x", "70000"] {
+        assert_eq!(read(&format!("{port}/m")), Err(MetricsAddressError::Port(port.into())));
+    }
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/requests.rs
@@ -0,0 +1,319 @@
+//! What a request may meet on its way: time that is over, a client that has left, shares of a split route, a proxy that knows no
+//! configuration yet, and endpoints whose weights have another version.
+
+mod support;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use support::listener::listen;
+use support::tier::{Answer, LIMITS, Tier, ask, play};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// What an endpoint does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Manner {
+    /// Answers well.
+    Answers,
+    /// Answers well if it is asked for no version of weights; else it says that it has another.
+    HasOtherVersion,
+    /// Says that it did not run it.
+    Refuses,
+    /// Says nothing until its caller leaves.
+    Silent,
+}
+
+/// An endpoint, and what reached it.
+struct Endpoint {
+    name: &'static str,
+    manner: Manner,
+    /// The heads of all requests, in lower case.
+    heads: RefCell<Vec<String>>,
+    /// Requests that have come.
+    asked: Cell<usize>,
+    /// Requests whose caller left without an answer.
+    left: Cell<usize>,
+    changed: Notify,
+}
+
+impl Endpoint {
+    fn new(name: &'static str, manner: Manner) -> Rc<Endpoint> {
+        Rc::new(Endpoint {
+            name,
+            manner,
+            heads: RefCell::default(),
+            asked: Cell::new(0),
+            left: Cell::new(0),
+            changed: Notify::new(),
+        })
+    }
+
+    async fn listen(self: &Rc<Endpoint>) -> SocketAddrV4 {
+        let endpoint = self.clone();
+        listen(move |stream| endpoint.clone().serve(stream)).await
+    }
+
+    async fn serve(self: Rc<Endpoint>, mut stream: TcpStream) {
+        let mut buffer = Vec::new();
+        while let Some(head) = read_head(&mut stream, &mut buffer).await {
+            let id = field(&head, "request-id").unwrap_or_default();
+            let asks_for_version = field(&head, "expect-version").is_some();
+            self.heads.borrow_mut().push(head);
+            self.asked.set(self.asked.get() + 1);
+            self.changed.notify_one();
+            let refused = |status: &str| {
+                format!(
+                    "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+            };
+            let answer = match self.manner {
+                Manner::Silent => {
+                    // Nothing more is due before the answer.
+                    stream.read_buf(&mut buffer).await.ok();
+                    self.left.set(self.left.get() + 1);
+                    self.changed.notify_one();
+                    return;
+                }
+                Manner::Refuses => refused("503 Full"),
+                Manner::HasOtherVersion if asks_for_version => refused("421 Other version"),
+                Manner::Answers | Manner::HasOtherVersion => format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\nContent-Length: 2\r\n\r\nok",
+                    self.name
+                ),
+            };
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// What each request was given, in ms.
+    fn deadlines(&self) -> Vec<u64> {
+        let heads = self.heads.borrow();
+        heads
+            .iter()
+            .map(|head| field(head, "deadline-ms").expect("a deadline").parse().expect("a number"))
+            .collect()
+    }
+
+    fn count(&self) -> usize {
+        self.heads.borrow().len()
+    }
+
+    /// Waits until so many requests have come and as many of their callers as `left` have gone.
+    async fn until(&self, count: usize, left: usize) {
+        while self.count() < count || self.left.get() < left {
+            self.changed.notified().await;
+        }
+    }
+}
+
+fn field(head: &str, name: &str) -> Option<String> {
+    let line = head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'))?;
+    Some(line.trim().to_owned())
+}
+
+async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end]).to_ascii_lowercase();
+            let length: usize = field(&head, "content-length").map_or(0, |text| text.parse().unwrap_or(0));
+            if buffer.len() >= end + 4 + length {
+                buffer.drain(..end + 4 + length);
+                return Some(head);
+            }
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+/// Routes: `plain` and `short` (its time-out is 300 ms) to `api`, `split` to `api` and `other`.
+fn configuration() -> String {
+    let route = |name: &str, timeout_ms: u64, target: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"a.example","path_prefix":"/{name}/","route_type":"idempotent","timeout_ms":{timeout_ms},"target_latency_ms":200,"priority":0,{target},"max_attempts":3}}"#
+        )
+    };
+    let service = |name: &str| {
+        format!(
+            r#"{{"name":"{name}","health_check":"/healthz","max_connections":20,"protocol":"h1","tls":false}}"#
+        )
+    };
+    let split = r#""traffic_split":[{"service":"api","weight":70},{"service":"other","weight":30}]"#;
+    format!(
+        r#"{{"revision":1,"routes":[{},{},{}],"services":[{},{}],"limits":{LIMITS}}}"#,
+        route("plain", 3000, r#""service":"api""#),
+        route("short", 300, r#""service":"api""#),
+        route("split", 3000, split),
+        service("api"),
+        service("other"),
+    )
+}
+
+/// A tier with these endpoints of `api`.
+async fn tier(name: &str, endpoints: &[Rc<Endpoint>]) -> Tier {
+    let mut listed = Vec::new();
+    for endpoint in endpoints {
+        listed.push((endpoint.name, "api", endpoint.listen().await));
+    }
+    let tier = Tier::start(name, &configuration(), &listed).await;
+    // Endpoints reach the proxy a moment after it is ready.
+    while endpoints.iter().all(|endpoint| endpoint.count() == 0) {
+        let headers = [("request-id", "first"), ("deadline-ms", "100")];
+        ask(tier.front(), "GET", "/plain/x", &headers, "").await;
+    }
+    endpoints.iter().for_each(|endpoint| endpoint.heads.borrow_mut().clear());
+    tier
+}
+
+async fn get(tier: &Tier, path: &str, id: &str, more: &[(&str, &str)]) -> Answer {
+    let mut headers = vec![("request-id", id)];
+    headers.extend(more);
+    ask(tier.front(), "GET", path, &headers, "").await.expect("an answer")
+}
+
+/// BUDGET: endpoints are handed no more time than is left, whether the call goes out for the first time or again.
+#[test]
+fn an_endpoint_is_handed_no_more_time_than_the_client_has_left() {
+    play(async {
+        let endpoints = [Endpoint::new("i-1", Manner::Refuses), Endpoint::new("i-2", Manner::Refuses)];
+        let tier = tier("deadline", &endpoints).await;
+        for round in 0..2 {
+            let before: usize = endpoints.iter().map(|endpoint| endpoint.count()).sum();
+            let began = Instant::now();
+            get(&tier, "/plain/x", &format!("r{round}"), &[("deadline-ms", "1500")]).await;
+            let took = began.elapsed().as_millis() as u64;
+            let mut given: Vec<u64> =
+                endpoints.iter().flat_map(|endpoint| endpoint.deadlines()).skip(before).collect();
+            given.sort_unstable();
+            assert!(given.iter().all(|deadline| (1..=1500).contains(deadline)), "{given:?}");
+            assert!(given.first().is_none_or(|least| *least + took + 100 >= 1400), "{given:?} in {took} ms");
+            endpoints.iter().for_each(|endpoint| endpoint.heads.borrow_mut().clear());
+        }
+    });
+}
+
+#[test]
+fn a_request_without_a_deadline_is_handed_on_with_one() {
+    play(async {
+        let endpoint = Endpoint::new("i-1", Manner::Answers);
+        let tier = tier("no-deadline", std::slice::from_ref(&endpoint)).await;
+        assert_eq!(get(&tier, "/plain/x", "r1", &[]).await.status, 200);
+        assert!(endpoint.deadlines().iter().all(|deadline| *deadline > 0));
+    });
+}
+
+/// GONE: an endpoint does not go on working for a client that has left.
+#[test]
+fn a_client_that_leaves_ends_the_work_at_the_endpoint() {
+    play(async {
+        let endpoint = Endpoint::new("i-1", Manner::Silent);
+        let tier = tier("gone", std::slice::from_ref(&endpoint)).await;
+        // What reached the endpoint before is over.
+        let before = endpoint.asked.get();
+        endpoint.until(0, before).await;
+        let mut client = TcpStream::connect(tier.front()).await.expect("a connection");
+        let request =
+            "GET /plain/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nDeadline-Ms: 30000\r\n\r\n";
+        client.write_all(request.as_bytes()).await.expect("it is sent");
+        endpoint.until(1, before).await;
+        let began = Instant::now();
+        drop(client);
+        endpoint.until(1, before + 1).await;
+        assert!(
+            began.elapsed() < Duration::from_millis(1500),
+            "the route allows it 3 s: {:?}",
+            began.elapsed()
+        );
+    });
+}
+
+/// CONFIG: no answer comes much later than the route's time-out, whatever the client would wait.
+#[test]
+fn a_silent_endpoint_is_answered_for_when_the_routes_time_is_over() {
+    play(async {
+        let endpoint = Endpoint::new("i-1", Manner::Silent);
+        let tier = tier("short", std::slice::from_ref(&endpoint)).await;
+        let began = Instant::now();
+        let answer = get(&tier, "/short/x", "r1", &[("deadline-ms", "20000")]).await;
+        assert!([502, 503, 504].contains(&answer.status.as_u16()), "{}", answer.status);
+        assert!(began.elapsed() < Duration::from_millis(2000), "{:?}", began.elapsed());
+    });
+}
+
+/// Duty: each part of a `traffic_split` gets its share; a session stays with its part.
+#[test]
+fn parts_of_a_split_route_get_their_shares() {
+    play(async {
+        let one = Endpoint::new("i-1", Manner::Answers);
+        let other = Endpoint::new("i-2", Manner::Answers);
+        let listed = [("i-1", "api", one.listen().await), ("i-2", "other", other.listen().await)];
+        let tier = Tier::start("split", &configuration(), &listed).await;
+        while one.count() == 0 || other.count() == 0 {
+            get(&tier, "/split/x", "first", &[("deadline-ms", "300")]).await;
+        }
+        let mut parts: BTreeMap<String, u32> = BTreeMap::new();
+        let mut homes: BTreeMap<String, String> = BTreeMap::new();
+        for number in 0..400 {
+            let session = format!("s{}", number % 40);
+            let is_session = number >= 200;
+            let id = format!("r{number}");
+            let more: &[(&str, &str)] = if is_session { &[("session", &session)] } else { &[] };
+            let answer = get(&tier, "/split/x", &id, more).await;
+            let seal = answer.headers["response-seal"].to_str().expect("text").to_owned();
+            if is_session {
+                assert_eq!(
+                    *homes.entry(session).or_insert_with(|| seal.clone()),
+                    seal,
+                    "a session has moved"
+                );
+            } else {
+                *parts.entry(seal).or_default() += 1;
+            }
+        }
+        let share = f64::from(parts["i-1"]) / 200.0;
+        // Five standard deviations.
+        assert!((0.53..=0.87).contains(&share), "{parts:?}");
+    });
+}
+
+/// DENIED: a proxy that knows no configuration yet does not say that there is no such route.
+#[test]
+fn a_proxy_without_a_configuration_says_when_to_come_back() {
+    play(async {
+        let tier = Tier::start_proxy_alone("alone").await;
+        let answer = loop {
+            let headers = [("request-id", "r1"), ("deadline-ms", "1000")];
+            if let Some(answer) = ask(tier.front(), "GET", "/plain/x", &headers, "").await {
+                break answer;
+            }
+            tokio::task::yield_now().await;
+        };
+        assert_eq!(answer.status, 503);
+        let wait: f64 = answer.headers["retry-after"].to_str().expect("text").parse().expect("a number");
+        assert!(wait > 0.0 && wait < 2.0, "{wait}");
+    });
+}
+
+/// An endpoint with other weights than a client asks for is no endpoint that has gone: it took no call any more.
+#[test]
+fn an_endpoint_that_has_other_weights_is_still_an_endpoint() {
+    play(async {
+        let endpoint = Endpoint::new("i-1", Manner::HasOtherVersion);
+        let tier = tier("version", std::slice::from_ref(&endpoint)).await;
+        for round in 0..3 {
+            let wanted = [("deadline-ms", "400"), ("expect-version", "7")];
+            let answer = get(&tier, "/plain/x", &format!("v{round}"), &wanted).await;
+            assert_eq!(answer.status, 503, "it did not run, and the client may come back");
+            let answer = get(&tier, "/plain/x", &format!("r{round}"), &[("deadline-ms", "2000")]).await;
+            assert_eq!(answer.status, 200, "round {round}");
+        }
+    });
+}
--- a/crates/onyxstile-system/tests/support/tier.rs
+++ b/crates/onyxstile-system/tests/support/tier.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use onyxstile_system::role::{agent, controller, proxy, storage};
-use onyxstile_system::settings::Settings;
+use onyxstile_system::settings::{MetricsAddress, Settings};
 use tokio::net::TcpStream;
 
 /// Bounds the whole story; it takes about two seconds.
@@ -22,8 +22,15 @@
     control: u16,
     front: u16,
     readiness: u16,
+    /// Where proxies, controllers and storage machines tell their figures.
+    figures: u16,
+    /// Where agents tell theirs.
+    agent_figures: u16,
 }
 
+/// The path of figures.
+pub const FIGURES: &str = "/figures";
+
 /// The host of a core machine that stands in the zone of the first controller, and has no vote while that has one.
 pub const STANDBY: u8 = 8;
 
@@ -34,20 +41,27 @@
 fn ports() -> Ports {
     const LOWEST: u32 = 18_000;
     const SPAN: u32 = 12_000;
-    const NEEDED: u16 = 5;
+    const NEEDED: u16 = 7;
     let is_free =
         |port| (1..=STANDBY).all(|host| StdListener::bind((Ipv4Addr::new(127, 0, 0, host), port)).is_ok());
     for step in 0..SPAN / 8 {
         let internal = (LOWEST + (std::process::id() * 8 + step * 8) % SPAN) as u16;
         if (internal..internal + NEEDED).all(is_free) {
-            return Ports { internal, control: internal + 2, front: internal + 3, readiness: internal + 4 };
+            return Ports {
+                internal,
+                control: internal + 2,
+                front: internal + 3,
+                readiness: internal + 4,
+                figures: internal + 5,
+                agent_figures: internal + 6,
+            };
         }
     }
     panic!("no free ports on loopback");
 }
 
 fn settings(ports: &Ports, folder: &Path, name: &str, host: u8, class: &str) -> Settings {
-    let Ports { internal, control, front, readiness } = ports;
+    let Ports { internal, control, front, readiness, figures, .. } = ports;
     let seeds: Vec<String> = (2..=4).map(|seed| format!("\"127.0.0.{seed}:{control}\"")).collect();
     let data = folder.join(name);
     let zone = if host == STANDBY { 2 } else { host };
@@ -78,7 +92,12 @@
         seeds.join(","),
         data.display()
     );
-    Settings::parse(Path::new("boot.toml"), &text).expect("valid settings")
+    let settings = Settings::parse(Path::new("boot.toml"), &text).expect("valid settings");
+    Settings { metrics: Some(figures_at(*figures)), ..settings }
+}
+
+fn figures_at(port: u16) -> MetricsAddress {
+    format!("{port}{FIGURES}").parse().expect("a port and a path")
 }
 
 fn start_controller(ports: &Ports, folder: &Path, host: u8) {
@@ -92,8 +111,12 @@
         let settings = settings(ports, folder, &format!("storage-{host}"), host, "storage");
         tokio::task::spawn_local(async move { storage::run(settings).await.expect("storage runs") });
     }
+    start_relay(ports, folder);
+}
+
+fn start_relay(ports: &Ports, folder: &Path) {
     let edge = settings(ports, folder, "edge-1", 1, "edge");
-    let beside = edge.clone();
+    let beside = Settings { metrics: Some(figures_at(ports.agent_figures)), ..edge.clone() };
     tokio::task::spawn_local(async move { proxy::run(edge).await.expect("the proxy runs") });
     tokio::task::spawn_local(async move { agent::run(beside).await.expect("the agent runs") });
 }
@@ -171,6 +194,14 @@
         tier
     }
 
+    /// Starts a proxy and its agent, and no other machine.
+    pub async fn start_proxy_alone(name: &str) -> Tier {
+        let folder = std::env::temp_dir().join(format!("onyxstile-{name}-{}", std::process::id()));
+        let ports = ports();
+        start_relay(&ports, &folder);
+        Tier { ports, folder }
+    }
+
     /// Starts a further core machine, at the host [`STANDBY`].
     pub fn start_standby(&self) {
         start_controller(&self.ports, &self.folder, STANDBY);
@@ -181,6 +212,16 @@
         SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, host), self.ports.control)
     }
 
+    /// Where the proxy, a controller or a storage machine tells its figures.
+    pub fn figures(&self, host: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, host), self.ports.figures)
+    }
+
+    /// Where the agent tells its figures.
+    pub fn agent_figures(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 1), self.ports.agent_figures)
+    }
+
     /// Where clients connect.
     pub fn front(&self) -> SocketAddrV4 {
         SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 1), self.ports.front)
