Say once how a refusal is answered, a view's number and electors, and what tests read

Found on reading the change since again; behaviour stays as it is. - forward.rs counted a refusal beside each of eight answers: `refuse` does both, the answer follows from the cause. - peers.rs wrote a view's number and its electors out beside `installed` and `electors`; it and two others call these. - Both arms of a poll did the same at their end; settings were copied into a name for the figures in four roles; a look-up had a wrapper of its own; what is settled is not counted again at each status. - requests.rs had read_head and field of bad_endpoints.rs again, power_return.rs the seeds and electors of lives.rs: they stand in tests/support. No assertion changed.

--- a/crates/onyxstile-system/src/controller/position.rs
+++ b/crates/onyxstile-system/src/controller/position.rs
@@ -38,7 +38,7 @@
     }
 
     /// The number of the installed view; 0 for none.
-    pub(super) fn installed(&self) -> u64 {
+    pub fn installed(&self) -> u64 {
         self.durable.view.as_ref().map_or(0, |view| view.number)
     }
 
--- a/crates/onyxstile-system/src/controller/settlement.rs
+++ b/crates/onyxstile-system/src/controller/settlement.rs
@@ -44,12 +44,15 @@
     fn settle(&mut self) {
         let Some(view) = &self.durable.view else { return };
         let newest = self.durable.state.sequence;
+        if self.settled.sequence == newest || !view.electors.contains(&self.id) {
+            return;
+        }
         let holds = |id: &&ElectorId| {
             **id == self.id || self.written.get(*id).is_some_and(|written| *written >= newest)
         };
         let holders = view.electors.iter().filter(holds).count();
         let needed = view.majority().max(self.tolerance.losses() + 1);
-        if holders >= needed && view.electors.contains(&self.id) && self.settled.sequence < newest {
+        if holders >= needed {
             self.settled = self.durable.state.clone();
         }
     }
--- a/crates/onyxstile-system/src/registry.rs
+++ b/crates/onyxstile-system/src/registry.rs
@@ -72,7 +72,7 @@
     /// Takes in what another controller tells; true if others wait to learn of it here.
     pub fn merge_told(&mut self, now: Instant, told: Told) -> bool {
         let source = match told.hearer {
-            Some(origin) if !self.is_over(origin) => Source::HeardBy(origin),
+            Some(origin) if !self.over.contains(&origin) => Source::HeardBy(origin),
             _ => Source::Kept,
         };
         self.take(now, told.instance, source)
@@ -118,10 +118,6 @@
         is_told
     }
 
-    fn is_over(&self, origin: u64) -> bool {
-        self.over.contains(&origin)
-    }
-
     /// A life of another controller is over: nobody is known to hear what it heard.
     pub fn forget_origin(&mut self, now: Instant, origin: u64) {
         if self.over.len() == LIVES_OVER_MAX {
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -36,7 +36,6 @@
     let proxy = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
     let grace = settings.grace();
     let clock = SteadyClock::start();
-    let figures_settings = settings.clone();
     let settings = Rc::new(RefCell::new(settings));
     let known: Rc<RefCell<Known>> = Rc::default();
     let told = known.clone();
@@ -46,10 +45,11 @@
     let news = subscription::follow(settings.clone(), client.clone(), wishes);
     log::info!("agent of {} feeds {proxy}", settings.borrow().node_name);
     let is_ending = Rc::new(Cell::new(false));
+    let link = Link { client, proxy, clock };
     tokio::select! {
-        () = metrics::serve(figures_settings, clock, move || figures(&told.borrow())) => {}
-        () = feed(Link { client, proxy, clock }, news, &known, is_ending.clone(), evidence) => log::info!("the proxy is gone"),
-        () = signals::reread(settings, |_| {}) => {}
+        () = metrics::serve(settings.borrow().clone(), clock, move || figures(&told.borrow())) => {}
+        () = feed(link, news, &known, is_ending.clone(), evidence) => log::info!("the proxy is gone"),
+        () = signals::reread(settings.clone(), |_| {}) => {}
         () = end(grace, is_ending) => log::info!("the agent ends"),
     }
     Ok(())
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -112,11 +112,10 @@
     log::info!("controller {} listens at {control}", node.settings.borrow().node_name);
     node.greet().await;
     let (answering, asked, told) = (node.clone(), node.clone(), node.clone());
-    let settings = node.settings.borrow().clone();
     tokio::select! {
         () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
         () = http::serve(api, clock, move |request| api::answer(asked.clone(), request)) => {}
-        () = metrics::serve(settings, clock, move || told.figures()) => {}
+        () = metrics::serve(node.settings.borrow().clone(), clock, move || told.figures()) => {}
         () = node.clone().tick() => {}
         () = node.clone().follow_registries() => {}
         () = signals::reread(node.settings.clone(), |fresh| {
--- a/crates/onyxstile-system/src/role/controller/figures.rs
+++ b/crates/onyxstile-system/src/role/controller/figures.rs
@@ -17,11 +17,10 @@
     fn tell_view(&self, figures: &mut Figures) {
         let controller = self.controller.borrow();
         let view = controller.view();
-        let number = view.map_or(0, |view| view.number);
         figures.gauge(
             "view",
             "Number of the view that this controller has installed; 0 for none.",
-            number as f64,
+            controller.installed() as f64,
         );
         let electors = view.map_or(0, |view| view.electors.len());
         figures.gauge("electors", "Core machines that vote on views.", electors as f64);
--- a/crates/onyxstile-system/src/role/controller/peers.rs
+++ b/crates/onyxstile-system/src/role/controller/peers.rs
@@ -110,10 +110,8 @@
         let origin = registry.origin();
         let is_behind = pull.wants_endpoints && (pull.origin != origin || pull.counter < registry.counter());
         Pulled {
-            view: controller.view().map_or(0, |view| view.number),
-            electors: controller
-                .view()
-                .map_or_else(Vec::new, |view| view.electors.iter().map(|id| id.ip).collect()),
+            view: controller.installed(),
+            electors: self.electors(),
             is_settled: self.is_sure(),
             sequence,
             state: wanted.map(|state| Published {
@@ -157,11 +155,9 @@
     /// The answer of a controller that has just started: who the electors are, and nothing that costs time, for all machines ask
     /// at once after a loss of power, and the controllers have to hear each other first.
     fn introduction(&self, pull: &Pull) -> Pulled {
-        let controller = self.controller.borrow();
-        let view = controller.view();
         Pulled {
-            view: view.map_or(0, |view| view.number),
-            electors: view.map_or_else(Vec::new, |view| view.electors.iter().map(|id| id.ip).collect()),
+            view: self.controller.borrow().installed(),
+            electors: self.electors(),
             origin: pull.origin,
             counter: pull.counter,
             ..Pulled::default()
--- a/crates/onyxstile-system/src/role/controller/stepping.rs
+++ b/crates/onyxstile-system/src/role/controller/stepping.rs
@@ -71,8 +71,7 @@
 
     fn position(&self) -> (u64, u64) {
         let controller = self.controller.borrow();
-        let view = controller.view().map_or(0, |view| view.number);
-        (view, controller.committed_state().map_or(0, |state| state.sequence))
+        (controller.installed(), controller.committed_state().map_or(0, |state| state.sequence))
     }
 
     /// Sends a message to another controller.
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -103,9 +103,8 @@
     log::info!("proxy {} listens at {front}", settings.node_name);
     let node = Rc::new(Node::new(settings, clock));
     let (fed, asked, told) = (node.clone(), node.clone(), node.clone());
-    let settings = node.settings.borrow().clone();
     tokio::select! {
-        () = metrics::serve(settings, clock, move || told.figures()) => {}
+        () = metrics::serve(node.settings.borrow().clone(), clock, move || told.figures()) => {}
         () = rpc::serve(feed, Rc::new(move |request| fed.clone().answer_agent(request))) => {}
         () = http::serve(readiness, clock, move |request| lifetime::readiness(asked.clone(), request)) => {}
         () = lifetime::accept(node.clone(), clients) => {}
--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -43,13 +43,12 @@
     let (head, body) = request.into_parts();
     let Some(configuration) = node.configuration.borrow().clone() else {
         let since_start = node.clock.now().since(Instant::default());
-        node.counts.refuse(Refusal::NoConfiguration);
-        return not_run(START.saturating_sub(since_start).max(COME_BACK), "no configuration yet");
+        let wait = START.saturating_sub(since_start).max(COME_BACK);
+        return refuse(node, Refusal::NoConfiguration, wait);
     };
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let Some(route) = configuration.route(host, head.uri.path()).cloned() else {
-        node.counts.refuse(Refusal::NoRoute);
-        return own(StatusCode::NOT_FOUND, "no route");
+        return refuse(node, Refusal::NoRoute, COME_BACK);
     };
     let most = configuration.limits.max_body_bytes;
     let mut call = Call::new(configuration, route, head, node.clock.now(), node.roll());
@@ -63,38 +62,38 @@
         }
     };
     if node.endpoints.borrow().usable(&call.service) == 0 {
-        node.counts.refuse(Refusal::NoEndpoint);
-        return not_run(COME_BACK, "no endpoint");
+        return refuse(node, Refusal::NoEndpoint, COME_BACK);
     }
     let refused = node.refuse(&call);
     if let Some(wait) = refused.filter(|_| call.is_surely_first()) {
-        return busy(node, wait);
+        return refuse(node, Refusal::Busy, wait);
     }
     node.endpoints.borrow_mut().note_prompt(&call.parts);
     let (claim, chain) = tokio::join!(node.claim(&call), node.chain(&call));
     match (claim, chain) {
         (Ok(claim), Ok(chain)) => match refused {
-            Some(wait) if claim.as_ref().is_none_or(Claim::is_first) => busy(node, wait),
+            Some(wait) if claim.as_ref().is_none_or(Claim::is_first) => refuse(node, Refusal::Busy, wait),
             _ => serve(node, call, claim, chain, entered).await,
         },
-        (Err(NoTurn::Spent), _) => {
-            node.counts.refuse(Refusal::BudgetSpent);
-            own(StatusCode::PAYMENT_REQUIRED, "the budget is spent")
-        }
-        (_, Err(NoTurn::NoPrevious)) => {
-            node.counts.refuse(Refusal::NoPrevious);
-            own(StatusCode::NOT_FOUND, "no such turn to go on from")
-        }
-        _ => {
-            node.counts.refuse(Refusal::NoStorage);
-            not_run(COME_BACK, "too few storage machines answer")
-        }
+        (Err(NoTurn::Spent), _) => refuse(node, Refusal::BudgetSpent, COME_BACK),
+        (_, Err(NoTurn::NoPrevious)) => refuse(node, Refusal::NoPrevious, COME_BACK),
+        _ => refuse(node, Refusal::NoStorage, COME_BACK),
     }
 }
 
-fn busy(node: &Node, wait: Duration) -> ClientAnswer {
-    node.counts.refuse(Refusal::Busy);
-    not_run(wait, "the endpoints are busy")
+/// The proxy's own answer to a request that did not run, counted; it names `wait` where the client may come back.
+fn refuse(node: &Node, refusal: Refusal, wait: Duration) -> ClientAnswer {
+    node.counts.refuse(refusal);
+    match refusal {
+        Refusal::NoConfiguration => not_run(wait, "no configuration yet"),
+        Refusal::NoRoute => own(StatusCode::NOT_FOUND, "no route"),
+        Refusal::NoEndpoint => not_run(wait, "no endpoint"),
+        Refusal::Busy => not_run(wait, "the endpoints are busy"),
+        Refusal::NoStorage => not_run(wait, "too few storage machines answer"),
+        Refusal::NotTaken => not_run(wait, "no endpoint took it"),
+        Refusal::BudgetSpent => own(StatusCode::PAYMENT_REQUIRED, "the budget is spent"),
+        Refusal::NoPrevious => own(StatusCode::NOT_FOUND, "no such turn to go on from"),
+    }
 }
 
 async fn serve(
@@ -107,10 +106,7 @@
         Ended::Streaming(stream) => {
             relay_stream::begin(Relay::new(node.clone(), sending, stream, claim, chain, entered))
         }
-        Ended::NotRun => {
-            node.counts.refuse(Refusal::NotTaken);
-            not_run(COME_BACK, "no endpoint took it")
-        }
+        Ended::NotRun => refuse(node, Refusal::NotTaken, COME_BACK),
         Ended::Failed => own(StatusCode::BAD_GATEWAY, "the endpoint's answer was lost"),
         Ended::TimedOut => own(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
     }
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -98,9 +98,8 @@
         disk: found.disk,
     });
     let (answering, told) = (node.clone(), node.clone());
-    let settings = node.settings.borrow().clone();
     tokio::select! {
-        () = metrics::serve(settings, clock, move || told.figures()) => {}
+        () = metrics::serve(node.settings.borrow().clone(), clock, move || told.figures()) => {}
         () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
         () = node.clone().follow() => {}
         () = node.clone().keep_house() => {}
--- a/crates/onyxstile-system/src/role/subscription.rs
+++ b/crates/onyxstile-system/src/role/subscription.rs
@@ -120,18 +120,14 @@
                 Ok(Response::Pulled(pulled)) => {
                     self.state.borrow_mut().answering.insert(controller);
                     self.absorb(controller, pulled);
-                    self.state.borrow_mut().asked_seed();
-                    // One that is not sure of what it holds may answer at once.
-                    let is_heard = self.state.borrow().heard.contains(&controller);
-                    if !is_heard {
-                        self.pause().await;
-                    }
-                }
-                Ok(_) | Err(_) => {
-                    self.state.borrow_mut().missed(controller);
-                    self.state.borrow_mut().asked_seed();
-                    self.pause().await;
                 }
+                Ok(_) | Err(_) => self.state.borrow_mut().missed(controller),
+            }
+            self.state.borrow_mut().asked_seed();
+            // One that is not sure of what it holds may answer at once.
+            let is_heard = self.state.borrow().heard.contains(&controller);
+            if !is_heard {
+                self.pause().await;
             }
         }
         self.state.borrow_mut().stopped(controller);
--- a/crates/onyxstile-system/tests/bad_endpoints.rs
+++ b/crates/onyxstile-system/tests/bad_endpoints.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use support::listener::listen;
+use support::listener::{field, listen, read_head};
 use support::tier::{Answer, LIMITS, Tier, ask, play};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -93,11 +93,7 @@
 async fn serve(mut stream: TcpStream, script: Rc<Script>) {
     let mut buffer = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buffer).await {
-        let field = |name: &str| {
-            let line = head.lines().find(|line| line.to_ascii_lowercase().starts_with(name));
-            line.and_then(|line| line.split_once(':')).map(|(_, value)| value.trim().to_owned())
-        };
-        let id = field("request-id").expect("an id");
+        let id = field(&head, "request-id").expect("an id");
         let answer = |id: &str, seal: &str, body: &str| {
             let length = body.len();
             format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{seal}Content-Length: {length}\r\n\r\n{body}")
@@ -148,26 +144,6 @@
     SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("the option");
 }
 
-/// The next request's head; its body is read away.
-async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
-    loop {
-        if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
-            let length = head.lines().find_map(|line| {
-                line.to_ascii_lowercase().strip_prefix("content-length:")?.trim().parse::<usize>().ok()
-            });
-            let total = end + 4 + length.unwrap_or(0);
-            if buffer.len() >= total {
-                buffer.drain(..total);
-                return Some(head);
-            }
-        }
-        if stream.read_buf(buffer).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
 fn configuration() -> String {
     let route = |name: &str, kind: &str| {
         format!(
@@ -347,13 +323,9 @@
                 return None;
             }
         };
-        let head = String::from_utf8_lossy(&buffer[..end]).to_ascii_lowercase();
-        let field = |name: &str| {
-            let line = head.lines().find_map(|line| line.strip_prefix(name))?;
-            Some(line.trim().to_owned())
-        };
-        let (id, length) =
-            (field("request-id:")?, field("content-length:").map_or(0, |text| text.parse().unwrap_or(0)));
+        let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+        let id = field(&head, "request-id")?;
+        let length = field(&head, "content-length").map_or(0, |text| text.parse().unwrap_or(0));
         buffer.drain(..end);
         let answer = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\nearly"
--- a/crates/onyxstile-system/tests/control_model.rs
+++ b/crates/onyxstile-system/tests/control_model.rs
@@ -164,8 +164,7 @@
     /// The machine that was asked tells the operator. If it knows a newer view than the head did, `told` is what counts.
     fn note_acknowledged(&mut self, machine: usize, revision: u64) {
         self.acknowledged.push(revision);
-        let view = self.controllers[machine].view().map_or(0, |view| view.number);
-        self.acknowledged_in.get_or_insert(view);
+        self.acknowledged_in.get_or_insert(self.controllers[machine].installed());
     }
 
     fn send(&mut self, from: usize, to: usize, mut message: Message, flaw: Flaw) {
--- a/crates/onyxstile-system/tests/lives.rs
+++ b/crates/onyxstile-system/tests/lives.rs
@@ -2,20 +2,10 @@
 
 mod support;
 
-use std::net::Ipv4Addr;
-
 use onyxstile_system::clock::Instant;
-use onyxstile_system::control::{ElectorId, Message, Operation, Outcome, Token, bootstrap_disk};
+use onyxstile_system::control::{Message, Operation, Outcome, Token};
 use onyxstile_system::controller::{Controller, Effect, Input};
-use support::{ONE, address};
-
-fn seeds() -> [Ipv4Addr; 3] {
-    [address(1), address(2), address(3)]
-}
-
-fn elector(number: u8) -> ElectorId {
-    ElectorId { ip: address(number).octets(), disk: bootstrap_disk(address(number)) }
-}
+use support::{ONE, address, elector, seeds};
 
 /// Machine `number` of three, with the disk of the first start.
 fn start(number: u8, life: u64) -> Controller {
--- a/crates/onyxstile-system/tests/power_return.rs
+++ b/crates/onyxstile-system/tests/power_return.rs
@@ -3,22 +3,18 @@
 
 mod support;
 
-use std::net::Ipv4Addr;
 use std::rc::Rc;
 
 use onyxstile_system::clock::Instant;
-use onyxstile_system::control::{Change, Durable, ElectorId, Message, Operation, Written, bootstrap_disk};
+use onyxstile_system::control::{Change, Durable, ElectorId, Message, Operation, Written};
 use onyxstile_system::controller::{Controller, Effect, Input};
 use onyxstile_system::storage_plan::StoragePlan;
 use onyxstile_system::tolerance::Place;
-use support::{ONE, address};
+use support::{ONE, address, elector, seeds};
 
-fn seeds() -> [Ipv4Addr; 3] {
-    [address(1), address(2), address(3)]
-}
-
-fn elector(number: u8) -> (ElectorId, Place) {
-    (ElectorId { ip: address(number).octets(), disk: bootstrap_disk(address(number)) }, Place::default())
+/// A machine as membership shows it.
+fn seen(number: u8) -> (ElectorId, Place) {
+    (elector(number), Place::default())
 }
 
 fn durable(number: u8) -> Durable {
@@ -30,7 +26,7 @@
     let mut sent = Vec::new();
     for ms in (0..until_ms).step_by(25) {
         let now = Instant::from_millis(ms);
-        let live = others.iter().map(|number| elector(*number)).collect();
+        let live = others.iter().map(|number| seen(*number)).collect();
         for input in [Input::Live(live), Input::Tick] {
             sent.extend(controller.step(now, input).into_iter().filter_map(|effect| match effect {
                 Effect::Send { message, .. } => Some(message),
@@ -66,7 +62,7 @@
 fn one_that_was_seen_and_has_gone_is_not_waited_for() {
     let mut controller = start();
     let now = Instant::from_millis(0);
-    controller.step(now, Input::Live(vec![elector(2), elector(3)]));
+    controller.step(now, Input::Live(vec![seen(2), seen(3)]));
     assert!(proposes(&sent(controller, &[2], 200)), "it was met in this life");
 }
 
@@ -106,7 +102,7 @@
 }
 
 fn status(number: u8, view: u64, written: u64) -> Input {
-    let from = elector(number).0;
+    let from = elector(number);
     Input::Message { from: address(number), message: Message::Status { from, view, committed: 0, written } }
 }
 
@@ -127,7 +123,7 @@
 #[test]
 fn the_word_of_a_machine_that_lost_its_disk_counts_for_nothing() {
     let mut controller = with_a_write();
-    let (id, _) = elector(2);
+    let id = elector(2);
     let from = ElectorId { disk: id.disk + 1, ..id };
     let message = Message::Status { from, view: 1, committed: 0, written: 1 };
     controller.step(Instant::from_millis(10), Input::Message { from: address(2), message });
--- a/crates/onyxstile-system/tests/requests.rs
+++ b/crates/onyxstile-system/tests/requests.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use support::listener::listen;
+use support::listener::{field, listen, read_head};
 use support::tier::{Answer, LIMITS, Tier, ask, play};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -32,7 +32,7 @@
 struct Endpoint {
     name: &'static str,
     manner: Manner,
-    /// The heads of all requests, in lower case.
+    /// The heads of all requests.
     heads: RefCell<Vec<String>>,
     /// Requests that have come.
     asked: Cell<usize>,
@@ -113,27 +113,6 @@
     }
 }
 
-fn field(head: &str, name: &str) -> Option<String> {
-    let line = head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'))?;
-    Some(line.trim().to_owned())
-}
-
-async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
-    loop {
-        if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&buffer[..end]).to_ascii_lowercase();
-            let length: usize = field(&head, "content-length").map_or(0, |text| text.parse().unwrap_or(0));
-            if buffer.len() >= end + 4 + length {
-                buffer.drain(..end + 4 + length);
-                return Some(head);
-            }
-        }
-        if stream.read_buf(buffer).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
 /// Routes: `plain` and `short` (its time-out is 300 ms) to `api`, `split` to `api` and `other`.
 fn configuration() -> String {
     let route = |name: &str, timeout_ms: u64, target: &str| {
--- a/crates/onyxstile-system/tests/support/listener.rs
+++ b/crates/onyxstile-system/tests/support/listener.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Serves each connection to a port of its own by a task of its own; where it listens.
@@ -18,3 +19,28 @@
     });
     SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
 }
+
+/// The next request's head; its body is read away. None once the caller has left.
+pub async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+            let length: usize = field(&head, "content-length").map_or(0, |text| text.parse().unwrap_or(0));
+            let total = end + 4 + length;
+            if buffer.len() >= total {
+                buffer.drain(..total);
+                return Some(head);
+            }
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+/// A header of a head, by its name in lower case.
+pub fn field(head: &str, name: &str) -> Option<String> {
+    let mut fields = head.lines().filter_map(|line| line.split_once(':'));
+    let (_, value) = fields.find(|(found, _)| found.eq_ignore_ascii_case(name))?;
+    Some(value.trim().to_owned())
+}
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -12,6 +12,7 @@
 
 use std::net::Ipv4Addr;
 
+use onyxstile_system::control::{ElectorId, bootstrap_disk};
 use onyxstile_system::storage_plan::{StorageNode, StoragePlan};
 use onyxstile_system::tolerance::{Place, Tolerance};
 
@@ -28,6 +29,16 @@
     Ipv4Addr::new(10, 0, 0, number)
 }
 
+/// The first three controllers.
+pub fn seeds() -> [Ipv4Addr; 3] {
+    [address(1), address(2), address(3)]
+}
+
+/// A controller with the disk of the first start.
+pub fn elector(number: u8) -> ElectorId {
+    ElectorId { ip: address(number).octets(), disk: bootstrap_disk(address(number)) }
+}
+
 /// A zone of a region.
 pub fn place(region: &str, zone: &str) -> Place {
     Place { region: region.into(), zone: zone.into() }
