Log what is open as a proxy's listener closes and at its end, and who comes later

Tells the three hypotheses apart: a connection or a request taken up after the listener was to close (warn), and connections and requests that are open at both moments. No change of logic.

--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -31,6 +31,9 @@
 /// Answers one request of a client.
 pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>, answering: Answering) -> ClientAnswer {
     node.counts.request();
+    if node.phase.is_closing() {
+        log::warn!("a request was taken after the listener was to close");
+    }
     let entered = Phase::enter(&node, answering);
     let mut answer = route(&node, request, entered).await;
     if node.phase.is_draining() {
--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::phase::Connected;
 use super::{Node, forward};
 use crate::configuration::ClientLimits;
 use crate::role::http::{Answer, text};
@@ -58,6 +59,10 @@
 }
 
 async fn serve(node: Rc<Node>, stream: TcpStream) {
+    let _connected = Connected::new(node.clone());
+    if node.phase.is_closing() {
+        log::warn!("a client's connection was taken up after the listener was to close");
+    }
     let serving = node.clone();
     let limits = node.client_limits();
     let (stream, watch) = Watched::new(stream, node.clock, bounds(&limits));
@@ -109,9 +114,16 @@
     let end = tokio::time::Instant::now() + grace.saturating_sub(BEFORE_KILL);
     tokio::time::sleep(STILL_OFFERED.min(grace / 2)).await;
     node.phase.close();
+    log::info!("the listener closes: {}", open(&node));
     while node.phase.open() > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(DRAIN_LOOK).await;
     }
     // The last answers' bytes leave, and what waits on storage is written.
     tokio::time::sleep(DRAIN_LOOK * 2).await;
+    log::info!("the proxy ends: {}", open(&node));
+}
+
+/// What is open, for the log.
+fn open(node: &Node) -> String {
+    format!("{} connections, {} requests are open", node.phase.connections(), node.phase.open())
 }
--- a/crates/onyxstile-system/src/role/proxy/phase.rs
+++ b/crates/onyxstile-system/src/role/proxy/phase.rs
@@ -19,6 +19,7 @@
     is_draining: Cell<bool>,
     is_closing: Cell<bool>,
     open: Cell<usize>,
+    connections: Cell<usize>,
     closing: Notify,
 }
 
@@ -46,6 +47,11 @@
         self.open.get()
     }
 
+    /// Connections of clients.
+    pub(super) fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
     /// SIGTERM has come.
     pub(super) fn drain(&self) {
         self.is_draining.set(true);
@@ -79,6 +85,24 @@
     }
 }
 
+/// A connection of a client, for as long as this lives.
+pub(super) struct Connected(Rc<Node>);
+
+impl Connected {
+    /// Counts a connection that has just come.
+    pub(super) fn new(node: Rc<Node>) -> Connected {
+        node.phase.connections.set(node.phase.connections.get() + 1);
+        Connected(node)
+    }
+}
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        let connections = &self.0.phase.connections;
+        connections.set(connections.get() - 1);
+    }
+}
+
 /// A request that is being answered.
 pub(super) struct Entered {
     node: Rc<Node>,
