--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -55,6 +55,7 @@
         }
     }
     drop(listener);
+    log::info!("the listener has closed");
     std::future::pending::<()>().await;
 }
 
