--- /dev/null
+++ b/crates/onyxstile-system/tests/proxy_end.rs
@@ -0,0 +1,163 @@
+//! The end of a proxy that is told to end.
+//!
+//! Seen: 3.05 s after SIGTERM a proxy took a request that may not run twice and sent it to an endpoint; 48 ms later the
+//! process ended, and the client's connection with it, without an answer.
+//!
+//! How it came about: 2.6 s after SIGTERM the listener is to close. It waited for a connection or for the notice of that,
+//! whichever was there first, in random order; when a client connected in the very turn of the notice and was met first, the
+//! notice had passed before the next wait, and clients were taken up until the end. The end came 80 ms after one look at the
+//! number of open requests, without another look.
+//!
+//! Cause: a notice that only those hear who wait at that moment, and an end that was decided by a count of requests which did
+//! not cover all that can become one. Proof: of 389 planned stops under traffic, with a line in the log for each listener that
+//! closed, three listeners did not close, and took 435 connections and 222 requests; and the first test here.
+
+mod support;
+
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddrV4, TcpStream as StdStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use support::listener::{field, listen, read_head};
+use support::lone_proxy::{LoneProxy, terminate};
+use support::tier::{LIMITS, play};
+use support::virtual_time::{VirtualTime, settle};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Longer than a proxy takes clients after SIGTERM (2.6 s), and than it rests at its end.
+const TO_THE_CLOSE: Duration = Duration::from_millis(2605);
+const PAST_THE_END: Duration = Duration::from_millis(200);
+
+/// With the fault one in seven missed the notice.
+const PROXIES: u16 = 64;
+
+/// More than all buffers of a connection on loopback hold.
+const LARGE_BODY: usize = 32 << 20;
+
+fn configuration() -> String {
+    let route = r#"{"name":"r","host":"a.example","path_prefix":"/r/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":1}"#;
+    format!(
+        r#"{{"revision":1,"routes":[{route}],"services":[{{"name":"api","health_check":"/healthz","max_connections":20,"protocol":"h1","tls":false}}],"limits":{LIMITS}}}"#
+    )
+}
+
+/// An endpoint that answers once it may.
+struct Endpoint {
+    asked: Cell<usize>,
+    may_answer: watch::Sender<bool>,
+    body: RefCell<Vec<u8>>,
+}
+
+impl Endpoint {
+    async fn listen(body: &[u8]) -> (Rc<Endpoint>, SocketAddrV4) {
+        let endpoint = Rc::new(Endpoint {
+            asked: Cell::new(0),
+            may_answer: watch::Sender::new(false),
+            body: RefCell::new(body.to_vec()),
+        });
+        let serving = endpoint.clone();
+        (endpoint, listen(move |stream| serving.clone().serve(stream)).await)
+    }
+
+    async fn serve(self: Rc<Endpoint>, mut stream: TcpStream) {
+        let mut buffer = Vec::new();
+        while let Some(head) = read_head(&mut stream, &mut buffer).await {
+            let id = field(&head, "request-id").unwrap_or_default();
+            self.asked.set(self.asked.get() + 1);
+            self.may_answer.subscribe().wait_for(|may| *may).await.expect("the test goes on");
+            let body = self.body.borrow().clone();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            let sent = [head.into_bytes(), body].concat();
+            if stream.write_all(&sent).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Waits for a request; it comes within some ms.
+    async fn is_asked(&self, time: &VirtualTime) {
+        for _ in 0..20 {
+            if self.asked.get() > 0 {
+                return;
+            }
+            time.pass(Duration::from_millis(1)).await;
+        }
+        panic!("no request has come");
+    }
+}
+
+/// Status and length of the body that came before the connection ended.
+async fn read_answer(stream: &mut TcpStream) -> (Option<u16>, usize) {
+    let mut bytes = Vec::new();
+    // A connection that is reset shows in what is missing.
+    stream.read_to_end(&mut bytes).await.ok();
+    let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") else { return (None, 0) };
+    let head = String::from_utf8_lossy(&bytes[..end]);
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    (status, bytes.len() - end - 4)
+}
+
+const HEAD: &str = "POST /r/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nContent-Length: 0\r\n";
+
+#[test]
+fn a_listener_closes_also_if_a_client_connects_in_the_turn_of_the_close() {
+    play(async {
+        let time = VirtualTime::stop();
+        let (_endpoint, address) = Endpoint::listen(b"").await;
+        let proxies = LoneProxy::start(PROXIES, &configuration(), address).await;
+        terminate(&proxies).await;
+        let connect = |proxy: &LoneProxy| StdStream::connect(proxy.front);
+        // No turn of the runtime lies between these connections and the time to close.
+        let _clients: Vec<_> =
+            proxies.iter().map(|proxy| connect(proxy).expect("it still listens")).collect();
+        time.pass(TO_THE_CLOSE).await;
+        let open = proxies.iter().filter(|proxy| !proxy.has_ended() && connect(proxy).is_ok()).count();
+        assert_eq!(open, 0, "listeners that did not close, of {PROXIES}");
+    });
+}
+
+#[test]
+fn a_head_that_has_come_in_part_at_the_close_is_answered_before_the_end() {
+    play(async {
+        let time = VirtualTime::stop();
+        let (endpoint, address) = Endpoint::listen(b"whole").await;
+        let proxies = LoneProxy::start(1, &configuration(), address).await;
+        let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
+        client.write_all(HEAD.as_bytes()).await.expect("it is sent");
+        settle().await;
+        terminate(&proxies).await;
+        time.pass(TO_THE_CLOSE).await;
+        client.write_all(b"\r\n").await.expect("it is sent");
+        endpoint.is_asked(&time).await;
+        time.pass(PAST_THE_END).await;
+        endpoint.may_answer.send_replace(true);
+        assert_eq!(read_answer(&mut client).await, (Some(200), 5));
+        time.pass(PAST_THE_END).await;
+        assert!(proxies[0].has_ended(), "nothing is left to be answered");
+    });
+}
+
+#[test]
+fn an_answer_whose_bytes_wait_for_a_slow_client_is_sent_before_the_end() {
+    play(async {
+        let time = VirtualTime::stop();
+        let (endpoint, address) = Endpoint::listen(&vec![b'x'; LARGE_BODY]).await;
+        let proxies = LoneProxy::start(1, &configuration(), address).await;
+        let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
+        client.write_all(format!("{HEAD}Connection: close\r\n\r\n").as_bytes()).await.expect("it is sent");
+        endpoint.is_asked(&time).await;
+        endpoint.may_answer.send_replace(true);
+        let mut first = [0; 1];
+        client.read_exact(&mut first).await.expect("the answer begins");
+        terminate(&proxies).await;
+        time.pass(TO_THE_CLOSE).await;
+        time.pass(PAST_THE_END).await;
+        assert_eq!(read_answer(&mut client).await.1, LARGE_BODY);
+    });
+}
--- /dev/null
+++ b/crates/onyxstile-system/tests/support/lone_proxy.rs
@@ -0,0 +1,107 @@
+//! Proxies by themselves: fed by the test as an agent would, and gone with all their connections once their run has ended.
+
+use std::cell::Cell;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use onyxstile_system::control::StoredConfiguration;
+use onyxstile_system::registry::{Instance, Stage};
+use onyxstile_system::role::proxy;
+use onyxstile_system::role::rpc::Client;
+use onyxstile_system::settings::Settings;
+use onyxstile_system::storage_plan::StoragePlan;
+use onyxstile_system::wire::{Feed, Published, Request};
+use tokio::task::LocalSet;
+
+use super::tier::{ask, ask_until, free_ports, settings};
+
+/// How long a proxy may take to answer the agent.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// One proxy.
+pub struct LoneProxy {
+    /// Where clients connect.
+    pub front: SocketAddrV4,
+    readiness: SocketAddrV4,
+    feed: SocketAddrV4,
+    has_ended: Rc<Cell<bool>>,
+}
+
+impl LoneProxy {
+    /// Starts so many proxies that know a configuration and one endpoint of its service `api`; all are ready.
+    pub async fn start(count: u16, configuration: &str, endpoint: SocketAddrV4) -> Vec<LoneProxy> {
+        let folder = std::env::temp_dir();
+        let mut proxies = Vec::new();
+        for ports in free_ports(count) {
+            let settings = settings(&ports, Path::new(&folder), "edge-1", 1, "edge");
+            proxies.push(LoneProxy::run(Settings { metrics: None, ..settings }));
+        }
+        for proxy in &proxies {
+            proxy.tell(configuration, endpoint).await;
+            ask_until(200, proxy.readiness, "GET", "/api/readyz", &[], "").await;
+        }
+        proxies
+    }
+
+    fn run(settings: Settings) -> LoneProxy {
+        let has_ended = Rc::new(Cell::new(false));
+        let proxy = LoneProxy {
+            front: settings.listen.front.expect("an address"),
+            readiness: settings.listen.readiness.expect("an address"),
+            feed: SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port()),
+            has_ended: has_ended.clone(),
+        };
+        tokio::task::spawn_local(async move {
+            // Tasks of its own, which end with it as those of a process do.
+            let tasks = LocalSet::new();
+            tasks.run_until(proxy::run(settings)).await.expect("the proxy runs");
+            drop(tasks);
+            has_ended.set(true);
+        });
+        proxy
+    }
+
+    async fn tell(&self, configuration: &str, endpoint: SocketAddrV4) {
+        let stored = StoredConfiguration { revision: 1, body: configuration.as_bytes().to_vec() };
+        let state = Published {
+            sequence: 1,
+            configuration: Some(Rc::new(stored)),
+            storage: Rc::new(StoragePlan::default()),
+        };
+        let instance = Instance {
+            id: "i-1".into(),
+            service: "api".into(),
+            address: (endpoint.ip().octets(), endpoint.port()),
+            zone: "z1".into(),
+            capacity: 8,
+            stage: Stage::Ready,
+            warmup_left_ms: 0,
+            sequence: 1,
+            is_silent: false,
+        };
+        let feed = Feed { state: Some(state), endpoints: vec![instance], is_fresh: true, ..Feed::default() };
+        let client = Client::default();
+        while client.call(self.feed, &Request::Feed(feed.clone()), PATIENCE).await.is_err() {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Whether its run has ended.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended.get()
+    }
+}
+
+/// Sends SIGTERM, which all proxies of this process hear, and waits until none calls itself ready.
+pub async fn terminate(proxies: &[LoneProxy]) {
+    let process = std::process::id().to_string();
+    let sent = std::process::Command::new("kill").args(["-TERM", &process]).status();
+    assert!(sent.expect("kill runs").success());
+    for proxy in proxies {
+        while ask(proxy.readiness, "GET", "/api/readyz", &[], "").await.expect("an answer").status != 503 {
+            tokio::task::yield_now().await;
+        }
+    }
+}
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -4,11 +4,13 @@
 pub mod control_world;
 pub mod endpoints;
 pub mod listener;
+pub mod lone_proxy;
 pub mod memory_folder;
 pub mod search;
 pub mod store_world;
 pub mod tier;
 pub mod tier_world;
+pub mod virtual_time;
 
 use std::net::Ipv4Addr;
 
--- /dev/null
+++ b/crates/onyxstile-system/tests/support/virtual_time.rs
@@ -0,0 +1,61 @@
+//! Time that passes only when a test says so, while sockets work as ever.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+
+/// Turns of the runtime in which whatever can go on without time has gone on.
+const TURNS: usize = 400;
+
+/// A story that stands still for so long by the real clock is given its time back, so that its own bound ends it.
+const REAL_BOUND: Duration = Duration::from_secs(20);
+
+/// Stands still for as long as this lives, but for what [`VirtualTime::pass`] adds.
+pub struct VirtualTime {
+    busy: JoinHandle<()>,
+    is_stopped: Rc<Cell<bool>>,
+}
+
+impl VirtualTime {
+    /// Stops the clock of this runtime.
+    pub fn stop() -> VirtualTime {
+        tokio::time::pause();
+        let is_stopped = Rc::new(Cell::new(true));
+        let stopped = is_stopped.clone();
+        // A runtime with nothing to do would move the clock to the next timer by itself.
+        let busy = tokio::task::spawn_local(async move {
+            let start = std::time::Instant::now();
+            while start.elapsed() < REAL_BOUND {
+                tokio::task::yield_now().await;
+            }
+            stopped.set(false);
+            tokio::time::resume();
+        });
+        VirtualTime { busy, is_stopped }
+    }
+
+    /// Moves the clock on in one step: timers that are due by then and sockets that are ready are met in one turn.
+    pub async fn pass(&self, time: Duration) {
+        assert!(self.is_stopped.get(), "the story stood still");
+        tokio::time::advance(time).await;
+        settle().await;
+    }
+}
+
+impl Drop for VirtualTime {
+    fn drop(&mut self) {
+        self.busy.abort();
+        if self.is_stopped.get() {
+            tokio::time::resume();
+        }
+    }
+}
+
+/// Lets whatever can go on without time go on.
+pub async fn settle() {
+    for _ in 0..TURNS {
+        tokio::task::yield_now().await;
+    }
+}
