End a proxy when its listener is closed and every connection has ended

Cause: the notice of the close reached only who waited at that moment, and the end was one look at a count of requests, with 80 ms after it in which nobody looked. Log: 'the listener closes' without 'the listener has closed', then 'a client's connection was taken up after the listener was to close'. Now role/shutdown.rs holds both as states that are found later as well; connections, and writes of claims that no client waits for, are pieces of work that the end waits for; role/listener.rs serves proxy, readiness, figures and the operator's API alike. A head that was late is answered, or told to come back if the process ends before its answer. SIGTERM and SIGHUP are heard from a role's start.

--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -13,7 +13,7 @@
 use super::controller::RoleError;
 use super::metrics;
 use super::rpc::Client;
-use super::signals;
+use super::signals::{self, Hangups, Termination};
 use super::subscription::{self, Wishes};
 use crate::clock::SteadyClock;
 use crate::evidence::Evidence;
@@ -36,6 +36,7 @@
     let proxy = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
     let grace = settings.grace();
     let clock = SteadyClock::start();
+    let (termination, hangups) = (Termination::listen(), Hangups::listen());
     let settings = Rc::new(RefCell::new(settings));
     let known: Rc<RefCell<Known>> = Rc::default();
     let told = known.clone();
@@ -49,15 +50,15 @@
     tokio::select! {
         () = metrics::serve(settings.borrow().clone(), clock, move || figures(&told.borrow())) => {}
         () = feed(link, news, &known, is_ending.clone(), evidence) => log::info!("the proxy is gone"),
-        () = signals::reread(settings.clone(), |_| {}) => {}
-        () = end(grace, is_ending) => log::info!("the agent ends"),
+        () = signals::reread(hangups, settings.clone(), |_| {}) => {}
+        () = end(termination, grace, is_ending) => log::info!("the agent ends"),
     }
     Ok(())
 }
 
 /// After SIGTERM the agent goes on for as long as its proxy drains.
-async fn end(grace: Duration, is_ending: Rc<Cell<bool>>) {
-    signals::terminated().await;
+async fn end(termination: Termination, grace: Duration, is_ending: Rc<Cell<bool>>) {
+    termination.come().await;
     is_ending.set(true);
     tokio::time::sleep(grace.mul_f64(0.9)).await;
 }
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -23,7 +23,8 @@
 use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
-use super::{http, metrics, signals, socket};
+use super::signals::{self, Hangups, Termination};
+use super::{http, metrics, socket};
 use crate::clock::{Instant, SteadyClock};
 use crate::control::{Durable, Outcome};
 use crate::controller::{Controller, Input};
@@ -89,6 +90,7 @@
 /// Runs the role until SIGTERM.
 pub async fn run(settings: Settings) -> Result<(), RoleError> {
     let clock = SteadyClock::start();
+    let (termination, hangups) = (Termination::listen(), Hangups::listen());
     let data = settings.data_dir.clone().ok_or(RoleError::Settings("data_dir"))?;
     let control = settings.listen.control.ok_or(RoleError::Settings("listen.control"))?;
     let (record, durable) = open_record(&settings, &data).map_err(|error| ("data_dir", error))?;
@@ -114,14 +116,14 @@
     let (answering, asked, told) = (node.clone(), node.clone(), node.clone());
     tokio::select! {
         () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
-        () = http::serve(api, clock, move |request| api::answer(asked.clone(), request)) => {}
+        () = http::serve(api, clock, Rc::default(), move |request| api::answer(asked.clone(), request)) => {}
         () = metrics::serve(node.settings.borrow().clone(), clock, move || told.figures()) => {}
         () = node.clone().tick() => {}
         () = node.clone().follow_registries() => {}
-        () = signals::reread(node.settings.clone(), |fresh| {
+        () = signals::reread(hangups, node.settings.clone(), |fresh| {
             node.swim.borrow_mut().set_seeds(fresh.seed_addresses());
         }) => {}
-        () = signals::terminated() => log::info!("SIGTERM: the controller ends"),
+        () = termination.come() => log::info!("SIGTERM: the controller ends"),
     }
     Ok(())
 }
--- a/crates/onyxstile-system/src/role/http.rs
+++ b/crates/onyxstile-system/src/role/http.rs
@@ -13,7 +13,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use super::socket;
+use super::listener;
+use super::shutdown::Shutdown;
 use super::watched::Watched;
 use crate::clock::SteadyClock;
 use crate::watch::Bounds;
@@ -69,25 +70,18 @@
 /// What endpoints, operators and the platform are allowed: they keep connections between heartbeats.
 const BOUNDS: Bounds = Bounds { head: Duration::from_secs(3), rest: Duration::from_secs(60) };
 
-/// Answers all requests that come to a listener with `answer`.
-pub async fn serve<F, A>(listener: TcpListener, clock: SteadyClock, answer: F)
+/// Answers all requests that come to a listener with `answer` until the shutdown begins.
+pub async fn serve<F, A>(listener: TcpListener, clock: SteadyClock, shutdown: Rc<Shutdown>, answer: F)
 where
     F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = Answer> + 'static,
 {
     let answer = Rc::new(answer);
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("accepting: {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
-        socket::prepare(&stream);
-        let answer = answer.clone();
-        tokio::task::spawn_local(async move {
+    let ending = shutdown.clone();
+    listener::accept(listener, shutdown, move |stream, work| {
+        let (answer, shutdown) = (answer.clone(), ending.clone());
+        async move {
+            let _work = work;
             let (stream, watch) = Watched::new(stream, clock, BOUNDS);
             let service = service_fn(|request| {
                 let answering = watch.request();
@@ -101,9 +95,8 @@
             let connection = hyper::server::conn::http1::Builder::new()
                 .title_case_headers(true)
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("connection: {error}");
-            }
-        });
-    }
+            listener::serve(connection, &shutdown).await;
+        }
+    })
+    .await;
 }
--- a/crates/onyxstile-system/src/role/metrics.rs
+++ b/crates/onyxstile-system/src/role/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::future::pending;
 use std::net::SocketAddrV4;
+use std::rc::Rc;
 
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -27,7 +28,7 @@
                 let answer = answer(&request, &metrics.path, &figures);
                 async move { answer }
             };
-            http::serve(listener, clock, answer).await;
+            http::serve(listener, clock, Rc::default(), answer).await;
         }
         Err(error) => {
             log::warn!("figures are not told at {address}: {error}");
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -35,7 +35,8 @@
 use super::controller::RoleError;
 use super::identity::random_id;
 use super::rpc::{self, Client};
-use super::{http, metrics, signals, socket};
+use super::signals::{self, Hangups, Termination};
+use super::{http, metrics, socket};
 use crate::balance::{EndpointKey, Endpoints};
 use crate::clock::SteadyClock;
 use crate::configuration::{ClientLimits, Configuration};
@@ -94,6 +95,7 @@
 /// Runs the role until SIGTERM, and then until what was taken up has been answered.
 pub async fn run(settings: Settings) -> Result<(), RoleError> {
     let clock = SteadyClock::start();
+    let (termination, hangups) = (Termination::listen(), Hangups::listen());
     let front = settings.listen.front.ok_or(RoleError::Settings("listen.front"))?;
     let readiness = settings.listen.readiness.ok_or(RoleError::Settings("listen.readiness"))?;
     let fed_at = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
@@ -106,10 +108,10 @@
     tokio::select! {
         () = metrics::serve(node.settings.borrow().clone(), clock, move || told.figures()) => {}
         () = rpc::serve(feed, Rc::new(move |request| fed.clone().answer_agent(request))) => {}
-        () = http::serve(readiness, clock, move |request| lifetime::readiness(asked.clone(), request)) => {}
+        () = http::serve(readiness, clock, Rc::default(), move |request| lifetime::readiness(asked.clone(), request)) => {}
         () = lifetime::accept(node.clone(), clients) => {}
-        () = signals::reread(node.settings.clone(), |_| {}) => {}
-        () = lifetime::drain(node.clone()) => log::info!("the proxy has drained"),
+        () = signals::reread(hangups, node.settings.clone(), |_| {}) => {}
+        () = lifetime::drain(node.clone(), termination) => log::info!("the proxy has drained"),
     }
     Ok(())
 }
--- a/crates/onyxstile-system/src/role/proxy/call.rs
+++ b/crates/onyxstile-system/src/role/proxy/call.rs
@@ -146,6 +146,11 @@
         self.ends.since(now)
     }
 
+    /// When the last of its answer may come.
+    pub(super) fn last_answer(&self) -> Instant {
+        if self.is_stream() { self.deadline } else { self.ends }
+    }
+
     /// The time within which an answer earns its full worth.
     pub(super) fn aim(&self) -> Duration {
         Duration::from_millis(self.route.target_latency_ms)
--- a/crates/onyxstile-system/src/role/proxy/conversation.rs
+++ b/crates/onyxstile-system/src/role/proxy/conversation.rs
@@ -46,7 +46,9 @@
         let entry = Entry { request: self.request.clone(), most: self.most, settled };
         let record = Record::Entry { program: self.program.clone(), entry };
         let (node, key) = (self.node.clone(), self.program.clone());
+        let work = node.phase.shutdown().enter();
         tokio::task::spawn_local(async move {
+            let _work = work;
             let write = |epoch| Request::Write { epoch, records: vec![record.clone()] };
             if node.write_quorum(&key, write, AFTER_PATIENCE).await.is_none() {
                 log::warn!("a claim of program {key} stays at its most");
--- a/crates/onyxstile-system/src/role/proxy/counts.rs
+++ b/crates/onyxstile-system/src/role/proxy/counts.rs
@@ -34,6 +34,8 @@
     BudgetSpent,
     /// There is no such turn to go on from.
     NoPrevious,
+    /// The process ends before the answer may be there.
+    Ending,
 }
 
 const MISSES: [(Miss, &str); 4] = [
@@ -43,7 +45,7 @@
     (Miss::ServerError, "server_error"),
 ];
 
-const REFUSALS: [(Refusal, &str); 8] = [
+const REFUSALS: [(Refusal, &str); 9] = [
     (Refusal::NoConfiguration, "no_configuration"),
     (Refusal::NoRoute, "no_route"),
     (Refusal::NoEndpoint, "no_endpoint"),
@@ -52,6 +54,7 @@
     (Refusal::NotTaken, "not_taken"),
     (Refusal::BudgetSpent, "budget_spent"),
     (Refusal::NoPrevious, "no_previous"),
+    (Refusal::Ending, "ending"),
 ];
 
 /// The counts.
--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -31,9 +31,6 @@
 /// Answers one request of a client.
 pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>, answering: Answering) -> ClientAnswer {
     node.counts.request();
-    if node.phase.is_closing() {
-        log::warn!("a request was taken after the listener was to close");
-    }
     let entered = Phase::enter(&node, answering);
     let mut answer = route(&node, request, entered).await;
     if node.phase.is_draining() {
@@ -64,6 +61,10 @@
             return own(StatusCode::REQUEST_TIMEOUT, "the body did not end in time");
         }
     };
+    // What would be cut at the end is not begun; heads that were late, and bodies.
+    if node.phase.ends_before(call.last_answer()) {
+        return refuse(node, Refusal::Ending, COME_BACK);
+    }
     if node.endpoints.borrow().usable(&call.service) == 0 {
         return refuse(node, Refusal::NoEndpoint, COME_BACK);
     }
@@ -95,6 +96,7 @@
         Refusal::NoStorage => not_run(wait, "too few storage machines answer"),
         Refusal::NotTaken => not_run(wait, "no endpoint took it"),
         Refusal::BudgetSpent => own(StatusCode::PAYMENT_REQUIRED, "the budget is spent"),
+        Refusal::Ending => not_run(wait, "this proxy ends"),
         Refusal::NoPrevious => own(StatusCode::NOT_FOUND, "no such turn to go on from"),
     }
 }
--- a/crates/onyxstile-system/src/role/proxy/phase.rs
+++ b/crates/onyxstile-system/src/role/proxy/phase.rs
@@ -4,11 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
-use tokio::sync::futures::Notified;
-
 use super::Node;
 use crate::clock::Instant;
+use crate::role::shutdown::Shutdown;
 use crate::role::watched::Answering;
 
 /// How far the process is; it only moves on.
@@ -17,10 +15,10 @@
     /// How long after the start it was ready.
     ready_after: Cell<Option<Duration>>,
     is_draining: Cell<bool>,
-    is_closing: Cell<bool>,
     open: Cell<usize>,
-    connections: Cell<usize>,
-    closing: Notify,
+    shutdown: Rc<Shutdown>,
+    /// When the process ends, once the listener is to close.
+    ends: Cell<Option<Instant>>,
 }
 
 impl Phase {
@@ -47,30 +45,26 @@
         self.open.get()
     }
 
-    /// Connections of clients.
-    pub(super) fn connections(&self) -> usize {
-        self.connections.get()
-    }
-
     /// SIGTERM has come.
     pub(super) fn drain(&self) {
         self.is_draining.set(true);
     }
 
-    /// The door closes: no connection is taken up any more, and each ends with the answers that are due on it.
-    pub(super) fn close(&self) {
-        self.is_closing.set(true);
-        self.closing.notify_waiters();
+    /// The listener closes: no connection is taken up any more, and each ends with the answers that are due on it, by `ends` at
+    /// the latest.
+    pub(super) fn close(&self, ends: Instant) {
+        self.ends.set(Some(ends));
+        self.shutdown.begin();
     }
 
-    /// Whether the door is closed.
-    pub(super) fn is_closing(&self) -> bool {
-        self.is_closing.get()
+    /// Clients' connections and writes that no client waits for.
+    pub(super) fn shutdown(&self) -> Rc<Shutdown> {
+        self.shutdown.clone()
     }
 
-    /// Waits for the door to close from now on.
-    pub(super) fn closed(&self) -> Notified<'_> {
-        self.closing.notified()
+    /// Whether the process ends before an answer that may come until `last`.
+    pub(super) fn ends_before(&self, last: Instant) -> bool {
+        self.ends.get().is_some_and(|ends| ends < last)
     }
 
     /// Whether SIGTERM has come.
@@ -85,24 +79,6 @@
     }
 }
 
-/// A connection of a client, for as long as this lives.
-pub(super) struct Connected(Rc<Node>);
-
-impl Connected {
-    /// Counts a connection that has just come.
-    pub(super) fn new(node: Rc<Node>) -> Connected {
-        node.phase.connections.set(node.phase.connections.get() + 1);
-        Connected(node)
-    }
-}
-
-impl Drop for Connected {
-    fn drop(&mut self) {
-        let connections = &self.0.phase.connections;
-        connections.set(connections.get() - 1);
-    }
-}
-
 /// A request that is being answered.
 pub(super) struct Entered {
     node: Rc<Node>,
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -21,8 +21,9 @@
 use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
+use super::signals::{self, Hangups, Termination};
 use super::subscription::{self, Wishes};
-use super::{metrics, signals, socket};
+use super::{metrics, socket};
 use crate::clock::SteadyClock;
 use crate::known::News;
 use crate::program::{Key, Progress, RecordIndex, RecordNumber, TurnCache, groups};
@@ -65,6 +66,7 @@
 /// Runs the role until SIGTERM.
 pub async fn run(settings: Settings) -> Result<(), RoleError> {
     let clock = SteadyClock::start();
+    let (termination, hangups) = (Termination::listen(), Hangups::listen());
     let mut found = Found::open(&settings, clock.now())?;
     found.identify(settings.bootstrap).await;
     let peers = socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
@@ -103,10 +105,10 @@
         () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
         () = node.clone().follow() => {}
         () = node.clone().keep_house() => {}
-        () = signals::reread(node.settings.clone(), |fresh| {
+        () = signals::reread(hangups, node.settings.clone(), |fresh| {
             node.swim.borrow_mut().set_seeds(fresh.seed_addresses());
         }) => {}
-        () = signals::terminated() => log::info!("SIGTERM: storage ends"),
+        () = termination.come() => log::info!("SIGTERM: storage ends"),
     }
     Ok(())
 }
--- a/crates/onyxstile-system/tests/proxy_end.rs
+++ b/crates/onyxstile-system/tests/proxy_end.rs
@@ -143,6 +143,27 @@
     });
 }
 
+/// It has 60 s, the process 5 s: whoever can't be served to the end is told at once, and the endpoint is not asked.
+#[test]
+fn a_request_that_outlasts_the_end_is_told_to_come_back() {
+    play(async {
+        let time = VirtualTime::stop();
+        let (endpoint, address) = Endpoint::listen(b"whole").await;
+        let proxies = LoneProxy::start(1, &configuration().replace("5000", "60000"), address).await;
+        let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
+        client.write_all(format!("{HEAD}Deadline-Ms: 60000\r\n").as_bytes()).await.expect("it is sent");
+        settle().await;
+        terminate(&proxies).await;
+        time.pass(TO_THE_CLOSE).await;
+        client.write_all(b"\r\n").await.expect("it is sent");
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).await.expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert_eq!(field(&answer, "retry-after").as_deref(), Some("0.25"));
+        assert_eq!(endpoint.asked.get(), 0);
+    });
+}
+
 #[test]
 fn an_answer_whose_bytes_wait_for_a_slow_client_is_sent_before_the_end() {
     play(async {
