--- a/crates/onyxstile-system/tests/support/lone_proxy.rs
+++ b/crates/onyxstile-system/tests/support/lone_proxy.rs
@@ -1,6 +1,5 @@
 //! Proxies by themselves: fed by the test as an agent would, and gone with all their connections once their run has ended.
 
-use std::cell::Cell;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::rc::Rc;
@@ -13,9 +12,9 @@
 use onyxstile_system::settings::Settings;
 use onyxstile_system::storage_plan::StoragePlan;
 use onyxstile_system::wire::{Feed, Published, Request};
-use tokio::task::LocalSet;
+use tokio::task::JoinHandle;
 
-use super::tier::{ask, ask_until, free_ports, settings};
+use super::tier::{self, ask, ask_until, free_ports, settings, start_process};
 
 /// How long a proxy may take to answer the agent.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -26,7 +25,7 @@
     pub front: SocketAddrV4,
     readiness: SocketAddrV4,
     feed: SocketAddrV4,
-    has_ended: Rc<Cell<bool>>,
+    process: JoinHandle<()>,
 }
 
 impl LoneProxy {
@@ -46,21 +45,12 @@
     }
 
     fn run(settings: Settings) -> LoneProxy {
-        let has_ended = Rc::new(Cell::new(false));
-        let proxy = LoneProxy {
+        LoneProxy {
             front: settings.listen.front.expect("an address"),
             readiness: settings.listen.readiness.expect("an address"),
             feed: SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port()),
-            has_ended: has_ended.clone(),
-        };
-        tokio::task::spawn_local(async move {
-            // Tasks of its own, which end with it as those of a process do.
-            let tasks = LocalSet::new();
-            tasks.run_until(proxy::run(settings)).await.expect("the proxy runs");
-            drop(tasks);
-            has_ended.set(true);
-        });
-        proxy
+            process: start_process(async move { proxy::run(settings).await.expect("the proxy runs") }),
+        }
     }
 
     async fn tell(&self, configuration: &str, endpoint: SocketAddrV4) {
@@ -90,15 +80,13 @@
 
     /// Whether its run has ended.
     pub fn has_ended(&self) -> bool {
-        self.has_ended.get()
+        self.process.is_finished()
     }
 }
 
 /// Sends SIGTERM, which all proxies of this process hear, and waits until none calls itself ready.
 pub async fn terminate(proxies: &[LoneProxy]) {
-    let process = std::process::id().to_string();
-    let sent = std::process::Command::new("kill").args(["-TERM", &process]).status();
-    assert!(sent.expect("kill runs").success());
+    tier::terminate();
     for proxy in proxies {
         while ask(proxy.readiness, "GET", "/api/readyz", &[], "").await.expect("an answer").status != 503 {
             tokio::task::yield_now().await;
--- a/crates/onyxstile-system/tests/support/tier.rs
+++ b/crates/onyxstile-system/tests/support/tier.rs
@@ -13,6 +13,7 @@
 use onyxstile_system::role::{agent, controller, proxy, storage};
 use onyxstile_system::settings::{MetricsAddress, Settings};
 use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, LocalSet};
 
 /// Bounds the whole story; it takes about two seconds.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -110,16 +111,28 @@
     format!("{port}{FIGURES}").parse().expect("a port and a path")
 }
 
+/// Runs a role with tasks of its own, which end with it as those of a process do; its connections close then.
+pub(super) fn start_process(role: impl Future<Output = ()> + 'static) -> JoinHandle<()> {
+    tokio::task::spawn_local(async move { LocalSet::new().run_until(role).await })
+}
+
+/// Sends SIGTERM to this process, whose roles all hear it.
+pub fn terminate() {
+    let process = std::process::id().to_string();
+    let sent = std::process::Command::new("kill").args(["-TERM", &process]).status();
+    assert!(sent.expect("kill runs").success());
+}
+
 fn start_controller(ports: &Ports, folder: &Path, host: u8) {
     let settings = settings(ports, folder, &format!("core-{host}"), host, "core");
-    tokio::task::spawn_local(async move { controller::run(settings).await.expect("the controller runs") });
+    start_process(async move { controller::run(settings).await.expect("the controller runs") });
 }
 
 fn start(ports: &Ports, folder: &Path) {
     (2..=4).for_each(|host| start_controller(ports, folder, host));
     for host in 5..=7 {
         let settings = settings(ports, folder, &format!("storage-{host}"), host, "storage");
-        tokio::task::spawn_local(async move { storage::run(settings).await.expect("storage runs") });
+        start_process(async move { storage::run(settings).await.expect("storage runs") });
     }
     start_relay(ports, folder);
 }
@@ -127,8 +140,8 @@
 fn start_relay(ports: &Ports, folder: &Path) {
     let edge = settings(ports, folder, "edge-1", 1, "edge");
     let beside = Settings { metrics: Some(figures_at(ports.agent_figures)), ..edge.clone() };
-    tokio::task::spawn_local(async move { proxy::run(edge).await.expect("the proxy runs") });
-    tokio::task::spawn_local(async move { agent::run(beside).await.expect("the agent runs") });
+    start_process(async move { proxy::run(edge).await.expect("the proxy runs") });
+    start_process(async move { agent::run(beside).await.expect("the agent runs") });
 }
 
 /// An answer; no body if it broke off.
