End a controller once the calls that came to its API are answered

The same cause as at the proxy: a role's end did not wait for what it had begun. At SIGTERM its listener closes, what came is answered, then it ends; the kill's time bounds that. tests/controller_end.rs failed before and passes.

--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -23,6 +23,7 @@
 use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
+use super::shutdown::Shutdown;
 use super::signals::{self, Hangups, Termination};
 use super::{http, metrics, socket};
 use crate::clock::{Instant, SteadyClock};
@@ -114,20 +115,33 @@
     log::info!("controller {} listens at {control}", node.settings.borrow().node_name);
     node.greet().await;
     let (answering, asked, told) = (node.clone(), node.clone(), node.clone());
+    let shutdown: Rc<Shutdown> = Rc::default();
     tokio::select! {
         () = rpc::serve(peers, Rc::new(move |request| answering.clone().answer(request))) => {}
-        () = http::serve(api, clock, Rc::default(), move |request| api::answer(asked.clone(), request)) => {}
+        () = http::serve(api, clock, shutdown.clone(), move |request| api::answer(asked.clone(), request)) => {}
         () = metrics::serve(node.settings.borrow().clone(), clock, move || told.figures()) => {}
         () = node.clone().tick() => {}
         () = node.clone().follow_registries() => {}
         () = signals::reread(hangups, node.settings.clone(), |fresh| {
             node.swim.borrow_mut().set_seeds(fresh.seed_addresses());
         }) => {}
-        () = termination.come() => log::info!("SIGTERM: the controller ends"),
+        () = end(&node, termination, &shutdown) => log::info!("the controller ends"),
     }
     Ok(())
 }
 
+/// Waits for SIGTERM; then takes no more calls of operators and endpoints, and goes on until those that came are answered: whoever
+/// asked for a change would not know whether it was made.
+async fn end(node: &Node, termination: Termination, shutdown: &Shutdown) {
+    termination.come().await;
+    log::info!("SIGTERM: {} connections to the API are open", shutdown.open());
+    shutdown.begin();
+    let time = node.settings.borrow().time_to_end();
+    if tokio::time::timeout(time, shutdown.ended()).await.is_err() {
+        log::warn!("the kill is near: {} connections to the API are open", shutdown.open());
+    }
+}
+
 impl Node {
     fn new(
         settings: Settings, clock: SteadyClock, durable: Durable, swim: Shared,
--- a/crates/onyxstile-system/src/role/http.rs
+++ b/crates/onyxstile-system/src/role/http.rs
@@ -70,7 +70,7 @@
 /// What endpoints, operators and the platform are allowed: they keep connections between heartbeats.
 const BOUNDS: Bounds = Bounds { head: Duration::from_secs(3), rest: Duration::from_secs(60) };
 
-/// Answers all requests that come to a listener with `answer` until the shutdown begins.
+/// Answers all requests that come to a listener with `answer` until the shutdown begins. It does not return.
 pub async fn serve<F, A>(listener: TcpListener, clock: SteadyClock, shutdown: Rc<Shutdown>, answer: F)
 where
     F: Fn(Request<Incoming>) -> A + 'static,
--- a/crates/onyxstile-system/src/role/listener.rs
+++ b/crates/onyxstile-system/src/role/listener.rs
@@ -1,7 +1,7 @@
 //! Connections of HTTP clients: taken up until the shutdown begins, each a piece of work that ends with it.
 
 use std::error::Error;
-use std::future::Future;
+use std::future::{Future, pending};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +18,8 @@
 /// Pause after a failure to accept: descriptors are short, most likely.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Takes up connections until the shutdown begins, and then listens no more.
+/// Takes up connections until the shutdown begins, and then listens no more. It does not return: a role's run ends with its
+/// work, not with its listener.
 pub async fn accept<F: Future<Output = ()> + 'static>(
     listener: TcpListener, shutdown: Rc<Shutdown>, serve: impl Fn(TcpStream, Work) -> F,
 ) {
@@ -42,6 +43,7 @@
     }
     drop(listener);
     log::info!("the listener has closed");
+    pending().await
 }
 
 /// Serves a connection to its end, which is when the last answer's bytes have left. Once the shutdown has begun it is closed
--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -21,8 +21,6 @@
 
 /// The platform takes a relay out after two misses, a second apart; until then clients still come.
 const STILL_OFFERED: Duration = Duration::from_millis(2600);
-/// Room before the kill for the last bytes to leave.
-const BEFORE_KILL: Duration = Duration::from_millis(400);
 /// The system's buffers are emptied meanwhile. Nothing can be taken any more.
 const LAST_BYTES: Duration = Duration::from_millis(80);
 
@@ -41,7 +39,6 @@
 pub(super) async fn accept(node: Rc<Node>, listener: TcpListener) {
     let shutdown = node.phase.shutdown();
     listener::accept(listener, shutdown, |stream, work| serve(node.clone(), stream, work)).await;
-    std::future::pending().await
 }
 
 async fn serve(node: Rc<Node>, stream: TcpStream, _work: Work) {
@@ -72,8 +69,7 @@
     termination.come().await;
     log::info!("SIGTERM: draining");
     node.phase.drain();
-    let grace = node.settings.borrow().grace();
-    let time = grace.saturating_sub(BEFORE_KILL);
+    let (grace, time) = (node.settings.borrow().grace(), node.settings.borrow().time_to_end());
     let (end, last) = (tokio::time::Instant::now() + time, node.clock.now() + time);
     tokio::time::sleep(STILL_OFFERED.min(grace / 2)).await;
     node.phase.close(last);
--- a/crates/onyxstile-system/src/settings.rs
+++ b/crates/onyxstile-system/src/settings.rs
@@ -69,6 +69,9 @@
 /// The shortest and the longest time, in seconds, that is believed to pass between SIGTERM and the kill.
 const GRACE_RANGE_S: (f64, f64) = (0.5, 24.0 * 3600.0);
 
+/// Room before the kill for the last bytes to leave.
+const BEFORE_KILL: Duration = Duration::from_millis(400);
+
 /// Time bounds of the deployment. All are given by the platform; the defaults are those of a small deployment.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default)]
@@ -220,6 +223,11 @@
         self.internal_port_range.0 + 1
     }
 
+    /// How long a role may take to end after SIGTERM, so that the last bytes leave before the kill.
+    pub fn time_to_end(&self) -> Duration {
+        self.grace().saturating_sub(BEFORE_KILL)
+    }
+
     /// Machine addresses of the seeds.
     pub fn seed_addresses(&self) -> Vec<Ipv4Addr> {
         self.seed_nodes.iter().map(|seed| *seed.ip()).collect()
