--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What the project's people run; .ci/run calls `make check` and nothing else.
 .PHONY: build system run check fmt lint test doc demo demo-tier goodput compare failures bench trace-figures fuzz hunt \
-	fleet kills outage store-figures store-histories properties scale
+	soak fleet kills outage store-figures store-histories properties scale
 
 build:
 	cargo build --release --locked
@@ -100,6 +100,11 @@
 scale:
 	cargo test --locked --release --lib scale -- --ignored --nocapture
 
+# The serving tier in real processes: clients, planned stops, restarts and changes in overlapping series (SOAK of them from SEED on).
+SOAK ?= 50
+soak:
+	SOAK=$(SOAK) SEED=$(SEED) cargo test --locked -p onyxstile-system --test soak -- --nocapture
+
 # Histories of a whole fleet: traffic, faults of links, kills and losses of power (FLEET of them from SEED on).
 FLEET ?= 200
 SEED ?= 1
--- /dev/null
+++ b/crates/onyxstile-system/tests/soak/operator.rs
@@ -0,0 +1,129 @@
+//! The operator of a run, who changes the configuration again and again, and the heartbeats of its endpoints.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::Run;
+use crate::support::tier::{Answer, LIMITS, ask, heartbeat};
+use crate::traffic::Traffic;
+
+/// How long a controller may take to answer.
+const PATIENCE: Duration = Duration::from_secs(2);
+const HEARTBEAT: Duration = Duration::from_millis(400);
+/// The longest pause between two changes, in ms.
+const PAUSE_MS: u64 = 250;
+
+/// The operator.
+pub struct Operator {
+    /// All that was sent, by revision.
+    sent: RefCell<BTreeMap<u64, String>>,
+    acknowledged: Cell<u64>,
+    changes: Cell<usize>,
+    current: Cell<u64>,
+}
+
+fn configuration(revision: u64) -> String {
+    let route = |name: &str, path: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"a.example","path_prefix":"{path}","route_type":"non_idempotent","timeout_ms":900,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":1}}"#
+        )
+    };
+    let (first, idle) = (route("r", "/r/"), route("idle", &format!("/idle{revision}/")));
+    format!(
+        r#"{{"revision":{revision},"routes":[{first},{idle}],"services":[{{"name":"api","health_check":"/healthz","max_connections":900,"protocol":"h1","tls":false}}],"limits":{LIMITS}}}"#
+    )
+}
+
+async fn call(run: &Run, method: &str, path: &str, base: u64, body: &str) -> Option<Answer> {
+    let controller = run.others[run.roll(3) as usize].host;
+    let to = SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, controller), run.ports.control);
+    let base = base.to_string();
+    tokio::time::timeout(PATIENCE, ask(to, method, path, &[("if-match", base.as_str())], body)).await.ok()?
+}
+
+impl Operator {
+    /// Sends the first configuration and begins the heartbeats.
+    pub async fn start(run: &Rc<Run>, traffic: Rc<Traffic>) -> Operator {
+        tokio::task::spawn_local(beat(run.clone(), traffic));
+        let operator = Operator {
+            sent: RefCell::default(),
+            acknowledged: Cell::new(0),
+            changes: Cell::new(0),
+            current: Cell::new(0),
+        };
+        while operator.acknowledged.get() == 0 {
+            operator.put(run, 1).await;
+            run.rest(50).await;
+        }
+        operator
+    }
+
+    /// Changes it until the run is over.
+    pub async fn change(self: Rc<Operator>, run: Rc<Run>) {
+        while !run.is_over.get() {
+            run.rest(PAUSE_MS).await;
+            let next = self.sent.borrow().last_key_value().map_or(1, |(revision, _)| revision + 1);
+            self.put(&run, next).await;
+            if self.current.get() != next {
+                self.read(&run).await;
+            }
+        }
+    }
+
+    async fn put(&self, run: &Run, revision: u64) {
+        let body = configuration(revision);
+        self.sent.borrow_mut().insert(revision, body.clone());
+        let answer = call(run, "PUT", "/api/config", self.current.get(), &body).await;
+        if answer.is_some_and(|answer| answer.status == 200) {
+            self.changes.set(self.changes.get() + 1);
+            self.acknowledged.set(revision);
+            self.current.set(revision);
+        }
+    }
+
+    /// Reads the configuration once; it is at least what was acknowledged before, as it was sent.
+    async fn read(&self, run: &Run) -> bool {
+        let least = self.acknowledged.get();
+        let answer = call(run, "GET", "/api/config", 0, "").await;
+        let Some(body) = answer.filter(|answer| answer.status == 200).and_then(|answer| answer.body) else {
+            return false;
+        };
+        let sent = self.sent.borrow();
+        match sent.iter().find(|(_, text)| text.as_bytes() == body) {
+            Some((revision, _)) if *revision >= least => self.current.set(*revision),
+            Some((revision, _)) => {
+                run.fault(format!("revision {revision} was read after {least} was acknowledged"))
+            }
+            None => run.fault("a configuration was read that nobody sent".into()),
+        }
+        true
+    }
+
+    /// Reads it at the end of the run, until a controller is sure.
+    pub async fn read_back(&self, run: &Run) {
+        while !self.read(run).await {
+            run.rest(50).await;
+        }
+    }
+
+    /// Changes, in numbers.
+    pub fn summary(&self) -> String {
+        format!("{} of {} changes acknowledged", self.changes.get(), self.sent.borrow().len())
+    }
+}
+
+/// Heartbeats of all endpoints, for as long as the run goes on.
+async fn beat(run: Rc<Run>, traffic: Rc<Traffic>) {
+    let endpoints = traffic.endpoints.borrow().clone();
+    for sequence in 1.. {
+        for (number, endpoint) in endpoints.iter().enumerate() {
+            let body = heartbeat("api", *endpoint, "ready", sequence)
+                .replace(r#""capacity":4"#, r#""capacity":400"#);
+            call(&run, "PUT", &format!("/api/instances/i-{number}"), 0, &body).await;
+        }
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
--- a/crates/onyxstile-system/tests/support/tier.rs
+++ b/crates/onyxstile-system/tests/support/tier.rs
@@ -18,10 +18,14 @@
 /// Bounds the whole story; it takes about two seconds.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-pub(super) struct Ports {
+/// Ports that all machines of a tier have in common.
+#[derive(Clone, Copy)]
+pub struct Ports {
     internal: u16,
-    control: u16,
-    pub(super) front: u16,
+    /// Where controllers listen for operators and endpoints.
+    pub control: u16,
+    /// Where proxies listen for clients.
+    pub front: u16,
     pub(super) readiness: u16,
     /// Where proxies, controllers and storage machines tell their figures.
     figures: u16,
@@ -39,7 +43,7 @@
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 /// Ports that are free on loopback, below those that outgoing connections take: for so many machines with ports of their own.
-pub(super) fn free_ports(machines: u16) -> Vec<Ports> {
+pub fn free_ports(machines: u16) -> Vec<Ports> {
     const LOWEST: u32 = 18_000;
     const SPAN: u32 = 12_000;
     const BLOCK: u16 = 8;
@@ -71,12 +75,13 @@
     }
 }
 
-pub(super) fn settings(ports: &Ports, folder: &Path, name: &str, host: u8, class: &str) -> Settings {
-    let Ports { internal, control, front, readiness, figures, .. } = ports;
+/// The text of a machine's settings file.
+pub fn settings_text(ports: &Ports, folder: &Path, name: &str, host: u8, class: &str) -> String {
+    let Ports { internal, control, front, readiness, .. } = ports;
     let seeds: Vec<String> = (2..=4).map(|seed| format!("\"127.0.0.{seed}:{control}\"")).collect();
     let data = folder.join(name);
     let zone = if host == STANDBY { 2 } else { host };
-    let text = format!(
+    format!(
         r#"
 node_name = "{name}"
 machine_class = "{class}"
@@ -102,9 +107,14 @@
         internal + 1,
         seeds.join(","),
         data.display()
-    );
+    )
+}
+
+/// The settings of a machine that tells its figures.
+pub(super) fn settings(ports: &Ports, folder: &Path, name: &str, host: u8, class: &str) -> Settings {
+    let text = settings_text(ports, folder, name, host, class);
     let settings = Settings::parse(Path::new("boot.toml"), &text).expect("valid settings");
-    Settings { metrics: Some(figures_at(*figures)), ..settings }
+    Settings { metrics: Some(figures_at(ports.figures)), ..settings }
 }
 
 fn figures_at(port: u16) -> MetricsAddress {
