Listen for signals first thing in a process

Each role listened once its command line, log and settings were read; until then SIGHUP and SIGTERM ended it by the system's default ('ended by itself after 11 ms: signal: 1'). main now makes the runtime, listens, and only then reads anything; a role is given what listens. A tool (status) still ends by either signal.

--- a/crates/onyxstile-system/src/main.rs
+++ b/crates/onyxstile-system/src/main.rs
@@ -6,6 +6,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use onyxstile_system::role::controller::RoleError;
+use onyxstile_system::role::signals::Signals;
 use onyxstile_system::role::{agent, controller, proxy, status, storage};
 use onyxstile_system::settings::{MetricsAddress, Settings, SettingsError};
 use onyxstile_system::{configuration, logging};
@@ -67,6 +68,15 @@
 }
 
 fn main() -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return report::<RoleError>(Err(RoleError::Io("the runtime", error))),
+    };
+    runtime.block_on(tokio::task::LocalSet::new().run_until(program()))
+}
+
+async fn program() -> ExitCode {
+    let signals = Signals::listen();
     let arguments = Arguments::parse();
     if let Err(error) = logging::start(logging::level_from_environment()) {
         eprintln!("{error}");
@@ -77,13 +87,14 @@
             report(Settings::read(&file).map(|_| "the settings are valid".into()))
         }
         Command::CheckConfiguration { file } => report(check_configuration(&file)),
-        Command::Status { address } => {
-            report(run(&Command::Status { address }, None).map(|()| "asked".into()))
-        }
+        Command::Status { address } => tokio::select! {
+            result = status::run(address) => report(result.map(|()| "asked".into())),
+            () = signals.either() => ExitCode::FAILURE,
+        },
         command => match Settings::from_environment() {
             Ok(settings) => {
                 let settings = Settings { metrics: command.metrics(), ..settings };
-                report(run(&command, Some(settings)).map(|()| "ended".into()))
+                report(run(&command, settings, signals).await.map(|()| "ended".into()))
             }
             Err(error) => report::<SettingsError>(Err(error)),
         },
@@ -102,22 +113,14 @@
     ))
 }
 
-fn run(command: &Command, settings: Option<Settings>) -> Result<(), RoleError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| RoleError::Io("the runtime", error))?;
-    let local = tokio::task::LocalSet::new();
-    runtime.block_on(local.run_until(async {
-        match (command, settings) {
-            (Command::Proxy(_), Some(settings)) => proxy::run(settings).await,
-            (Command::Agent(_), Some(settings)) => agent::run(settings).await,
-            (Command::Controller(_), Some(settings)) => controller::run(settings).await,
-            (Command::Storage(_), Some(settings)) => storage::run(settings).await,
-            (Command::Status { address }, _) => status::run(*address).await,
-            _ => Ok(()),
-        }
-    }))
+async fn run(command: &Command, settings: Settings, signals: Signals) -> Result<(), RoleError> {
+    match command {
+        Command::Proxy(_) => proxy::run(settings, signals).await,
+        Command::Agent(_) => agent::run(settings, signals).await,
+        Command::Controller(_) => controller::run(settings, signals).await,
+        Command::Storage(_) => storage::run(settings, signals).await,
+        _ => Ok(()),
+    }
 }
 
 fn report<E: std::fmt::Display>(result: Result<String, E>) -> ExitCode {
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -13,7 +13,7 @@
 use super::controller::RoleError;
 use super::metrics;
 use super::rpc::Client;
-use super::signals::{self, Hangups, Termination};
+use super::signals::{self, Signals, Termination};
 use super::subscription::{self, Wishes};
 use crate::clock::SteadyClock;
 use crate::evidence::Evidence;
@@ -32,11 +32,11 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Runs the role until SIGTERM, and then until the proxy beside it is gone.
-pub async fn run(settings: Settings) -> Result<(), RoleError> {
+pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
     let proxy = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
     let grace = settings.grace();
     let clock = SteadyClock::start();
-    let (termination, hangups) = (Termination::listen(), Hangups::listen());
+    let Signals { termination, hangups } = signals;
     let settings = Rc::new(RefCell::new(settings));
     let known: Rc<RefCell<Known>> = Rc::default();
     let told = known.clone();
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -24,7 +24,7 @@
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
 use super::shutdown::Shutdown;
-use super::signals::{self, Hangups, Termination};
+use super::signals::{self, Signals, Termination};
 use super::{http, metrics, socket};
 use crate::clock::{Instant, SteadyClock};
 use crate::control::{Durable, Outcome};
@@ -89,9 +89,9 @@
 }
 
 /// Runs the role until SIGTERM.
-pub async fn run(settings: Settings) -> Result<(), RoleError> {
+pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
     let clock = SteadyClock::start();
-    let (termination, hangups) = (Termination::listen(), Hangups::listen());
+    let Signals { termination, hangups } = signals;
     let data = settings.data_dir.clone().ok_or(RoleError::Settings("data_dir"))?;
     let control = settings.listen.control.ok_or(RoleError::Settings("listen.control"))?;
     let (record, durable) = open_record(&settings, &data).map_err(|error| ("data_dir", error))?;
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -35,7 +35,7 @@
 use super::controller::RoleError;
 use super::identity::random_id;
 use super::rpc::{self, Client};
-use super::signals::{self, Hangups, Termination};
+use super::signals::{self, Signals};
 use super::{http, metrics, socket};
 use crate::balance::{EndpointKey, Endpoints};
 use crate::clock::SteadyClock;
@@ -93,9 +93,9 @@
 }
 
 /// Runs the role until SIGTERM, and then until what was taken up has been answered.
-pub async fn run(settings: Settings) -> Result<(), RoleError> {
+pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
     let clock = SteadyClock::start();
-    let (termination, hangups) = (Termination::listen(), Hangups::listen());
+    let Signals { termination, hangups } = signals;
     let front = settings.listen.front.ok_or(RoleError::Settings("listen.front"))?;
     let readiness = settings.listen.readiness.ok_or(RoleError::Settings("listen.readiness"))?;
     let fed_at = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
--- a/crates/onyxstile-system/src/role/signals.rs
+++ b/crates/onyxstile-system/src/role/signals.rs
@@ -11,15 +11,37 @@
 /// How often the settings file is read again; it may change without a signal.
 const REREAD_EVERY: Duration = Duration::from_secs(2);
 
-/// SIGTERM, heard from the start of a role on: one that comes before anybody waits is not missed, and a second changes nothing.
-pub struct Termination(Option<Signal>);
+/// The platform's signals to one process.
+pub struct Signals {
+    /// SIGTERM.
+    pub termination: Termination,
+    /// SIGHUP.
+    pub hangups: Hangups,
+}
 
-impl Termination {
-    /// Begins to listen.
-    pub fn listen() -> Termination {
-        Termination(heard(SignalKind::terminate(), "SIGTERM"))
+impl Signals {
+    /// Begins to listen. Until then either signal ends the process by the system's default, so this is the first thing that a
+    /// process does: before its command line, its log and its settings are read.
+    pub fn listen() -> Signals {
+        Signals {
+            termination: Termination(heard(SignalKind::terminate(), "SIGTERM")),
+            hangups: Hangups(heard(SignalKind::hangup(), "SIGHUP")),
+        }
+    }
+
+    /// Waits for either; for what has no orderly end.
+    pub async fn either(mut self) {
+        tokio::select! {
+            () = self.termination.come() => {}
+            () = self.hangups.next() => {}
+        }
     }
+}
+
+/// SIGTERM: one that comes before anybody waits is not missed, and a second changes nothing.
+pub struct Termination(Option<Signal>);
 
+impl Termination {
     /// Waits for it.
     pub async fn come(self) {
         match self.0 {
@@ -31,15 +53,10 @@
     }
 }
 
-/// SIGHUP, heard from the start of a role on: it would end a process that does not listen.
+/// SIGHUP: some that come while nobody waits are heard as one.
 pub struct Hangups(Option<Signal>);
 
 impl Hangups {
-    /// Begins to listen.
-    pub fn listen() -> Hangups {
-        Hangups(heard(SignalKind::hangup(), "SIGHUP"))
-    }
-
     /// Waits for the next.
     async fn next(&mut self) {
         match &mut self.0 {
@@ -52,7 +69,8 @@
 }
 
 fn heard(kind: SignalKind, name: &str) -> Option<Signal> {
-    signal(kind).inspect_err(|error| log::error!("{name} can't be heard: {error}")).ok()
+    // There is no log yet.
+    signal(kind).inspect_err(|error| eprintln!("{name} can't be heard: {error}")).ok()
 }
 
 /// Calls `changed` with the settings after each SIGHUP and now and then; a file that can't be read changes nothing.
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -21,7 +21,7 @@
 use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
-use super::signals::{self, Hangups, Termination};
+use super::signals::{self, Signals};
 use super::subscription::{self, Wishes};
 use super::{metrics, socket};
 use crate::clock::SteadyClock;
@@ -64,9 +64,9 @@
 }
 
 /// Runs the role until SIGTERM.
-pub async fn run(settings: Settings) -> Result<(), RoleError> {
+pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
     let clock = SteadyClock::start();
-    let (termination, hangups) = (Termination::listen(), Hangups::listen());
+    let Signals { termination, hangups } = signals;
     let mut found = Found::open(&settings, clock.now())?;
     found.identify(settings.bootstrap).await;
     let peers = socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
--- a/crates/onyxstile-system/tests/opening.rs
+++ b/crates/onyxstile-system/tests/opening.rs
@@ -6,6 +6,7 @@
 
 use onyxstile_system::role::controller;
 use onyxstile_system::role::rpc::Client;
+use onyxstile_system::role::signals::Signals;
 use onyxstile_system::settings::Settings;
 use onyxstile_system::wire::{Request, Response};
 
@@ -48,7 +49,7 @@
             }
         };
         tokio::select! {
-            ended = controller::run(settings(&folder, internal, control)) => panic!("it ended: {ended:?}"),
+            ended = controller::run(settings(&folder, internal, control), Signals::listen()) => panic!("it ended: {ended:?}"),
             lines = tokio::time::timeout(PATIENCE, answers) => lines.expect("it answers"),
         }
     });
--- a/crates/onyxstile-system/tests/signals.rs
+++ b/crates/onyxstile-system/tests/signals.rs
@@ -90,7 +90,7 @@
 
 #[test]
 fn a_hangup_while_a_process_reads_its_settings_does_not_end_it() {
-    let ports = free_ports(1).remove(0);
+    let ports = free_ports(2).remove(0);
     for (role, class, host) in ROLES {
         let mut process = Starting::start(&ports, role, class, host, "hangup");
         signal(&process.child, "-HUP");
@@ -103,7 +103,7 @@
 
 #[test]
 fn a_termination_while_a_process_reads_its_settings_is_an_orderly_end() {
-    let ports = free_ports(1).remove(0);
+    let ports = free_ports(2).remove(1);
     for (role, class, host) in ROLES {
         let mut process = Starting::start(&ports, role, class, host, "termination");
         signal(&process.child, "-TERM");
--- a/crates/onyxstile-system/tests/support/lone_proxy.rs
+++ b/crates/onyxstile-system/tests/support/lone_proxy.rs
@@ -9,6 +9,7 @@
 use onyxstile_system::registry::{Instance, Stage};
 use onyxstile_system::role::proxy;
 use onyxstile_system::role::rpc::Client;
+use onyxstile_system::role::signals::Signals;
 use onyxstile_system::settings::Settings;
 use onyxstile_system::storage_plan::StoragePlan;
 use onyxstile_system::wire::{Feed, Published, Request};
@@ -49,7 +50,9 @@
             front: settings.listen.front.expect("an address"),
             readiness: settings.listen.readiness.expect("an address"),
             feed: SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port()),
-            process: start_process(async move { proxy::run(settings).await.expect("the proxy runs") }),
+            process: start_process(async move {
+                proxy::run(settings, Signals::listen()).await.expect("the proxy runs")
+            }),
         }
     }
 
--- a/crates/onyxstile-system/tests/support/tier.rs
+++ b/crates/onyxstile-system/tests/support/tier.rs
@@ -10,6 +10,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use onyxstile_system::role::signals::Signals;
 use onyxstile_system::role::{agent, controller, proxy, storage};
 use onyxstile_system::settings::{MetricsAddress, Settings};
 use tokio::net::TcpStream;
@@ -135,14 +136,16 @@
 
 fn start_controller(ports: &Ports, folder: &Path, host: u8) {
     let settings = settings(ports, folder, &format!("core-{host}"), host, "core");
-    start_process(async move { controller::run(settings).await.expect("the controller runs") });
+    start_process(
+        async move { controller::run(settings, Signals::listen()).await.expect("the controller runs") },
+    );
 }
 
 fn start(ports: &Ports, folder: &Path) {
     (2..=4).for_each(|host| start_controller(ports, folder, host));
     for host in 5..=7 {
         let settings = settings(ports, folder, &format!("storage-{host}"), host, "storage");
-        start_process(async move { storage::run(settings).await.expect("storage runs") });
+        start_process(async move { storage::run(settings, Signals::listen()).await.expect("storage runs") });
     }
     start_relay(ports, folder);
 }
@@ -150,8 +153,8 @@
 fn start_relay(ports: &Ports, folder: &Path) {
     let edge = settings(ports, folder, "edge-1", 1, "edge");
     let beside = Settings { metrics: Some(figures_at(ports.agent_figures)), ..edge.clone() };
-    start_process(async move { proxy::run(edge).await.expect("the proxy runs") });
-    start_process(async move { agent::run(beside).await.expect("the agent runs") });
+    start_process(async move { proxy::run(edge, Signals::listen()).await.expect("the proxy runs") });
+    start_process(async move { agent::run(beside, Signals::listen()).await.expect("the agent runs") });
 }
 
 /// An answer; no body if it broke off.
