Show in tests that a connection closed over unread bytes loses its answer

An endpoint's answer of 2 MB, with a second request of 100,000 bytes behind the first: 127,866 bytes at a drain's close, 127,885 without a drain, then a reset; each time. Refusals (413, 404, 431) while 12 MB still come: read, then reset. A short second request, or none, leaves the answer whole, which rules out the drain itself.

--- /dev/null
+++ b/crates/onyxstile-system/tests/answer_cut.rs
@@ -0,0 +1,140 @@
+//! Connections that are closed while bytes of the client are still on their way, or unread.
+//!
+//! Seen: an endpoint ran a request that may not run twice and answered it, and the client got 128 KB of 2 MB and a reset.
+//!
+//! How it came about: behind the first request the client had sent a second one, longer than what a connection reads ahead.
+//! After the first answer the connection was closed, by a drain or because the second request was refused, with the
+//! rest of the second unread.
+//!
+//! Cause: the system resets a connection that is closed over unread bytes, and throws away what it had not yet sent. The end
+//! of all work was awaited up to the close, not up to the client's last byte. Proof: the same request with a short second one
+//! behind it, or none, gets its whole answer; with a long one behind it 128 KB arrive, each time, with a drain and without.
+
+mod support;
+
+use std::time::Duration;
+
+use support::gated_endpoint::{Endpoint, read_answer};
+use support::lone_proxy::{LoneProxy, terminate};
+use support::tier::{LIMITS, Tier, play};
+use support::virtual_time::{VirtualTime, settle};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Longer than a proxy takes clients after SIGTERM (2.6 s).
+const TO_THE_CLOSE: Duration = Duration::from_millis(2605);
+/// Longer than the rest of a connection that nobody closes, and than a process rests at its end.
+const PAST_THE_END: Duration = Duration::from_millis(200);
+/// More than a connection on loopback holds that has no large buffers yet.
+const ANSWER: usize = 2_000_000;
+
+const LONG_BODIES: &str =
+    r#"{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}"#;
+
+fn configuration(limits: &str) -> String {
+    let route = r#"{"name":"r","host":"a.example","path_prefix":"/r/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":1}"#;
+    format!(
+        r#"{{"revision":1,"routes":[{route}],"services":[{{"name":"api","health_check":"/healthz","max_connections":20,"protocol":"h1","tls":false}}],"limits":{limits}}}"#
+    )
+}
+
+fn request(id: &str, body: usize) -> Vec<u8> {
+    let head = format!(
+        "POST /r/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\nContent-Length: {body}\r\n\r\n"
+    );
+    [head.into_bytes(), vec![b'b'; body]].concat()
+}
+
+/// What comes of an answer of 2 MB if a second request with a body of so many bytes is sent behind the first.
+async fn answer_before_a_second_request(body: usize, is_drained: bool) -> (Option<u16>, usize) {
+    let time = VirtualTime::stop();
+    let (endpoint, address) = Endpoint::listen(&vec![b'x'; ANSWER]).await;
+    let proxies = LoneProxy::start(1, &configuration(LIMITS), address).await;
+    let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
+    client.write_all(&request("r1", 0)).await.expect("it is sent");
+    endpoint.is_asked(&time).await;
+    client.write_all(&request("r2", body)).await.expect("it is sent");
+    if is_drained {
+        terminate(&proxies).await;
+        time.pass(TO_THE_CLOSE).await;
+    }
+    endpoint.may_answer.send_replace(true);
+    settle().await;
+    read_answer(&mut client).await
+}
+
+#[test]
+fn an_answer_is_whole_at_a_drains_close_with_a_long_request_unread_behind_it() {
+    play(async {
+        assert_eq!(answer_before_a_second_request(100_000, true).await, (Some(200), ANSWER));
+    });
+}
+
+/// The second is over the limit of bodies, and the connection closes after its refusal.
+#[test]
+fn an_answer_is_whole_before_a_refused_request_whose_body_is_unread() {
+    play(async {
+        let (status, length) = answer_before_a_second_request(100_000, false).await;
+        assert_eq!(status, Some(200));
+        assert!(length > ANSWER, "{length} bytes: the first answer whole, and the refusal of the second");
+    });
+}
+
+/// Sends a request in one go while it reads what comes; the answer, and whether the connection ended without a reset.
+async fn exchange(stream: TcpStream, sent: Vec<u8>) -> (String, bool) {
+    let (mut reader, mut writer) = stream.into_split();
+    let writing = tokio::task::spawn_local(async move {
+        let result = writer.write_all(&sent).await;
+        (result.is_ok(), writer)
+    });
+    let mut answer = Vec::new();
+    let is_read = reader.read_to_end(&mut answer).await.is_ok();
+    let (is_sent, writer) = writing.await.expect("it ends");
+    drop(writer);
+    (String::from_utf8_lossy(&answer).into_owned(), is_read && is_sent)
+}
+
+/// Bytes that no limit allows, and more than a connection reads ahead.
+const FAR_TOO_LONG: usize = 12_000_000;
+
+#[test]
+fn a_refusal_is_whole_while_the_refused_bytes_still_come() {
+    play(async {
+        let tier = Tier::start("refused-bytes", &configuration(LIMITS), &[]).await;
+        let endless_head = [b"GET /r/x HTTP/1.1\r\nX: ".to_vec(), vec![b'a'; FAR_TOO_LONG]].concat();
+        let no_route = b"POST /none HTTP/1.1\r\nHost: b.example\r\nContent-Length: 12000000\r\n\r\n";
+        let heartbeat = b"PUT /api/instances/i-9 HTTP/1.1\r\nHost: a\r\nContent-Length: 12000000\r\n\r\n";
+        let with_body = |head: &[u8]| [head.to_vec(), vec![b'b'; FAR_TOO_LONG]].concat();
+        let cases = [
+            ("a body over the limit", tier.front(), request("r1", FAR_TOO_LONG), "413"),
+            ("a body on no route", tier.front(), with_body(no_route), "404"),
+            ("a head without end", tier.front(), endless_head.clone(), "431"),
+            ("a heartbeat over the limit", tier.control(2), with_body(heartbeat), "413"),
+            ("a head without end at the API", tier.control(3), endless_head, "431"),
+        ];
+        for (what, to, sent, status) in cases {
+            let stream = TcpStream::connect(to).await.expect("a connection");
+            let (answer, is_whole) = exchange(stream, sent).await;
+            let told = answer.split(' ').nth(1).unwrap_or_default();
+            assert_eq!((told, is_whole), (status, true), "{what}: {answer:?}");
+        }
+    });
+}
+
+/// Nobody waits for ever for a client that does not close: the process ends.
+#[test]
+fn a_client_that_never_closes_does_not_hold_up_a_drain_for_ever() {
+    play(async {
+        let time = VirtualTime::stop();
+        let (_endpoint, address) = Endpoint::listen(b"").await;
+        let proxies = LoneProxy::start(1, &configuration(LONG_BODIES), address).await;
+        let _client = TcpStream::connect(proxies[0].front).await.expect("a connection");
+        settle().await;
+        terminate(&proxies).await;
+        time.pass(TO_THE_CLOSE).await;
+        let bound = Duration::from_secs(8);
+        time.pass(bound - TO_THE_CLOSE).await;
+        time.pass(PAST_THE_END).await;
+        assert!(proxies[0].has_ended());
+    });
+}
--- a/crates/onyxstile-system/tests/proxy_end.rs
+++ b/crates/onyxstile-system/tests/proxy_end.rs
@@ -14,18 +14,16 @@
 
 mod support;
 
-use std::cell::{Cell, RefCell};
-use std::net::{SocketAddrV4, TcpStream as StdStream};
-use std::rc::Rc;
+use std::net::TcpStream as StdStream;
 use std::time::Duration;
 
-use support::listener::{field, listen, read_head};
+use support::gated_endpoint::{Endpoint, read_answer};
+use support::listener::field;
 use support::lone_proxy::{LoneProxy, terminate};
 use support::tier::{LIMITS, play};
 use support::virtual_time::{VirtualTime, settle};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 
 /// Longer than a proxy takes clients after SIGTERM (2.6 s), and than it rests at its end.
 const TO_THE_CLOSE: Duration = Duration::from_millis(2605);
@@ -44,65 +42,6 @@
     )
 }
 
-/// An endpoint that answers once it may.
-struct Endpoint {
-    asked: Cell<usize>,
-    may_answer: watch::Sender<bool>,
-    body: RefCell<Vec<u8>>,
-}
-
-impl Endpoint {
-    async fn listen(body: &[u8]) -> (Rc<Endpoint>, SocketAddrV4) {
-        let endpoint = Rc::new(Endpoint {
-            asked: Cell::new(0),
-            may_answer: watch::Sender::new(false),
-            body: RefCell::new(body.to_vec()),
-        });
-        let serving = endpoint.clone();
-        (endpoint, listen(move |stream| serving.clone().serve(stream)).await)
-    }
-
-    async fn serve(self: Rc<Endpoint>, mut stream: TcpStream) {
-        let mut buffer = Vec::new();
-        while let Some(head) = read_head(&mut stream, &mut buffer).await {
-            let id = field(&head, "request-id").unwrap_or_default();
-            self.asked.set(self.asked.get() + 1);
-            self.may_answer.subscribe().wait_for(|may| *may).await.expect("the test goes on");
-            let body = self.body.borrow().clone();
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: {}\r\n\r\n",
-                body.len()
-            );
-            let sent = [head.into_bytes(), body].concat();
-            if stream.write_all(&sent).await.is_err() {
-                return;
-            }
-        }
-    }
-
-    /// Waits for a request; it comes within some ms.
-    async fn is_asked(&self, time: &VirtualTime) {
-        for _ in 0..20 {
-            if self.asked.get() > 0 {
-                return;
-            }
-            time.pass(Duration::from_millis(1)).await;
-        }
-        panic!("no request has come");
-    }
-}
-
-/// Status and length of the body that came before the connection ended.
-async fn read_answer(stream: &mut TcpStream) -> (Option<u16>, usize) {
-    let mut bytes = Vec::new();
-    // A connection that is reset shows in what is missing.
-    stream.read_to_end(&mut bytes).await.ok();
-    let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") else { return (None, 0) };
-    let head = String::from_utf8_lossy(&bytes[..end]);
-    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
-    (status, bytes.len() - end - 4)
-}
-
 const HEAD: &str = "POST /r/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nContent-Length: 0\r\n";
 
 #[test]
--- /dev/null
+++ b/crates/onyxstile-system/tests/support/gated_endpoint.rs
@@ -0,0 +1,75 @@
+//! An endpoint that answers when a test says so, and a client that reads to the connection's end.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use super::listener::{field, listen, read_head};
+use super::virtual_time::VirtualTime;
+
+/// An endpoint that answers once it may.
+pub struct Endpoint {
+    /// Requests that have come.
+    pub asked: Cell<usize>,
+    /// Whether it may answer.
+    pub may_answer: watch::Sender<bool>,
+    body: RefCell<Vec<u8>>,
+}
+
+impl Endpoint {
+    /// Listens; its answers have this body.
+    pub async fn listen(body: &[u8]) -> (Rc<Endpoint>, SocketAddrV4) {
+        let endpoint = Rc::new(Endpoint {
+            asked: Cell::new(0),
+            may_answer: watch::Sender::new(false),
+            body: RefCell::new(body.to_vec()),
+        });
+        let serving = endpoint.clone();
+        (endpoint, listen(move |stream| serving.clone().serve(stream)).await)
+    }
+
+    async fn serve(self: Rc<Endpoint>, mut stream: TcpStream) {
+        let mut buffer = Vec::new();
+        while let Some(head) = read_head(&mut stream, &mut buffer).await {
+            let id = field(&head, "request-id").unwrap_or_default();
+            self.asked.set(self.asked.get() + 1);
+            self.may_answer.subscribe().wait_for(|may| *may).await.expect("the test goes on");
+            let body = self.body.borrow().clone();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            let sent = [head.into_bytes(), body].concat();
+            if stream.write_all(&sent).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Waits for a request; it comes within some ms.
+    pub async fn is_asked(&self, time: &VirtualTime) {
+        for _ in 0..20 {
+            if self.asked.get() > 0 {
+                return;
+            }
+            time.pass(Duration::from_millis(1)).await;
+        }
+        panic!("no request has come");
+    }
+}
+
+/// Status and length of the body that came before the connection ended.
+pub async fn read_answer(stream: &mut TcpStream) -> (Option<u16>, usize) {
+    let mut bytes = Vec::new();
+    // A connection that is reset shows in what is missing.
+    stream.read_to_end(&mut bytes).await.ok();
+    let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") else { return (None, 0) };
+    let head = String::from_utf8_lossy(&bytes[..end]);
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    (status, bytes.len() - end - 4)
+}
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod control_world;
 pub mod endpoints;
+pub mod gated_endpoint;
 pub mod listener;
 pub mod lone_proxy;
 pub mod memory_folder;
