Linger at each close until the client has closed too, and let a rest begin with an answer's last byte

The watch over a connection counted a rest from the moment an answer was made, and a head from its first byte, though bytes of the answer before it still left; both begin with the answer's last byte now. A connection that is overdue reads as ended, so its close lingers as well.

--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -4,6 +4,7 @@
 pub mod controller;
 pub mod http;
 pub mod identity;
+pub mod linger;
 pub mod listener;
 pub mod membership;
 pub mod metrics;
--- a/crates/onyxstile-system/src/role/listener.rs
+++ b/crates/onyxstile-system/src/role/listener.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::Response;
 use hyper::body::{Body, Incoming};
 use hyper::rt::{Read, Write};
 use hyper::server::conn::http1::Connection;
@@ -46,7 +45,7 @@
     pending().await
 }
 
-/// Serves a connection to its end, which is when the last answer's bytes have left. Once the shutdown has begun it is closed
+/// Serves a connection to its end, which is when the client has closed it as well behind the last answer. Once the shutdown has begun it is closed
 /// after the answer that is due; a head that has come in part is read to its end and answered.
 pub async fn serve<I, S, B>(connection: Connection<I, S>, shutdown: &Shutdown)
 where
@@ -55,7 +54,6 @@
     S::Error: Into<Box<dyn Error + Send + Sync>>,
     B: Body + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
-    Response<B>: Sized,
 {
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
--- a/crates/onyxstile-system/src/role/watched.rs
+++ b/crates/onyxstile-system/src/role/watched.rs
@@ -1,4 +1,4 @@
-//! A client's connection that ends itself when its [`Watch`] is overdue.
+//! A client's connection: it ends itself when its [`Watch`] is overdue, and its close lingers.
 
 use std::cell::RefCell;
 use std::future::Future;
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
+use super::linger::Linger;
 use crate::clock::SteadyClock;
 use crate::watch::{Bounds, Overdue, Watch};
 
@@ -25,6 +26,7 @@
     peer: Option<SocketAddr>,
     state: State,
     sleep: Pin<Box<Sleep>>,
+    linger: Option<Linger>,
 }
 
 /// The watch over a connection, for whoever answers its requests.
@@ -60,10 +62,10 @@
         let state = State { clock, watch };
         let peer = stream.peer_addr().ok();
         let sleep = Box::pin(tokio::time::sleep(bounds.rest));
-        (Watched { stream, peer, state: state.clone(), sleep }, state)
+        (Watched { stream, peer, state: state.clone(), sleep, linger: None }, state)
     }
 
-    /// Ready with an error once the connection is overdue.
+    /// Ready once the connection is overdue. It reads as ended by the client then, so that its close is one in order.
     fn poll_overdue(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
             let left = match self.state.watch.borrow().ends() {
@@ -71,7 +73,7 @@
                     let left = ends.since(self.state.clock.now());
                     if left.is_zero() {
                         self.tell(why);
-                        return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+                        return Poll::Ready(Ok(()));
                     }
                     left
                 }
@@ -86,10 +88,21 @@
     }
 
     fn tell(&self, why: Overdue) {
-        let peer = self.peer.map_or_else(|| "unknown".to_owned(), |peer| peer.to_string());
         match why {
-            Overdue::Head => log::info!("client {peer}: the head of a request did not end in time"),
-            Overdue::Rest => log::debug!("client {peer}: the connection has rested too long"),
+            Overdue::Head => log::info!("client {}: the head of a request did not end in time", self.peer()),
+            Overdue::Rest => log::debug!("client {}: the connection has rested too long", self.peer()),
+        }
+    }
+
+    /// The client, for the log.
+    fn peer(&self) -> String {
+        self.peer.map_or_else(|| "unknown".to_owned(), |peer| peer.to_string())
+    }
+
+    /// Notes that bytes of an answer have left.
+    fn note_sent(&self, sent: &Poll<io::Result<usize>>) {
+        if matches!(sent, Poll::Ready(Ok(1..))) {
+            self.state.watch.borrow_mut().sent(self.state.clock.now());
         }
     }
 }
@@ -114,13 +127,19 @@
 
 impl AsyncWrite for Watched {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+        let this = self.get_mut();
+        let sent = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        this.note_sent(&sent);
+        sent
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>, cx: &mut Context<'_>, slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, slices)
+        let this = self.get_mut();
+        let sent = Pin::new(&mut this.stream).poll_write_vectored(cx, slices);
+        this.note_sent(&sent);
+        sent
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -131,7 +150,19 @@
         Pin::new(&mut self.get_mut().stream).poll_flush(cx)
     }
 
+    /// The shutdown is over once the close has lingered: whoever waits for the connection's end waits for the client's too.
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            this.linger = Some(Linger::begin(this.sleep.as_mut()));
+        }
+        let Some(linger) = &mut this.linger else { return Poll::Ready(Ok(())) };
+        ready!(linger.poll(&mut this.stream, this.sleep.as_mut(), cx));
+        let dropped = linger.dropped();
+        if dropped > 0 {
+            log::info!("client {}: {dropped} bytes came behind the last answer", this.peer());
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/onyxstile-system/src/watch.rs
+++ b/crates/onyxstile-system/src/watch.rs
@@ -61,6 +61,12 @@
         self.enter(now, Stage::Resting);
     }
 
+    /// Bytes of an answer have left. A rest begins with the last of them, however long ago the answer was made, and so does the
+    /// time of a head that came behind a request whose answer still leaves: nobody reads it until then.
+    pub fn sent(&mut self, now: Instant) {
+        self.since = now;
+    }
+
     /// When the connection is to be ended if nothing changes, and why; never while a request is answered.
     pub fn ends(&self) -> Option<(Instant, Overdue)> {
         match self.stage {
--- a/crates/onyxstile-system/tests/bad_clients.rs
+++ b/crates/onyxstile-system/tests/bad_clients.rs
@@ -107,4 +107,12 @@
     assert_eq!(watch.ends(), None, "an answer may take as long as it takes");
     watch.answered(at(9000));
     assert_eq!(watch.ends(), Some((at(10_000), Overdue::Rest)));
+    watch.sent(at(12_000));
+    assert_eq!(watch.ends(), Some((at(13_000), Overdue::Rest)), "an answer's last bytes begin the rest");
+    watch.bytes(at(12_500));
+    watch.sent(at(12_700));
+    assert_eq!(watch.ends(), Some((at(13_000), Overdue::Head)), "a head behind it has its time from then on");
+    watch.request(at(12_800));
+    watch.sent(at(12_900));
+    assert_eq!(watch.ends(), None, "a stream may take as long as it takes");
 }
--- a/crates/onyxstile-system/tests/proxy_end.rs
+++ b/crates/onyxstile-system/tests/proxy_end.rs
@@ -77,6 +77,9 @@
         time.pass(PAST_THE_END).await;
         endpoint.may_answer.send_replace(true);
         assert_eq!(read_answer(&mut client).await, (Some(200), 5));
+        // What the client may still send behind its answer counts as open until it closes as well (tests/answer_cut.rs).
+        drop(client);
+        settle().await;
         time.pass(PAST_THE_END).await;
         assert!(proxies[0].has_ended(), "nothing is left to be answered");
     });
