Let a stream be whole only if its sender says so, and a proxy hear its agent where the settings say

By reading, in the class of an end that is told by an absence: a stream's body took a sender that was gone for the end of a whole stream. Whatever ended the task that passes it on (a failure in it, or the end of the process) would have made a broken stream look complete. An explicit last piece says it now; src/role/proxy/answer/tests.rs (it came with the mend, and was not seen to fail).

listen.feed: several relays on one host each need a place of their own to hear their agents. By default as before.

--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -4,7 +4,7 @@
 //! older than what it has.
 
 use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,7 +33,7 @@
 
 /// Runs the role until SIGTERM, and then until the proxy beside it is gone.
 pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
-    let proxy = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
+    let proxy = settings.feed_address();
     let grace = settings.grace();
     let clock = SteadyClock::start();
     let Signals { termination, hangups } = signals;
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -25,7 +25,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 
 use rand_core::RngCore;
@@ -98,7 +97,7 @@
     let Signals { termination, hangups } = signals;
     let front = settings.listen.front.ok_or(RoleError::Settings("listen.front"))?;
     let readiness = settings.listen.readiness.ok_or(RoleError::Settings("listen.readiness"))?;
-    let fed_at = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
+    let fed_at = settings.feed_address();
     let clients = socket::listen(front).map_err(|error| ("front", error))?;
     let readiness = socket::listen(readiness).map_err(|error| ("readiness", error))?;
     let feed = socket::listen(fed_at).map_err(|error| ("feed port", error))?;
--- a/crates/onyxstile-system/src/role/proxy/answer.rs
+++ b/crates/onyxstile-system/src/role/proxy/answer.rs
@@ -25,12 +25,21 @@
 
 impl std::error::Error for BrokenOff {}
 
+/// What is passed on of a stream.
+#[derive(Debug)]
+pub(super) enum Piece {
+    /// Bytes.
+    Bytes(Bytes),
+    /// The stream is whole.
+    End,
+}
+
 /// The body of an answer.
 pub(super) enum AnswerBody {
     /// All of it.
     Whole(Option<Bytes>),
-    /// Pieces as they come; the sender says how it ends.
-    Stream(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+    /// Pieces as they come, until one says that it is whole. A sender that is gone before, whatever ended it, says nothing.
+    Stream(mpsc::Receiver<Piece>),
 }
 
 impl Body for AnswerBody {
@@ -42,9 +51,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match self.get_mut() {
             AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            AnswerBody::Stream(receiver) => {
-                receiver.poll_recv(context).map(|item| item.map(|item| item.map(Frame::data)))
-            }
+            AnswerBody::Stream(receiver) => receiver.poll_recv(context).map(|piece| match piece {
+                Some(Piece::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Piece::End) => None,
+                None => Some(Err(BrokenOff)),
+            }),
         }
     }
 
@@ -94,3 +105,6 @@
         answer.headers_mut().append(name.clone(), value.clone());
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/onyxstile-system/src/role/proxy/relay_stream.rs
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -4,12 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
 use super::Node;
-use super::answer::{AnswerBody, BrokenOff, ClientAnswer, copy_head};
+use super::answer::{AnswerBody, ClientAnswer, Piece, copy_head};
 use super::attempt::Stream;
 use super::chain::Chain;
 use super::conversation::Claim;
@@ -71,7 +70,7 @@
         Relay { node, sending, stream, claim, chain, began, _entered: entered }
     }
 
-    async fn run(mut self, pieces: mpsc::Sender<Result<Bytes, BrokenOff>>) {
+    async fn run(mut self, pieces: mpsc::Sender<Piece>) {
         let mut passed = Passed { last_event: self.sending.call.last_event.clone(), ..Passed::default() };
         loop {
             let end = self.pass_on(&pieces, &mut passed).await;
@@ -80,7 +79,6 @@
             }
             match end {
                 End::Whole => break,
-                End::Abandoned => return,
                 End::Broken if self.sending.call.route.resumable => {
                     let last_event = passed.last_event.clone();
                     let resumed = tokio::select! {
@@ -89,10 +87,11 @@
                     };
                     match resumed {
                         Some(stream) => self.stream = stream,
-                        None => return break_off(&pieces).await,
+                        None => return,
                     }
                 }
-                End::Broken | End::TimedOut => return break_off(&pieces).await,
+                // The answer breaks off: nobody says that it is whole.
+                End::Abandoned | End::Broken | End::TimedOut => return,
             }
         }
         self.sending.finish(self.began, false);
@@ -108,13 +107,15 @@
         if self.sending.call.route.retained {
             let is_kept = self.node.keep(&self.sending.call, &self.chain, passed.output).await;
             if !is_kept {
-                break_off(&pieces).await;
+                return;
             }
         }
+        // The client may be gone.
+        pieces.send(Piece::End).await.ok();
     }
 
     /// Passes events on until the endpoint's part ends.
-    async fn pass_on(&mut self, pieces: &mpsc::Sender<Result<Bytes, BrokenOff>>, passed: &mut Passed) -> End {
+    async fn pass_on(&mut self, pieces: &mpsc::Sender<Piece>, passed: &mut Passed) -> End {
         let mut splitter = Splitter::default();
         let mut noted = Noted { events: passed.events, at: self.node.clock.now() };
         let mut next = std::mem::take(&mut self.stream.first);
@@ -166,7 +167,7 @@
     }
 
     async fn pass_events(
-        &self, events: Vec<Event>, pieces: &mpsc::Sender<Result<Bytes, BrokenOff>>, passed: &mut Passed,
+        &self, events: Vec<Event>, pieces: &mpsc::Sender<Piece>, passed: &mut Passed,
     ) -> bool {
         if events.is_empty() {
             return true;
@@ -187,15 +188,10 @@
                 passed.last_event = event.id;
             }
         }
-        pieces.send(Ok(bytes.into())).await.is_ok()
+        pieces.send(Piece::Bytes(bytes.into())).await.is_ok()
     }
 }
 
-async fn break_off(pieces: &mpsc::Sender<Result<Bytes, BrokenOff>>) {
-    // The client may be gone.
-    pieces.send(Err(BrokenOff)).await.ok();
-}
-
 /// The answer to the client, whose body is fed by a task of its own.
 pub(super) fn begin(relay: Relay) -> ClientAnswer {
     let (pieces, receiver) = mpsc::channel(PIECES_MAX);
--- a/crates/onyxstile-system/src/settings.rs
+++ b/crates/onyxstile-system/src/settings.rs
@@ -46,6 +46,8 @@
     pub readiness: Option<SocketAddrV4>,
     /// Where endpoints and the operator connect (control plane).
     pub control: Option<SocketAddrV4>,
+    /// Where a proxy hears its agent, for hosts with several relays; by default loopback, at the second internal port.
+    pub feed: Option<SocketAddrV4>,
 }
 
 /// What the machine grants the process.
@@ -223,6 +225,11 @@
         self.internal_port_range.0 + 1
     }
 
+    /// Where a proxy hears its agent.
+    pub fn feed_address(&self) -> SocketAddrV4 {
+        self.listen.feed.unwrap_or(SocketAddrV4::new(Ipv4Addr::LOCALHOST, self.feed_port()))
+    }
+
     /// How long a role may take to end after SIGTERM, so that the last bytes leave before the kill.
     pub fn time_to_end(&self) -> Duration {
         self.grace().saturating_sub(BEFORE_KILL)
--- a/crates/onyxstile-system/tests/streams.rs
+++ b/crates/onyxstile-system/tests/streams.rs
@@ -89,6 +89,10 @@
     let path = Path::new("boot.toml");
     let settings = Settings::parse(path, SETTINGS).expect("is valid");
     assert_eq!((settings.peer_port(), settings.feed_port()), (7380, 7381));
+    assert_eq!(settings.feed_address().to_string(), "127.0.0.1:7381");
+    let own = SETTINGS.replace("[listen]", "[listen]\nfeed = \"127.0.0.9:7000\"");
+    let own = Settings::parse(path, &own).expect("is valid");
+    assert_eq!(own.feed_address().to_string(), "127.0.0.9:7000", "several relays on one host");
     assert_eq!(settings.seed_addresses().len(), 2);
     assert_eq!(settings.grace().as_millis(), 8000);
     let fault = |text: &str| Settings::parse(path, text).expect_err("is refused").to_string();
