Play the tier with three edges a zone, every manner of client, turns, budgets and read-backs

SOAK_S and SOAK_LANES set length and number.

A signal goes to a process that has asked the system for it (SigCgt): a trace of the system calls shows 1.4 ms of loader and runtime before that, in which no program can hear one. A process that does not listen 0.7 s after its start is a fault; before, any SIGTERM in these 0.7 s was let pass.

--- a/crates/onyxstile-system/tests/soak/main.rs
+++ b/crates/onyxstile-system/tests/soak/main.rs
@@ -1,49 +1,63 @@
 //! Processes of the whole tier under clients, planned stops, restarts and changes in overlapping series, by the real clock.
 //!
-//! A run is drawn by its seed. `SOAK=50 SEED=1` plays so many seeds from that on (`make soak`); without them it is a short form.
-//! Many runs go at once, each a tier of its own with one
-//! edge machine (proxies of one host would share the port at which agents feed them). A run that shows a fault leaves its logs.
+//! A run is drawn by its seed. `SOAK=50 SEED=1` plays so many seeds from that on (`make soak`), `SOAK_S` gives each so many seconds
+//! of traffic, `SOAK_LANES` says how many go at once; without them it is a short form. A tier has three edge machines in one zone,
+//! three core and three storage machines: twelve processes. A run that shows a fault leaves its logs.
 
 #![allow(missing_docs)]
 
 #[path = "../support/mod.rs"]
 mod support;
 
+mod clients;
+mod connection;
+mod endpoints;
 mod faults;
+mod ledger;
 mod operator;
 mod processes;
-mod traffic;
+mod programs;
 
 use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use clients::Clients;
+use endpoints::Endpoints;
 use operator::Operator;
 use processes::Machine;
+use programs::Programs;
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 use support::tier::{Ports, free_ports};
 use support::variable;
 use tokio::task::{JoinSet, LocalSet};
-use traffic::Traffic;
 
-/// Runs that go at once, of eight processes each.
-const LANES: u64 = 12;
+/// Runs that go at once.
+const LANES: u64 = 8;
 /// Seeds of the short form.
-const SHORT: u64 = 12;
-/// Time of clients and faults in one run.
-const BUSY: Duration = Duration::from_secs(8);
-/// A run that takes longer stands still.
+const SHORT: u64 = 16;
+/// Time of clients and faults in one run of the short form, in seconds.
+const BUSY_S: u64 = 8;
+/// A run that takes this much longer stands still.
 const PATIENCE: Duration = Duration::from_secs(90);
 /// Clients of one run.
-const CLIENTS: usize = 10;
+const CLIENTS: usize = 12;
+/// Programs that go on at once.
+const PROGRAMS: usize = 3;
+/// Hosts of the edge machines.
+const EDGES: std::ops::RangeInclusive<u8> = 10..=12;
+/// One run in so many loses every process at one moment, at the end of its traffic.
+const STRIKE_ALL_EVERY: u64 = 3;
 
 /// What all parts of a run share.
 pub struct Run {
     pub folder: PathBuf,
     pub ports: Ports,
+    pub began: Instant,
     /// No more traffic and faults.
     pub is_over: Cell<bool>,
     /// Processes that end are not started again.
@@ -55,6 +69,11 @@
 }
 
 impl Run {
+    /// Where clients connect to an edge machine.
+    pub fn front(&self, edge: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, self.edges[edge].host), self.ports.front)
+    }
+
     /// A number below `bound`.
     pub fn roll(&self, bound: u64) -> u64 {
         u64::from(self.random.borrow_mut().next_u32()) % bound
@@ -80,53 +99,73 @@
     Rc::new(Run {
         is_over: Cell::new(false),
         is_ending: Cell::new(false),
-        edges: vec![machine("edge", 10)],
+        edges: EDGES.map(|host| machine("edge", host)).collect(),
         others: others.collect(),
         faults: RefCell::default(),
         random: RefCell::new(Pcg64Mcg::new(u128::from(seed) << 1 | 1)),
         folder,
         ports,
+        began: Instant::now(),
     })
 }
 
-async fn play(run: Rc<Run>) -> String {
+async fn play(run: Rc<Run>, seed: u64, busy: Duration) -> String {
     let mut kept = JoinSet::new();
     for machine in run.edges.iter().chain(&run.others) {
         for process in &machine.processes {
             kept.spawn_local(process.clone().keep(run.clone()));
         }
     }
-    let traffic = Traffic::start(&run).await;
-    let operator = Rc::new(Operator::start(&run, traffic.clone()).await);
-    let mut busy = JoinSet::new();
-    (0..CLIENTS).for_each(|_| drop(busy.spawn_local(traffic.clone().client(run.clone()))));
-    busy.spawn_local(operator.clone().change(run.clone()));
-    busy.spawn_local(faults::strike(run.clone()));
-    tokio::time::sleep(BUSY).await;
+    let endpoints = Endpoints::start(&run).await;
+    let (clients, programs) = (Clients::new(), Programs::new(endpoints.clone()));
+    let operator = Rc::new(Operator::start(&run, endpoints.clone()).await);
+    let mut playing = JoinSet::new();
+    (0..CLIENTS).for_each(|_| drop(playing.spawn_local(clients.clone().client(run.clone()))));
+    (0..PROGRAMS).for_each(|_| drop(playing.spawn_local(programs.clone().play(run.clone()))));
+    playing.spawn_local(operator.clone().change(run.clone()));
+    playing.spawn_local(faults::strike(run.clone()));
+    tokio::time::sleep(busy).await;
     run.is_over.set(true);
-    while busy.join_next().await.is_some() {}
+    if seed.is_multiple_of(STRIKE_ALL_EVERY) {
+        faults::strike_all(&run);
+    }
+    while playing.join_next().await.is_some() {}
     operator.read_back(&run).await;
     run.is_ending.set(true);
     run.edges.iter().for_each(|machine| machine.terminate());
     run.others.iter().for_each(|machine| machine.terminate());
     while kept.join_next().await.is_some() {}
-    traffic.judge(&run);
-    let drains: usize = run.edges.iter().map(|machine| machine.terminations()).sum();
+    clients.ledger.judge(&run, &endpoints);
     format!(
-        "{} machines, {drains} stops of proxies, {}, {}",
-        run.edges.len() + 6,
-        traffic.summary(),
+        "{}, {}, {}, {}",
+        judge_stops(&run),
+        clients.ledger.summary(),
+        programs.summary(),
         operator.summary()
     )
 }
 
+/// Each listener that was to close has closed, unless its process was killed in between; stops of proxies, in numbers.
+fn judge_stops(run: &Run) -> String {
+    let (mut stops, mut begun, mut done) = (0, 0, 0);
+    for edge in &run.edges {
+        stops += edge.terminations().len();
+        let (closes, closed) = edge.closes();
+        if closes - closed.min(closes) > edge.kills().len() {
+            run.fault(format!("{}: {closes} listeners were to close, {closed} did", edge.name));
+        }
+        (begun, done) = (begun + closes, done + closed);
+    }
+    format!("{stops} stops of proxies, {done} of {begun} listeners closed")
+}
+
 /// Plays one seed; what it did, and what must not have been.
-fn run(seed: u64, ports: Ports) -> (String, Vec<String>) {
+fn run(seed: u64, ports: Ports, busy: Duration) -> (String, Vec<String>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let run = prepare(seed, ports);
     let playing = run.clone();
-    let played =
-        LocalSet::new().block_on(&runtime, async { tokio::time::timeout(PATIENCE, play(playing)).await });
+    let played = LocalSet::new()
+        .block_on(&runtime, async { tokio::time::timeout(busy + PATIENCE, play(playing, seed, busy)).await });
     run.edges.iter().chain(&run.others).for_each(|machine| machine.kill());
     let mut faults = run.faults.take();
     let summary = played.unwrap_or_else(|_| {
@@ -142,16 +181,17 @@
 #[test]
 fn nothing_is_lost_over_stops_restarts_and_changes_that_overlap() {
     let (count, first) = (variable("SOAK", SHORT), variable("SEED", 1));
+    let (lanes, busy) = (variable("SOAK_LANES", LANES), Duration::from_secs(variable("SOAK_S", BUSY_S)));
     let seeds = Mutex::new(first..first + count);
     let failed = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
-        for ports in free_ports(LANES as u16) {
+        for ports in free_ports(lanes as u16) {
             let (seeds, failed) = (&seeds, &failed);
             scope.spawn(move || {
                 loop {
                     let Some(seed) = seeds.lock().expect("no panic").next() else { return };
                     let began = Instant::now();
-                    let (summary, faults) = run(seed, ports);
+                    let (summary, faults) = run(seed, ports, busy);
                     println!(
                         "seed {seed}: {summary}, {:.1} s, {} faults",
                         began.elapsed().as_secs_f64(),
--- a/crates/onyxstile-system/tests/soak/operator.rs
+++ b/crates/onyxstile-system/tests/soak/operator.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use crate::Run;
-use crate::support::tier::{Answer, LIMITS, ask, heartbeat};
-use crate::traffic::Traffic;
+use crate::endpoints::Endpoints;
+use crate::programs::TOKENS_AN_EVENT;
+use crate::support::tier::{Answer, ask, heartbeat};
 
 /// How long a controller may take to answer.
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -25,15 +26,36 @@
     current: Cell<u64>,
 }
 
+/// The limits of clients: bodies of up to a megabyte.
+const LIMITS: &str =
+    r#"{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}"#;
+/// Services, each of which all endpoints serve: model endpoints, and the others.
+const SERVICES: [&str; 2] = ["api", "llm"];
+
+fn route(name: &str, path: &str, route_type: &str, service: &str, attempts: u32) -> String {
+    format!(
+        r#"{{"name":"{name}","host":"a.example","path_prefix":"{path}","route_type":"{route_type}","timeout_ms":10000,"target_latency_ms":200,"priority":0,"service":"{service}","max_attempts":{attempts}}}"#
+    )
+}
+
 fn configuration(revision: u64) -> String {
-    let route = |name: &str, path: &str| {
-        format!(
-            r#"{{"name":"{name}","host":"a.example","path_prefix":"{path}","route_type":"non_idempotent","timeout_ms":900,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":1}}"#
-        )
-    };
-    let (first, idle) = (route("r", "/r/"), route("idle", &format!("/idle{revision}/")));
+    let chat = route("chat", "/c/", "streaming", "llm", 1).replace(
+        "}",
+        r#","retained":true,"retention_s":600.0,"session_affinity":true,"resumable":false,"gap_aim_ms":400}"#,
+    );
+    let routes = [
+        route("r", "/r/", "non_idempotent", "api", 1),
+        route("i", "/i/", "idempotent", "api", 2),
+        route("s", "/s/", "streaming", "llm", 1),
+        chat,
+        route("idle", &format!("/idle{revision}/"), "non_idempotent", "api", 1),
+    ];
+    let engine = format!(
+        r#"{{"capacity":400,"kv_capacity_tokens":1000,"chunk_size":{TOKENS_AN_EVENT},"models":[{{"name":"m"}}]}}"#
+    );
     format!(
-        r#"{{"revision":{revision},"routes":[{first},{idle}],"services":[{{"name":"api","health_check":"/healthz","max_connections":900,"protocol":"h1","tls":false}}],"limits":{LIMITS}}}"#
+        r#"{{"revision":{revision},"routes":[{}],"services":[{{"name":"api","health_check":"/healthz","max_connections":900,"protocol":"h1","tls":false}},{{"name":"llm","health_check":"/healthz","max_connections":900,"protocol":"h1","tls":false,"engine":{engine}}}],"limits":{LIMITS}}}"#,
+        routes.join(",")
     )
 }
 
@@ -46,8 +68,8 @@
 
 impl Operator {
     /// Sends the first configuration and begins the heartbeats.
-    pub async fn start(run: &Rc<Run>, traffic: Rc<Traffic>) -> Operator {
-        tokio::task::spawn_local(beat(run.clone(), traffic));
+    pub async fn start(run: &Rc<Run>, endpoints: Rc<Endpoints>) -> Operator {
+        tokio::task::spawn_local(beat(run.clone(), endpoints));
         let operator = Operator {
             sent: RefCell::default(),
             acknowledged: Cell::new(0),
@@ -116,13 +138,15 @@
 }
 
 /// Heartbeats of all endpoints, for as long as the run goes on.
-async fn beat(run: Rc<Run>, traffic: Rc<Traffic>) {
-    let endpoints = traffic.endpoints.borrow().clone();
+async fn beat(run: Rc<Run>, endpoints: Rc<Endpoints>) {
+    let addresses = endpoints.addresses.borrow().clone();
     for sequence in 1.. {
-        for (number, endpoint) in endpoints.iter().enumerate() {
-            let body = heartbeat("api", *endpoint, "ready", sequence)
-                .replace(r#""capacity":4"#, r#""capacity":400"#);
-            call(&run, "PUT", &format!("/api/instances/i-{number}"), 0, &body).await;
+        for (number, address) in addresses.iter().enumerate() {
+            for service in SERVICES {
+                let body = heartbeat(service, *address, "ready", sequence)
+                    .replace(r#""capacity":4"#, r#""capacity":400"#);
+                call(&run, "PUT", &format!("/api/instances/{service}-{number}"), 0, &body).await;
+            }
         }
         tokio::time::sleep(HEARTBEAT).await;
     }
--- a/crates/onyxstile-system/tests/soak/processes.rs
+++ b/crates/onyxstile-system/tests/soak/processes.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::fs::File;
-use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus};
 use std::rc::Rc;
@@ -11,23 +10,28 @@
 use crate::Run;
 use crate::support::tier::{Ports, settings_text};
 
-/// Time from SIGTERM to the kill.
-const GRACE: Duration = Duration::from_secs(3);
+/// Times from SIGTERM to the kill, one of which a machine's settings name at a time.
+const GRACES_S: [u64; 2] = [3, 4];
 /// What a busy machine may add to that before it counts as overstayed.
 const GRACE_SLACK: Duration = Duration::from_millis(1500);
-/// A process hears signals from this time after its start on.
+/// A process listens for signals by this time after its start; before, the system has not begun to run its code.
 const START: Duration = Duration::from_millis(700);
 /// How often processes are looked at.
 const LOOK: Duration = Duration::from_millis(10);
 /// The longest pause before a process is started again, in ms.
 const RESTART_MS: u64 = 400;
-const SIGTERM: i32 = 15;
+/// The zone that all edge machines share.
+const EDGE_ZONE: &str = "z10";
+const SIGHUP: u32 = 1;
+const SIGTERM: u32 = 15;
 
 /// One machine.
 pub struct Machine {
     pub name: String,
     pub host: u8,
     pub processes: Vec<Rc<Process>>,
+    settings: PathBuf,
+    text: String,
 }
 
 /// One role of a machine, in one life after the other.
@@ -37,19 +41,25 @@
     log: PathBuf,
     child: RefCell<Option<Child>>,
     started: Cell<Option<Instant>>,
+    listens: Cell<bool>,
     told: Cell<Option<Instant>>,
-    terminations: Cell<usize>,
+    terminations: RefCell<Vec<Instant>>,
     kills: RefCell<Vec<Instant>>,
     is_killed: Cell<bool>,
+    was_deaf: Cell<bool>,
 }
 
 impl Machine {
     /// A machine of a class, not started yet.
     pub fn new(ports: &Ports, folder: &Path, class: &str, host: u8) -> Machine {
         let name = format!("{class}-{host}");
-        let grace = format!("[bounds]\ngrace_s = {}\n", GRACE.as_secs());
+        let mut text = settings_text(ports, folder, &name, host, class);
+        if class == "edge" {
+            let feed = ports.feed(host);
+            text = text.replace("[listen]", &format!("[listen]\nfeed = \"{feed}\""));
+            text = text.replace(&format!("zone = \"z{host}\""), &format!("zone = \"{EDGE_ZONE}\""));
+        }
         let settings = folder.join(format!("{name}.toml"));
-        std::fs::write(&settings, settings_text(ports, folder, &name, host, class) + &grace).expect("a file");
         let roles: &[&'static str] = match class {
             "edge" => &["proxy", "agent"],
             "core" => &["controller"],
@@ -58,7 +68,28 @@
         let process = |role: &&'static str| {
             Rc::new(Process::new(role, &settings, folder.join(format!("{name}-{role}.log"))))
         };
-        Machine { processes: roles.iter().map(process).collect(), name, host }
+        let processes = roles.iter().map(process).collect();
+        let machine = Machine { processes, name, host, settings, text };
+        machine.set_grace(0);
+        machine
+    }
+
+    /// Writes its settings, with one of the graces.
+    pub fn set_grace(&self, index: usize) {
+        let text = format!("{}[bounds]\ngrace_s = {}\n", self.text, GRACES_S[index % GRACES_S.len()]);
+        let aside = self.settings.with_extension("aside");
+        std::fs::write(&aside, text).expect("a file");
+        std::fs::rename(&aside, &self.settings).expect("it is renamed");
+    }
+
+    /// The shortest grace that its settings may name.
+    pub fn least_grace(&self) -> Duration {
+        Duration::from_secs(GRACES_S[0])
+    }
+
+    /// The longest.
+    pub fn most_grace(&self) -> Duration {
+        Duration::from_secs(GRACES_S[GRACES_S.len() - 1])
     }
 
     /// Sends SIGTERM to its processes.
@@ -66,19 +97,24 @@
         self.processes.iter().for_each(|process| process.terminate());
     }
 
+    /// Sends SIGHUP to its processes.
+    pub fn hang_up(&self) {
+        self.processes.iter().for_each(|process| process.hang_up());
+    }
+
     /// Kills its processes.
     pub fn kill(&self) {
         self.processes.iter().for_each(|process| process.kill());
     }
 
-    /// Stops of its first process so far.
-    pub fn terminations(&self) -> usize {
-        self.processes[0].terminations.get()
+    /// When its first process was told to end.
+    pub fn terminations(&self) -> Vec<Instant> {
+        self.processes[0].terminations.borrow().clone()
     }
 
-    /// Whether its first process was killed within a span.
-    pub fn was_killed(&self, from: Instant, to: Instant) -> bool {
-        self.processes[0].kills.borrow().iter().any(|at| (from..=to).contains(at))
+    /// When its first process was killed.
+    pub fn kills(&self) -> Vec<Instant> {
+        self.processes[0].kills.borrow().clone()
     }
 
     /// Whether all its processes have run for so long, untold to end.
@@ -89,6 +125,13 @@
         };
         self.processes.iter().all(is_steady)
     }
+
+    /// How many lives of its first process began to close their listener, and how many had closed it by their end.
+    pub fn closes(&self) -> (usize, usize) {
+        let log = std::fs::read_to_string(&self.processes[0].log).unwrap_or_default();
+        let count = |text: &str| log.lines().filter(|line| line.contains(text)).count();
+        (count("the listener closes"), count("the listener has closed"))
+    }
 }
 
 impl Process {
@@ -99,10 +142,12 @@
             log,
             child: RefCell::default(),
             started: Cell::default(),
+            listens: Cell::default(),
             told: Cell::default(),
-            terminations: Cell::default(),
+            terminations: RefCell::default(),
             kills: RefCell::default(),
             is_killed: Cell::default(),
+            was_deaf: Cell::default(),
         }
     }
 
@@ -116,22 +161,44 @@
             .expect("the program starts");
         self.told.set(None);
         self.is_killed.set(false);
+        self.listens.set(false);
+        self.was_deaf.set(false);
         self.started.set(Some(Instant::now()));
         *self.child.borrow_mut() = Some(child);
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
+    /// Whether the process has asked the system for a signal. Until the system has loaded the program it can't: a signal
+    /// ends it then, whatever the program is.
+    fn listens(&self, signal: u32) -> bool {
+        let Some(id) = self.child.borrow().as_ref().map(Child::id) else { return false };
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = mask.and_then(|text| u64::from_str_radix(text.trim(), 16).ok()).unwrap_or(0);
+        mask & (1 << (signal - 1)) != 0
+    }
+
+    fn signal(&self, name: &str) {
         if let Some(child) = &*self.child.borrow() {
             Command::new("kill").args([name, &child.id().to_string()]).status().expect("kill runs");
         }
     }
 
+    /// Sends SIGHUP. A process that has not begun reads its settings anyway.
+    pub fn hang_up(&self) {
+        if self.listens(SIGHUP) {
+            self.signal("-HUP");
+        }
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        if self.child.borrow().is_some() && self.told.get().is_none() {
+        if self.child.borrow().is_none() {
+            return;
+        }
+        if self.told.get().is_none() {
             self.told.set(Some(Instant::now()));
-            self.terminations.set(self.terminations.get() + 1);
+            self.terminations.borrow_mut().push(Instant::now());
+            self.was_deaf.set(!self.listens(SIGTERM));
         }
         self.signal("-TERM");
     }
@@ -165,25 +232,37 @@
             if let Some(status) = waited.expect("its status") {
                 return status;
             }
-            let overstays = |told: Instant| told.elapsed() > GRACE + GRACE_SLACK;
-            if !self.is_killed.get() && self.told.get().is_some_and(overstays) {
-                run.fault(format!("{} goes on after the grace", self.log.display()));
-                self.kill();
-            }
+            self.look(run);
             tokio::time::sleep(LOOK).await;
         }
     }
 
+    /// Holds a process that runs against its times.
+    fn look(&self, run: &Run) {
+        let age = self.started.get().map(|started| started.elapsed()).unwrap_or_default();
+        if !self.listens.get() {
+            self.listens.set(self.listens(SIGHUP) && self.listens(SIGTERM));
+            if !self.listens.get() && age > START && !self.is_killed.get() {
+                run.fault(format!("{} does not listen for signals after {age:?}", self.log.display()));
+                self.listens.set(true);
+            }
+        }
+        let grace = Duration::from_secs(GRACES_S[GRACES_S.len() - 1]);
+        let overstays = |told: Instant| told.elapsed() > grace + GRACE_SLACK;
+        if !self.is_killed.get() && self.told.get().is_some_and(overstays) {
+            run.fault(format!("{} goes on after the grace", self.log.display()));
+            self.kill();
+        }
+    }
+
     fn judge(&self, status: ExitStatus, run: &Run) {
-        if self.is_killed.get() || (status.success() && self.told.get().is_some()) {
+        use std::os::unix::process::ExitStatusExt;
+        let is_told = self.told.get().is_some();
+        let was_deaf = self.was_deaf.get() && status.signal() == Some(SIGTERM as i32);
+        if self.is_killed.get() || is_told && (status.success() || was_deaf) {
             return;
         }
         let age = self.started.get().map(|started| started.elapsed()).unwrap_or_default();
-        let was_deaf =
-            self.told.get().is_some_and(|told| self.started.get().is_some_and(|start| told - start < START));
-        if status.signal() == Some(SIGTERM) && was_deaf {
-            return;
-        }
         run.fault(format!("{} ended by itself after {age:?}: {status}", self.log.display()));
     }
 }
--- a/crates/onyxstile-system/tests/support/tier.rs
+++ b/crates/onyxstile-system/tests/support/tier.rs
@@ -64,6 +64,11 @@
 }
 
 impl Ports {
+    /// Where the proxy of a machine hears its agent, on a host with several.
+    pub fn feed(&self, host: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, host), self.internal + 1)
+    }
+
     fn beginning_at(internal: u16) -> Ports {
         Ports {
             internal,
