Give a client that reads nothing for a while its whole answer

TCP_USER_TIMEOUT of 1.5 s, meant for machines without power, was set on clients' connections too. The system counts the time in which a client's window is shut: a client that read nothing for about 2 s in the middle of an answer was cut ('ran and was closed after 2.1 s with 12288 bytes of an answer'). Clients have 30 s now; connections between machines keep 1.5 s.

--- a/crates/onyxstile-system/src/role/listener.rs
+++ b/crates/onyxstile-system/src/role/listener.rs
@@ -31,7 +31,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                socket::prepare(&stream);
+                socket::prepare_client(&stream);
                 tokio::task::spawn_local(serve(stream, shutdown.enter()));
             }
             Err(error) => {
--- a/crates/onyxstile-system/src/role/rpc/server.rs
+++ b/crates/onyxstile-system/src/role/rpc/server.rs
@@ -42,7 +42,7 @@
 }
 
 async fn serve_connection(stream: TcpStream, handler: Handler) -> io::Result<()> {
-    socket::prepare(&stream);
+    socket::prepare_peer(&stream);
     let (reader, writer) = stream.into_split();
     let (outgoing, queue) = mpsc::channel(OUTGOING_MAX);
     tokio::select! {
--- a/crates/onyxstile-system/src/role/socket.rs
+++ b/crates/onyxstile-system/src/role/socket.rs
@@ -11,8 +11,11 @@
 
 /// Connections that wait to be taken up; a full queue drops opening packets, which come again after seconds.
 const BACKLOG: i32 = 1024;
-/// Bytes that nobody acknowledges for this long end a connection: a machine without power says nothing.
+/// Bytes that nobody acknowledges for this long end a connection between machines: one without power says nothing.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
+/// The same for a client. The system counts the time in which a client reads nothing and its window is shut as well, so this is no
+/// less than what a request without a deadline of its own may take.
+const UNACKNOWLEDGED_BY_CLIENT: Duration = Duration::from_secs(30);
 /// While a machine says nothing a further attempt to connect is made after this time.
 const ATTEMPT_EVERY: Duration = Duration::from_millis(75);
 /// A connection at rest is probed after this time.
@@ -33,7 +36,7 @@
     let stream = tokio::time::timeout(patience, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    prepare(&stream);
+    prepare_peer(&stream);
     Ok(stream)
 }
 
@@ -55,13 +58,23 @@
     }
 }
 
-/// Sets what every connection needs; where the platform lacks an option, its default stays.
-pub fn prepare(stream: &TcpStream) {
+/// Sets what a connection between machines needs.
+pub fn prepare_peer(stream: &TcpStream) {
+    prepare(stream, UNACKNOWLEDGED);
+}
+
+/// Sets what a client's connection needs.
+pub fn prepare_client(stream: &TcpStream) {
+    prepare(stream, UNACKNOWLEDGED_BY_CLIENT);
+}
+
+/// Where the platform lacks an option, its default stays.
+fn prepare(stream: &TcpStream, unacknowledged: Duration) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY: {error}");
     }
     let socket = SockRef::from(stream);
-    if let Err(error) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)) {
+    if let Err(error) = socket.set_tcp_user_timeout(Some(unacknowledged)) {
         log::debug!("TCP_USER_TIMEOUT: {error}");
     }
     let keepalive =
