Show in a test that a drain's close leaves a second request without an answer

Two requests are sent before the first answer is read; that answer's head left before the drain and says nothing of a close.

--- a/crates/onyxstile-system/tests/answer_cut.rs
+++ b/crates/onyxstile-system/tests/answer_cut.rs
@@ -28,6 +28,9 @@
 /// More than a connection on loopback holds that has no large buffers yet.
 const ANSWER: usize = 2_000_000;
 
+/// More than all buffers of a connection on loopback hold.
+const LONG_ANSWER: usize = 32 << 20;
+
 const LONG_BODIES: &str =
     r#"{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}"#;
 
@@ -80,6 +83,29 @@
     });
 }
 
+/// Seen under a soak: a second request, sent before the answer to the first had been read, got none. The first answer had begun
+/// before the drain and could not say that the connection closes behind it.
+#[test]
+fn a_second_request_is_answered_behind_an_answer_that_had_begun_before_the_drain() {
+    play(async {
+        let time = VirtualTime::stop();
+        let (endpoint, address) = Endpoint::listen(&vec![b'x'; LONG_ANSWER]).await;
+        let proxies = LoneProxy::start(1, &configuration(LIMITS), address).await;
+        let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
+        client.write_all(&request("r1", 0)).await.expect("it is sent");
+        endpoint.is_asked(&time).await;
+        endpoint.may_answer.send_replace(true);
+        client.write_all(&request("r2", 4)).await.expect("it is sent");
+        settle().await;
+        terminate(&proxies).await;
+        time.pass(TO_THE_CLOSE).await;
+        let mut answers = Vec::new();
+        client.read_to_end(&mut answers).await.expect("an orderly end");
+        let heads = answers.windows(9).filter(|bytes| bytes == b"HTTP/1.1 ").count();
+        assert_eq!(heads, 2, "{} bytes came", answers.len());
+    });
+}
+
 /// Sends a request in one go while it reads what comes; the answer, and whether the connection ended without a reset.
 async fn exchange(stream: TcpStream, sent: Vec<u8>) -> (String, bool) {
     let (mut reader, mut writer) = stream.into_split();
