Close a connection in a drain only once nothing is due on it

At a drain's close each connection was told to end behind the answer under way. A request counts as being answered until its answer's last byte has been handed over (HeldBody), and bytes that wait for a slow client count. The two ways in which connections were served (clients; readiness, figures, API) are one.

--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -2,6 +2,7 @@
 
 pub mod agent;
 pub mod controller;
+pub mod held_body;
 pub mod http;
 pub mod identity;
 pub mod linger;
--- /dev/null
+++ b/crates/onyxstile-system/src/role/held_body.rs
@@ -0,0 +1,38 @@
+//! The body of an answer that holds something until its last byte has been handed over.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use hyper::body::{Body, Frame, SizeHint};
+
+/// A body, and what lives as long as it.
+pub struct HeldBody<B, H> {
+    body: B,
+    _held: H,
+}
+
+impl<B, H> HeldBody<B, H> {
+    /// Holds `held` for as long as the body is not whole.
+    pub fn new(body: B, held: H) -> HeldBody<B, H> {
+        HeldBody { body, _held: held }
+    }
+}
+
+impl<B: Body + Unpin, H: Unpin> Body for HeldBody<B, H> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/onyxstile-system/src/role/http.rs
+++ b/crates/onyxstile-system/src/role/http.rs
@@ -1,6 +1,5 @@
 //! Small HTTP helpers that the roles share.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,14 +7,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use super::listener;
+use super::listener::{self, Reading};
 use super::shutdown::Shutdown;
-use super::watched::Watched;
 use crate::clock::SteadyClock;
 use crate::watch::Bounds;
 
@@ -68,7 +64,10 @@
 }
 
 /// What endpoints, operators and the platform are allowed: they keep connections between heartbeats.
-const BOUNDS: Bounds = Bounds { head: Duration::from_secs(3), rest: Duration::from_secs(60) };
+const READING: Reading = Reading {
+    bounds: Bounds { head: Duration::from_secs(3), rest: Duration::from_secs(60) },
+    head_max: None,
+};
 
 /// Answers all requests that come to a listener with `answer` until the shutdown begins. It does not return.
 pub async fn serve<F, A>(listener: TcpListener, clock: SteadyClock, shutdown: Rc<Shutdown>, answer: F)
@@ -82,20 +81,7 @@
         let (answer, shutdown) = (answer.clone(), ending.clone());
         async move {
             let _work = work;
-            let (stream, watch) = Watched::new(stream, clock, BOUNDS);
-            let service = service_fn(|request| {
-                let answering = watch.request();
-                let answer = answer(request);
-                async move {
-                    let answer = answer.await;
-                    drop(answering);
-                    Ok::<_, Infallible>(answer)
-                }
-            });
-            let connection = hyper::server::conn::http1::Builder::new()
-                .title_case_headers(true)
-                .serve_connection(TokioIo::new(stream), service);
-            listener::serve(connection, &shutdown).await;
+            listener::serve(stream, clock, READING, &shutdown, |request| answer(request)).await;
         }
     })
     .await;
--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -21,7 +21,6 @@
 use super::sending::{Ended, Sending};
 use crate::clock::Instant;
 use crate::role::http::{BodyError, read_body};
-use crate::role::watched::Answering;
 
 /// When a client may come back that found no endpoint.
 const COME_BACK: Duration = Duration::from_millis(250);
@@ -29,9 +28,9 @@
 const START: Duration = Duration::from_millis(600);
 
 /// Answers one request of a client.
-pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>, answering: Answering) -> ClientAnswer {
+pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>) -> ClientAnswer {
     node.counts.request();
-    let entered = Phase::enter(&node, answering);
+    let entered = Phase::enter(&node);
     let mut answer = route(&node, request, entered).await;
     if node.phase.is_draining() {
         close_after(&mut answer);
--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -1,22 +1,18 @@
 //! From the start to the end of a proxy: when it calls itself ready, and how it drains.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{Node, forward};
 use crate::configuration::ClientLimits;
 use crate::role::http::{Answer, text};
-use crate::role::listener;
+use crate::role::listener::{self, Reading};
 use crate::role::shutdown::Work;
 use crate::role::signals::Termination;
-use crate::role::watched::Watched;
 use crate::watch::Bounds;
 
 /// The platform takes a relay out after two misses, a second apart; until then clients still come.
@@ -43,24 +39,17 @@
 
 async fn serve(node: Rc<Node>, stream: TcpStream, _work: Work) {
     let shutdown = node.phase.shutdown();
-    let limits = node.client_limits();
-    let (stream, watch) = Watched::new(stream, node.clock, bounds(&limits));
-    let service = service_fn(move |request| {
-        let (node, answering) = (node.clone(), watch.request());
-        async move { Ok::<_, Infallible>(forward::answer(node, request, answering).await) }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .title_case_headers(true)
-        .max_buf_size(limits.max_header_bytes.max(HEAD_MIN))
-        .serve_connection(TokioIo::new(stream), service);
-    listener::serve(connection, &shutdown).await;
+    let reading = reading(&node.client_limits());
+    listener::serve(stream, node.clock, reading, &shutdown, |request| forward::answer(node.clone(), request))
+        .await;
 }
 
-fn bounds(limits: &ClientLimits) -> Bounds {
-    Bounds {
+fn reading(limits: &ClientLimits) -> Reading {
+    let bounds = Bounds {
         head: Duration::from_millis(limits.header_timeout_ms),
         rest: Duration::from_millis(limits.idle_timeout_ms),
-    }
+    };
+    Reading { bounds, head_max: Some(limits.max_header_bytes.max(HEAD_MIN)) }
 }
 
 /// Waits for SIGTERM; then refuses readiness, goes on for as long as clients are still sent here, and ends once the listener is
--- a/crates/onyxstile-system/src/role/proxy/phase.rs
+++ b/crates/onyxstile-system/src/role/proxy/phase.rs
@@ -7,7 +7,6 @@
 use super::Node;
 use crate::clock::Instant;
 use crate::role::shutdown::Shutdown;
-use crate::role::watched::Answering;
 
 /// How far the process is; it only moves on.
 #[derive(Default)]
@@ -73,16 +72,15 @@
     }
 
     /// Counts a request that is being answered, for as long as the returned value lives.
-    pub(super) fn enter(node: &Rc<Node>, answering: Answering) -> Entered {
+    pub(super) fn enter(node: &Rc<Node>) -> Entered {
         node.phase.open.set(node.phase.open.get() + 1);
-        Entered { node: node.clone(), _answering: answering }
+        Entered { node: node.clone() }
     }
 }
 
 /// A request that is being answered.
 pub(super) struct Entered {
     node: Rc<Node>,
-    _answering: Answering,
 }
 
 impl Drop for Entered {
--- a/crates/onyxstile-system/src/role/watched.rs
+++ b/crates/onyxstile-system/src/role/watched.rs
@@ -1,6 +1,6 @@
 //! A client's connection: it ends itself when its [`Watch`] is overdue, and its close lingers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -34,6 +34,8 @@
 pub struct State {
     clock: SteadyClock,
     watch: Rc<RefCell<Watch>>,
+    /// Bytes of an answer wait for the client to read.
+    is_blocked: Rc<Cell<bool>>,
 }
 
 /// A request that is being answered, for as long as this lives.
@@ -47,6 +49,11 @@
         self.watch.borrow_mut().request(self.clock.now());
         Answering { state: self.clone() }
     }
+
+    /// Whether nothing is due on the connection: no answer is made, none leaves, and no head has begun.
+    pub fn is_at_rest(&self) -> bool {
+        self.watch.borrow().is_at_rest() && !self.is_blocked.get()
+    }
 }
 
 impl Drop for Answering {
@@ -59,7 +66,7 @@
     /// Begins to watch a connection that has just come.
     pub fn new(stream: TcpStream, clock: SteadyClock, bounds: Bounds) -> (Watched, State) {
         let watch = Rc::new(RefCell::new(Watch::new(clock.now(), bounds)));
-        let state = State { clock, watch };
+        let state = State { clock, watch, is_blocked: Rc::default() };
         let peer = stream.peer_addr().ok();
         let sleep = Box::pin(tokio::time::sleep(bounds.rest));
         (Watched { stream, peer, state: state.clone(), sleep, linger: None }, state)
@@ -99,11 +106,18 @@
         self.peer.map_or_else(|| "unknown".to_owned(), |peer| peer.to_string())
     }
 
-    /// Notes that bytes of an answer have left.
-    fn note_sent(&self, sent: &Poll<io::Result<usize>>) {
+    /// Notes how many of some bytes of an answer have left.
+    fn note_sent(&self, sent: &Poll<io::Result<usize>>, length: usize) {
         if matches!(sent, Poll::Ready(Ok(1..))) {
             self.state.watch.borrow_mut().sent(self.state.clock.now());
         }
+        // What did not leave at once is written again; the last of it leaves whole.
+        let is_blocked = match sent {
+            Poll::Ready(Ok(count)) => *count < length,
+            Poll::Ready(Err(_)) => false,
+            Poll::Pending => true,
+        };
+        self.state.is_blocked.set(is_blocked);
     }
 }
 
@@ -129,7 +143,7 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let sent = Pin::new(&mut this.stream).poll_write(cx, bytes);
-        this.note_sent(&sent);
+        this.note_sent(&sent, bytes.len());
         sent
     }
 
@@ -138,7 +152,7 @@
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let sent = Pin::new(&mut this.stream).poll_write_vectored(cx, slices);
-        this.note_sent(&sent);
+        this.note_sent(&sent, slices.iter().map(|slice| slice.len()).sum());
         sent
     }
 
--- a/crates/onyxstile-system/src/watch.rs
+++ b/crates/onyxstile-system/src/watch.rs
@@ -67,6 +67,11 @@
         self.since = now;
     }
 
+    /// Whether no request is answered and no head has begun.
+    pub fn is_at_rest(&self) -> bool {
+        self.stage == Stage::Resting
+    }
+
     /// When the connection is to be ended if nothing changes, and why; never while a request is answered.
     pub fn ends(&self) -> Option<(Instant, Overdue)> {
         match self.stage {
