Let a drain go by the shortest grace since SIGTERM, and show that its last ms refuse

A change of grace_s in a drain was not heard: with a shorter one the kill came before the process's own end, and requests were cut. DrainTimes (pure) takes the shortest that the settings have named since SIGTERM, for the kill may go by either; the agent reads the grace when SIGTERM comes, not at its start.

A head that ends after 'the kill is near' is refused in the same turn, in each of the last 80 ms: looked at, sound (a test).

The process's clock is the runtime's, so that a test's virtual time moves both. tests/proxy_end.rs: with one clock a request with 5 s at the close, 2.605 s after SIGTERM, outlasts the process (4.995 s) and is refused; the test gives it 4 s now. tests/signals.rs: its two tests looked for free ports at the same time and took each other's for a moment (seen once: exit 1). The soak: graces of 3 and 6 s, changed in a drain; a process has to go by the shortest since SIGTERM.

--- a/crates/onyxstile-system/src/clock.rs
+++ b/crates/onyxstile-system/src/clock.rs
@@ -35,13 +35,13 @@
 /// Reads the steady clock of the process.
 #[derive(Debug, Clone, Copy)]
 pub struct SteadyClock {
-    start: std::time::Instant,
+    start: tokio::time::Instant,
 }
 
 impl SteadyClock {
     /// A clock that begins now.
     pub fn start() -> SteadyClock {
-        SteadyClock { start: std::time::Instant::now() }
+        SteadyClock { start: tokio::time::Instant::now() }
     }
 
     /// The present moment.
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -34,7 +34,6 @@
 /// Runs the role until SIGTERM, and then until the proxy beside it is gone.
 pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
     let proxy = settings.feed_address();
-    let grace = settings.grace();
     let clock = SteadyClock::start();
     let Signals { termination, hangups } = signals;
     let settings = Rc::new(RefCell::new(settings));
@@ -51,15 +50,16 @@
         () = metrics::serve(settings.borrow().clone(), clock, move || figures(&told.borrow())) => {}
         () = feed(link, news, &known, is_ending.clone(), evidence) => log::info!("the proxy is gone"),
         () = signals::reread(hangups, settings.clone(), |_| {}) => {}
-        () = end(termination, grace, is_ending) => log::info!("the agent ends"),
+        () = end(termination, &settings, is_ending) => log::info!("the agent ends"),
     }
     Ok(())
 }
 
 /// After SIGTERM the agent goes on for as long as its proxy drains.
-async fn end(termination: Termination, grace: Duration, is_ending: Rc<Cell<bool>>) {
+async fn end(termination: Termination, settings: &RefCell<Settings>, is_ending: Rc<Cell<bool>>) {
     termination.come().await;
     is_ending.set(true);
+    let grace = settings.borrow().grace();
     tokio::time::sleep(grace.mul_f64(0.9)).await;
 }
 
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -11,6 +11,7 @@
 mod conversation;
 mod counted;
 mod counts;
+mod drain_times;
 mod feed;
 mod figures;
 mod forward;
--- a/crates/onyxstile-system/src/role/proxy/phase.rs
+++ b/crates/onyxstile-system/src/role/proxy/phase.rs
@@ -56,6 +56,11 @@
         self.shutdown.begin();
     }
 
+    /// The process ends by `ends` now, if the listener is to close and that is sooner.
+    pub(super) fn shorten(&self, ends: Instant) {
+        self.ends.set(self.ends.get().map(|before| before.min(ends)));
+    }
+
     /// Clients' connections and writes that no client waits for.
     pub(super) fn shutdown(&self) -> Rc<Shutdown> {
         self.shutdown.clone()
--- a/crates/onyxstile-system/src/settings.rs
+++ b/crates/onyxstile-system/src/settings.rs
@@ -232,7 +232,7 @@
 
     /// How long a role may take to end after SIGTERM, so that the last bytes leave before the kill.
     pub fn time_to_end(&self) -> Duration {
-        self.grace().saturating_sub(BEFORE_KILL)
+        time_to_end(self.grace())
     }
 
     /// Machine addresses of the seeds.
@@ -251,3 +251,8 @@
         Duration::from_secs_f64(self.bounds.grace_s.max(GRACE_RANGE_S.0).min(GRACE_RANGE_S.1))
     }
 }
+
+/// How long a role may take to end where the kill comes `grace` after SIGTERM.
+pub fn time_to_end(grace: Duration) -> Duration {
+    grace.saturating_sub(BEFORE_KILL)
+}
--- a/crates/onyxstile-system/tests/proxy_end.rs
+++ b/crates/onyxstile-system/tests/proxy_end.rs
@@ -68,7 +68,8 @@
         let (endpoint, address) = Endpoint::listen(b"whole").await;
         let proxies = LoneProxy::start(1, &configuration(), address).await;
         let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
-        client.write_all(HEAD.as_bytes()).await.expect("it is sent");
+        // The process has 4.995 s left at the close.
+        client.write_all(format!("{HEAD}Deadline-Ms: 4000\r\n").as_bytes()).await.expect("it is sent");
         settle().await;
         terminate(&proxies).await;
         time.pass(TO_THE_CLOSE).await;
@@ -124,3 +125,40 @@
         assert_eq!(read_answer(&mut client).await.1, LARGE_BODY);
     });
 }
+
+/// The grace of the settings (8 s) less what is kept for the last bytes (0.4 s).
+const THE_KILL_IS_NEAR: Duration = Duration::from_millis(7600);
+
+/// A way that was looked at and is sound: a head that ends after the kill is near is taken, and refused in the same turn.
+#[test]
+fn a_head_that_ends_in_the_last_ms_of_a_process_is_refused_before_it_is_gone() {
+    play(async {
+        let time = VirtualTime::stop();
+        let (endpoint, address) = Endpoint::listen(b"whole").await;
+        let patient = configuration().replace(r#""header_timeout_ms":3000"#, r#""header_timeout_ms":30000"#);
+        let proxies = LoneProxy::start(1, &patient, address).await;
+        let mut clients = Vec::new();
+        for _ in 0..60 {
+            let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
+            client.write_all(HEAD.as_bytes()).await.expect("it is sent");
+            clients.push(client);
+        }
+        settle().await;
+        terminate(&proxies).await;
+        time.pass(TO_THE_CLOSE).await;
+        time.pass(THE_KILL_IS_NEAR - TO_THE_CLOSE).await;
+        let mut answered = 0;
+        for mut client in clients {
+            client.write_all(b"\r\n").await.expect("it is sent");
+            settle().await;
+            if proxies[0].has_ended() {
+                break;
+            }
+            assert_eq!(read_answer(&mut client).await.0, Some(503), "after {answered} ms");
+            answered += 1;
+            time.pass(Duration::from_millis(1)).await;
+        }
+        assert!(answered >= 50, "the process lives on for some 80 ms: {answered}");
+        assert_eq!(endpoint.asked.get(), 0);
+    });
+}
--- a/crates/onyxstile-system/tests/signals.rs
+++ b/crates/onyxstile-system/tests/signals.rs
@@ -15,6 +15,7 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use support::tier::{Ports, free_ports, settings_text};
@@ -22,6 +23,9 @@
 const ROLES: [(&str, &str, u8); 4] =
     [("proxy", "edge", 1), ("agent", "edge", 1), ("controller", "core", 2), ("storage", "storage", 5)];
 
+/// Whoever looks for free ports takes them for a moment.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
 /// Bounds the wait for an end.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -90,7 +94,8 @@
 
 #[test]
 fn a_hangup_while_a_process_reads_its_settings_does_not_end_it() {
-    let ports = free_ports(2).remove(0);
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let ports = free_ports(1).remove(0);
     for (role, class, host) in ROLES {
         let mut process = Starting::start(&ports, role, class, host, "hangup");
         signal(&process.child, "-HUP");
@@ -103,7 +108,8 @@
 
 #[test]
 fn a_termination_while_a_process_reads_its_settings_is_an_orderly_end() {
-    let ports = free_ports(2).remove(1);
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let ports = free_ports(1).remove(0);
     for (role, class, host) in ROLES {
         let mut process = Starting::start(&ports, role, class, host, "termination");
         signal(&process.child, "-TERM");
--- a/crates/onyxstile-system/tests/soak/processes.rs
+++ b/crates/onyxstile-system/tests/soak/processes.rs
@@ -11,7 +11,7 @@
 use crate::support::tier::{Ports, settings_text};
 
 /// Times from SIGTERM to the kill, one of which a machine's settings name at a time.
-const GRACES_S: [u64; 2] = [3, 4];
+const GRACES_S: [u64; 2] = [3, 6];
 /// What a busy machine may add to that before it counts as overstayed.
 const GRACE_SLACK: Duration = Duration::from_millis(1500);
 /// A process listens for signals by this time after its start; before, the system has not begun to run its code.
@@ -43,6 +43,7 @@
     started: Cell<Option<Instant>>,
     listens: Cell<bool>,
     told: Cell<Option<Instant>>,
+    grace: Cell<Duration>,
     terminations: RefCell<Vec<Instant>>,
     kills: RefCell<Vec<Instant>>,
     is_killed: Cell<bool>,
@@ -76,6 +77,12 @@
 
     /// Writes its settings, with one of the graces.
     pub fn set_grace(&self, index: usize) {
+        let grace = Duration::from_secs(GRACES_S[index % GRACES_S.len()]);
+        for process in &self.processes {
+            // A process that is told to end goes by the shortest that it has heard of since.
+            let least = if process.told.get().is_some() { process.grace.get().min(grace) } else { grace };
+            process.grace.set(least);
+        }
         let text = format!("{}[bounds]\ngrace_s = {}\n", self.text, GRACES_S[index % GRACES_S.len()]);
         let aside = self.settings.with_extension("aside");
         std::fs::write(&aside, text).expect("a file");
@@ -144,6 +151,7 @@
             started: Cell::default(),
             listens: Cell::default(),
             told: Cell::default(),
+            grace: Cell::default(),
             terminations: RefCell::default(),
             kills: RefCell::default(),
             is_killed: Cell::default(),
@@ -160,6 +168,7 @@
             .spawn()
             .expect("the program starts");
         self.told.set(None);
+        self.grace.set(self.file_grace());
         self.is_killed.set(false);
         self.listens.set(false);
         self.was_deaf.set(false);
@@ -167,6 +176,13 @@
         *self.child.borrow_mut() = Some(child);
     }
 
+    /// The grace that its settings name now.
+    fn file_grace(&self) -> Duration {
+        let text = std::fs::read_to_string(&self.settings).expect("its settings");
+        let seconds = text.lines().find_map(|line| line.strip_prefix("grace_s = ")).expect("a grace");
+        Duration::from_secs(seconds.parse().expect("a number"))
+    }
+
     /// Whether the process has asked the system for a signal. Until the system has loaded the program it can't: a signal
     /// ends it then, whatever the program is.
     fn listens(&self, signal: u32) -> bool {
@@ -247,8 +263,7 @@
                 self.listens.set(true);
             }
         }
-        let grace = Duration::from_secs(GRACES_S[GRACES_S.len() - 1]);
-        let overstays = |told: Instant| told.elapsed() > grace + GRACE_SLACK;
+        let overstays = |told: Instant| told.elapsed() > self.grace.get() + GRACE_SLACK;
         if !self.is_killed.get() && self.told.get().is_some_and(overstays) {
             run.fault(format!("{} goes on after the grace", self.log.display()));
             self.kill();
