--- a/crates/onyxstile-system/tests/proxy_end.rs
+++ b/crates/onyxstile-system/tests/proxy_end.rs
@@ -14,6 +14,7 @@
 
 mod support;
 
+use std::io::Write;
 use std::net::TcpStream as StdStream;
 use std::time::Duration;
 
@@ -61,6 +62,37 @@
     });
 }
 
+/// Found by reading, in the same class: what waited to be taken up at the close was reset, with its request unread.
+#[test]
+fn a_request_that_waits_in_the_listeners_queue_at_the_close_is_answered() {
+    play(async {
+        let time = VirtualTime::stop();
+        let (endpoint, address) = Endpoint::listen(b"whole").await;
+        endpoint.may_answer.send_replace(true);
+        let proxies = LoneProxy::start(PROXIES, &configuration(), address).await;
+        terminate(&proxies).await;
+        let whole = format!("{HEAD}Deadline-Ms: 4000\r\n\r\n");
+        // No turn of the runtime lies between these requests and the time to close.
+        let clients: Vec<_> = proxies.iter().map(|proxy| send_now(proxy, &whole)).collect();
+        time.pass(TO_THE_CLOSE).await;
+        // A new connection to an endpoint is looked at for some ms.
+        time.pass(PAST_THE_END).await;
+        let mut unanswered = 0;
+        for client in clients {
+            let mut client = TcpStream::from_std(client).expect("a connection");
+            unanswered += usize::from(!matches!(read_answer(&mut client).await.0, Some(200 | 503)));
+        }
+        assert_eq!(unanswered, 0, "requests without an answer, of {PROXIES}");
+    });
+}
+
+fn send_now(proxy: &LoneProxy, request: &str) -> StdStream {
+    let mut client = StdStream::connect(proxy.front).expect("it still listens");
+    client.write_all(request.as_bytes()).expect("it is sent");
+    client.set_nonblocking(true).expect("it is set");
+    client
+}
+
 #[test]
 fn a_head_that_has_come_in_part_at_the_close_is_answered_before_the_end() {
     play(async {
