Take up what waits at a listener before it closes, and count the listener as work

It took two more steps, both of the class of an end that is decided before all that may become work is counted: the listener is a piece of work until it has closed (the process had ended around its last clients), and a connection counts as at rest only once the runtime has asked the system what has come (a socket just taken up was not heard of).

--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -134,11 +134,11 @@
 /// asked for a change would not know whether it was made.
 async fn end(node: &Node, termination: Termination, shutdown: &Shutdown) {
     termination.come().await;
-    log::info!("SIGTERM: {} connections to the API are open", shutdown.open());
+    log::info!("SIGTERM: {} pieces of work at the API are open", shutdown.open());
     shutdown.begin();
     let time = node.settings.borrow().time_to_end();
     if tokio::time::timeout(time, shutdown.ended()).await.is_err() {
-        log::warn!("the kill is near: {} connections to the API are open", shutdown.open());
+        log::warn!("the kill is near: {} pieces of work at the API are open", shutdown.open());
     }
 }
 
--- a/crates/onyxstile-system/src/role/listener.rs
+++ b/crates/onyxstile-system/src/role/listener.rs
@@ -26,34 +26,57 @@
 /// Pause after a failure to accept: descriptors are short, most likely.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Takes up connections until the shutdown begins, and then listens no more. It does not return: a role's run ends with its
+/// Takes up connections until the shutdown begins, and those that wait then, and listens no more. It does not return: a role's run ends with its
 /// work, not with its listener.
 pub async fn accept<F: Future<Output = ()> + 'static>(
     listener: TcpListener, shutdown: Rc<Shutdown>, serve: impl Fn(TcpStream, Work) -> F,
 ) {
+    // What waits to be taken up may become work: until the listener has closed the end has not come.
+    let listening = shutdown.enter();
     loop {
         let accepted = tokio::select! {
-            // The end goes first: a client that connects in the same turn is not taken up.
+            // The end goes first: a listener that always has somebody to take up closes all the same.
             biased;
             () = shutdown.begun() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                socket::prepare_client(&stream);
-                tokio::task::spawn_local(serve(stream, shutdown.enter()));
-            }
+            Ok((stream, _)) => take(stream, &shutdown, &serve),
             Err(error) => {
                 log::warn!("accepting clients: {error}");
                 tokio::time::sleep(PAUSE).await;
             }
         }
     }
+    take_waiting(&listener, &shutdown, &serve).await;
     drop(listener);
+    drop(listening);
     log::info!("the listener has closed");
     pending().await
 }
 
+/// Takes up the connections that wait at a listener: closed over them it would reset each, whatever its client has sent.
+async fn take_waiting<F: Future<Output = ()> + 'static>(
+    listener: &TcpListener, shutdown: &Rc<Shutdown>, serve: &impl Fn(TcpStream, Work) -> F,
+) {
+    hear_of_sockets().await;
+    for _ in 0..socket::BACKLOG {
+        let waiting = poll_fn(|context| match listener.poll_accept(context) {
+            Poll::Ready(Ok((stream, _))) => Poll::Ready(Some(stream)),
+            Poll::Ready(Err(_)) | Poll::Pending => Poll::Ready(None),
+        });
+        let Some(stream) = waiting.await else { return };
+        take(stream, shutdown, serve);
+    }
+}
+
+fn take<F: Future<Output = ()> + 'static>(
+    stream: TcpStream, shutdown: &Rc<Shutdown>, serve: &impl Fn(TcpStream, Work) -> F,
+) {
+    socket::prepare_client(&stream);
+    tokio::task::spawn_local(serve(stream, shutdown.enter()));
+}
+
 /// How requests are read at a listener.
 #[derive(Clone, Copy)]
 pub struct Reading {
@@ -106,15 +129,31 @@
     S::ResBody: 'static,
     <S::ResBody as Body>::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let finished = poll_fn(|context| match connection.as_mut().poll(context) {
-        Poll::Ready(result) => Poll::Ready(Some(result)),
-        // What had come was read in this turn: a connection that is at rest now has nothing due.
-        Poll::Pending if state.is_at_rest() => Poll::Ready(None),
-        Poll::Pending => Poll::Pending,
-    });
-    if let Some(result) = finished.await {
-        return result;
+    let mut was_at_rest = false;
+    loop {
+        let went_on = poll_fn(|context| match connection.as_mut().poll(context) {
+            Poll::Ready(result) => Poll::Ready(Some(result)),
+            Poll::Pending if state.is_at_rest() => Poll::Ready(None),
+            Poll::Pending => {
+                was_at_rest = false;
+                Poll::Pending
+            }
+        });
+        if let Some(result) = went_on.await {
+            return result;
+        }
+        if was_at_rest {
+            break;
+        }
+        was_at_rest = true;
+        hear_of_sockets().await;
     }
     connection.as_mut().graceful_shutdown();
     connection.await
 }
+
+/// Lets the runtime ask the system what has come: its reads go by what it last heard, and a socket that has just been taken up
+/// was not heard of at all.
+async fn hear_of_sockets() {
+    tokio::task::yield_now().await;
+}
--- a/crates/onyxstile-system/src/role/proxy/figures.rs
+++ b/crates/onyxstile-system/src/role/proxy/figures.rs
@@ -27,7 +27,11 @@
     fn tell_requests(&self, figures: &mut Figures) {
         figures.gauge("requests_open", "Requests that are being answered.", self.phase.open() as f64);
         let work = self.phase.shutdown().open() as f64;
-        figures.gauge("work_open", "Connections of clients, and writes that none waits for.", work);
+        figures.gauge(
+            "work_open",
+            "The listener, connections of clients, and writes that none waits for.",
+            work,
+        );
         let requests = [("client", self.counts.requests())];
         figures.counters("requests", "Requests of clients.", "from", &requests);
         let help = "Sends to endpoints that brought no answer to pass on.";
--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -92,5 +92,5 @@
 /// What is open, for the log.
 fn open(node: &Node) -> String {
     let (work, requests) = (node.phase.shutdown().open(), node.phase.open());
-    format!("{work} connections and writes, {requests} requests are open")
+    format!("{work} pieces of work and {requests} requests are open")
 }
--- a/crates/onyxstile-system/src/role/socket.rs
+++ b/crates/onyxstile-system/src/role/socket.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 /// Connections that wait to be taken up; a full queue drops opening packets, which come again after seconds.
-const BACKLOG: i32 = 1024;
+pub const BACKLOG: i32 = 1024;
 /// Bytes that nobody acknowledges for this long end a connection between machines: one without power says nothing.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
 /// The same for a client. The system counts the time in which a client reads nothing and its window is shut as well, so this is no
