--- a/Makefile
+++ b/Makefile
@@ -100,10 +100,13 @@
 scale:
 	cargo test --locked --release --lib scale -- --ignored --nocapture
 
-# The serving tier in real processes: clients, planned stops, restarts and changes in overlapping series (SOAK of them from SEED on).
+# The serving tier in real processes: clients, planned stops, restarts and changes in overlapping series (SOAK of them from SEED on,
+# SOAK_S seconds of traffic each, SOAK_LANES at once with twelve processes each).
 SOAK ?= 50
+SOAK_S ?= 8
+SOAK_LANES ?= 12
 soak:
-	SOAK=$(SOAK) SEED=$(SEED) cargo test --locked -p onyxstile-system --test soak -- --nocapture
+	SOAK=$(SOAK) SEED=$(SEED) SOAK_S=$(SOAK_S) SOAK_LANES=$(SOAK_LANES) cargo test --locked -p onyxstile-system --test soak -- --nocapture
 
 # Histories of a whole fleet: traffic, faults of links, kills and losses of power (FLEET of them from SEED on).
 FLEET ?= 200
--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 pub mod proxy;
 pub mod rpc;
+pub mod shortest_grace;
 pub mod shutdown;
 pub mod signals;
 pub mod socket;
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -13,6 +13,7 @@
 use super::controller::RoleError;
 use super::metrics;
 use super::rpc::Client;
+use super::shortest_grace::ShortestGrace;
 use super::signals::{self, Signals, Termination};
 use super::subscription::{self, Wishes};
 use crate::clock::SteadyClock;
@@ -28,6 +29,8 @@
 const FEED_EVERY: Duration = Duration::from_millis(500);
 /// How long the proxy has to take a feed.
 const FEED_PATIENCE: Duration = Duration::from_millis(1500);
+/// The part of the grace for which a proxy may drain.
+const DRAINS_FOR: f64 = 0.9;
 /// Pause after a feed that failed.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -50,17 +53,19 @@
         () = metrics::serve(settings.borrow().clone(), clock, move || figures(&told.borrow())) => {}
         () = feed(link, news, &known, is_ending.clone(), evidence) => log::info!("the proxy is gone"),
         () = signals::reread(hangups, settings.clone(), |_| {}) => {}
-        () = end(termination, &settings, is_ending) => log::info!("the agent ends"),
+        () = end(termination, &settings, clock, is_ending) => log::info!("the agent ends"),
     }
     Ok(())
 }
 
 /// After SIGTERM the agent goes on for as long as its proxy drains.
-async fn end(termination: Termination, settings: &RefCell<Settings>, is_ending: Rc<Cell<bool>>) {
+async fn end(
+    termination: Termination, settings: &RefCell<Settings>, clock: SteadyClock, is_ending: Rc<Cell<bool>>,
+) {
     termination.come().await;
     is_ending.set(true);
-    let grace = settings.borrow().grace();
-    tokio::time::sleep(grace.mul_f64(0.9)).await;
+    let mut grace = ShortestGrace::new(clock.now(), settings.borrow().grace());
+    grace.reached(settings, clock, |grace| grace.told() + grace.grace().mul_f64(DRAINS_FOR), |_| {}).await;
 }
 
 /// The way to the proxy.
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -23,6 +23,7 @@
 use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
+use super::shortest_grace::ShortestGrace;
 use super::shutdown::Shutdown;
 use super::signals::{self, Signals, Termination};
 use super::{http, metrics, socket};
@@ -136,9 +137,13 @@
     termination.come().await;
     log::info!("SIGTERM: {} pieces of work at the API are open", shutdown.open());
     shutdown.begin();
-    let time = node.settings.borrow().time_to_end();
-    if tokio::time::timeout(time, shutdown.ended()).await.is_err() {
-        log::warn!("the kill is near: {} pieces of work at the API are open", shutdown.open());
+    let mut grace = ShortestGrace::new(node.clock.now(), node.settings.borrow().grace());
+    tokio::select! {
+        biased;
+        () = shutdown.ended() => {}
+        () = grace.reached(&node.settings, node.clock, ShortestGrace::ends, |_| {}) => {
+            log::warn!("the kill is near: {} pieces of work at the API are open", shutdown.open());
+        }
     }
 }
 
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -11,7 +11,6 @@
 mod conversation;
 mod counted;
 mod counts;
-mod drain_times;
 mod feed;
 mod figures;
 mod forward;
--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -7,22 +7,21 @@
 use hyper::{Request, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::drain_times::DrainTimes;
 use super::{Node, forward};
 use crate::clock::Instant;
 use crate::configuration::ClientLimits;
 use crate::role::http::{Answer, text};
 use crate::role::listener::{self, Reading};
+use crate::role::shortest_grace::ShortestGrace;
 use crate::role::shutdown::Work;
 use crate::role::signals::Termination;
 use crate::watch::Bounds;
 
+/// The platform takes a relay out after two misses, a second apart; until then clients still come.
+const STILL_OFFERED: Duration = Duration::from_millis(2600);
 /// The system's buffers are emptied meanwhile. Nothing can be taken any more.
 const LAST_BYTES: Duration = Duration::from_millis(80);
 
-/// How often a drain looks whether the settings name another grace.
-const LOOK: Duration = Duration::from_millis(100);
-
 /// Heads of at least this many bytes are read, whatever the limit says: `Prompt-Prefix` names hundreds of parts.
 const HEAD_MIN: usize = 64 * 1024;
 
@@ -61,32 +60,28 @@
     termination.come().await;
     log::info!("SIGTERM: draining");
     node.phase.drain();
-    let mut times = DrainTimes::new(node.clock.now(), node.settings.borrow().grace());
-    reached(&node, &mut times, DrainTimes::closes).await;
-    node.phase.close(times.ends());
+    let settings = &node.settings;
+    let mut grace = ShortestGrace::new(node.clock.now(), settings.borrow().grace());
+    grace.reached(settings, node.clock, closes, |_| {}).await;
+    node.phase.close(grace.ends());
     log::info!("the listener closes: {}", open(&node));
     // The end of all work, not a look at the open requests: a connection that is open may still bring one.
     let shutdown = node.phase.shutdown();
+    let shorten = |grace: &ShortestGrace| node.phase.shorten(grace.ends());
     tokio::select! {
         biased;
         () = shutdown.ended() => {}
-        () = reached(&node, &mut times, DrainTimes::ends) => log::warn!("the kill is near: {}", open(&node)),
+        () = grace.reached(settings, node.clock, ShortestGrace::ends, shorten) => {
+            log::warn!("the kill is near: {}", open(&node));
+        }
     }
     tokio::time::sleep(LAST_BYTES).await;
     log::info!("the proxy ends: {}", open(&node));
 }
 
-/// Waits for a time of the drain, which a change of the settings may bring forward.
-async fn reached(node: &Node, times: &mut DrainTimes, time: impl Fn(&DrainTimes) -> Instant) {
-    loop {
-        times.note_grace(node.settings.borrow().grace());
-        node.phase.shorten(times.ends());
-        let left = time(times).since(node.clock.now());
-        if left.is_zero() {
-            return;
-        }
-        tokio::time::sleep(left.min(LOOK)).await;
-    }
+/// When the listener closes.
+fn closes(grace: &ShortestGrace) -> Instant {
+    grace.told() + STILL_OFFERED.min(grace.grace() / 2)
 }
 
 /// What is open, for the log.
--- /dev/null
+++ b/crates/onyxstile-system/src/role/shortest_grace/tests.rs
@@ -0,0 +1,19 @@
+//! A grace that changes after SIGTERM.
+
+use super::*;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+/// By reading: a drain went by the grace at SIGTERM, and a shorter one that came meanwhile meant a kill before its end. Seen under
+/// a soak: an agent whose proxy had returned sooner went on after the shorter grace.
+#[test]
+fn the_shortest_grace_since_sigterm_holds() {
+    let mut grace = ShortestGrace::new(at(1000), Duration::from_secs(8));
+    assert_eq!(grace.ends(), at(8600));
+    grace.note(Duration::from_secs(3));
+    assert_eq!(grace.ends(), at(3600));
+    grace.note(Duration::from_secs(20));
+    assert_eq!(grace.ends(), at(3600), "the kill may go by the one before");
+}
--- a/crates/onyxstile-system/src/settings.rs
+++ b/crates/onyxstile-system/src/settings.rs
@@ -230,11 +230,6 @@
         self.listen.feed.unwrap_or(SocketAddrV4::new(Ipv4Addr::LOCALHOST, self.feed_port()))
     }
 
-    /// How long a role may take to end after SIGTERM, so that the last bytes leave before the kill.
-    pub fn time_to_end(&self) -> Duration {
-        time_to_end(self.grace())
-    }
-
     /// Machine addresses of the seeds.
     pub fn seed_addresses(&self) -> Vec<Ipv4Addr> {
         self.seed_nodes.iter().map(|seed| *seed.ip()).collect()
@@ -252,7 +247,7 @@
     }
 }
 
-/// How long a role may take to end where the kill comes `grace` after SIGTERM.
+/// How long a role may take to end where the kill comes `grace` after SIGTERM: the last bytes leave before that.
 pub fn time_to_end(grace: Duration) -> Duration {
     grace.saturating_sub(BEFORE_KILL)
 }
--- a/crates/onyxstile-system/tests/soak/clients.rs
+++ b/crates/onyxstile-system/tests/soak/clients.rs
@@ -66,6 +66,23 @@
     sent: Instant,
 }
 
+/// What came before a request on its connection, since it was sent.
+#[derive(Clone, Copy, Default)]
+struct Before {
+    /// The answer before it said that the connection closes, or did not come.
+    is_end: bool,
+    /// How long its client read nothing in the middle of that.
+    pause_ms: u64,
+}
+
+/// Whether a request was answered, and what the answer said of its connection.
+#[derive(Clone, Copy, PartialEq)]
+enum Answered {
+    AndOpen,
+    AndClosing,
+    Not,
+}
+
 impl Clients {
     /// Nobody has asked yet.
     pub fn new() -> Rc<Clients> {
@@ -123,11 +140,15 @@
             } else {
                 None
             };
-            let mut goes_on = self.receive(edge, &mut connection, sent, false).await;
+            let may_go_on = !sent.ask.leaves;
+            let pause_ms = sent.ask.pause_ms;
+            let mut answered = self.receive(edge, &mut connection, sent, Before::default()).await;
             if let Some(second) = second {
-                goes_on = self.receive(edge, &mut connection, second, !goes_on).await;
+                let before = Before { is_end: answered != Answered::AndOpen, pause_ms };
+                answered = self.receive(edge, &mut connection, second, before).await;
             }
-            if !goes_on || run.is_over.get() {
+            // A connection is used until it is gone, also behind an answer that says that it closes.
+            if answered == Answered::Not || !may_go_on || run.is_over.get() {
                 return;
             }
             if run.roll(2) == 0 {
@@ -167,22 +188,22 @@
         Sent { id, ask, began, sent: Instant::now() }
     }
 
-    /// Reads an answer; whether another may follow on the connection.
+    /// Reads an answer.
     async fn receive(
-        &self, edge: usize, connection: &mut Connection, sent: Sent, is_behind_end: bool,
-    ) -> bool {
+        &self, edge: usize, connection: &mut Connection, sent: Sent, before: Before,
+    ) -> Answered {
         let Sent { id, ask, began, sent } = sent;
         let patience = Duration::from_millis(ask.deadline_ms) + HELD;
-        let paused = Duration::from_millis(ask.pause_ms);
         if ask.pause_ms > 0 {
-            connection.read_some(patience, paused).await;
+            connection.read_some(patience, Duration::from_millis(ask.pause_ms)).await;
         }
         let outcome = connection.answer(patience).await;
-        let goes_on = match &outcome {
-            Outcome::Answered(answer) => {
-                !answer.closes && !ask.leaves && (!ask.expects || answer.status == 200)
-            }
-            _ => false,
+        let answered = match &outcome {
+            // Its body was not sent: what follows would be taken for that.
+            Outcome::Answered(answer) if ask.expects && answer.status != 200 => Answered::Not,
+            Outcome::Answered(answer) if answer.closes => Answered::AndClosing,
+            Outcome::Answered(_) => Answered::AndOpen,
+            _ => Answered::Not,
         };
         let expected = match ask.events {
             Some(count) => (1..=count).flat_map(|number| event(&id, number).0.into_bytes()).collect(),
@@ -196,14 +217,14 @@
             sent,
             ended: Instant::now(),
             deadline: Duration::from_millis(ask.deadline_ms),
-            paused,
+            paused: Duration::from_millis(before.pause_ms + ask.pause_ms),
             may_repeat: ask.path == "/i/x",
             has_left: ask.leaves,
-            is_behind_end,
+            is_behind_end: before.is_end,
             expected,
             outcome,
         });
-        goes_on
+        answered
     }
 
     /// Bytes that never become a head: the connection is closed, at a drain as well.
--- a/crates/onyxstile-system/tests/soak/ledger.rs
+++ b/crates/onyxstile-system/tests/soak/ledger.rs
@@ -11,8 +11,8 @@
 pub const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// Endpoints that one try may run on where it may be repeated.
 const ATTEMPTS: usize = 2;
-/// A request that takes longer than the process has left may be cut by its end, if its endpoint works into this last part of the
-/// grace and it was sent by this time after SIGTERM: while the listener was open.
+/// A request that takes longer than the process has left may be cut by its end, if its endpoint works, or its client reads nothing,
+/// into this last part of the grace, and it was sent while the listener was open.
 const LAST_PART: f64 = 5.0 / 6.0;
 
 /// One request.
@@ -117,14 +117,16 @@
         run.edges[self.edge].kills().iter().any(is_hit)
     }
 
-    /// Whether its endpoint worked on into the last part of a grace that had begun before the listener closed.
+    /// Whether its endpoint worked on, or its client read nothing, into the last part of a grace that had begun before the listener
+    /// closed.
     fn outlasts_grace(&self, run: &Run, executions: &[Execution]) -> bool {
         let edge = &run.edges[self.edge];
         edge.terminations().iter().any(|told| {
             let last_part = *told + edge.least_grace().mul_f64(LAST_PART);
             let was_taken = self.sent <= *told + edge.most_grace() / 2;
             let still_works = |run: &Execution| run.ended.is_none_or(|ended| ended >= last_part);
-            was_taken && self.ended >= last_part && executions.iter().any(still_works)
+            let still_rests = !self.paused.is_zero() && self.sent + self.paused >= last_part;
+            was_taken && self.ended >= last_part && (still_rests || executions.iter().any(still_works))
         })
     }
 }
--- a/crates/onyxstile-system/tests/soak/processes.rs
+++ b/crates/onyxstile-system/tests/soak/processes.rs
@@ -44,6 +44,8 @@
     listens: Cell<bool>,
     told: Cell<Option<Instant>>,
     grace: Cell<Duration>,
+    /// When the grace of a process that was told to end became shorter.
+    shortened: Cell<Option<Instant>>,
     terminations: RefCell<Vec<Instant>>,
     kills: RefCell<Vec<Instant>>,
     is_killed: Cell<bool>,
@@ -80,8 +82,11 @@
         let grace = Duration::from_secs(GRACES_S[index % GRACES_S.len()]);
         for process in &self.processes {
             // A process that is told to end goes by the shortest that it has heard of since.
-            let least = if process.told.get().is_some() { process.grace.get().min(grace) } else { grace };
-            process.grace.set(least);
+            let is_told = process.told.get().is_some();
+            if is_told && grace < process.grace.get() {
+                process.shortened.set(Some(Instant::now()));
+            }
+            process.grace.set(if is_told { process.grace.get().min(grace) } else { grace });
         }
         let text = format!("{}[bounds]\ngrace_s = {}\n", self.text, GRACES_S[index % GRACES_S.len()]);
         let aside = self.settings.with_extension("aside");
@@ -152,6 +157,7 @@
             listens: Cell::default(),
             told: Cell::default(),
             grace: Cell::default(),
+            shortened: Cell::default(),
             terminations: RefCell::default(),
             kills: RefCell::default(),
             is_killed: Cell::default(),
@@ -168,6 +174,7 @@
             .spawn()
             .expect("the program starts");
         self.told.set(None);
+        self.shortened.set(None);
         self.grace.set(self.file_grace());
         self.is_killed.set(false);
         self.listens.set(false);
@@ -263,7 +270,12 @@
                 self.listens.set(true);
             }
         }
-        let overstays = |told: Instant| told.elapsed() > self.grace.get() + GRACE_SLACK;
+        // A grace that is over as it is named can only be gone by from then on.
+        let ends = |told: Instant| {
+            let by_grace = told + self.grace.get();
+            self.shortened.get().map_or(by_grace, |at| at.max(by_grace))
+        };
+        let overstays = |told: Instant| Instant::now() > ends(told) + GRACE_SLACK;
         if !self.is_killed.get() && self.told.get().is_some_and(overstays) {
             run.fault(format!("{} goes on after the grace", self.log.display()));
             self.kill();
