--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -65,6 +65,7 @@
     grace.reached(settings, node.clock, closes, |_| {}).await;
     node.phase.close(grace.ends());
     log::info!("the listener closes: {}", open(&node));
+    let before = node.counts.requests();
     // The end of all work, not a look at the open requests: a connection that is open may still bring one.
     let shutdown = node.phase.shutdown();
     let shorten = |grace: &ShortestGrace| node.phase.shorten(grace.ends());
@@ -76,7 +77,8 @@
         }
     }
     tokio::time::sleep(LAST_BYTES).await;
-    log::info!("the proxy ends: {}", open(&node));
+    let late = node.counts.requests() - before;
+    log::info!("the proxy ends: {}; {late} requests came after the close", open(&node));
 }
 
 /// When the listener closes.
--- a/crates/onyxstile-system/tests/soak/main.rs
+++ b/crates/onyxstile-system/tests/soak/main.rs
@@ -28,7 +28,7 @@
 use clients::Clients;
 use endpoints::Endpoints;
 use operator::Operator;
-use processes::Machine;
+use processes::{Drains, Machine};
 use programs::Programs;
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
@@ -147,16 +147,23 @@
 
 /// Each listener that was to close has closed, unless its process was killed in between; stops of proxies, in numbers.
 fn judge_stops(run: &Run) -> String {
-    let (mut stops, mut begun, mut done) = (0, 0, 0);
+    let mut stops = 0;
+    let mut all = Drains { begun: 0, closed: 0, late: 0 };
     for edge in &run.edges {
-        stops += edge.terminations().len();
-        let (closes, closed) = edge.closes();
-        if closes - closed.min(closes) > edge.kills().len() {
-            run.fault(format!("{}: {closes} listeners were to close, {closed} did", edge.name));
+        let drains = edge.drains();
+        if drains.begun > drains.closed + edge.kills().len() {
+            let (name, begun, closed) = (&edge.name, drains.begun, drains.closed);
+            run.fault(format!("{name}: {begun} listeners were to close, {closed} did"));
         }
-        (begun, done) = (begun + closes, done + closed);
+        stops += edge.terminations().len();
+        all.begun += drains.begun;
+        all.closed += drains.closed;
+        all.late += drains.late;
     }
-    format!("{stops} stops of proxies, {done} of {begun} listeners closed")
+    format!(
+        "{stops} stops of proxies, {} of {} listeners closed, {} requests after it",
+        all.closed, all.begun, all.late
+    )
 }
 
 /// Plays one seed; what it did, and what must not have been.
--- a/crates/onyxstile-system/tests/soak/processes.rs
+++ b/crates/onyxstile-system/tests/soak/processes.rs
@@ -34,6 +34,16 @@
     text: String,
 }
 
+/// The drains of a proxy, in all its lives.
+pub struct Drains {
+    /// Listeners that were to close.
+    pub begun: usize,
+    /// Those that did.
+    pub closed: usize,
+    /// Requests that came after the close, on connections taken up before.
+    pub late: usize,
+}
+
 /// One role of a machine, in one life after the other.
 pub struct Process {
     role: &'static str,
@@ -138,11 +148,18 @@
         self.processes.iter().all(is_steady)
     }
 
-    /// How many lives of its first process began to close their listener, and how many had closed it by their end.
-    pub fn closes(&self) -> (usize, usize) {
+    /// What its first process logged of its drains.
+    pub fn drains(&self) -> Drains {
         let log = std::fs::read_to_string(&self.processes[0].log).unwrap_or_default();
         let count = |text: &str| log.lines().filter(|line| line.contains(text)).count();
-        (count("the listener closes"), count("the listener has closed"))
+        let late = log
+            .lines()
+            .filter_map(|line| line.strip_suffix(" requests came after the close")?.rsplit(' ').next());
+        Drains {
+            begun: count("the listener closes"),
+            closed: count("the listener has closed"),
+            late: late.filter_map(|text| text.parse::<usize>().ok()).sum(),
+        }
     }
 }
 
