Take no grace for the kill's that is over as it is named

Both proxies' logs have 'SIGHUP: reading the settings again', and at once 'the kill is near' with requests open: a grace of 3 s, named more than 3 s after SIGTERM, ended processes that had 6. The kill can't go by it, or it would have come.

--- a/crates/onyxstile-system/src/role/shortest_grace.rs
+++ b/crates/onyxstile-system/src/role/shortest_grace.rs
@@ -23,9 +23,11 @@
         ShortestGrace { told, grace }
     }
 
-    /// The settings name a grace now.
-    pub fn note(&mut self, grace: Duration) {
-        self.grace = self.grace.min(grace);
+    /// The settings name a grace at `now`. One that is over already is not the kill's, or that had come.
+    pub fn note(&mut self, now: Instant, grace: Duration) {
+        if self.told + grace > now {
+            self.grace = self.grace.min(grace);
+        }
     }
 
     /// When SIGTERM came.
@@ -49,9 +51,10 @@
         time: impl Fn(&ShortestGrace) -> Instant, noted: impl Fn(&ShortestGrace),
     ) {
         loop {
-            self.note(settings.borrow().grace());
+            let now = clock.now();
+            self.note(now, settings.borrow().grace());
             noted(self);
-            let left = time(self).since(clock.now());
+            let left = time(self).since(now);
             if left.is_zero() {
                 return;
             }
