--- a/crates/onyxstile-system/tests/soak/main.rs
+++ b/crates/onyxstile-system/tests/soak/main.rs
@@ -131,6 +131,7 @@
     }
     while playing.join_next().await.is_some() {}
     operator.read_back(&run).await;
+    programs.clone().read_back(run.clone()).await;
     run.is_ending.set(true);
     run.edges.iter().for_each(|machine| machine.terminate());
     run.others.iter().for_each(|machine| machine.terminate());
--- a/crates/onyxstile-system/tests/soak/programs.rs
+++ b/crates/onyxstile-system/tests/soak/programs.rs
@@ -1,9 +1,11 @@
 //! Programs of a run: turns that go on from each other within a budget, and what was acknowledged of them read back at the end.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
+
 use crate::Run;
 use crate::connection::{Connection, Outcome};
 use crate::endpoints::{Endpoints, event};
@@ -28,6 +30,7 @@
     last: Cell<u64>,
     turns: Cell<u64>,
     spent: Cell<u64>,
+    begun: RefCell<Vec<Program>>,
 }
 
 /// One program.
@@ -54,10 +57,11 @@
 impl Programs {
     /// None has begun.
     pub fn new(endpoints: Rc<Endpoints>) -> Rc<Programs> {
-        Rc::new(Programs { endpoints, last: Cell::new(0), turns: Cell::new(0), spent: Cell::new(0) })
+        let (last, turns, spent, begun) = (Cell::new(0), Cell::new(0), Cell::new(0), RefCell::default());
+        Rc::new(Programs { endpoints, last, turns, spent, begun })
     }
 
-    /// One program after the other; the last one's state is read back once the run's stops are over.
+    /// One program after the other.
     pub async fn play(self: Rc<Programs>, run: Rc<Run>) {
         while !run.is_over.get() {
             self.last.set(self.last.get() + 1);
@@ -66,12 +70,30 @@
             while !run.is_over.get() && self.turn(&run, &mut program).await != Fate::Spent {
                 run.rest(60).await;
             }
-            self.read_back(&run, &mut program).await;
+            self.begun.borrow_mut().push(program);
+        }
+    }
+
+    /// After the stops each program is asked to go on: its budget is as spent as it was, and all its acknowledged turns are there
+    /// for a program that goes on from the last of them.
+    pub async fn read_back(self: Rc<Programs>, run: Rc<Run>) {
+        let mut reading = JoinSet::new();
+        for mut program in self.begun.take() {
+            let (programs, run) = (self.clone(), run.clone());
+            reading.spawn_local(async move {
+                programs.go_on(&run, &mut program).await;
+                if program.previous.is_some() {
+                    let name = format!("{}-heir", program.name);
+                    let mut heir = Program { name, received: 0, unsettled: 0, ..program };
+                    programs.go_on(&run, &mut heir).await;
+                }
+            });
         }
+        while reading.join_next().await.is_some() {}
     }
 
     /// A further turn is served, or refused for the budget: never for a turn before it that was acknowledged.
-    async fn read_back(&self, run: &Run, program: &mut Program) {
+    async fn go_on(&self, run: &Run, program: &mut Program) {
         let served = async {
             while !matches!(self.turn(run, program).await, Fate::Whole | Fate::Spent) {
                 run.rest(100).await;
