Say once how a role waits for its end, and split the settings by concern

Read again: proxy and controller had the same wait for the end of work or the kill; a proxy's phase kept a copy of the end that the drain had to shorten by a call-back, and a flag beside it. The phase holds the grace itself now (ShortestGrace::suffices, reached), and both are derived. Behaviour is as before; the tests are unchanged but for a mut.

--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -64,8 +64,8 @@
 ) {
     termination.come().await;
     is_ending.set(true);
-    let mut grace = ShortestGrace::new(clock.now(), settings.borrow().grace());
-    grace.reached(settings, clock, |grace| grace.told() + grace.grace().mul_f64(DRAINS_FOR), |_| {}).await;
+    let grace = ShortestGrace::new(clock.now(), settings.borrow().grace());
+    grace.reached(settings, clock, |grace| grace.told() + grace.grace().mul_f64(DRAINS_FOR)).await;
 }
 
 /// The way to the proxy.
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -137,13 +137,9 @@
     termination.come().await;
     log::info!("SIGTERM: {} pieces of work at the API are open", shutdown.open());
     shutdown.begin();
-    let mut grace = ShortestGrace::new(node.clock.now(), node.settings.borrow().grace());
-    tokio::select! {
-        biased;
-        () = shutdown.ended() => {}
-        () = grace.reached(&node.settings, node.clock, ShortestGrace::ends, |_| {}) => {
-            log::warn!("the kill is near: {} pieces of work at the API are open", shutdown.open());
-        }
+    let grace = ShortestGrace::new(node.clock.now(), node.settings.borrow().grace());
+    if !grace.suffices(shutdown, &node.settings, node.clock).await {
+        log::warn!("the kill is near: {} pieces of work at the API are open", shutdown.open());
     }
 }
 
--- a/crates/onyxstile-system/src/role/listener.rs
+++ b/crates/onyxstile-system/src/role/listener.rs
@@ -26,8 +26,8 @@
 /// Pause after a failure to accept: descriptors are short, most likely.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Takes up connections until the shutdown begins, and those that wait then, and listens no more. It does not return: a role's run ends with its
-/// work, not with its listener.
+/// Takes up connections until the shutdown begins, and those that wait then, and listens no more. It does not return: a role's run
+/// ends with its work, not with its listener.
 pub async fn accept<F: Future<Output = ()> + 'static>(
     listener: TcpListener, shutdown: Rc<Shutdown>, serve: impl Fn(TcpStream, Work) -> F,
 ) {
--- a/crates/onyxstile-system/src/role/proxy/lifetime.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifetime.rs
@@ -59,22 +59,16 @@
 pub(super) async fn drain(node: Rc<Node>, termination: Termination) {
     termination.come().await;
     log::info!("SIGTERM: draining");
-    node.phase.drain();
     let settings = &node.settings;
-    let mut grace = ShortestGrace::new(node.clock.now(), settings.borrow().grace());
-    grace.reached(settings, node.clock, closes, |_| {}).await;
-    node.phase.close(grace.ends());
+    let grace = node.phase.drain(ShortestGrace::new(node.clock.now(), settings.borrow().grace()));
+    grace.reached(settings, node.clock, closes).await;
+    let shutdown = node.phase.shutdown();
+    shutdown.begin();
     log::info!("the listener closes: {}", open(&node));
     let before = node.counts.requests();
     // The end of all work, not a look at the open requests: a connection that is open may still bring one.
-    let shutdown = node.phase.shutdown();
-    let shorten = |grace: &ShortestGrace| node.phase.shorten(grace.ends());
-    tokio::select! {
-        biased;
-        () = shutdown.ended() => {}
-        () = grace.reached(settings, node.clock, ShortestGrace::ends, shorten) => {
-            log::warn!("the kill is near: {}", open(&node));
-        }
+    if !grace.suffices(&shutdown, settings, node.clock).await {
+        log::warn!("the kill is near: {}", open(&node));
     }
     tokio::time::sleep(LAST_BYTES).await;
     let late = node.counts.requests() - before;
--- a/crates/onyxstile-system/src/role/proxy/phase.rs
+++ b/crates/onyxstile-system/src/role/proxy/phase.rs
@@ -1,11 +1,12 @@
 //! How far a proxy is, and which requests it is answering.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::Node;
 use crate::clock::Instant;
+use crate::role::shortest_grace::ShortestGrace;
 use crate::role::shutdown::Shutdown;
 
 /// How far the process is; it only moves on.
@@ -13,11 +14,10 @@
 pub(super) struct Phase {
     /// How long after the start it was ready.
     ready_after: Cell<Option<Duration>>,
-    is_draining: Cell<bool>,
+    /// The time that is left, once SIGTERM has come.
+    drain: OnceCell<ShortestGrace>,
     open: Cell<usize>,
     shutdown: Rc<Shutdown>,
-    /// When the process ends, once the listener is to close.
-    ends: Cell<Option<Instant>>,
 }
 
 impl Phase {
@@ -36,7 +36,7 @@
 
     /// Whether new clients are to be sent here.
     pub(super) fn is_ready(&self) -> bool {
-        self.ready_after.get().is_some() && !self.is_draining.get()
+        self.ready_after.get().is_some() && !self.is_draining()
     }
 
     /// Requests that are being answered.
@@ -44,36 +44,25 @@
         self.open.get()
     }
 
-    /// SIGTERM has come.
-    pub(super) fn drain(&self) {
-        self.is_draining.set(true);
+    /// SIGTERM has come; the process has so long.
+    pub(super) fn drain(&self, grace: ShortestGrace) -> &ShortestGrace {
+        self.drain.get_or_init(|| grace)
     }
 
-    /// The listener closes: no connection is taken up any more, and each ends with the answers that are due on it, by `ends` at
-    /// the latest.
-    pub(super) fn close(&self, ends: Instant) {
-        self.ends.set(Some(ends));
-        self.shutdown.begin();
-    }
-
-    /// The process ends by `ends` now, if the listener is to close and that is sooner.
-    pub(super) fn shorten(&self, ends: Instant) {
-        self.ends.set(self.ends.get().map(|before| before.min(ends)));
-    }
-
-    /// Clients' connections and writes that no client waits for.
+    /// The listener, clients' connections, and writes that no client waits for. Once it has begun no connection is taken up any
+    /// more, and each ends with the answers that are due on it.
     pub(super) fn shutdown(&self) -> Rc<Shutdown> {
         self.shutdown.clone()
     }
 
-    /// Whether the process ends before an answer that may come until `last`.
+    /// Whether the listener is closed and the process ends before an answer that may come until `last`.
     pub(super) fn ends_before(&self, last: Instant) -> bool {
-        self.ends.get().is_some_and(|ends| ends < last)
+        self.shutdown.is_begun() && self.drain.get().is_some_and(|grace| grace.ends() < last)
     }
 
     /// Whether SIGTERM has come.
     pub(super) fn is_draining(&self) -> bool {
-        self.is_draining.get()
+        self.drain.get().is_some()
     }
 
     /// Counts a request that is being answered, for as long as the returned value lives.
--- a/crates/onyxstile-system/src/role/shortest_grace.rs
+++ b/crates/onyxstile-system/src/role/shortest_grace.rs
@@ -1,8 +1,9 @@
 //! The time that a role has left once it has been told to end.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
+use super::shutdown::Shutdown;
 use crate::clock::{Instant, SteadyClock};
 use crate::settings::{Settings, time_to_end};
 
@@ -14,19 +15,19 @@
 #[derive(Debug)]
 pub struct ShortestGrace {
     told: Instant,
-    grace: Duration,
+    grace: Cell<Duration>,
 }
 
 impl ShortestGrace {
     /// SIGTERM came at `told`; the kill comes `grace` later.
     pub fn new(told: Instant, grace: Duration) -> ShortestGrace {
-        ShortestGrace { told, grace }
+        ShortestGrace { told, grace: Cell::new(grace) }
     }
 
     /// The settings name a grace at `now`. One that is over already is not the kill's, or that had come.
-    pub fn note(&mut self, now: Instant, grace: Duration) {
+    pub fn note(&self, now: Instant, grace: Duration) {
         if self.told + grace > now {
-            self.grace = self.grace.min(grace);
+            self.grace.set(self.grace().min(grace));
         }
     }
 
@@ -37,23 +38,21 @@
 
     /// The grace that holds.
     pub fn grace(&self) -> Duration {
-        self.grace
+        self.grace.get()
     }
 
     /// When the role ends at the latest.
     pub fn ends(&self) -> Instant {
-        self.told + time_to_end(self.grace)
+        self.told + time_to_end(self.grace())
     }
 
-    /// Waits for a time that a shorter grace brings forward; `noted` hears of each look.
+    /// Waits for a time that a shorter grace brings forward.
     pub async fn reached(
-        &mut self, settings: &RefCell<Settings>, clock: SteadyClock,
-        time: impl Fn(&ShortestGrace) -> Instant, noted: impl Fn(&ShortestGrace),
+        &self, settings: &RefCell<Settings>, clock: SteadyClock, time: impl Fn(&ShortestGrace) -> Instant,
     ) {
         loop {
             let now = clock.now();
             self.note(now, settings.borrow().grace());
-            noted(self);
             let left = time(self).since(now);
             if left.is_zero() {
                 return;
@@ -61,6 +60,17 @@
             tokio::time::sleep(left.min(LOOK)).await;
         }
     }
+
+    /// Waits until a shutdown has ended; false if the kill is near before that.
+    pub async fn suffices(
+        &self, shutdown: &Shutdown, settings: &RefCell<Settings>, clock: SteadyClock,
+    ) -> bool {
+        tokio::select! {
+            biased;
+            () = shutdown.ended() => true,
+            () = self.reached(settings, clock, ShortestGrace::ends) => false,
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/onyxstile-system/src/role/shortest_grace/tests.rs
+++ b/crates/onyxstile-system/src/role/shortest_grace/tests.rs
@@ -10,7 +10,7 @@
 /// a soak: an agent whose proxy had returned sooner went on after the shorter grace.
 #[test]
 fn the_shortest_grace_since_sigterm_holds() {
-    let mut grace = ShortestGrace::new(at(1000), Duration::from_secs(8));
+    let grace = ShortestGrace::new(at(1000), Duration::from_secs(8));
     assert_eq!(grace.ends(), at(8600));
     grace.note(at(2000), Duration::from_secs(3));
     assert_eq!(grace.ends(), at(3600));
@@ -21,7 +21,7 @@
 /// Seen under a soak: requests that had been begun in time were cut, as a grace of 3 s was named 4 s after SIGTERM.
 #[test]
 fn a_grace_that_is_over_as_it_is_named_is_not_the_kills() {
-    let mut grace = ShortestGrace::new(at(1000), Duration::from_secs(8));
+    let grace = ShortestGrace::new(at(1000), Duration::from_secs(8));
     grace.note(at(4000), Duration::from_secs(3));
     assert_eq!(grace.ends(), at(8600));
 }
--- a/crates/onyxstile-system/src/role/watched.rs
+++ b/crates/onyxstile-system/src/role/watched.rs
@@ -108,8 +108,10 @@
 
     /// Notes how many of some bytes of an answer have left.
     fn note_sent(&self, sent: &Poll<io::Result<usize>>, length: usize) {
-        if matches!(sent, Poll::Ready(Ok(1..))) {
-            self.state.watch.borrow_mut().sent(self.state.clock.now());
+        let mut watch = self.state.watch.borrow_mut();
+        // Events of a stream leave all the time; while it lasts nothing is timed.
+        if matches!(sent, Poll::Ready(Ok(1..))) && watch.ends().is_some() {
+            watch.sent(self.state.clock.now());
         }
         // What did not leave at once is written again; the last of it leaves whole.
         let is_blocked = match sent {
--- a/crates/onyxstile-system/src/settings.rs
+++ b/crates/onyxstile-system/src/settings.rs
@@ -1,15 +1,17 @@
 //! The settings file of one process (`boot.toml`): what the platform tells it at the start. Unknown fields are ignored.
 
+mod metrics_address;
+
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::str::FromStr;
 use std::time::Duration;
 
 use quick_error::quick_error;
 use serde::Deserialize;
 
 use crate::tolerance::{Place, Tolerance};
+pub use metrics_address::{MetricsAddress, MetricsAddressError};
 
 /// The variable that holds the path of the settings file.
 pub const PATH_VARIABLE: &str = "ONYXSTILE_CONFIG";
@@ -96,43 +98,6 @@
     }
 }
 
-quick_error! {
-    /// Why a text names no place for figures.
-    #[derive(Debug, PartialEq, Eq)]
-    pub enum MetricsAddressError {
-        /// It has no slash.
-        NoPath {
-            display("it is not PORT/PATH")
-        }
-        /// What stands before the slash is no port.
-        Port(text: String) {
-            display("{:?} is no port", text)
-        }
-    }
-}
-
-/// Where a role tells its figures: a port of the machine's address, and a path.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MetricsAddress {
-    /// The port.
-    pub port: u16,
-    /// The path, with the slash that it begins with.
-    pub path: String,
-}
-
-impl FromStr for MetricsAddress {
-    type Err = MetricsAddressError;
-
-    fn from_str(text: &str) -> Result<MetricsAddress, MetricsAddressError> {
-        let slash = text.find('/').ok_or(MetricsAddressError::NoPath)?;
-        let (port, path) = text.split_at(slash);
-        match port.parse() {
-            Ok(port) if port > 0 => Ok(MetricsAddress { port, path: path.to_owned() }),
-            _ => Err(MetricsAddressError::Port(port.to_owned())),
-        }
-    }
-}
-
 /// All settings of a process.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Settings {
