Say once in tests what ends, soak and signals had each for themselves

Two stories of ends shared configuration, times and a body's length by copy; three places sent a signal; clients and programs had a patience each; the soak's process read its grace back from the file it was written to, and kept the last of a list beside the list. Machine and process are a file each.

The soak waits by the clock in one place (Run::pass): its processes are real, and it alone may. The other tests wait on events or virtual time.

--- a/crates/onyxstile-system/tests/answer_cut.rs
+++ b/crates/onyxstile-system/tests/answer_cut.rs
@@ -12,35 +12,19 @@
 
 mod support;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use support::gated_endpoint::{Endpoint, read_answer};
-use support::lone_proxy::{LoneProxy, terminate};
-use support::tier::{LIMITS, Tier, play};
+use support::lone_proxy::{LARGE_BODY, LoneProxy, PAST_THE_END, TO_THE_CLOSE, configuration, terminate};
+use support::tier::{Tier, play};
 use support::virtual_time::{VirtualTime, settle};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Longer than a proxy takes clients after SIGTERM (2.6 s).
-const TO_THE_CLOSE: Duration = Duration::from_millis(2605);
-/// Longer than the rest of a connection that nobody closes, and than a process rests at its end.
-const PAST_THE_END: Duration = Duration::from_millis(200);
 /// More than a connection on loopback holds that has no large buffers yet.
 const ANSWER: usize = 2_000_000;
 
-/// More than all buffers of a connection on loopback hold.
-const LONG_ANSWER: usize = 32 << 20;
-
-const LONG_BODIES: &str =
-    r#"{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}"#;
-
-fn configuration(limits: &str) -> String {
-    let route = r#"{"name":"r","host":"a.example","path_prefix":"/r/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":1}"#;
-    format!(
-        r#"{{"revision":1,"routes":[{route}],"services":[{{"name":"api","health_check":"/healthz","max_connections":20,"protocol":"h1","tls":false}}],"limits":{limits}}}"#
-    )
-}
-
 fn request(id: &str, body: usize) -> Vec<u8> {
     let head = format!(
         "POST /r/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\nContent-Length: {body}\r\n\r\n"
@@ -48,22 +32,43 @@
     [head.into_bytes(), vec![b'b'; body]].concat()
 }
 
+/// A client whose request is at the endpoint of a proxy.
+struct Asked {
+    time: VirtualTime,
+    endpoint: Rc<Endpoint>,
+    proxies: Vec<LoneProxy>,
+    client: TcpStream,
+}
+
+impl Asked {
+    /// The answer will have so many bytes, once the endpoint may answer.
+    async fn for_bytes(length: usize) -> Asked {
+        let time = VirtualTime::stop();
+        let (endpoint, address) = Endpoint::listen(&vec![b'x'; length]).await;
+        let proxies = LoneProxy::start(1, &configuration(), address).await;
+        let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
+        client.write_all(&request("r1", 0)).await.expect("it is sent");
+        endpoint.is_asked(&time).await;
+        Asked { time, endpoint, proxies, client }
+    }
+
+    /// SIGTERM, and the time to the listener's close.
+    async fn close_listener(&self) {
+        terminate(&self.proxies).await;
+        self.time.pass(TO_THE_CLOSE).await;
+    }
+}
+
 /// What comes of an answer of 2 MB if a second request with a body of so many bytes is sent behind the first.
 async fn answer_before_a_second_request(body: usize, is_drained: bool) -> (Option<u16>, usize) {
-    let time = VirtualTime::stop();
-    let (endpoint, address) = Endpoint::listen(&vec![b'x'; ANSWER]).await;
-    let proxies = LoneProxy::start(1, &configuration(LIMITS), address).await;
-    let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
-    client.write_all(&request("r1", 0)).await.expect("it is sent");
-    endpoint.is_asked(&time).await;
-    client.write_all(&request("r2", body)).await.expect("it is sent");
+    let mut asked = Asked::for_bytes(ANSWER).await;
+    asked.client.write_all(&request("r2", body)).await.expect("it is sent");
     if is_drained {
-        terminate(&proxies).await;
-        time.pass(TO_THE_CLOSE).await;
+        asked.close_listener().await;
     }
-    endpoint.may_answer.send_replace(true);
+    asked.endpoint.may_answer.send_replace(true);
     settle().await;
-    read_answer(&mut client).await
+    read_answer(&mut asked.client).await
 }
 
 #[test]
@@ -88,19 +93,13 @@
 #[test]
 fn a_second_request_is_answered_behind_an_answer_that_had_begun_before_the_drain() {
     play(async {
-        let time = VirtualTime::stop();
-        let (endpoint, address) = Endpoint::listen(&vec![b'x'; LONG_ANSWER]).await;
-        let proxies = LoneProxy::start(1, &configuration(LIMITS), address).await;
-        let mut client = TcpStream::connect(proxies[0].front).await.expect("a connection");
-        client.write_all(&request("r1", 0)).await.expect("it is sent");
-        endpoint.is_asked(&time).await;
-        endpoint.may_answer.send_replace(true);
-        client.write_all(&request("r2", 4)).await.expect("it is sent");
+        let mut asked = Asked::for_bytes(LARGE_BODY).await;
+        asked.endpoint.may_answer.send_replace(true);
+        asked.client.write_all(&request("r2", 4)).await.expect("it is sent");
         settle().await;
-        terminate(&proxies).await;
-        time.pass(TO_THE_CLOSE).await;
+        asked.close_listener().await;
         let mut answers = Vec::new();
-        client.read_to_end(&mut answers).await.expect("an orderly end");
+        asked.client.read_to_end(&mut answers).await.expect("an orderly end");
         let heads = answers.windows(9).filter(|bytes| bytes == b"HTTP/1.1 ").count();
         assert_eq!(heads, 2, "{} bytes came", answers.len());
     });
@@ -126,7 +125,7 @@
 #[test]
 fn a_refusal_is_whole_while_the_refused_bytes_still_come() {
     play(async {
-        let tier = Tier::start("refused-bytes", &configuration(LIMITS), &[]).await;
+        let tier = Tier::start("refused-bytes", &configuration(), &[]).await;
         let endless_head = [b"GET /r/x HTTP/1.1\r\nX: ".to_vec(), vec![b'a'; FAR_TOO_LONG]].concat();
         let no_route = b"POST /none HTTP/1.1\r\nHost: b.example\r\nContent-Length: 12000000\r\n\r\n";
         let heartbeat = b"PUT /api/instances/i-9 HTTP/1.1\r\nHost: a\r\nContent-Length: 12000000\r\n\r\n";
@@ -153,7 +152,7 @@
     play(async {
         let time = VirtualTime::stop();
         let (_endpoint, address) = Endpoint::listen(b"").await;
-        let proxies = LoneProxy::start(1, &configuration(LONG_BODIES), address).await;
+        let proxies = LoneProxy::start(1, &configuration(), address).await;
         let _client = TcpStream::connect(proxies[0].front).await.expect("a connection");
         settle().await;
         terminate(&proxies).await;
--- a/crates/onyxstile-system/tests/proxy_end.rs
+++ b/crates/onyxstile-system/tests/proxy_end.rs
@@ -20,29 +20,15 @@
 
 use support::gated_endpoint::{Endpoint, read_answer};
 use support::listener::field;
-use support::lone_proxy::{LoneProxy, terminate};
-use support::tier::{LIMITS, play};
+use support::lone_proxy::{LARGE_BODY, LoneProxy, PAST_THE_END, TO_THE_CLOSE, configuration, terminate};
+use support::tier::play;
 use support::virtual_time::{VirtualTime, settle};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Longer than a proxy takes clients after SIGTERM (2.6 s), and than it rests at its end.
-const TO_THE_CLOSE: Duration = Duration::from_millis(2605);
-const PAST_THE_END: Duration = Duration::from_millis(200);
-
 /// With the fault one in seven missed the notice.
 const PROXIES: u16 = 64;
 
-/// More than all buffers of a connection on loopback hold.
-const LARGE_BODY: usize = 32 << 20;
-
-fn configuration() -> String {
-    let route = r#"{"name":"r","host":"a.example","path_prefix":"/r/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":1}"#;
-    format!(
-        r#"{{"revision":1,"routes":[{route}],"services":[{{"name":"api","health_check":"/healthz","max_connections":20,"protocol":"h1","tls":false}}],"limits":{LIMITS}}}"#
-    )
-}
-
 const HEAD: &str = "POST /r/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nContent-Length: 0\r\n";
 
 #[test]
--- a/crates/onyxstile-system/tests/signals.rs
+++ b/crates/onyxstile-system/tests/signals.rs
@@ -18,6 +18,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use support::send_signal;
 use support::tier::{Ports, free_ports, settings_text};
 
 const ROLES: [(&str, &str, u8); 4] =
@@ -37,11 +38,6 @@
     settings: String,
 }
 
-fn signal(child: &Child, name: &str) {
-    let sent = Command::new("kill").args([name, &child.id().to_string()]).status();
-    assert!(sent.expect("kill runs").success());
-}
-
 impl Starting {
     /// Returns once the process has opened its settings.
     fn start(ports: &Ports, role: &str, class: &str, host: u8, test: &str) -> Starting {
@@ -98,9 +94,9 @@
     let ports = free_ports(1).remove(0);
     for (role, class, host) in ROLES {
         let mut process = Starting::start(&ports, role, class, host, "hangup");
-        signal(&process.child, "-HUP");
+        send_signal(process.child.id(), "-HUP");
         process.go_on();
-        signal(&process.child, "-TERM");
+        send_signal(process.child.id(), "-TERM");
         let status = process.ends_within(PATIENCE).unwrap_or_else(|| panic!("{role} goes on"));
         assert_eq!((status.signal(), status.success()), (None, true), "{role}: {status}");
     }
@@ -112,7 +108,7 @@
     let ports = free_ports(1).remove(0);
     for (role, class, host) in ROLES {
         let mut process = Starting::start(&ports, role, class, host, "termination");
-        signal(&process.child, "-TERM");
+        send_signal(process.child.id(), "-TERM");
         process.go_on();
         let status = process.ends_within(PATIENCE).unwrap_or_else(|| panic!("{role} goes on"));
         assert_eq!((status.signal(), status.success()), (None, true), "{role}: {status}");
--- a/crates/onyxstile-system/tests/soak/clients.rs
+++ b/crates/onyxstile-system/tests/soak/clients.rs
@@ -5,12 +5,10 @@
 use std::time::{Duration, Instant};
 
 use crate::Run;
-use crate::connection::{Connection, Outcome};
+use crate::connection::{Connection, HELD, Outcome};
 use crate::endpoints::{answer_body, event};
 use crate::ledger::{Ledger, Record};
 
-/// An answer, or the end of the connection, comes by so long after the deadline.
-const HELD: Duration = Duration::from_millis(1500);
 /// What most requests may take, as their clients say.
 const DEADLINE_MS: u64 = 900;
 /// The most that a request is given; longer than any process has left once it is told to end.
@@ -83,6 +81,28 @@
     Not,
 }
 
+/// What a client asks for next.
+fn draw(run: &Run, is_slow: bool) -> Ask {
+    let plain = Ask { work_ms: run.roll(251), ..PLAIN };
+    if is_slow {
+        let pause_ms = run.roll(PAUSE_MS);
+        let answer_bytes = 200_000 + run.roll(400_000) as usize;
+        return Ask { pause_ms, answer_bytes, deadline_ms: 2 * PAUSE_MS, ..plain };
+    }
+    match run.roll(16) {
+        0 | 1 => Ask { is_split: true, ..plain },
+        2 => Ask { body_bytes: 1 + run.roll(400_000) as usize, is_split: true, deadline_ms: 2500, ..plain },
+        3 => Ask { answer_bytes: run.roll(900_000) as usize, deadline_ms: 2500, ..plain },
+        4 => Ask { expects: true, body_bytes: 1 + run.roll(50_000) as usize, ..plain },
+        5 => Ask { leaves: true, ..plain },
+        6 => Ask { work_ms: DEADLINE_MS - 150 + run.roll(300), ..plain },
+        7 => Ask { deadline_ms: LONG_DEADLINE_MS, work_ms: 500 + run.roll(4500), ..plain },
+        8 | 9 => Ask { path: "/i/x", ..plain },
+        10 | 11 => Ask { path: "/s/x", events: Some(1 + run.roll(12)), work_ms: run.roll(700), ..plain },
+        _ => plain,
+    }
+}
+
 impl Clients {
     /// Nobody has asked yet.
     pub fn new() -> Rc<Clients> {
@@ -102,36 +122,13 @@
         }
     }
 
-    fn draw(&self, run: &Run, is_slow: bool) -> Ask {
-        let plain = Ask { work_ms: run.roll(251), ..PLAIN };
-        if is_slow {
-            let pause_ms = run.roll(PAUSE_MS);
-            let answer_bytes = 200_000 + run.roll(400_000) as usize;
-            return Ask { pause_ms, answer_bytes, deadline_ms: 2 * PAUSE_MS, ..plain };
-        }
-        match run.roll(16) {
-            0 | 1 => Ask { is_split: true, ..plain },
-            2 => {
-                Ask { body_bytes: 1 + run.roll(400_000) as usize, is_split: true, deadline_ms: 2500, ..plain }
-            }
-            3 => Ask { answer_bytes: run.roll(900_000) as usize, deadline_ms: 2500, ..plain },
-            4 => Ask { expects: true, body_bytes: 1 + run.roll(50_000) as usize, ..plain },
-            5 => Ask { leaves: true, ..plain },
-            6 => Ask { work_ms: DEADLINE_MS - 150 + run.roll(300), ..plain },
-            7 => Ask { deadline_ms: LONG_DEADLINE_MS, work_ms: 500 + run.roll(4500), ..plain },
-            8 | 9 => Ask { path: "/i/x", ..plain },
-            10 | 11 => Ask { path: "/s/x", events: Some(1 + run.roll(12)), work_ms: run.roll(700), ..plain },
-            _ => plain,
-        }
-    }
-
     /// Some requests on one connection.
     async fn converse(&self, run: &Run, edge: usize, mut connection: Connection, is_slow: bool) {
         if run.roll(3) == 0 {
             run.rest(2500).await;
         }
         for _ in 0..=run.roll(6) {
-            let sent = self.send(run, &mut connection, self.draw(run, is_slow)).await;
+            let sent = self.send(run, &mut connection, draw(run, is_slow)).await;
             // A second request before the answer to the first, now and then longer than what is read ahead.
             let second = if !sent.ask.leaves && run.roll(8) == 0 {
                 let body_bytes = if run.roll(2) == 0 { 200_000 } else { 4 };
@@ -142,10 +139,10 @@
             };
             let may_go_on = !sent.ask.leaves;
             let pause_ms = sent.ask.pause_ms;
-            let mut answered = self.receive(edge, &mut connection, sent, Before::default()).await;
+            let mut answered = self.receive(run, edge, &mut connection, sent, Before::default()).await;
             if let Some(second) = second {
                 let before = Before { is_end: answered != Answered::AndOpen, pause_ms };
-                answered = self.receive(edge, &mut connection, second, before).await;
+                answered = self.receive(run, edge, &mut connection, second, before).await;
             }
             // A connection is used until it is gone, also behind an answer that says that it closes.
             if answered == Answered::Not || !may_go_on || run.is_over.get() {
@@ -190,12 +187,12 @@
 
     /// Reads an answer.
     async fn receive(
-        &self, edge: usize, connection: &mut Connection, sent: Sent, before: Before,
+        &self, run: &Run, edge: usize, connection: &mut Connection, sent: Sent, before: Before,
     ) -> Answered {
         let Sent { id, ask, began, sent } = sent;
         let patience = Duration::from_millis(ask.deadline_ms) + HELD;
-        if ask.pause_ms > 0 {
-            connection.read_some(patience, Duration::from_millis(ask.pause_ms)).await;
+        if ask.pause_ms > 0 && connection.read_some(patience).await {
+            run.pass(Duration::from_millis(ask.pause_ms)).await;
         }
         let outcome = connection.answer(patience).await;
         let answered = match &outcome {
--- a/crates/onyxstile-system/tests/soak/connection.rs
+++ b/crates/onyxstile-system/tests/soak/connection.rs
@@ -9,6 +9,8 @@
 
 use crate::support::listener::field;
 
+/// An answer, or the end of the connection, comes by so long after the deadline.
+pub const HELD: Duration = Duration::from_millis(1500);
 /// What a client that reads slowly holds; the rest of an answer waits at the other side.
 const SMALL_BUFFER: u32 = 8 * 1024;
 
@@ -61,13 +63,10 @@
         tokio::time::timeout(patience, self.read_answer()).await.unwrap_or(Outcome::Held)
     }
 
-    /// Reads the first bytes of an answer and then nothing for a while.
-    pub async fn read_some(&mut self, patience: Duration, pause: Duration) {
+    /// Reads the first bytes of an answer; whether there were any. An end shows again in the next read.
+    pub async fn read_some(&mut self, patience: Duration) -> bool {
         let first = tokio::time::timeout(patience, self.stream.read_buf(&mut self.buffer)).await;
-        // An end shows again in the next read.
-        if first.is_ok_and(|read| read.is_ok_and(|count| count > 0)) {
-            tokio::time::sleep(pause).await;
-        }
+        first.is_ok_and(|read| read.is_ok_and(|count| count > 0))
     }
 
     async fn read_answer(&mut self) -> Outcome {
--- a/crates/onyxstile-system/tests/soak/endpoints.rs
+++ b/crates/onyxstile-system/tests/soak/endpoints.rs
@@ -77,9 +77,9 @@
             }
             let work = Duration::from_millis(number("work-ms").unwrap_or(0));
             let sent = match number("events") {
-                Some(events) => stream_events(&mut stream, &id, events, work).await,
+                Some(events) => stream_events(&run, &mut stream, &id, events, work).await,
                 None => {
-                    tokio::time::sleep(work).await;
+                    run.pass(work).await;
                     let body = answer_body(&id, number("answer-bytes").unwrap_or(0) as usize);
                     let length = format!("Content-Length: {}", body.len());
                     stream.write_all(&[head_of(&id, &length).into_bytes(), body].concat()).await
@@ -110,10 +110,12 @@
     format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n{framing}\r\n\r\n")
 }
 
-async fn stream_events(stream: &mut TcpStream, id: &str, events: u64, work: Duration) -> std::io::Result<()> {
+async fn stream_events(
+    run: &Run, stream: &mut TcpStream, id: &str, events: u64, work: Duration,
+) -> std::io::Result<()> {
     stream.write_all(head_of(id, "Transfer-Encoding: chunked").as_bytes()).await?;
     for number in 1..=events {
-        tokio::time::sleep(work / events as u32).await;
+        run.pass(work / events as u32).await;
         let (text, _) = event(id, number);
         stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await?;
     }
--- a/crates/onyxstile-system/tests/soak/faults.rs
+++ b/crates/onyxstile-system/tests/soak/faults.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::Run;
-use crate::processes::Machine;
+use crate::machine::Machine;
 
 /// The longest pause between two of them, in ms.
 const PAUSE_MS: u64 = 300;
--- a/crates/onyxstile-system/tests/soak/ledger.rs
+++ b/crates/onyxstile-system/tests/soak/ledger.rs
@@ -6,6 +6,7 @@
 use crate::Run;
 use crate::connection::Outcome;
 use crate::endpoints::{Endpoints, Execution};
+use crate::process::GRACES;
 
 /// A whole request that is closed without an answer is so within this time: `loss_slack_ms` of every deployment.
 pub const LOSS_SLACK: Duration = Duration::from_millis(200);
@@ -138,9 +139,9 @@
     fn outlasts_grace(&self, run: &Run, executions: &[Execution]) -> bool {
         let edge = &run.edges[self.edge];
         edge.terminations().iter().any(|told| {
-            let last_part = *told + edge.least_grace().mul_f64(LAST_PART);
+            let last_part = *told + GRACES[0].mul_f64(LAST_PART);
             let was_cut_short = edge.shortenings().iter().any(|at| (self.began..=self.ended).contains(at));
-            let was_taken = self.sent <= *told + edge.most_grace() / 2 || was_cut_short;
+            let was_taken = self.sent <= *told + GRACES[1] / 2 || was_cut_short;
             let still_works = |run: &Execution| run.ended.is_none_or(|ended| ended >= last_part);
             let still_rests = !self.paused.is_zero() && self.sent + self.paused >= last_part;
             was_taken && self.ended >= last_part && (still_rests || executions.iter().any(still_works))
--- /dev/null
+++ b/crates/onyxstile-system/tests/soak/machine.rs
@@ -0,0 +1,117 @@
+//! Machines of a run, each with its settings file and its processes.
+
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::process::{GRACES, Process};
+use crate::support::tier::{Ports, settings_text};
+
+/// The zone that all edge machines share.
+const EDGE_ZONE: &str = "z10";
+
+/// One machine.
+pub struct Machine {
+    pub name: String,
+    pub host: u8,
+    pub processes: Vec<Rc<Process>>,
+    settings: PathBuf,
+    text: String,
+}
+
+/// The drains of a proxy, in all its lives.
+pub struct Drains {
+    /// Listeners that were to close.
+    pub begun: usize,
+    /// Those that did.
+    pub closed: usize,
+    /// Requests that came after the close, on connections taken up before.
+    pub late: usize,
+}
+
+impl Machine {
+    /// A machine of a class, not started yet.
+    pub fn new(ports: &Ports, folder: &Path, class: &str, host: u8) -> Machine {
+        let name = format!("{class}-{host}");
+        let mut text = settings_text(ports, folder, &name, host, class);
+        if class == "edge" {
+            let feed = ports.feed(host);
+            text = text.replace("[listen]", &format!("[listen]\nfeed = \"{feed}\""));
+            text = text.replace(&format!("zone = \"z{host}\""), &format!("zone = \"{EDGE_ZONE}\""));
+        }
+        let settings = folder.join(format!("{name}.toml"));
+        let roles: &[&'static str] = match class {
+            "edge" => &["proxy", "agent"],
+            "core" => &["controller"],
+            _ => &["storage"],
+        };
+        let process = |role: &&'static str| {
+            Rc::new(Process::new(role, &settings, folder.join(format!("{name}-{role}.log"))))
+        };
+        let processes = roles.iter().map(process).collect();
+        let machine = Machine { processes, name, host, settings, text };
+        machine.set_grace(0);
+        machine
+    }
+
+    /// Writes its settings, with one of the graces.
+    pub fn set_grace(&self, index: usize) {
+        let grace = GRACES[index];
+        for process in &self.processes {
+            process.name_grace(grace);
+        }
+        let text = format!("{}[bounds]\ngrace_s = {}\n", self.text, grace.as_secs());
+        let aside = self.settings.with_extension("aside");
+        std::fs::write(&aside, text).expect("a file");
+        std::fs::rename(&aside, &self.settings).expect("it is renamed");
+    }
+
+    /// Sends SIGTERM to its processes.
+    pub fn terminate(&self) {
+        self.processes.iter().for_each(|process| process.terminate());
+    }
+
+    /// Sends SIGHUP to its processes.
+    pub fn hang_up(&self) {
+        self.processes.iter().for_each(|process| process.hang_up());
+    }
+
+    /// Kills its processes.
+    pub fn kill(&self) {
+        self.processes.iter().for_each(|process| process.kill());
+    }
+
+    /// When its first process was told to end.
+    pub fn terminations(&self) -> Vec<Instant> {
+        self.processes[0].terminations.borrow().clone()
+    }
+
+    /// When the grace of its first process became shorter while that drained.
+    pub fn shortenings(&self) -> Vec<Instant> {
+        self.processes[0].shortenings.borrow().clone()
+    }
+
+    /// When its first process was killed.
+    pub fn kills(&self) -> Vec<Instant> {
+        self.processes[0].kills.borrow().clone()
+    }
+
+    /// Whether all its processes have run for so long, untold to end.
+    pub fn is_steady(&self, time: Duration) -> bool {
+        self.processes.iter().all(|process| process.is_steady(time))
+    }
+
+    /// What its first process logged of its drains.
+    pub fn drains(&self) -> Drains {
+        let log = std::fs::read_to_string(&self.processes[0].log).unwrap_or_default();
+        let count = |text: &str| log.lines().filter(|line| line.contains(text)).count();
+        let late = log
+            .lines()
+            .filter_map(|line| line.strip_suffix(" requests came after the close")?.rsplit(' ').next());
+        Drains {
+            begun: count("the listener closes"),
+            closed: count("the listener has closed"),
+            late: late.filter_map(|text| text.parse::<usize>().ok()).sum(),
+        }
+    }
+}
--- a/crates/onyxstile-system/tests/soak/main.rs
+++ b/crates/onyxstile-system/tests/soak/main.rs
@@ -14,8 +14,9 @@
 mod endpoints;
 mod faults;
 mod ledger;
+mod machine;
 mod operator;
-mod processes;
+mod process;
 mod programs;
 
 use std::cell::{Cell, RefCell};
@@ -27,8 +28,8 @@
 
 use clients::Clients;
 use endpoints::Endpoints;
+use machine::{Drains, Machine};
 use operator::Operator;
-use processes::{Drains, Machine};
 use programs::Programs;
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
@@ -79,9 +80,14 @@
         u64::from(self.random.borrow_mut().next_u32()) % bound
     }
 
+    /// Waits by the clock: the soak alone does, for its processes are real.
+    pub async fn pass(&self, time: Duration) {
+        tokio::time::sleep(time).await;
+    }
+
     /// Waits up to so many ms.
     pub async fn rest(&self, most_ms: u64) {
-        tokio::time::sleep(Duration::from_millis(self.roll(most_ms + 1))).await;
+        self.pass(Duration::from_millis(self.roll(most_ms + 1))).await;
     }
 
     /// Notes something that must not be.
@@ -124,7 +130,7 @@
     (0..PROGRAMS).for_each(|_| drop(playing.spawn_local(programs.clone().play(run.clone()))));
     playing.spawn_local(operator.clone().change(run.clone()));
     playing.spawn_local(faults::strike(run.clone()));
-    tokio::time::sleep(busy).await;
+    run.pass(busy).await;
     run.is_over.set(true);
     if seed.is_multiple_of(STRIKE_ALL_EVERY) {
         faults::strike_all(&run);
--- a/crates/onyxstile-system/tests/soak/operator.rs
+++ b/crates/onyxstile-system/tests/soak/operator.rs
@@ -148,6 +148,6 @@
                 call(&run, "PUT", &format!("/api/instances/{service}-{number}"), 0, &body).await;
             }
         }
-        tokio::time::sleep(HEARTBEAT).await;
+        run.pass(HEARTBEAT).await;
     }
 }
--- a/crates/onyxstile-system/tests/soak/processes.rs
+++ b/crates/onyxstile-system/tests/soak/process.rs
@@ -1,4 +1,4 @@
-//! Machines of a run: real processes that are started, told to end, killed, and started again.
+//! Real processes that are started, told to end, killed, and started again.
 
 use std::cell::{Cell, RefCell};
 use std::fs::File;
@@ -8,10 +8,10 @@
 use std::time::{Duration, Instant};
 
 use crate::Run;
-use crate::support::tier::{Ports, settings_text};
+use crate::support::send_signal;
 
 /// Times from SIGTERM to the kill, one of which a machine's settings name at a time.
-const GRACES_S: [u64; 2] = [3, 6];
+pub const GRACES: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(6)];
 /// What a busy machine may add to that before it counts as overstayed.
 const GRACE_SLACK: Duration = Duration::from_millis(1500);
 /// A process listens for signals by this time after its start; before, the system has not begun to run its code.
@@ -20,163 +20,32 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// The longest pause before a process is started again, in ms.
 const RESTART_MS: u64 = 400;
-/// The zone that all edge machines share.
-const EDGE_ZONE: &str = "z10";
 const SIGHUP: u32 = 1;
 const SIGTERM: u32 = 15;
 
-/// One machine.
-pub struct Machine {
-    pub name: String,
-    pub host: u8,
-    pub processes: Vec<Rc<Process>>,
-    settings: PathBuf,
-    text: String,
-}
-
-/// The drains of a proxy, in all its lives.
-pub struct Drains {
-    /// Listeners that were to close.
-    pub begun: usize,
-    /// Those that did.
-    pub closed: usize,
-    /// Requests that came after the close, on connections taken up before.
-    pub late: usize,
-}
-
 /// One role of a machine, in one life after the other.
 pub struct Process {
     role: &'static str,
     settings: PathBuf,
-    log: PathBuf,
+    pub log: PathBuf,
     child: RefCell<Option<Child>>,
     started: Cell<Option<Instant>>,
     listens: Cell<bool>,
-    told: Cell<Option<Instant>>,
+    pub told: Cell<Option<Instant>>,
+    /// What its settings name now, and what it goes by.
+    named: Cell<Duration>,
     grace: Cell<Duration>,
-    /// When the grace of a process that was told to end became shorter.
-    shortened: Cell<Option<Instant>>,
-    shortenings: RefCell<Vec<Instant>>,
-    terminations: RefCell<Vec<Instant>>,
-    kills: RefCell<Vec<Instant>>,
+    /// When the grace became shorter while it was told to end, in all lives.
+    pub shortenings: RefCell<Vec<Instant>>,
+    pub terminations: RefCell<Vec<Instant>>,
+    pub kills: RefCell<Vec<Instant>>,
     is_killed: Cell<bool>,
     was_deaf: Cell<bool>,
 }
 
-impl Machine {
-    /// A machine of a class, not started yet.
-    pub fn new(ports: &Ports, folder: &Path, class: &str, host: u8) -> Machine {
-        let name = format!("{class}-{host}");
-        let mut text = settings_text(ports, folder, &name, host, class);
-        if class == "edge" {
-            let feed = ports.feed(host);
-            text = text.replace("[listen]", &format!("[listen]\nfeed = \"{feed}\""));
-            text = text.replace(&format!("zone = \"z{host}\""), &format!("zone = \"{EDGE_ZONE}\""));
-        }
-        let settings = folder.join(format!("{name}.toml"));
-        let roles: &[&'static str] = match class {
-            "edge" => &["proxy", "agent"],
-            "core" => &["controller"],
-            _ => &["storage"],
-        };
-        let process = |role: &&'static str| {
-            Rc::new(Process::new(role, &settings, folder.join(format!("{name}-{role}.log"))))
-        };
-        let processes = roles.iter().map(process).collect();
-        let machine = Machine { processes, name, host, settings, text };
-        machine.set_grace(0);
-        machine
-    }
-
-    /// Writes its settings, with one of the graces.
-    pub fn set_grace(&self, index: usize) {
-        let grace = Duration::from_secs(GRACES_S[index % GRACES_S.len()]);
-        for process in &self.processes {
-            // A process that is told to end goes by the shortest that it has heard of since.
-            let told = process.told.get();
-            // A grace that is over as it is named is not the kill's.
-            if told.is_some_and(|told| told.elapsed() >= grace) {
-                continue;
-            }
-            let is_told = told.is_some();
-            if is_told && grace < process.grace.get() {
-                process.shortened.set(Some(Instant::now()));
-                process.shortenings.borrow_mut().push(Instant::now());
-            }
-            process.grace.set(if is_told { process.grace.get().min(grace) } else { grace });
-        }
-        let text = format!("{}[bounds]\ngrace_s = {}\n", self.text, GRACES_S[index % GRACES_S.len()]);
-        let aside = self.settings.with_extension("aside");
-        std::fs::write(&aside, text).expect("a file");
-        std::fs::rename(&aside, &self.settings).expect("it is renamed");
-    }
-
-    /// The shortest grace that its settings may name.
-    pub fn least_grace(&self) -> Duration {
-        Duration::from_secs(GRACES_S[0])
-    }
-
-    /// The longest.
-    pub fn most_grace(&self) -> Duration {
-        Duration::from_secs(GRACES_S[GRACES_S.len() - 1])
-    }
-
-    /// Sends SIGTERM to its processes.
-    pub fn terminate(&self) {
-        self.processes.iter().for_each(|process| process.terminate());
-    }
-
-    /// Sends SIGHUP to its processes.
-    pub fn hang_up(&self) {
-        self.processes.iter().for_each(|process| process.hang_up());
-    }
-
-    /// Kills its processes.
-    pub fn kill(&self) {
-        self.processes.iter().for_each(|process| process.kill());
-    }
-
-    /// When its first process was told to end.
-    pub fn terminations(&self) -> Vec<Instant> {
-        self.processes[0].terminations.borrow().clone()
-    }
-
-    /// When the grace of its first process became shorter while that drained.
-    pub fn shortenings(&self) -> Vec<Instant> {
-        self.processes[0].shortenings.borrow().clone()
-    }
-
-    /// When its first process was killed.
-    pub fn kills(&self) -> Vec<Instant> {
-        self.processes[0].kills.borrow().clone()
-    }
-
-    /// Whether all its processes have run for so long, untold to end.
-    pub fn is_steady(&self, time: Duration) -> bool {
-        let is_steady = |process: &Rc<Process>| {
-            process.told.get().is_none()
-                && process.started.get().is_some_and(|started| started.elapsed() > time)
-        };
-        self.processes.iter().all(is_steady)
-    }
-
-    /// What its first process logged of its drains.
-    pub fn drains(&self) -> Drains {
-        let log = std::fs::read_to_string(&self.processes[0].log).unwrap_or_default();
-        let count = |text: &str| log.lines().filter(|line| line.contains(text)).count();
-        let late = log
-            .lines()
-            .filter_map(|line| line.strip_suffix(" requests came after the close")?.rsplit(' ').next());
-        Drains {
-            begun: count("the listener closes"),
-            closed: count("the listener has closed"),
-            late: late.filter_map(|text| text.parse::<usize>().ok()).sum(),
-        }
-    }
-}
-
 impl Process {
-    fn new(role: &'static str, settings: &Path, log: PathBuf) -> Process {
+    /// One that is not started yet.
+    pub fn new(role: &'static str, settings: &Path, log: PathBuf) -> Process {
         Process {
             role,
             settings: settings.to_owned(),
@@ -185,8 +54,8 @@
             started: Cell::default(),
             listens: Cell::default(),
             told: Cell::default(),
+            named: Cell::default(),
             grace: Cell::default(),
-            shortened: Cell::default(),
             shortenings: RefCell::default(),
             terminations: RefCell::default(),
             kills: RefCell::default(),
@@ -204,8 +73,7 @@
             .spawn()
             .expect("the program starts");
         self.told.set(None);
-        self.shortened.set(None);
-        self.grace.set(self.file_grace());
+        self.grace.set(self.named.get());
         self.is_killed.set(false);
         self.listens.set(false);
         self.was_deaf.set(false);
@@ -213,11 +81,23 @@
         *self.child.borrow_mut() = Some(child);
     }
 
-    /// The grace that its settings name now.
-    fn file_grace(&self) -> Duration {
-        let text = std::fs::read_to_string(&self.settings).expect("its settings");
-        let seconds = text.lines().find_map(|line| line.strip_prefix("grace_s = ")).expect("a grace");
-        Duration::from_secs(seconds.parse().expect("a number"))
+    /// Its settings name a grace now. A process that is told to end goes by the shortest since, but for one that is over as it is
+    /// named: that is not the kill's.
+    pub fn name_grace(&self, grace: Duration) {
+        self.named.set(grace);
+        match self.told.get() {
+            None => self.grace.set(grace),
+            Some(told) if told.elapsed() < grace && grace < self.grace.get() => {
+                self.grace.set(grace);
+                self.shortenings.borrow_mut().push(Instant::now());
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Whether it has run for so long, untold to end.
+    pub fn is_steady(&self, time: Duration) -> bool {
+        self.told.get().is_none() && self.started.get().is_some_and(|started| started.elapsed() > time)
     }
 
     /// Whether the process has asked the system for a signal. Until the system has loaded the program it can't: a signal
@@ -232,7 +112,7 @@
 
     fn signal(&self, name: &str) {
         if let Some(child) = &*self.child.borrow() {
-            Command::new("kill").args([name, &child.id().to_string()]).status().expect("kill runs");
+            send_signal(child.id(), name);
         }
     }
 
@@ -286,7 +166,7 @@
                 return status;
             }
             self.look(run);
-            tokio::time::sleep(LOOK).await;
+            run.pass(LOOK).await;
         }
     }
 
@@ -303,7 +183,8 @@
         // A grace that is over as it is named can only be gone by from then on.
         let ends = |told: Instant| {
             let by_grace = told + self.grace.get();
-            self.shortened.get().map_or(by_grace, |at| at.max(by_grace))
+            let shortened = self.shortenings.borrow().last().copied().filter(|at| *at > told);
+            shortened.map_or(by_grace, |at| at.max(by_grace))
         };
         let overstays = |told: Instant| Instant::now() > ends(told) + GRACE_SLACK;
         if !self.is_killed.get() && self.told.get().is_some_and(overstays) {
--- a/crates/onyxstile-system/tests/soak/programs.rs
+++ b/crates/onyxstile-system/tests/soak/programs.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinSet;
 
 use crate::Run;
-use crate::connection::{Connection, Outcome};
+use crate::connection::{Connection, HELD, Outcome};
 use crate::endpoints::{Endpoints, event};
 
 /// Tokens in one event, as the configuration says.
@@ -19,8 +19,6 @@
 /// Tokens of a program.
 const BUDGET: u64 = 240;
 const DEADLINE: Duration = Duration::from_millis(2500);
-/// An answer, or the end of the connection, comes by so long after that.
-const HELD: Duration = Duration::from_millis(1500);
 /// After the stops a turn is served by this time.
 const RETURN: Duration = Duration::from_secs(20);
 
@@ -152,7 +150,8 @@
                 503 if runs == 0 => Fate::Refused,
                 504 => Fate::Broken,
                 status => {
-                    fault(format!("got {status}, ran {runs} times, after {:?}", program.previous.is_some()));
+                    let before = program.previous.as_ref().map(|(id, _)| id);
+                    fault(format!("got {status} behind {before:?}, ran {runs} times"));
                     Fate::Broken
                 }
             },
--- a/crates/onyxstile-system/tests/support/lone_proxy.rs
+++ b/crates/onyxstile-system/tests/support/lone_proxy.rs
@@ -15,7 +15,22 @@
 use onyxstile_system::wire::{Feed, Published, Request};
 use tokio::task::JoinHandle;
 
-use super::tier::{self, ask, ask_until, free_ports, settings, start_process};
+use super::tier::{self, LIMITS, ask, ask_until, free_ports, settings, start_process};
+
+/// Longer than a proxy takes clients after SIGTERM (2.6 s).
+pub const TO_THE_CLOSE: Duration = Duration::from_millis(2605);
+/// Longer than a proxy rests at its end.
+pub const PAST_THE_END: Duration = Duration::from_millis(200);
+/// More than all buffers of a connection on loopback hold.
+pub const LARGE_BODY: usize = 32 << 20;
+
+/// A configuration with one route, whose requests may run once only.
+pub fn configuration() -> String {
+    let route = r#"{"name":"r","host":"a.example","path_prefix":"/r/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":1}"#;
+    format!(
+        r#"{{"revision":1,"routes":[{route}],"services":[{{"name":"api","health_check":"/healthz","max_connections":20,"protocol":"h1","tls":false}}],"limits":{LIMITS}}}"#
+    )
+}
 
 /// How long a proxy may take to answer the agent.
 const PATIENCE: Duration = Duration::from_secs(10);
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -22,6 +22,12 @@
 /// The loss of one machine.
 pub const ONE: Tolerance = Tolerance { machines: 1, zones: 0, regions: 0 };
 
+/// Sends a signal, by its name, to a process that is there.
+pub fn send_signal(process: u32, name: &str) {
+    let sent = std::process::Command::new("kill").args([name, &process.to_string()]).status();
+    assert!(sent.expect("kill runs").success());
+}
+
 /// A number from the environment, or the default.
 pub fn variable(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
--- a/crates/onyxstile-system/tests/support/tier.rs
+++ b/crates/onyxstile-system/tests/support/tier.rs
@@ -16,6 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, LocalSet};
 
+use super::send_signal;
+
 /// Bounds the whole story; it takes about two seconds.
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -134,9 +136,7 @@
 
 /// Sends SIGTERM to this process, whose roles all hear it.
 pub fn terminate() {
-    let process = std::process::id().to_string();
-    let sent = std::process::Command::new("kill").args(["-TERM", &process]).status();
-    assert!(sent.expect("kill runs").success());
+    send_signal(std::process::id(), "-TERM");
 }
 
 fn start_controller(ports: &Ports, folder: &Path, host: u8) {
