--- a/review/stand-ins/endpoint.rs
+++ b/review/stand-ins/endpoint.rs
@@ -39,7 +39,7 @@
     pub capacity: usize,
     pub queue: usize,
     pub work: Work,
-    /// In trouble: a share of this size of its answers, drawn by lot, is sent once more, late: in the place of the next
+    /// In trouble: a share of at most this size of its answers, drawn by lot, is sent once more, late: in the place of the next
     /// answer on that connection.
     pub surplus: f64,
 }
@@ -159,8 +159,10 @@
         if answer.is_empty() || !self.is_in_trouble.load(Ordering::Relaxed) {
             return None;
         }
-        self.answers.fetch_add(1, Ordering::Relaxed);
-        let is_repeated = self.draw() < self.kind.surplus;
+        let answers = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+        let is_within_share =
+            (self.repeated.load(Ordering::Relaxed) + 1) as f64 <= self.kind.surplus * answers as f64;
+        let is_repeated = self.draw() < self.kind.surplus && is_within_share;
         self.repeated.fetch_add(u64::from(is_repeated), Ordering::Relaxed);
         is_repeated.then_some(answer)
     }
--- a/review/stand-ins/surplus_refusal.rs
+++ b/review/stand-ins/surplus_refusal.rs
@@ -25,7 +25,7 @@
 const TROUBLE: Duration = Duration::from_secs(5);
 const PAUSE: Duration = Duration::from_secs(1);
 /// Time for which calls are sent.
-const TRAFFIC: Duration = Duration::from_secs(84);
+const TRAFFIC: Duration = Duration::from_secs(96);
 /// Clients at each relay: the shares are not even.
 const CLIENTS: [usize; 4] = [5, 5, 5, 60];
 
