--- a/review/stand-ins/surplus_refusal.rs
+++ b/review/stand-ins/surplus_refusal.rs
@@ -27,7 +27,7 @@
 /// Time for which calls are sent.
 const TRAFFIC: Duration = Duration::from_secs(96);
 /// Clients at each relay: the shares are not even.
-const CLIENTS: [usize; 4] = [5, 5, 5, 60];
+const CLIENTS: [usize; 6] = [5, 5, 5, 5, 5, 60];
 
 /// The status of each call; 0 if there was no answer.
 type Answers = Arc<Mutex<BTreeMap<String, u16>>>;
