--- a/review/stand-ins/surplus_refusal.rs
+++ b/review/stand-ins/surplus_refusal.rs
@@ -114,6 +114,7 @@
     let fields =
         [("Host", "tier.example".to_owned()), ("Request-Id", id.clone()), ("Deadline-Ms", "3000".to_owned())];
     let request = wire::request("POST", "/reports/boiler", &fields, b"a report");
+    record::note(&format!("client sends {id} to {front}"));
     let answer = wire::ask(front, &request, Duration::from_millis(3500));
     let status = answer.map_or(0, |answer| if answer.is_whole { answer.head.status() } else { 0 });
     record::note(&format!("client got {status} for {id}"));
