--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -11,7 +11,7 @@
 mod tier;
 mod wire;
 
-use std::path::PathBuf;
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -28,13 +28,13 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: stand-ins CASE FOLDER");
+    let [_, case, record] = &arguments[..] else {
+        eprintln!("usage: stand-ins CASE RECORD");
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    if let Err(error) = record::open(&PathBuf::from(folder).join("record.txt")) {
-        eprintln!("record.txt: {error}");
+    if let Err(error) = record::open(Path::new(record)) {
+        eprintln!("{record}: {error}");
         return ExitCode::from(2);
     }
     std::panic::set_hook(Box::new(|reason| {
