Keep a turn for as long as a later turn continues it

Cause: a storage machine dropped each turn by its own age, retention_s + 30 s after it was written. Nothing that a later turn did prolonged its ancestors, which lie in other groups.

Why the fix works: a turn has a lease of two retention times. A turn that ends writes leases for all its ancestors of which one would end too soon, to a quorum of each ancestor's group and on disk, before its own answer ends. A machine that should hold a turn and lacks it refuses its lease. Leases are replayed from the log, repaired and copied as records of their own, and a relay whose cached chain may have expired loads it again from storage.

--- a/crates/onyxstile-system/src/program.rs
+++ b/crates/onyxstile-system/src/program.rs
@@ -3,6 +3,7 @@
 
 mod claims;
 mod index;
+mod lease;
 mod placement;
 mod quorum;
 mod repair;
@@ -12,8 +13,9 @@
     BudgetDecision, ClaimEntry, ClaimSummary, Settled, admit, fits_budget, is_first, merge_claims,
 };
 pub use index::{MergeResult, RecordIndex, RecordNumber};
+pub use lease::{TurnLease, first_lease_end_ms, renewals};
 pub use placement::{Group, groups, nearest};
-pub use quorum::Quorum;
+pub use quorum::{Quorum, WriteQuorum};
 pub use repair::{Assessment, CopiedChanges, Progress, Source};
 pub use turn_cache::TurnCache;
 
@@ -57,6 +59,8 @@
         /// The claim.
         entry: ClaimEntry,
     },
+    /// A lease that prolongs the retention of a turn.
+    TurnLease(TurnLease),
 }
 
 /// Key of a record.
@@ -66,6 +70,13 @@
     Turn(String),
     /// Program and request id of a claim.
     ClaimEntry(String, String),
+    /// Lease on a turn.
+    TurnLease {
+        /// Request id of the turn.
+        turn: String,
+        /// End of the lease, in ms of wall-clock time.
+        until_ms: u64,
+    },
 }
 
 impl Key {
@@ -74,6 +85,19 @@
         match self {
             Key::Turn(id) => id,
             Key::ClaimEntry(program, _) => program,
+            Key::TurnLease { turn, .. } => turn,
+        }
+    }
+
+    /// Whether the record with this key can take the place of the one with the key `other`: it is the same record, or a
+    /// lease on the same turn that ends no earlier.
+    pub fn replaces(&self, other: &Key) -> bool {
+        match (self, other) {
+            (
+                Key::TurnLease { turn, until_ms },
+                Key::TurnLease { turn: other_turn, until_ms: other_until_ms },
+            ) => turn == other_turn && until_ms >= other_until_ms,
+            _ => self == other,
         }
     }
 }
@@ -84,13 +108,14 @@
         match self {
             Record::Turn(turn) => Key::Turn(turn.id.clone()),
             Record::ClaimEntry { program, entry } => Key::ClaimEntry(program.clone(), entry.request.clone()),
+            Record::TurnLease(lease) => Key::TurnLease { turn: lease.turn.clone(), until_ms: lease.until_ms },
         }
     }
 
     /// Version, which increases when the record changes.
     pub fn version(&self) -> u8 {
         match self {
-            Record::Turn(_) => 0,
+            Record::Turn(_) | Record::TurnLease(_) => 0,
             Record::ClaimEntry { entry, .. } => entry.version(),
         }
     }
--- a/crates/onyxstile-system/src/program/index.rs
+++ b/crates/onyxstile-system/src/program/index.rs
@@ -1,44 +1,33 @@
 //! Index of the records of one storage machine: claims in full, turns by their record number in the log. A change
 //! counter lets other machines fetch the records that they miss.
 
+mod leases;
+mod merge_result;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use super::{ClaimEntry, ClaimSummary, Key, Record, Settled, Turn};
+use super::lease::initial_lease;
+use super::{ClaimEntry, ClaimSummary, Key, Record, Settled, Turn, TurnLease};
 use crate::clock::Instant;
+use leases::Leases;
+pub use merge_result::MergeResult;
 
-/// Time that a turn is kept beyond its retention, because clocks differ and the last turn of a chain is younger than
-/// the first.
+/// Time that a turn is kept beyond its lease, because clocks differ and a machine that was unreachable may receive a
+/// renewal late. A machine that starts keeps each turn for at least this long for the same reason.
 const RETENTION_SLACK: Duration = Duration::from_secs(30);
 /// A program is removed after this time without a new claim.
 const PROGRAM_LIFETIME: Duration = Duration::from_secs(1800);
 /// Memory use of a turn in the index, in bytes: two copies of its id and an entry in two tables.
 const TURN_ENTRY_BYTES: usize = 250;
+/// Memory use of a lease, in bytes: two copies of a turn id and an entry in two tables.
+const LEASE_ENTRY_BYTES: usize = 230;
 /// Memory use of a claim, in bytes: program id and request id, some of them twice, and an entry in two tables.
 const CLAIM_ENTRY_BYTES: usize = 350;
 
 /// Number of a record in the log of its machine.
 pub type RecordNumber = u64;
 
-/// Result of merging a record into the index.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct MergeResult {
-    /// Whether the record was new or newer than the stored one.
-    pub has_changed: bool,
-    /// Record that is no longer needed: the replaced one, or the merged one if the same or a newer one is stored.
-    pub obsolete: Option<RecordNumber>,
-}
-
-impl MergeResult {
-    fn changed(replaced: Option<RecordNumber>) -> MergeResult {
-        MergeResult { has_changed: true, obsolete: replaced }
-    }
-
-    fn unchanged(held: RecordNumber, number: RecordNumber) -> MergeResult {
-        MergeResult { has_changed: false, obsolete: (held != number).then_some(number) }
-    }
-}
-
 struct HeldTurn {
     number: RecordNumber,
     counter: u64,
@@ -58,10 +47,11 @@
     last_claim_at: Instant,
 }
 
-/// Index of turns and claims.
+/// Index of turns, leases on turns, and claims.
 #[derive(Default)]
 pub struct RecordIndex {
     turns: HashMap<String, HeldTurn>,
+    leases: Leases,
     programs: HashMap<String, Program>,
     claims: usize,
     changes: BTreeMap<u64, Key>,
@@ -76,7 +66,14 @@
 
     /// Approximate memory use of the index, in bytes.
     pub fn memory_bytes(&self) -> usize {
-        self.turns.len() * TURN_ENTRY_BYTES + self.claims * CLAIM_ENTRY_BYTES
+        self.turns.len() * TURN_ENTRY_BYTES
+            + self.leases.len() * LEASE_ENTRY_BYTES
+            + self.claims * CLAIM_ENTRY_BYTES
+    }
+
+    /// Number of leases that prolong a turn.
+    pub fn lease_count(&self) -> usize {
+        self.leases.len()
     }
 
     /// Number of turns and of programs.
@@ -91,6 +88,7 @@
         match record {
             Record::Turn(turn) => self.merge_turn(now, age, turn, number),
             Record::ClaimEntry { program, entry } => self.merge_entry(now, program, entry, number),
+            Record::TurnLease(lease) => self.merge_lease(now, age, lease, number),
         }
     }
 
@@ -99,12 +97,26 @@
             return MergeResult::unchanged(held.number, number);
         }
         let counter = self.note(Key::Turn(turn.id.clone()));
-        let kept = Duration::from_millis(turn.retention_ms) + RETENTION_SLACK;
-        let expires = now + kept.saturating_sub(age);
+        let expires = now + time_left(initial_lease(Duration::from_millis(turn.retention_ms)), age);
         self.turns.insert(turn.id.clone(), HeldTurn { number, counter, expires });
         MergeResult::changed(None)
     }
 
+    fn merge_lease(
+        &mut self, now: Instant, age: Duration, lease: &TurnLease, number: RecordNumber,
+    ) -> MergeResult {
+        if let Some(held) = self.leases.number_of(&lease.turn, lease.until_ms) {
+            return MergeResult::unchanged(held, number);
+        }
+        let counter = self.note(Key::TurnLease { turn: lease.turn.clone(), until_ms: lease.until_ms });
+        let expires = now + time_left(Duration::from_millis(lease.duration_ms), age);
+        let replaced = self.leases.insert(lease, number, counter, expires);
+        if let Some((_, counter)) = replaced {
+            self.changes.remove(&counter);
+        }
+        MergeResult::changed(replaced.map(|(number, _)| number))
+    }
+
     fn merge_entry(
         &mut self, now: Instant, program: &str, entry: &ClaimEntry, number: RecordNumber,
     ) -> MergeResult {
@@ -161,6 +173,13 @@
         self.turns.get(id).map(|held| held.number)
     }
 
+    /// The lease that prolongs a turn, with the time that it has left.
+    pub fn lease(&self, now: Instant, turn: &str) -> Option<TurnLease> {
+        let (until_ms, expires) = self.leases.end(turn)?;
+        let duration_ms = expires.since(now).saturating_sub(RETENTION_SLACK).as_millis() as u64;
+        Some(TurnLease { turn: turn.to_owned(), until_ms, duration_ms })
+    }
+
     /// Whether this or a later version of a record is stored.
     pub fn holds(&self, key: &Key, version: u8) -> bool {
         match key {
@@ -168,6 +187,7 @@
             Key::ClaimEntry(program, request) => {
                 self.claim(program, request).is_some_and(|held| held.version() >= version)
             }
+            Key::TurnLease { turn, until_ms } => self.leases.number_of(turn, *until_ms).is_some(),
         }
     }
 
@@ -184,7 +204,7 @@
 
     fn version(&self, key: &Key) -> u8 {
         match key {
-            Key::Turn(_) => 0,
+            Key::Turn(_) | Key::TurnLease { .. } => 0,
             Key::ClaimEntry(program, request) => self.claim(program, request).map_or(0, ClaimEntry::version),
         }
     }
@@ -192,13 +212,14 @@
     /// Removes expired records; returns the numbers of the records that are no longer needed.
     pub fn expire(&mut self, now: Instant) -> Vec<RecordNumber> {
         let mut dropped = Vec::new();
-        self.turns.retain(|_, held| {
-            let is_kept = held.expires > now;
+        self.turns.retain(|id, held| {
+            let is_kept = held.expires > now || self.leases.keeps(now, id);
             if !is_kept {
                 dropped.push((held.number, held.counter));
             }
             is_kept
         });
+        dropped.extend(self.leases.expire(now));
         self.programs.retain(|_, held| {
             let is_kept = now.since(held.last_claim_at) < PROGRAM_LIFETIME;
             if !is_kept {
@@ -213,3 +234,8 @@
         dropped.into_iter().map(|(number, _)| number).collect()
     }
 }
+
+/// Time until a record expires that was written `age` ago with this lease.
+fn time_left(lease: Duration, age: Duration) -> Duration {
+    lease.saturating_add(RETENTION_SLACK).saturating_sub(age).max(RETENTION_SLACK)
+}
--- a/crates/onyxstile-system/src/program/quorum.rs
+++ b/crates/onyxstile-system/src/program/quorum.rs
@@ -1,8 +1,10 @@
-//! Counts replies towards a quorum in each group of a key. Performs no I/O.
+//! Counts replies towards a quorum in each group of a key, for one key or for the keys of several records. Performs no
+//! I/O.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
+use super::Record;
 use super::placement::{Group, groups};
 use crate::storage_plan::StoragePlan;
 use crate::tolerance::Tolerance;
@@ -42,3 +44,33 @@
         })
     }
 }
+
+/// Acknowledgements of a write of several records, each of which needs a quorum in each group of its own key.
+#[derive(Debug, Clone)]
+pub struct WriteQuorum {
+    records: Vec<(Record, Quorum)>,
+}
+
+impl WriteQuorum {
+    /// Creates a write without acknowledgements.
+    pub fn new(plan: &StoragePlan, records: &[Record], tolerance: Tolerance) -> WriteQuorum {
+        let quorum = |record: &Record| Quorum::new(plan, record.key().placed_by(), tolerance);
+        WriteQuorum { records: records.iter().map(|record| (record.clone(), quorum(record))).collect() }
+    }
+
+    /// The records that each machine has to write.
+    pub fn assignments(&self) -> BTreeMap<Ipv4Addr, Vec<Record>> {
+        let mut assignments: BTreeMap<Ipv4Addr, Vec<Record>> = BTreeMap::new();
+        for (record, quorum) in &self.records {
+            for member in quorum.members() {
+                assignments.entry(member).or_default().push(record.clone());
+            }
+        }
+        assignments
+    }
+
+    /// Counts the acknowledgement of a machine for all its records; returns true once each record has its quorums.
+    pub fn count(&mut self, member: Ipv4Addr) -> bool {
+        self.records.iter_mut().fold(true, |is_reached, (_, quorum)| quorum.count(member) && is_reached)
+    }
+}
--- a/crates/onyxstile-system/src/program/turn_cache.rs
+++ b/crates/onyxstile-system/src/program/turn_cache.rs
@@ -46,4 +46,11 @@
             }
         }
     }
+
+    /// Removes a turn.
+    pub fn remove(&mut self, id: &str) {
+        let Some((turn, last_use)) = self.turns.remove(id) else { return };
+        self.order.remove(&last_use);
+        self.bytes -= turn.bytes();
+    }
 }
--- a/crates/onyxstile-system/src/role/proxy/call.rs
+++ b/crates/onyxstile-system/src/role/proxy/call.rs
@@ -155,6 +155,11 @@
         if self.is_stream() { self.deadline } else { self.expires_at }
     }
 
+    /// How long the route's turns are kept after their end, in ms.
+    pub(super) fn retention_ms(&self) -> u64 {
+        (self.route.retention_s * 1000.0) as u64
+    }
+
     /// Target latency: a response within this time has its full utility.
     pub(super) fn target_latency(&self) -> Duration {
         Duration::from_millis(self.route.target_latency_ms)
--- a/crates/onyxstile-system/src/role/proxy/chain.rs
+++ b/crates/onyxstile-system/src/role/proxy/chain.rs
@@ -14,7 +14,8 @@
 use super::call::Call;
 use super::turn_error::{PREPARE_TIMEOUT, TurnError};
 use crate::clock::Instant;
-use crate::program::{Turn, nearest};
+use crate::program::{Record, Turn, first_lease_end_ms, nearest, renewals};
+use crate::role::membership::wall_clock_ms;
 use crate::wire::{Request, Response};
 
 /// Hedging delay: time that the nearest machine has before all members are asked. Covers some round trips inside a region and
@@ -33,6 +34,11 @@
 }
 
 impl Chain {
+    /// Whether storage machines keep all turns at least until this wall-clock time.
+    fn is_kept_until(&self, until_ms: u64) -> bool {
+        first_lease_end_ms(&self.turns).is_none_or(|end_ms| end_ms >= until_ms)
+    }
+
     /// Request body for the endpoint: input and output of each previous turn, then the new input.
     pub(super) fn body(&self, input: &[u8]) -> Vec<u8> {
         let before: usize = self.turns.iter().map(|turn| turn.input.len() + turn.output.len()).sum();
@@ -67,6 +73,32 @@
     pub(super) async fn chain(self: &Rc<Proxy>, call: &Call) -> Result<Chain, TurnError> {
         let Some(previous) = &call.previous else { return Ok(Chain::default()) };
         let timeout = PREPARE_TIMEOUT.min(call.remaining(self.clock.now()));
+        let mut chain = self.load_chain(previous, timeout).await?;
+        if !chain.is_kept_until(wall_clock_ms()) {
+            // Storage machines may have dropped turns of this chain. That the cache has them is no proof that they are kept.
+            chain.turns.iter().for_each(|turn| self.turns.borrow_mut().remove(&turn.id));
+            chain = self.load_chain(previous, timeout).await?;
+        }
+        self.keep_while_running(call, &chain, timeout).await?;
+        Ok(chain)
+    }
+
+    /// Renews the leases of a chain that could end before the call does.
+    async fn keep_while_running(
+        self: &Rc<Proxy>, call: &Call, chain: &Chain, timeout: Duration,
+    ) -> Result<(), TurnError> {
+        let now_ms = wall_clock_ms();
+        let left = call.deadline.since(self.clock.now());
+        if chain.is_kept_until(now_ms.saturating_add(left.as_millis() as u64)) {
+            return Ok(());
+        }
+        let leases = renewals(&chain.turns, now_ms, call.retention_ms());
+        let records: Vec<Record> = leases.into_iter().map(Record::TurnLease).collect();
+        let is_renewed = records.is_empty() || self.write_records(&records, timeout).await;
+        if is_renewed { Ok(()) } else { Err(TurnError::Indeterminate) }
+    }
+
+    async fn load_chain(self: &Rc<Proxy>, previous: &str, timeout: Duration) -> Result<Chain, TurnError> {
         let last = self.turn(previous, timeout).await?;
         let mut found = self.turns_from_nearest(&last.ancestors).await;
         let mut fetches = Vec::new();
--- a/crates/onyxstile-system/src/role/proxy/conversation.rs
+++ b/crates/onyxstile-system/src/role/proxy/conversation.rs
@@ -10,6 +10,7 @@
 use super::turn_error::{PREPARE_TIMEOUT, TurnError};
 use crate::program::{
     BudgetDecision, ClaimEntry, ClaimSummary, Record, Turn, admit, fits_budget, is_first, merge_claims,
+    renewals,
 };
 use crate::role::membership::wall_clock_ms;
 use crate::wire::{Request, Response};
@@ -127,22 +128,27 @@
         if responses.iter().all(is_expected) { Ok(responses) } else { Err(TurnError::Indeterminate) }
     }
 
-    /// Stores a completed turn; true if a quorum has written it to disk.
+    /// Stores a completed turn and prolongs the retention of its ancestors; true if a quorum has written each record to disk.
     pub(super) async fn store_turn(self: &Rc<Proxy>, call: &Call, chain: &Chain, output: Vec<u8>) -> bool {
         let turn = Rc::new(Turn {
             id: call.id.clone(),
             ancestors: chain.turns.iter().map(|turn| turn.id.clone()).collect(),
             input: call.body.to_vec(),
             output,
-            retention_ms: (call.route.retention_s * 1000.0) as u64,
+            retention_ms: call.retention_ms(),
             ended_ms: wall_clock_ms(),
         });
-        let write = |epoch| Request::Write { epoch, records: vec![Record::Turn(turn.clone())] };
-        let is_stored = self.write_quorum(&turn.id, write, COMMIT_TIMEOUT).await.is_some();
+        let leases = renewals(&chain.turns, turn.ended_ms, turn.retention_ms);
+        if !leases.is_empty() {
+            log::debug!("turn {} renews the leases of {} ancestors", call.id, leases.len());
+        }
+        let mut records = vec![Record::Turn(turn.clone())];
+        records.extend(leases.into_iter().map(Record::TurnLease));
+        let is_stored = self.write_records(&records, COMMIT_TIMEOUT).await;
         if is_stored {
             self.turns.borrow_mut().insert(turn);
         } else {
-            log::warn!("turn {} was not stored by a quorum", call.id);
+            log::warn!("turn {} and the leases of its chain were not stored by a quorum", call.id);
         }
         is_stored
     }
--- a/crates/onyxstile-system/src/role/proxy/quorum.rs
+++ b/crates/onyxstile-system/src/role/proxy/quorum.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use super::Proxy;
-use crate::program::Quorum;
+use crate::program::{Quorum, Record, WriteQuorum};
 use crate::wire::{Request, Response};
 
 /// Timeout of a request to one storage machine. A machine that restarts within it may still be counted.
@@ -24,9 +24,9 @@
 }
 
 /// Outcome of a request to a quorum.
-pub(super) enum QuorumOutcome {
+pub(super) enum QuorumOutcome<T> {
     /// A quorum of each group has responded successfully.
-    Quorum(Vec<Response>),
+    Quorum(T),
     /// A machine uses a newer storage plan.
     Stale,
     /// Too few members responded in time.
@@ -39,17 +39,24 @@
         self: &Rc<Proxy>, key: &str, request: Request, timeout: Duration,
     ) -> QuorumResponses {
         let quorum = Quorum::new(&self.plan.borrow(), key, self.tolerance());
-        let members = quorum.members();
+        let request = Rc::new(request);
+        let requests = quorum.members().into_iter().map(|member| (member, request.clone())).collect();
+        QuorumResponses { quorum, receiver: self.send_requests(requests, timeout), accepted: HashMap::new() }
+    }
+
+    /// Sends a request to each machine and retries failed ones until `timeout` has elapsed.
+    fn send_requests(
+        self: &Rc<Proxy>, requests: Vec<(Ipv4Addr, Rc<Request>)>, timeout: Duration,
+    ) -> mpsc::UnboundedReceiver<(Ipv4Addr, Response)> {
         let (sender, receiver) = mpsc::unbounded_channel();
         let until = tokio::time::Instant::now() + timeout;
-        let request = Rc::new(request);
-        for member in members {
-            let (proxy, request, sender) = (self.clone(), request.clone(), sender.clone());
+        for (member, request) in requests {
+            let (proxy, sender) = (self.clone(), sender.clone());
             tokio::task::spawn_local(
                 async move { proxy.request_member(member, &request, sender, until).await },
             );
         }
-        QuorumResponses { quorum, receiver, accepted: HashMap::new() }
+        receiver
     }
 
     async fn request_member(
@@ -74,6 +81,42 @@
     pub(super) async fn write_quorum(
         self: &Rc<Proxy>, key: &str, request: impl Fn(u64) -> Request, timeout: Duration,
     ) -> Option<Vec<Response>> {
+        let write = async |epoch, left| self.request_members(key, request(epoch), left).quorum().await;
+        self.with_newest_plan(timeout, write).await
+    }
+
+    /// Writes records, each to a quorum of its own groups, with one request per machine. Returns false if a record has no
+    /// quorum within `timeout`.
+    pub(super) async fn write_records(self: &Rc<Proxy>, records: &[Record], timeout: Duration) -> bool {
+        let write = async |epoch, left| self.write_assigned(epoch, records, left).await;
+        self.with_newest_plan(timeout, write).await.is_some()
+    }
+
+    async fn write_assigned(
+        self: &Rc<Proxy>, epoch: u64, records: &[Record], timeout: Duration,
+    ) -> QuorumOutcome<()> {
+        let mut quorum = WriteQuorum::new(&self.plan.borrow(), records, self.tolerance());
+        let requests = quorum
+            .assignments()
+            .into_iter()
+            .map(|(member, records)| (member, Rc::new(Request::Write { epoch, records })))
+            .collect();
+        let mut responses = self.send_requests(requests, timeout);
+        while let Some((member, response)) = responses.recv().await {
+            match response {
+                Response::Stale(_) => return QuorumOutcome::Stale,
+                Response::Done if quorum.count(member) => return QuorumOutcome::Quorum(()),
+                _ => {}
+            }
+        }
+        QuorumOutcome::TooFew
+    }
+
+    /// Runs `attempt` with the epoch of the newest storage plan and the time left, again for each newer plan that a machine
+    /// asks for. Returns `None` if there is no quorum within `timeout`.
+    async fn with_newest_plan<T>(
+        &self, timeout: Duration, attempt: impl AsyncFn(u64, Duration) -> QuorumOutcome<T>,
+    ) -> Option<T> {
         let until = tokio::time::Instant::now() + timeout;
         loop {
             let changed = self.plan_changed.notified();
@@ -82,15 +125,13 @@
             if left.is_zero() {
                 return None;
             }
-            let reached = if epoch == 0 {
+            let outcome = if epoch == 0 {
                 QuorumOutcome::Stale
             } else {
-                tokio::time::timeout_at(until, self.request_members(key, request(epoch), left).quorum())
-                    .await
-                    .unwrap_or(QuorumOutcome::TooFew)
+                tokio::time::timeout_at(until, attempt(epoch, left)).await.unwrap_or(QuorumOutcome::TooFew)
             };
-            match reached {
-                QuorumOutcome::Quorum(responses) => return Some(responses),
+            match outcome {
+                QuorumOutcome::Quorum(result) => return Some(result),
                 // Waits for the newer plan to arrive with the feed.
                 QuorumOutcome::Stale if self.plan.borrow().epoch == epoch => {
                     tokio::time::timeout_at(until, changed).await.ok()?;
@@ -115,7 +156,7 @@
     }
 
     /// Waits until a quorum of each group has responded.
-    pub(super) async fn quorum(mut self) -> QuorumOutcome {
+    pub(super) async fn quorum(mut self) -> QuorumOutcome<Vec<Response>> {
         while let Some((member, response)) = self.next().await {
             if matches!(response, Response::Stale(_)) {
                 return QuorumOutcome::Stale;
--- a/crates/onyxstile-system/src/role/storage/metric_values.rs
+++ b/crates/onyxstile-system/src/role/storage/metric_values.rs
@@ -10,6 +10,11 @@
         let index = self.index.borrow();
         let (turns, programs) = index.sizes();
         metrics.gauge("turns", "Turns on this machine's disk.", turns as f64);
+        metrics.gauge(
+            "turn_leases",
+            "Turns that are kept longer because a later turn continues them.",
+            index.lease_count() as f64,
+        );
         metrics.gauge("programs", "Programs with claims on this machine's disk.", programs as f64);
         metrics.gauge("index_bytes", "Memory used by the record index.", index.memory_bytes() as f64);
         metrics.gauge("log_bytes", "Disk space used by the log.", self.journal.used_bytes() as f64);
--- a/crates/onyxstile-system/src/role/storage/records.rs
+++ b/crates/onyxstile-system/src/role/storage/records.rs
@@ -140,19 +140,20 @@
             .iter()
             .filter_map(|key| match key {
                 Key::Turn(id) => Some(id.clone()),
-                Key::ClaimEntry(..) => None,
+                Key::ClaimEntry(..) | Key::TurnLease { .. } => None,
             })
             .collect();
         let turns = self.turns(&ids).await.into_iter().filter_map(Lookup::turn).map(Record::Turn);
         let index = self.index.borrow();
-        let claims = keys.iter().filter_map(|key| match key {
+        let others = keys.iter().filter_map(|key| match key {
             Key::Turn(_) => None,
+            Key::TurnLease { turn, .. } => index.lease(self.clock.now(), turn).map(Record::TurnLease),
             Key::ClaimEntry(program, request) => {
                 let entry = index.claim(program, request)?.clone();
                 Some(Record::ClaimEntry { program: program.clone(), entry })
             }
         });
-        turns.chain(claims).collect()
+        turns.chain(others).collect()
     }
 
     async fn read(&self, numbers: Vec<RecordNumber>) -> Vec<Option<Record>> {
--- a/crates/onyxstile-system/src/role/storage/repair.rs
+++ b/crates/onyxstile-system/src/role/storage/repair.rs
@@ -84,12 +84,27 @@
         self.repair.borrow_mut().note(self.clock.now(), ip, before, copied, own_epoch);
     }
 
+    /// The keys among `keys` that this machine should hold and lacks. A turn that expired here because its lease had not
+    /// arrived is fetched again with the lease.
+    fn missing(&self, keys: Vec<(Key, u8)>) -> Vec<Key> {
+        let index = self.index.borrow();
+        let mut missing = Vec::new();
+        for (key, version) in keys {
+            if index.holds(&key, version) || !self.is_assigned(&key) {
+                continue;
+            }
+            if let Key::TurnLease { turn, .. } = &key
+                && index.turn(turn).is_none()
+            {
+                missing.push(Key::Turn(turn.clone()));
+            }
+            missing.push(key);
+        }
+        missing
+    }
+
     async fn fetch_missing(&self, ip: Ipv4Addr, keys: Vec<(Key, u8)>) -> bool {
-        let missing: Vec<Key> = keys
-            .into_iter()
-            .filter(|(key, version)| self.is_assigned(key) && !self.index.borrow().holds(key, *version))
-            .map(|(key, _)| key)
-            .collect();
+        let missing = self.missing(keys);
         for keys in missing.chunks(KEYS_PER_FETCH) {
             let mut keys = keys.to_vec();
             while !keys.is_empty() {
@@ -103,7 +118,7 @@
                 if !self.write(records).await {
                     return false;
                 }
-                keys.retain(|key| !received.contains(key));
+                keys.retain(|key| !received.iter().any(|received| received.replaces(key)));
             }
         }
         true
--- a/crates/onyxstile-system/src/role/storage/requests.rs
+++ b/crates/onyxstile-system/src/role/storage/requests.rs
@@ -5,7 +5,7 @@
 
 use super::StorageServer;
 use super::records::Lookup;
-use crate::program::{ClaimEntry, Record};
+use crate::program::{ClaimEntry, Record, groups};
 use crate::role::rpc::ResponseFuture;
 use crate::wire::{Request, Response};
 
@@ -54,12 +54,27 @@
         if let Some(stale) = self.stale(epoch) {
             return stale;
         }
-        if !self.write(records).await {
+        if records.iter().any(|record| self.lacks_leased_turn(record)) || !self.write(records).await {
             return Response::Refused;
         }
         self.stale(epoch).unwrap_or(Response::Done)
     }
 
+    /// Whether a record prolongs a turn that this machine should hold and lacks. Its acknowledgement would count as a copy
+    /// of the turn. New members of a changing plan don't count as such and may receive the lease first.
+    fn lacks_leased_turn(&self, record: &Record) -> bool {
+        let Record::TurnLease(lease) = record else { return false };
+        if self.index.borrow().turn(&lease.turn).is_some() {
+            return false;
+        }
+        let groups = groups(&self.plan.borrow(), &lease.turn, self.tolerance());
+        let is_committed = groups.last().is_some_and(|group| group.members.contains(&self.own()));
+        if is_committed {
+            log::debug!("refusing a lease on turn {}, which is not held", lease.turn);
+        }
+        is_committed
+    }
+
     async fn get_turns(&self, epoch: u64, ids: &[String]) -> Response {
         // With an outdated plan the turn may be requested from machines to which it was never written.
         let is_conclusive = self.is_complete.get() && epoch >= self.epoch.get();
--- a/crates/onyxstile-system/tests/decoders.rs
+++ b/crates/onyxstile-system/tests/decoders.rs
@@ -13,7 +13,9 @@
 use onyxstile_system::json;
 use onyxstile_system::load::Load;
 use onyxstile_system::prefix;
-use onyxstile_system::program::{ClaimEntry, ClaimSummary, Key, Record, Settled, Turn, fits_budget};
+use onyxstile_system::program::{
+    ClaimEntry, ClaimSummary, Key, Record, Settled, Turn, TurnLease, fits_budget,
+};
 use onyxstile_system::registry::{Instance, Stage};
 use onyxstile_system::settings::Settings;
 use onyxstile_system::sse::Splitter;
@@ -209,12 +211,15 @@
         evidence: evidence.clone(),
         ..Feed::default()
     };
+    let lease = TurnLease { turn: "t".into(), until_ms: 7, duration_ms: 5 };
     let requests = [
         Request::Register(instance),
         Request::Feed(feed),
         Request::Reserve { epoch: 4, program: "p".into(), entry: entry("r", 40), wants_all: true },
         Request::GetTurns { epoch: 3, ids: vec!["a".into(), "b".into()] },
         Request::Fetch(vec![Key::Turn("t".into()), Key::ClaimEntry("p".into(), "r".into())]),
+        Request::Fetch(vec![Key::TurnLease { turn: "t".into(), until_ms: 7 }]),
+        Request::Write { epoch: 2, records: vec![Record::TurnLease(lease)] },
         Request::Status,
     ];
     let responses = [
--- a/crates/onyxstile-system/tests/programs.rs
+++ b/crates/onyxstile-system/tests/programs.rs
@@ -10,13 +10,14 @@
 
 use onyxstile_system::clock::Instant;
 use onyxstile_system::program::{
-    BudgetDecision, ClaimEntry, ClaimSummary, Key, Quorum, Record, RecordIndex, RecordNumber, Settled, Turn,
-    TurnCache, admit, fits_budget, groups, is_first, merge_claims, nearest,
+    BudgetDecision, ClaimEntry, ClaimSummary, Key, Quorum, Record, RecordIndex, Settled, Turn, TurnCache,
+    admit, fits_budget, groups, is_first, merge_claims, nearest,
 };
 use onyxstile_system::storage_plan::StoragePlan;
 use onyxstile_system::tolerance::Tolerance;
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
+use support::indexed_log::IndexedLog;
 use support::{ONE_MACHINE, address, plan};
 
 fn turn(id: &str) -> Rc<Turn> {
@@ -34,56 +35,6 @@
     ClaimEntry { request: request.into(), max_tokens, settled }
 }
 
-/// Index of a storage machine, with a log that drops the records that the index reports as obsolete.
-#[derive(Default)]
-struct Store {
-    index: RecordIndex,
-    log: BTreeMap<RecordNumber, Record>,
-    next: RecordNumber,
-}
-
-impl Store {
-    fn merge(&mut self, now: Instant, age: Duration, record: &Record) {
-        let number = self.next;
-        self.next += 1;
-        self.log.insert(number, record.clone());
-        let merge = self.index.merge(now, age, record, number);
-        merge.obsolete.iter().for_each(|number| drop(self.log.remove(number)));
-    }
-
-    fn expire(&mut self, now: Instant) {
-        for number in self.index.expire(now) {
-            self.log.remove(&number).expect("a removed record was in the log");
-        }
-    }
-
-    fn turn(&self, id: &str) -> Option<Rc<Turn>> {
-        let number = self.index.turn(id)?;
-        match self.log.get(&number).expect("an indexed record is in the log") {
-            Record::Turn(turn) => Some(turn.clone()),
-            other => panic!("{id} refers to {other:?}"),
-        }
-    }
-
-    fn record(&self, key: &Key) -> Option<Record> {
-        match key {
-            Key::Turn(id) => self.turn(id).map(Record::Turn),
-            Key::ClaimEntry(program, request) => {
-                let entry = self.index.claim(program, request)?.clone();
-                Some(Record::ClaimEntry { program: program.clone(), entry })
-            }
-        }
-    }
-
-    fn claims(&self, program: &str) -> Vec<ClaimEntry> {
-        self.index.claims(program)
-    }
-
-    fn changed_since(&self, counter: u64, max_keys: usize) -> (Vec<(Key, u8)>, u64) {
-        self.index.changed_since(counter, max_keys)
-    }
-}
-
 /// A quorum's reply about a program's claims: individual claims and summaries.
 #[derive(Default)]
 struct QuorumReply {
@@ -107,7 +58,7 @@
 /// Storage machines that may be unavailable or still empty.
 struct Cluster {
     plan: StoragePlan,
-    stores: BTreeMap<Ipv4Addr, Store>,
+    stores: BTreeMap<Ipv4Addr, IndexedLog>,
     unavailable: BTreeSet<Ipv4Addr>,
     empty: BTreeSet<Ipv4Addr>,
     tolerance: Tolerance,
@@ -120,7 +71,7 @@
         let members: Vec<u8> = (1..=count).collect();
         Cluster {
             plan: plan(1, &members, &[]),
-            stores: members.iter().map(|number| (address(*number), Store::default())).collect(),
+            stores: members.iter().map(|number| (address(*number), IndexedLog::default())).collect(),
             unavailable: BTreeSet::new(),
             empty: BTreeSet::new(),
             tolerance,
@@ -132,7 +83,7 @@
     fn merge(&mut self, ip: Ipv4Addr, record: &Record) {
         let now = Instant::from_millis(self.now);
         if let Some(store) = self.stores.get_mut(&ip) {
-            store.merge(now, Duration::ZERO, record);
+            store.merge(now, record);
         }
     }
 
@@ -155,7 +106,7 @@
             }
             if let Key::ClaimEntry(program, _) = &key {
                 let store = &self.stores[&member];
-                merge_claims(&mut reply.claims, store.claims(program));
+                merge_claims(&mut reply.claims, store.index.claims(program));
                 reply.summaries.push(store.index.claim_summary(program));
             }
             if quorum.count(member) {
@@ -172,14 +123,16 @@
             if *other == ip || self.unavailable.contains(other) {
                 continue;
             }
-            let (keys, _) = store.changed_since(0, usize::MAX);
+            let (keys, _) = store.index.changed_since(0, usize::MAX);
             let is_assigned = |key: &Key| {
                 groups(&self.plan, key.placed_by(), self.tolerance)
                     .iter()
                     .any(|group| group.members.contains(&ip))
             };
             records.extend(
-                keys.iter().filter(|(key, _)| is_assigned(key)).filter_map(|(key, _)| store.record(key)),
+                keys.iter()
+                    .filter(|(key, _)| is_assigned(key))
+                    .filter_map(|(key, _)| store.record(Instant::from_millis(self.now), key)),
             );
         }
         for record in records {
@@ -197,7 +150,7 @@
         let members: Vec<Ipv4Addr> = self.stores.keys().copied().collect();
         let ip = members[rng.next_u32() as usize % members.len()];
         if rng.next_u32().is_multiple_of(2) {
-            self.stores.insert(ip, Store::default());
+            self.stores.insert(ip, IndexedLog::default());
             self.empty.insert(ip);
         }
         self.unavailable.insert(ip);
@@ -321,7 +274,7 @@
         cluster.stores.remove(&retired);
         write_turns(&mut cluster, &mut rng, "after");
         let next = cluster.plan.current[rng.next_u32() as usize % 3].address();
-        cluster.stores.insert(next, Store::default());
+        cluster.stores.insert(next, IndexedLog::default());
         cluster.empty.insert(next);
         cluster.unavailable.insert(next);
         for id in &stored {
@@ -358,28 +311,24 @@
 
 #[test]
 fn a_settled_claim_is_never_reopened() {
-    let mut store = Store::default();
+    let mut store = IndexedLog::default();
     let record = |settled| Record::ClaimEntry { program: "p".into(), entry: claim("r", 90, settled) };
     let now = Instant::from_millis(0);
-    store.merge(now, Duration::ZERO, &record(Some(30)));
-    store.merge(now, Duration::ZERO, &record(None));
-    store.merge(now, Duration::ZERO, &record(Some(70)));
-    assert_eq!(store.claims("p"), [claim("r", 90, Some(30))]);
+    store.merge(now, &record(Some(30)));
+    store.merge(now, &record(None));
+    store.merge(now, &record(Some(70)));
+    assert_eq!(store.index.claims("p"), [claim("r", 90, Some(30))]);
     assert_eq!(store.log.len(), 1, "the log keeps only the settled record");
 }
 
 #[test]
 fn claim_replies_do_not_grow_with_settled_claims() {
-    let mut store = Store::default();
+    let mut store = IndexedLog::default();
     let mut after = Vec::new();
     for number in 0..290 {
         for settled in [None, Some(40)] {
             let entry = claim(&format!("request-{number:08}"), 90, settled);
-            store.merge(
-                Instant::from_millis(0),
-                Duration::ZERO,
-                &Record::ClaimEntry { program: "p".into(), entry },
-            );
+            store.merge(Instant::from_millis(0), &Record::ClaimEntry { program: "p".into(), entry });
         }
         after.push(borsh::to_vec(&store.index.claim_summary("p")).expect("encodes").len());
     }
@@ -413,7 +362,7 @@
 fn the_log_keeps_one_record_per_key_in_any_order() {
     for seed in 0..200u64 {
         let mut rng = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
-        let mut store = Store::default();
+        let mut store = IndexedLog::default();
         for _ in 0..60 {
             let number = rng.next_u32() % 6;
             let record = match rng.next_u32() % 3 {
@@ -423,14 +372,18 @@
                     entry: claim(&format!("r{number}"), 90, (settled == 2).then_some(30)),
                 },
             };
-            store.merge(Instant::from_millis(0), Duration::ZERO, &record);
+            store.merge(Instant::from_millis(0), &record);
         }
-        let (keys, _) = store.changed_since(0, usize::MAX);
+        let (keys, _) = store.index.changed_since(0, usize::MAX);
         assert_eq!(store.log.len(), keys.len(), "seed {seed}");
-        let logged: BTreeSet<Key> = store.log.values().map(Record::key).collect();
+        let logged: BTreeSet<Key> = store.log.values().map(|(record, _)| record.key()).collect();
         assert_eq!(logged, keys.iter().map(|(key, _)| key.clone()).collect(), "seed {seed}");
         for (key, version) in keys {
-            assert_eq!(store.record(&key).expect("is stored").version(), version, "seed {seed}");
+            assert_eq!(
+                store.record(Instant::default(), &key).expect("is stored").version(),
+                version,
+                "seed {seed}"
+            );
         }
     }
 }
@@ -463,15 +416,15 @@
 
 #[test]
 fn a_turn_is_removed_after_its_retention() {
-    let mut store = Store::default();
-    store.merge(Instant::from_millis(0), Duration::ZERO, &Record::Turn(turn("t")));
+    let mut store = IndexedLog::default();
+    store.merge(Instant::from_millis(0), &Record::Turn(turn("t")));
     store.expire(Instant::from_millis(60_000));
     assert!(store.turn("t").is_some());
     store.expire(Instant::from_millis(200_000));
     assert!(store.turn("t").is_none());
     assert_eq!(store.index.memory_bytes(), 0);
     assert!(store.log.is_empty(), "the log may remove it");
-    assert!(store.changed_since(0, 10).0.is_empty(), "nothing is offered for copying");
+    assert!(store.index.changed_since(0, 10).0.is_empty(), "nothing is offered for copying");
 }
 
 #[test]
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod control_simulation;
 pub mod endpoints;
 pub mod gated_endpoint;
+pub mod indexed_log;
 pub mod listener;
 pub mod memory_folder;
 pub mod search;
--- a/crates/onyxstile-system/tests/support/standalone_proxy.rs
+++ b/crates/onyxstile-system/tests/support/standalone_proxy.rs
@@ -8,11 +8,12 @@
 
 use onyxstile_system::control::StoredConfiguration;
 use onyxstile_system::registry::{Instance, Stage};
-use onyxstile_system::role::proxy;
 use onyxstile_system::role::rpc::Client;
 use onyxstile_system::role::signals::Signals;
+use onyxstile_system::role::{proxy, storage};
 use onyxstile_system::settings::Settings;
-use onyxstile_system::storage_plan::StoragePlan;
+use onyxstile_system::storage_plan::{StorageNode, StoragePlan};
+use onyxstile_system::tolerance::Location;
 use onyxstile_system::wire::{Feed, PublishedState, Request};
 use tokio::task::JoinHandle;
 
@@ -25,6 +26,9 @@
 /// More than all buffers of a loopback connection hold.
 pub const LARGE_BODY: usize = 32 << 20;
 
+/// Hosts of the storage machines.
+const STORAGE_HOSTS: [u8; 3] = [5, 6, 7];
+
 /// A configuration with one non-idempotent route.
 pub fn configuration() -> String {
     let route = r#"{"name":"r","host":"a.example","path_prefix":"/r/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":200,"priority":0,"service":"api","max_attempts":1}"#;
@@ -55,12 +59,41 @@
             proxies.push(StandaloneProxy::run(Settings { metrics: None, ..settings }));
         }
         for proxy in &proxies {
-            proxy.send_feed(configuration, endpoint).await;
-            request_until(200, proxy.readiness, "GET", "/api/readyz", &[], "").await;
+            proxy.make_ready(configuration, endpoint, StoragePlan::default()).await;
         }
         proxies
     }
 
+    /// Starts a proxy and three storage machines without controllers, and waits until the proxy is ready; also returns the
+    /// addresses of the storage machines.
+    pub async fn start_with_storage(
+        folder: &Path, configuration: &str, endpoint: SocketAddrV4,
+    ) -> (StandaloneProxy, Vec<SocketAddrV4>) {
+        let ports = free_ports(1).remove(0);
+        let mut plan = StoragePlan { epoch: 1, size: 3, ..StoragePlan::default() };
+        let mut storage_machines = Vec::new();
+        for host in STORAGE_HOSTS {
+            let name = format!("storage-{host}");
+            let settings = settings(&ports, folder, &name, host, "storage");
+            storage_machines.push(SocketAddrV4::new(settings.ip, settings.peer_port()));
+            let location = Location { region: String::new(), zone: settings.zone.clone() };
+            plan.current.push(StorageNode { name, ip: settings.ip.octets(), disk: 1, location });
+            let settings = Settings { metrics: None, ..settings };
+            start_process(
+                async move { storage::run(settings, Signals::listen()).await.expect("storage runs") },
+            );
+        }
+        let settings = settings(&ports, folder, "edge-1", 1, "edge");
+        let proxy = StandaloneProxy::run(Settings { metrics: None, ..settings });
+        proxy.make_ready(configuration, endpoint, plan).await;
+        (proxy, storage_machines)
+    }
+
+    async fn make_ready(&self, configuration: &str, endpoint: SocketAddrV4, plan: StoragePlan) {
+        self.send_feed(configuration, endpoint, plan).await;
+        request_until(200, self.readiness, "GET", "/api/readyz", &[], "").await;
+    }
+
     fn run(settings: Settings) -> StandaloneProxy {
         StandaloneProxy {
             front: settings.listen.front.expect("an address"),
@@ -72,13 +105,10 @@
         }
     }
 
-    async fn send_feed(&self, configuration: &str, endpoint: SocketAddrV4) {
+    async fn send_feed(&self, configuration: &str, endpoint: SocketAddrV4, plan: StoragePlan) {
         let stored = StoredConfiguration { revision: 1, body: configuration.as_bytes().to_vec() };
-        let state = PublishedState {
-            sequence: 1,
-            configuration: Some(Rc::new(stored)),
-            storage: Rc::new(StoragePlan::default()),
-        };
+        let state =
+            PublishedState { sequence: 1, configuration: Some(Rc::new(stored)), storage: Rc::new(plan) };
         let instance = Instance {
             id: "i-1".into(),
             service: "api".into(),
--- a/crates/onyxstile-system/tests/support/store_world.rs
+++ b/crates/onyxstile-system/tests/support/store_world.rs
@@ -184,13 +184,16 @@
         }
     }
 
-    pub fn record(&self, key: &Key) -> Option<Record> {
+    pub fn record(&self, now: u64, key: &Key) -> Option<Record> {
         match key {
             Key::Turn(id) => self.disk.log.get(&self.index.turn(id)?).cloned(),
             Key::ClaimEntry(program, request) => {
                 let entry = self.index.claim(program, request)?.clone();
                 Some(Record::ClaimEntry { program: program.clone(), entry })
             }
+            Key::TurnLease { turn, .. } => {
+                self.index.lease(Instant::from_millis(now), turn).map(Record::TurnLease)
+            }
         }
     }
 
--- a/crates/onyxstile-system/tests/support/tier_simulation/copies.rs
+++ b/crates/onyxstile-system/tests/support/tier_simulation/copies.rs
@@ -45,8 +45,9 @@
         };
         let compared_epoch = store.plan.epoch;
         let wanted = store.wanted(&changes, self.tolerance);
-        let records: Vec<Record> = wanted.iter().filter_map(|key| self.stores[&from].record(key)).collect();
         let now = self.now();
+        let records: Vec<Record> =
+            wanted.iter().filter_map(|key| self.stores[&from].record(now, key)).collect();
         if let Some(store) = self.stores.get_mut(&to) {
             records.iter().for_each(|record| store.write(now, record));
             store.copied(now, from, before, &changes, compared_epoch);
