Never send a call twice on one connection to an endpoint

Cause: Request-Id is the client's, so all sends of a call have the same id. A call that was refused was sent again on the connection that it had been refused on, and a late copy of the refusal passed for the answer to the second send, which was running. An answer without an id that said Not-Executed was also believed.

Why the fix works: connections are numbered, a call remembers those that have carried it, and the pool gives it none of them again. Two answers on one connection then belong to different calls, and the id tells them apart. The connection stays in the pool for other calls; where the pool has no other, it is replaced, so that their number does not grow.

--- a/crates/onyxstile-system/src/role/proxy/attempt.rs
+++ b/crates/onyxstile-system/src/role/proxy/attempt.rs
@@ -14,7 +14,7 @@
 use super::admit::PendingFirstEvent;
 use super::call::Call;
 use super::counts::SendFailure;
-use super::upstream::{Checkout, SendError};
+use super::upstream::{Checkout, ConnectionId, SendError};
 use crate::balance::EndpointKey;
 use crate::load::Load;
 
@@ -55,10 +55,10 @@
 
 impl Proxy {
     /// Sends a call to an endpoint. Without a response, or the first bytes of a stream, within `timeout` the outcome is
-    /// `Unknown`.
+    /// `Unknown`. `carried` are the connections that have carried the call; the one of this send is added.
     pub(super) async fn attempt(
         self: &Rc<Proxy>, call: &Call, body: &Bytes, key: EndpointKey, last_event: Option<&str>,
-        timeout: Duration,
+        timeout: Duration, carried: &mut Vec<ConnectionId>,
     ) -> Attempt {
         let began = self.clock.now();
         let Some((address, instance)) = self.address(key) else { return Attempt::NotSent };
@@ -69,8 +69,11 @@
         }
         let _in_flight = InFlight::new(self.clone(), key, began);
         let attempt = async {
-            match self.pools.send(key, address, request, call.route.is_repeatable()).await {
-                Ok((response, checkout)) => self.read(call, key, response, checkout).await,
+            match self.pools.send(key, address, request, call.route.is_repeatable(), carried).await {
+                Ok((response, checkout)) => {
+                    carried.push(checkout.id);
+                    self.read(call, key, response, checkout).await
+                }
                 Err(SendError::NotSent(reason)) => {
                     log::debug!("request to {instance} at {address} not sent: {reason}");
                     Attempt::NotSent
@@ -131,9 +134,10 @@
         {
             endpoint.note_load(self.clock.now(), load);
         }
-        // The response belongs to another call, so the connection is out of sync and can't be reused.
-        if header_text(&head.headers, "request-id").is_some_and(|id| id != call.id) {
-            return Attempt::Unknown("response has the id of another request");
+        // A response with another id, or with none, belongs to another call. The connection is out of sync and can't be reused.
+        let id = header_text(&head.headers, "request-id").unwrap_or_default();
+        if id != call.id {
+            return Attempt::Unknown("response has another request id or none");
         }
         let is_refusal =
             head.headers.contains_key("not-executed") || head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -141,7 +145,7 @@
             let is_superseded = head.status == StatusCode::MISDIRECTED_REQUEST && !call.expects_version();
             return self.handle_refusal(key, is_superseded, body, checkout).await;
         }
-        if header_text(&head.headers, "request-id").is_none() {
+        if id.is_empty() {
             return Attempt::Unknown("response has no request id");
         }
         if head.status.is_success() && !head.headers.contains_key("response-seal") {
--- a/crates/onyxstile-system/src/role/proxy/call_sender.rs
+++ b/crates/onyxstile-system/src/role/proxy/call_sender.rs
@@ -9,6 +9,7 @@
 use super::attempt::{Attempt, Stream};
 use super::call::Call;
 use super::destination_call::DestinationCall;
+use super::upstream::ConnectionId;
 use super::{DestinationKey, Proxy};
 use crate::balance::EndpointKey;
 use crate::retry::timer;
@@ -41,6 +42,8 @@
     pub attempted: Vec<EndpointKey>,
     /// Endpoints where the call failed.
     pub failed: Vec<EndpointKey>,
+    /// Connections that have carried the call.
+    carried: Vec<ConnectionId>,
     may_have_run: bool,
     timer_firings: u32,
     destination_call: Option<DestinationCall>,
@@ -55,6 +58,7 @@
             body,
             attempted: Vec::new(),
             failed: Vec::new(),
+            carried: Vec::new(),
             may_have_run: false,
             timer_firings: 0,
             destination_call: None,
@@ -90,7 +94,8 @@
             }
             let timeout = self.silence_timeout(key);
             let began = self.proxy.clock.now();
-            let attempt = self.proxy.attempt(&self.call, &self.body, key, last_event, timeout).await;
+            let carried = &mut self.carried;
+            let attempt = self.proxy.attempt(&self.call, &self.body, key, last_event, timeout, carried).await;
             if !self.attempted.contains(&key) {
                 self.attempted.push(key);
             }
--- a/crates/onyxstile-system/src/role/proxy/metric_values.rs
+++ b/crates/onyxstile-system/src/role/proxy/metric_values.rs
@@ -38,6 +38,8 @@
         );
         let requests = [("client", self.counts.requests())];
         metrics.counters("requests", "Requests of clients.", "from", &requests);
+        let connections = [("endpoint", self.pools.opened())];
+        metrics.counters("connections_opened", "Connections opened by this proxy.", "to", &connections);
         let help = "Sends to endpoints that brought no answer to pass on.";
         metrics.counters("sends_missed", help, "cause", &self.counts.failures());
         let help = "Requests that the proxy answered itself; none of them ran.";
--- a/crates/onyxstile-system/src/role/proxy/upstream.rs
+++ b/crates/onyxstile-system/src/role/proxy/upstream.rs
@@ -1,7 +1,10 @@
 //! Connection pools to endpoints. A connection serves one call at a time and stays idle between calls for as long as the
 //! endpoint's `Keep-Alive` header allows.
+//!
+//! An endpoint may send a response once more, in the place of a later one. Their request ids tell them apart unless both
+//! are responses to one call, so a call is never sent again on a connection that has carried it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -27,9 +30,14 @@
 /// Time that an endpoint with too many connections takes to reset a new one, beyond the round trip.
 const RESET_MARGIN: Duration = Duration::from_millis(1);
 
+/// Number of a connection, unique within the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ConnectionId(u64);
+
 type Sender = SendRequest<Full<Bytes>>;
 
 struct IdleConnection {
+    id: ConnectionId,
     sender: Sender,
     expires: Instant,
 }
@@ -38,6 +46,7 @@
 #[derive(Default)]
 pub(super) struct ConnectionPools {
     idle: RefCell<HashMap<EndpointKey, Vec<IdleConnection>>>,
+    opened: Cell<u64>,
 }
 
 /// Why a request has no response.
@@ -52,6 +61,7 @@
 /// A connection in use by a call. It is closed if it is dropped instead of returned.
 pub(super) struct Checkout {
     pub key: EndpointKey,
+    pub id: ConnectionId,
     sender: Sender,
     idle_time: Duration,
     /// Connect time, if the connection is new.
@@ -60,6 +70,7 @@
 
 /// A newly established connection.
 struct NewConnection {
+    id: ConnectionId,
     sender: Sender,
     connect_time: Duration,
 }
@@ -73,16 +84,17 @@
 }
 
 impl ConnectionPools {
-    /// Sends a request and waits for the head of its response. A request that must not be executed twice is sent on a new
-    /// connection only after a short wait in which the endpoint may reset it: a request sent on a connection that is then reset
-    /// may have been executed.
+    /// Sends a request and waits for the head of its response. Connections in `carried` are not used. A request that must not
+    /// be executed twice is sent on a new connection only after a short wait in which the endpoint may reset it: a request
+    /// sent on a connection that is then reset may have been executed.
     pub(super) async fn send(
         &self, key: EndpointKey, address: SocketAddrV4, request: Request<Full<Bytes>>, is_repeatable: bool,
+        carried: &[ConnectionId],
     ) -> Result<(Response<Incoming>, Checkout), SendError> {
         let mut request = request;
-        while let Some(mut sender) = self.take(key) {
+        while let Some(IdleConnection { id, mut sender, .. }) = self.take(key, carried) {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(checked_out(key, sender, response, None)),
+                Ok(response) => return Ok(checked_out(key, id, sender, response, None)),
                 Err(mut error) => match error.take_message() {
                     // The idle connection was closed before anything was written to it.
                     Some(unsent) => request = unsent,
@@ -90,13 +102,14 @@
                 },
             }
         }
-        let opened = open(address).await.map_err(SendError::NotSent)?;
+        self.replace_carried(key, carried);
+        let opened = self.open(address).await.map_err(SendError::NotSent)?;
         if !is_repeatable && !opened.stays_open().await {
             return Err(SendError::NotSent("the endpoint reset the new connection".into()));
         }
-        let NewConnection { mut sender, connect_time } = opened;
+        let NewConnection { id, mut sender, connect_time } = opened;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(checked_out(key, sender, response, Some(connect_time))),
+            Ok(response) => Ok(checked_out(key, id, sender, response, Some(connect_time))),
             Err(mut error) => {
                 let was_sent = error.take_message().is_none();
                 let reason = error.into_error().to_string();
@@ -105,13 +118,46 @@
         }
     }
 
-    fn take(&self, key: EndpointKey) -> Option<Sender> {
+    fn take(&self, key: EndpointKey, carried: &[ConnectionId]) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&key)?;
         let now = Instant::now();
         connections.retain(|connection| connection.expires > now && !connection.sender.is_closed());
-        let index = connections.iter().rposition(|connection| connection.sender.is_ready())?;
-        Some(connections.remove(index).sender)
+        let is_usable =
+            |connection: &IdleConnection| connection.sender.is_ready() && !carried.contains(&connection.id);
+        let index = connections.iter().rposition(is_usable)?;
+        Some(connections.remove(index))
+    }
+
+    /// Closes an idle connection that may not be used, so that the number of connections does not grow with the new one.
+    fn replace_carried(&self, key: EndpointKey, carried: &[ConnectionId]) {
+        let mut idle = self.idle.borrow_mut();
+        let Some(connections) = idle.get_mut(&key) else { return };
+        let index = connections.iter().position(|connection| carried.contains(&connection.id));
+        index.into_iter().for_each(|index| drop(connections.remove(index)));
+    }
+
+    async fn open(&self, address: SocketAddrV4) -> Result<NewConnection, String> {
+        let began = Instant::now();
+        let stream = socket::connect(address, CONNECT_TIMEOUT).await.map_err(|error| error.to_string())?;
+        let connect_time = began.elapsed();
+        let (sender, connection) = Builder::new()
+            .title_case_headers(true)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| error.to_string())?;
+        tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {address}: {error}");
+            }
+        });
+        self.opened.set(self.opened.get() + 1);
+        Ok(NewConnection { id: ConnectionId(self.opened.get()), sender, connect_time })
+    }
+
+    /// Number of connections opened since the start of the process.
+    pub(super) fn opened(&self) -> u64 {
+        self.opened.get()
     }
 
     /// Returns a connection whose response was read to the end, unless `max_idle` connections are idle already.
@@ -120,7 +166,7 @@
             return;
         }
         let expires = Instant::now() + checkout.idle_time;
-        let idle = IdleConnection { sender: checkout.sender, expires };
+        let idle = IdleConnection { id: checkout.id, sender: checkout.sender, expires };
         let mut pools = self.idle.borrow_mut();
         let connections = pools.entry(checkout.key).or_default();
         connections.retain(|connection| connection.expires > Instant::now());
@@ -136,10 +182,11 @@
 }
 
 fn checked_out(
-    key: EndpointKey, sender: Sender, response: Response<Incoming>, connected_in: Option<Duration>,
+    key: EndpointKey, id: ConnectionId, sender: Sender, response: Response<Incoming>,
+    connected_in: Option<Duration>,
 ) -> (Response<Incoming>, Checkout) {
     let idle_time = idle_time_after(response.headers());
-    (response, Checkout { key, sender, idle_time, connected_in })
+    (response, Checkout { key, id, sender, idle_time, connected_in })
 }
 
 /// How long the connection may stay idle after this response.
@@ -154,20 +201,3 @@
     });
     announced.map_or(DEFAULT_IDLE_TIME, |seconds| Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
 }
-
-async fn open(address: SocketAddrV4) -> Result<NewConnection, String> {
-    let began = Instant::now();
-    let stream = socket::connect(address, CONNECT_TIMEOUT).await.map_err(|error| error.to_string())?;
-    let connect_time = began.elapsed();
-    let (sender, connection) = Builder::new()
-        .title_case_headers(true)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| error.to_string())?;
-    tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection to {address}: {error}");
-        }
-    });
-    Ok(NewConnection { sender, connect_time })
-}
--- a/crates/onyxstile-system/tests/bad_endpoints.rs
+++ b/crates/onyxstile-system/tests/bad_endpoints.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,6 +35,8 @@
     Duplicate,
     /// States that the request was not executed.
     NotExecuted,
+    /// Executes the request, and a refusal without an id arrives instead of the answer.
+    RefusesWithoutId,
     /// Answers 500 with its seal.
     ServerError,
     /// Answers without a length and closes the connection.
@@ -116,6 +118,9 @@
                     "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 )
             }
+            Behaviour::RefusesWithoutId => {
+                "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+            }
             Behaviour::Unframed => unframed(&id, &format!("for {id}")),
             Behaviour::UnframedReset => unframed(&id, "for"),
             Behaviour::ResetsConnection => return reset(&stream),
@@ -188,7 +193,8 @@
         self.script.behaviour.set(behaviour);
         self.last.set(self.last.get() + 1);
         let id = format!("r{}", self.last.get());
-        let headers = [("request-id", id.as_str()), ("deadline-ms", "2500")];
+        // Where a version is expected, 421 refuses only this call and not the endpoint.
+        let headers = [("request-id", id.as_str()), ("deadline-ms", "2500"), ("expect-version", "v1")];
         let answer = send_request(self.tier.front(), "POST", &format!("/{route}/x"), &headers, "body").await;
         (id, answer.expect("an answer"))
     }
@@ -264,6 +270,74 @@
     });
 }
 
+/// An endpoint that gives the first send of each request the answer `first`. To another send of a request on the same
+/// connection it repeats that answer, late, before its own.
+async fn repeating_endpoint(script: Rc<Script>, first: &'static str) -> SocketAddrV4 {
+    let known: Rc<RefCell<BTreeSet<String>>> = Rc::default();
+    listen(move |stream| answer_and_repeat(stream, script.clone(), known.clone(), first)).await
+}
+
+async fn answer_and_repeat(
+    mut stream: TcpStream, script: Rc<Script>, known: Rc<RefCell<BTreeSet<String>>>, first: &'static str,
+) {
+    let (mut buffer, mut carried) = (Vec::new(), BTreeSet::new());
+    while let Some(head) = read_head(&mut stream, &mut buffer).await {
+        let id = field(&head, "request-id").expect("an id");
+        let first_answer = format!("HTTP/1.1 {first}\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+        let is_known = !known.borrow_mut().insert(id.clone());
+        let mut answers = String::new();
+        if !is_known || carried.contains(&id) {
+            answers += &first_answer;
+        }
+        if is_known {
+            *script.runs.borrow_mut().entry(id.clone()).or_default() += 1;
+            answers += &format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\nran"
+            );
+        }
+        carried.insert(id);
+        if stream.write_all(answers.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against TWICE: a late copy of a refusal was taken for the answer to the next send of the same request, which
+/// had run and was sent once more (review/2).
+#[test]
+fn a_late_copy_of_an_earlier_answer_is_not_taken_for_the_answer_to_a_resend() {
+    run_test(async {
+        let refusals =
+            ["503 Full\r\nNot-Executed: 1", "429 Slow\r\nNot-Executed: 1", "421 Moved\r\nNot-Executed: 1"];
+        let error = "500 Error\r\nResponse-Seal: s";
+        let once = refusals.map(|refusal| ("once", refusal));
+        for (route, first) in once.into_iter().chain([("often", error)]) {
+            let script =
+                Rc::new(Script { behaviour: Cell::new(Behaviour::Correct), runs: RefCell::default() });
+            let endpoint = repeating_endpoint(script.clone(), first).await;
+            let tier = Tier::start("late-copy", &configuration(), &[("i-1", "api", endpoint)]).await;
+            let scenario = Scenario { tier, script, last: Cell::new(0) };
+            // The endpoint is announced to the proxy shortly after it is ready.
+            while scenario.ask("often", Behaviour::Correct).await.1.status != 200 {}
+            for round in 0..10 {
+                let (id, answer) = scenario.ask(route, Behaviour::Correct).await;
+                assert_eq!(answer.status, 200, "{first:?}, round {round}");
+                assert_eq!(scenario.script.runs(&id), 1, "{first:?}, round {round}");
+            }
+        }
+    });
+}
+
+/// Guards against TWICE: an answer without an id is nobody's, also if it says that the request was not executed.
+#[test]
+fn a_refusal_without_an_id_does_not_refuse_a_call_that_may_have_run() {
+    run_test(async {
+        let scenario = Scenario::start("no-id").await;
+        let (id, answer) = scenario.ask("once", Behaviour::RefusesWithoutId).await;
+        assert_eq!((answer.status.as_u16(), scenario.script.runs(&id)), (502, 1));
+    });
+}
+
 /// An answer without a length ends with its connection. Guards against treating it as lost, and as 502 if the call must
 /// not run twice.
 #[test]
--- a/crates/onyxstile-system/tests/metrics.rs
+++ b/crates/onyxstile-system/tests/metrics.rs
@@ -89,6 +89,7 @@
         assert_eq!(value(&text, "onyxstile_refusals_total{cause=\"not_taken\"}"), 1.0);
         assert!(value(&text, "onyxstile_sends_missed_total{cause=\"not_sent\"}") >= 1.0);
         assert!(value(&text, "onyxstile_requests_total{from=\"client\"}") >= 4.0);
+        assert_eq!(value(&text, "onyxstile_connections_opened_total{to=\"endpoint\"}"), 0.0);
     });
 }
 
--- a/crates/onyxstile-system/tests/soak/endpoints.rs
+++ b/crates/onyxstile-system/tests/soak/endpoints.rs
@@ -1,7 +1,9 @@
 //! Endpoints of a run: each follows the instructions in the headers of a request, and records executions and their times.
+//! Some requests are refused once. If one of them is sent again on the same connection, a late copy of the refusal arrives
+//! before its answer.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,6 +16,8 @@
 
 /// Number of endpoints of each service.
 const COUNT: usize = 2;
+/// One of this many requests is refused once.
+const REFUSED_ONE_IN: u64 = 12;
 
 /// One execution of a request.
 #[derive(Clone, Copy)]
@@ -28,6 +32,8 @@
     pub addresses: RefCell<Vec<SocketAddrV4>>,
     executions: RefCell<HashMap<String, Vec<Execution>>>,
     prompts: RefCell<HashMap<String, Vec<u8>>>,
+    /// Requests that have arrived before, except turns of programs.
+    known: RefCell<HashSet<String>>,
 }
 
 /// Body of the answer to a request, padded to `length` bytes.
@@ -65,12 +71,23 @@
     }
 
     async fn serve(self: Rc<Self>, run: Rc<Run>, mut stream: TcpStream) {
-        let mut buffer = Vec::new();
+        let (mut buffer, mut refused) = (Vec::new(), HashSet::new());
         while let Some((head, body)) = read_request(&mut stream, &mut buffer).await {
             let number = |name: &str| field(&head, name).and_then(|text| text.parse::<u64>().ok());
             let id = field(&head, "request-id").unwrap_or_default();
+            let is_turn = field(&head, "program").is_some();
+            let is_refused = !is_turn && self.refuses(&run, &id);
+            if (is_refused || refused.contains(&id))
+                && stream.write_all(refusal(&id).as_bytes()).await.is_err()
+            {
+                return;
+            }
+            if is_refused {
+                refused.insert(id);
+                continue;
+            }
             let index = self.begin(&id);
-            if field(&head, "program").is_some() {
+            if is_turn {
                 self.prompts.borrow_mut().insert(id.clone(), body);
             } else if body != vec![b'b'; number("body-bytes").unwrap_or(0) as usize] {
                 run.record_fault(format!(
@@ -95,6 +112,11 @@
         }
     }
 
+    /// Whether a request is refused. It is then accepted when it arrives again.
+    fn refuses(&self, run: &Run, id: &str) -> bool {
+        self.known.borrow_mut().insert(id.to_owned()) && run.random_below(REFUSED_ONE_IN) == 0
+    }
+
     fn begin(&self, id: &str) -> usize {
         let mut executions = self.executions.borrow_mut();
         let all = executions.entry(id.to_owned()).or_default();
@@ -109,6 +131,10 @@
     }
 }
 
+fn refusal(id: &str) -> String {
+    format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
 fn head_of(id: &str, framing: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n{framing}\r\n\r\n")
 }
