Refuse a lease on a missing turn also without the sender's plan

Cause: a storage machine that had not received the storage plan yet, or went by an older one than the sender, took a lease on a turn that it lacks. Its acknowledgement would have counted as a copy of the turn.

Why the fix works: without the plan of the sender's epoch the machine cannot know that it is a new member whose copy is still under way, so it refuses; the relay asks again until its time is over, and machines that hold the turn answer as before.

--- a/crates/onyxstile-system/src/role/storage/requests.rs
+++ b/crates/onyxstile-system/src/role/storage/requests.rs
@@ -54,25 +54,28 @@
         if let Some(stale) = self.stale(epoch) {
             return stale;
         }
-        if records.iter().any(|record| self.lacks_leased_turn(record)) || !self.write(records).await {
+        if records.iter().any(|record| self.lacks_leased_turn(epoch, record)) || !self.write(records).await {
             return Response::Refused;
         }
         self.stale(epoch).unwrap_or(Response::Done)
     }
 
     /// Whether a record prolongs a turn that this machine should hold and lacks. Its acknowledgement would count as a copy
-    /// of the turn. New members of a changing plan don't count as such and may receive the lease first.
-    fn lacks_leased_turn(&self, record: &Record) -> bool {
+    /// of the turn. New members of a changing plan don't count as such and may receive the lease first; without the plan of
+    /// the sender's `epoch` this machine cannot know whether it is one.
+    fn lacks_leased_turn(&self, epoch: u64, record: &Record) -> bool {
         let Record::TurnLease(lease) = record else { return false };
         if self.index.borrow().turn(&lease.turn).is_some() {
             return false;
         }
-        let groups = groups(&self.plan.borrow(), &lease.turn, self.tolerance());
+        let plan = self.plan.borrow();
+        let groups = groups(&plan, &lease.turn, self.tolerance());
         let is_committed = groups.last().is_some_and(|group| group.members.contains(&self.own()));
-        if is_committed {
+        let is_refused = plan.epoch < epoch || is_committed;
+        if is_refused {
             log::debug!("refusing a lease on turn {}, which is not held", lease.turn);
         }
-        is_committed
+        is_refused
     }
 
     async fn get_turns(&self, epoch: u64, ids: &[String]) -> Response {
--- a/crates/onyxstile-system/tests/long_conversations.rs
+++ b/crates/onyxstile-system/tests/long_conversations.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use onyxstile_system::program::{Record, Turn};
+use onyxstile_system::program::{Record, Turn, TurnLease};
 use onyxstile_system::role::rpc::Client;
 use onyxstile_system::wire::{Request, Response};
 use support::listener::{field, listen, read_head};
@@ -152,3 +152,21 @@
         assert_eq!(scenario.held(&["second", "first"]).await, vec![vec![false, false]; 3], "not continued");
     });
 }
+
+/// Guards against counting a machine as a holder of a turn that it lacks, also before it knows the storage plan.
+#[test]
+fn a_lease_on_a_missing_turn_is_refused() {
+    run_test(async {
+        let scenario = Scenario::start("missing-turn").await;
+        scenario.store(first_turn("held", 0)).await;
+        let lease = |turn: &str| TurnLease { turn: turn.into(), until_ms: wall_clock_ms(), duration_ms: 1000 };
+        for (turn, expected) in [("held", Response::Done), ("missing", Response::Refused)] {
+            let records = vec![Record::TurnLease(lease(turn))];
+            let write = Request::Write { epoch: EPOCH, records };
+            for machine in &scenario.storage_machines {
+                let response = scenario.client.call(*machine, &write, RPC_TIMEOUT).await;
+                assert_eq!(response.expect("a response"), expected, "{turn}");
+            }
+        }
+    });
+}
