--- a/crates/onyxstile-system/src/controller.rs
+++ b/crates/onyxstile-system/src/controller.rs
@@ -19,6 +19,7 @@
 mod operations;
 mod stability;
 mod timers;
+mod view_choice;
 mod view_transfer;
 
 pub use events::{Effect, Input};
@@ -213,7 +214,7 @@
     }
 
     /// Whether a promise for the next view prevents this controller from writing in the installed view.
-    fn is_wedged(&self) -> bool {
+    fn has_promised_next_view(&self) -> bool {
         self.durable.promised != Default::default()
     }
 
--- a/crates/onyxstile-system/src/controller/accessors.rs
+++ b/crates/onyxstile-system/src/controller/accessors.rs
@@ -28,7 +28,7 @@
 
     /// Whether this controller is the head of a chain that accepts writes.
     pub fn is_head(&self) -> bool {
-        !self.is_wedged()
+        !self.has_promised_next_view()
             && self.durable.view.as_ref().is_some_and(|view| view.chain.first() == Some(&self.id))
     }
 
--- a/crates/onyxstile-system/src/controller/agreement.rs
+++ b/crates/onyxstile-system/src/controller/agreement.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use super::Controller;
-use super::membership::{Locations, next_membership};
+use super::membership::next_membership;
+use super::view_choice::{Promised, choose_view};
 use crate::clock::Instant;
 use crate::control::{Ballot, ControlState, ElectorId, Message, View};
-use crate::tolerance::Tolerance;
 
 /// Timeout of an undecided proposal, after which a new one is made.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -20,15 +20,6 @@
 /// yet. Equals the time after which membership declares a silent machine dead.
 const RESTART_GRACE: Duration = Duration::from_millis(1000);
 
-/// The promise of one elector: the value that it has accepted, and its newest written state if that is newer than the
-/// proposer's.
-#[derive(Debug, Clone)]
-struct Promised {
-    from: ElectorId,
-    accepted: Option<(Ballot, Rc<View>)>,
-    state: Option<ControlState>,
-}
-
 #[derive(Debug, Clone)]
 pub(super) struct Proposal {
     view: u64,
@@ -44,7 +35,7 @@
     /// delay.
     pub(super) fn maintain_view(&mut self, now: Instant) {
         let Some(view) = self.durable.view.clone() else { return };
-        let is_needed = self.is_wedged()
+        let is_needed = self.has_promised_next_view()
             || next_membership(&view, &self.alive(), self.tolerance, &self.locations).is_some();
         let Some(rank) =
             self.rank(&view).filter(|_| is_needed && !self.awaits_restarted_electors(now, &view))
@@ -148,7 +139,8 @@
             return;
         }
         let own = &self.durable.state;
-        let value = Rc::new(choose_view(&current, proposal, own, &alive, self.tolerance, &self.locations));
+        let value =
+            Rc::new(choose_view(&current, &proposal.promises, own, &alive, self.tolerance, &self.locations));
         proposal.value = Some(value.clone());
         for elector in &current.electors {
             self.send(elector.address(), Message::Accept { ballot, value: value.clone() });
@@ -233,21 +225,3 @@
         }
     }
 }
-
-/// Selects the view to propose: the value accepted under the highest ballot, or else the next membership with the
-/// newest state of the promising electors and of the proposer, which sent its own sequence with `Prepare`.
-fn choose_view(
-    current: &View, proposal: &Proposal, own: &ControlState, alive: &[ElectorId], tolerance: Tolerance,
-    locations: &Locations,
-) -> View {
-    let accepted = proposal.promises.iter().filter_map(|promised| promised.accepted.as_ref());
-    if let Some((_, value)) = accepted.max_by_key(|(ballot, _)| *ballot) {
-        return (**value).clone();
-    }
-    let promised = proposal.promises.iter().filter_map(|promised| promised.state.as_ref());
-    let newest = promised.chain([own]).max_by_key(|state| state.sequence);
-    let state = newest.cloned().unwrap_or_else(|| current.state.clone());
-    let (electors, chain) = next_membership(current, alive, tolerance, locations)
-        .unwrap_or_else(|| (current.electors.clone(), current.chain.clone()));
-    View { number: current.number + 1, electors, chain, state }
-}
--- a/crates/onyxstile-system/src/controller/chain.rs
+++ b/crates/onyxstile-system/src/controller/chain.rs
@@ -35,7 +35,7 @@
             return;
         }
         let is_predecessor = self.neighbour(-1).is_some_and(|id| id.address() == from);
-        if self.is_wedged() || !is_predecessor {
+        if self.has_promised_next_view() || !is_predecessor {
             return;
         }
         let is_duplicate = written.sequence() == self.durable.state.sequence;
@@ -103,7 +103,7 @@
 
     /// Resends an unacknowledged write.
     pub(super) fn resend(&mut self, now: Instant) {
-        if self.is_wedged() {
+        if self.has_promised_next_view() {
             return;
         }
         let is_due = self.write.as_ref().is_some_and(|write| now.since(write.sent) >= RESEND_INTERVAL);
--- a/crates/onyxstile-system/src/controller/operations.rs
+++ b/crates/onyxstile-system/src/controller/operations.rs
@@ -50,7 +50,7 @@
     }
 
     fn read(&mut self, now: Instant, token: Token, operation: &Operation) {
-        if self.is_wedged() || !self.is_tail() {
+        if self.has_promised_next_view() || !self.is_tail() {
             self.finish(token, Outcome::Unknown);
             return;
         }
@@ -152,7 +152,7 @@
     pub(super) fn confirm(
         &mut self, now: Instant, from: Ipv4Addr, view: u64, incarnation: Incarnation, nonce: u64,
     ) {
-        if view == self.installed() && !self.is_wedged() {
+        if view == self.installed() && !self.has_promised_next_view() {
             let id = self.id;
             self.send(from, Message::Confirmed { from: id, view, incarnation, nonce });
         } else if view < self.installed() {
--- a/crates/onyxstile-system/src/program/repair.rs
+++ b/crates/onyxstile-system/src/program/repair.rs
@@ -145,21 +145,21 @@
             // The plan assigns no keys to this machine, which implies nothing about later plans.
             return Assessment { is_complete, is_synced: false };
         }
-        let settled = plan.committed_members();
+        let committed = plan.committed_members();
         let is_copied = |node: &StorageNode| self.is_copied(node.address(), plan.epoch);
-        let missing = missing(settled, own, is_copied);
+        let missing = missing(committed, own, is_copied);
         let has_copied_current = self.has_copied_current(own, plan, tolerance);
         let is_complete =
-            is_complete || has_copied_current || tolerance.covers(&with_own_loss(&missing, settled, own));
+            is_complete || has_copied_current || tolerance.covers(&with_own_loss(&missing, committed, own));
         // An incomplete machine is not waited for: it may itself wait for this machine or be about to leave
         // permanently.
         let is_reachable = |node: &&StorageNode| {
             let answered = self.sources.get(&node.address()).and_then(|source| source.last_complete_reply);
             answered.is_some_and(|at| now.since(at) < UNREACHABLE_AFTER)
         };
-        let has_copied_settled = tolerance.covers(&locations(&missing))
+        let has_copied_committed = tolerance.covers(&locations(&missing))
             && !missing.iter().copied().any(|node| is_reachable(&node));
-        Assessment { is_complete, is_synced: is_complete && (has_copied_settled || has_copied_current) }
+        Assessment { is_complete, is_synced: is_complete && (has_copied_committed || has_copied_current) }
     }
 
     /// Whether enough current members that were synced for the plan's epoch have been copied from.
--- a/crates/onyxstile-system/src/role/proxy/relay_stream.rs
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -147,7 +147,7 @@
         }
     }
 
-    /// Reports the event rate to the endpoint's estimates, once per [`EVENTS_NOTED`] events.
+    /// Reports the event rate to the endpoint's estimates, once per [`EVENTS_PER_SAMPLE`] events.
     fn note_progress(&self, events: u32, mark: &mut ProgressMark) {
         let count = events - mark.events;
         if count >= EVENTS_PER_SAMPLE
--- a/crates/onyxstile-system/tests/long_conversations.rs
+++ b/crates/onyxstile-system/tests/long_conversations.rs
@@ -159,7 +159,8 @@
     run_test(async {
         let scenario = Scenario::start("missing-turn").await;
         scenario.store(first_turn("held", 0)).await;
-        let lease = |turn: &str| TurnLease { turn: turn.into(), until_ms: wall_clock_ms(), duration_ms: 1000 };
+        let lease =
+            |turn: &str| TurnLease { turn: turn.into(), until_ms: wall_clock_ms(), duration_ms: 1000 };
         for (turn, expected) in [("held", Response::Done), ("missing", Response::Refused)] {
             let records = vec![Record::TurnLease(lease(turn))];
             let write = Request::Write { epoch: EPOCH, records };
