--- a/crates/onyxstile-system/tests/soak/process.rs
+++ b/crates/onyxstile-system/tests/soak/process.rs
@@ -188,8 +188,16 @@
             shortened.map_or(by_grace, |at| at.max(by_grace))
         };
         let exceeds_grace = |terminated_at: Instant| Instant::now() > ends(terminated_at) + GRACE_SLACK;
-        if !self.is_killed.get() && self.terminated_at.get().is_some_and(exceeds_grace) {
-            run.record_fault(format!("{} is still running after the grace period", self.log.display()));
+        if !self.is_killed.get()
+            && let Some(terminated_at) = self.terminated_at.get().filter(|at| exceeds_grace(*at))
+        {
+            let grace = self.effective_grace.get();
+            let shortened =
+                self.shortenings.borrow().last().map(|at| at.saturating_duration_since(terminated_at));
+            run.record_fault(format!(
+                "{} is still running after the grace period of {grace:?}, shortened {shortened:?} after SIGTERM",
+                self.log.display()
+            ));
             self.kill();
         }
     }
