Say exactly how long a turn that nothing continues is kept

The comment in lease.rs and the postmortem said "at most its own age"; the reserve of a renewal is half the age, but one retention time at least, so a young turn is kept longer than that. Comments and text only in the product; a test converted the time back that it already had.

--- a/crates/onyxstile-system/src/program/lease.rs
+++ b/crates/onyxstile-system/src/program/lease.rs
@@ -3,8 +3,8 @@
 //! A turn is kept together with its chain for the retention time after its end, so each turn prolongs all its ancestors.
 //! Every turn starts with a lease of [`INITIAL_PERIODS`] retention times. A turn whose ancestors have less than one
 //! retention time left renews the leases that would soon have to be renewed as well. A renewal has a reserve that grows
-//! with the turn's age, so the number of renewals of a turn grows with the logarithm of its conversation's length, and a
-//! turn that nothing continues is dropped after at most its own age.
+//! with the turn's age, so the number of renewals of a turn grows with the logarithm of its conversation's length. A turn
+//! that nothing continues any more is kept longer than promised by that reserve at most.
 //!
 //! When a lease ends follows from the chain alone: a turn's end is only reported to the client once its renewals are on
 //! a quorum, so relays derive them from the end times of the chain's turns. Storage machines keep each turn somewhat
--- a/crates/onyxstile-system/tests/turn_leases.rs
+++ b/crates/onyxstile-system/tests/turn_leases.rs
@@ -181,9 +181,9 @@
     fn advance(&mut self) {
         let before_ms = self.now_ms;
         self.now_ms += STEP_MS;
-        let now = self.now();
+        let (now, now_ms) = (self.now(), self.now_ms);
         for (ip, machine) in &mut self.machines {
-            if machine.down_until_ms > now_ms(now) {
+            if machine.down_until_ms > now_ms {
                 continue;
             }
             if machine.down_until_ms > before_ms {
@@ -206,10 +206,6 @@
     }
 }
 
-fn now_ms(now: Instant) -> u64 {
-    now.since(Instant::default()).as_millis() as u64
-}
-
 /// Plays one history; returns it, or the turn that was lost.
 fn play(seed: u64, renewals: Renewals) -> Result<History, String> {
     let mut history = History::new(seed, renewals);
