--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,7 +4,6 @@
 mod drain;
 mod memory;
 mod programs;
-mod resume;
 mod shutdown;
 mod tier;
 
@@ -24,7 +23,6 @@
             "drain" => drain::run(&record, has_trouble),
             "shutdown" => shutdown::run(&record, has_trouble),
             "programs" => programs::run(&record, has_trouble),
-            "resume" => resume::run(&record, has_trouble),
             "memory" => memory::run(&record, has_trouble),
             _ => 2,
         }))
--- a/review/stand-ins-2/memory.rs
+++ b/review/stand-ins-2/memory.rs
@@ -117,5 +117,7 @@
         *kills,
         *peak.lock().unwrap()
     ));
-    i32::from(!kills.is_empty())
+    // The rule: three times in the day, on two machines at least.
+    let often = (1..=EDGES).filter(|edge| kills.iter().filter(|killed| *killed == edge).count() >= 3).count();
+    i32::from(often >= 2)
 }
--- a/review/stand-ins-2/programs.rs
+++ b/review/stand-ins-2/programs.rs
@@ -112,7 +112,8 @@
         refused.load(Ordering::SeqCst),
         *kills
     ));
-    i32::from(kills.iter().sum::<usize>() > 0)
+    // The rule: three times in the day, on two machines at least.
+    i32::from(kills.iter().filter(|kills| **kills >= KILLS).count() >= 2)
 }
 
 /// Answers with a stream of one event.
