--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -9,6 +9,7 @@
 pub mod listener;
 pub mod membership;
 pub mod metrics;
+pub mod process_end;
 pub mod proxy;
 pub mod rpc;
 pub mod shortest_grace;
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -12,8 +12,8 @@
 
 use super::controller::RoleError;
 use super::metrics;
+use super::process_end::ProcessEnd;
 use super::rpc::Client;
-use super::shortest_grace::ShortestGrace;
 use super::signals::{self, Signals, Termination};
 use super::subscription::{self, SubscriptionOptions};
 use crate::clock::SteadyClock;
@@ -52,24 +52,23 @@
     let updates = subscription::follow(settings.clone(), client.clone(), options);
     log::info!("agent of {} is feeding {proxy}", settings.borrow().node_name);
     let is_ending = Rc::new(Cell::new(false));
+    let process_end = ProcessEnd::new(clock, settings.borrow().grace());
     let link = ProxyLink { client, proxy, clock };
     tokio::select! {
         () = metrics::serve(settings.borrow().clone(), clock, move || collect_metrics(&reported_state.borrow())) => {}
         () = feed(link, updates, &feed_state, is_ending.clone(), evidence) => log::info!("the proxy has ended"),
-        () = signals::reload_settings(hangups, settings.clone(), |_| {}) => {}
-        () = end(termination, &settings, clock, is_ending) => log::info!("the agent is shutting down"),
+        () = signals::reload_settings(hangups, settings.clone(), |fresh| process_end.set_grace(fresh.grace())) => {}
+        () = end(termination, &process_end, is_ending) => log::info!("the agent is shutting down"),
     }
     Ok(())
 }
 
 /// Waits for SIGTERM, and then for the time in which the proxy may drain.
-async fn end(
-    termination: Termination, settings: &RefCell<Settings>, clock: SteadyClock, is_ending: Rc<Cell<bool>>,
-) {
+async fn end(termination: Termination, process_end: &ProcessEnd, is_ending: Rc<Cell<bool>>) {
     termination.received().await;
     is_ending.set(true);
-    let grace = ShortestGrace::new(clock.now(), settings.borrow().grace());
-    grace.wait_until(settings, clock, |grace| grace.sigterm_at() + grace.grace().mul_f64(DRAIN_SHARE)).await;
+    process_end.begin();
+    process_end.reached(|grace| grace.sigterm_at() + grace.grace().mul_f64(DRAIN_SHARE)).await;
 }
 
 /// Connection to the proxy.
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -22,6 +22,7 @@
 
 use super::identity::random_id;
 use super::membership::{self, Shared};
+use super::process_end::ProcessEnd;
 use super::rpc::{self, Client};
 use super::shortest_grace::ShortestGrace;
 use super::shutdown::Shutdown;
@@ -70,6 +71,7 @@
 pub struct ControllerServer {
     settings: Rc<RefCell<Settings>>,
     clock: SteadyClock,
+    process_end: ProcessEnd,
     controller: RefCell<Controller>,
     registry: RefCell<Registry>,
     registry_store: RegistryStore,
@@ -126,6 +128,7 @@
         () = server.clone().follow_registries() => {}
         () = signals::reload_settings(hangups, server.settings.clone(), |fresh| {
             server.swim.borrow_mut().set_seeds(fresh.seed_addresses());
+            server.process_end.set_grace(fresh.grace());
         }) => {}
         () = end(&server, termination, &shutdown) => log::info!("the controller is shutting down"),
     }
@@ -138,8 +141,8 @@
     termination.received().await;
     log::info!("SIGTERM: {} API requests are open", shutdown.open());
     shutdown.begin();
-    let grace = ShortestGrace::new(server.clock.now(), server.settings.borrow().grace());
-    if !grace.wait_for_shutdown(shutdown, &server.settings, server.clock).await {
+    server.process_end.begin();
+    if server.process_end.limit(ShortestGrace::deadline, shutdown.ended()).await.is_none() {
         log::warn!("the grace period is about to expire: {} API requests are open", shutdown.open());
     }
 }
@@ -155,6 +158,7 @@
                 .with_location(settings.location(&settings.zone))
                 .with_last_write(record.last_recovered_write());
         ControllerServer {
+            process_end: ProcessEnd::new(clock, settings.grace()),
             settings: Rc::new(RefCell::new(settings)),
             clock,
             controller: RefCell::new(controller),
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -15,11 +15,13 @@
 mod destination_call;
 mod feed;
 mod forward;
+mod in_flight;
 mod lifecycle;
 mod metric_values;
 mod phase;
 mod quorum;
 mod relay_stream;
+mod send_outcome;
 mod target;
 mod turn_error;
 mod upstream;
@@ -112,7 +114,9 @@
         () = rpc::serve(feed, Rc::new(move |request| feed_proxy.clone().handle_agent_request(request))) => {}
         () = http::serve(readiness, clock, Rc::default(), move |request| lifecycle::readiness(probe_proxy.clone(), request)) => {}
         () = lifecycle::accept(proxy.clone(), clients) => {}
-        () = signals::reload_settings(hangups, proxy.settings.clone(), |_| {}) => {}
+        () = signals::reload_settings(hangups, proxy.settings.clone(), |fresh| {
+            proxy.phase.end().set_grace(fresh.grace());
+        }) => {}
         () = lifecycle::drain(proxy.clone(), termination) => log::info!("proxy drained"),
     }
     Ok(())
@@ -141,7 +145,7 @@
             pools: ConnectionPools::default(),
             turns: RefCell::new(TurnCache::new(turn_bytes)),
             slow_members: RefCell::default(),
-            phase: Phase::default(),
+            phase: Phase::new(clock, settings.grace()),
             counts: Counts::default(),
             rng: RefCell::new(Pcg64Mcg::new(u128::from(incarnation) << 1 | 1)),
             retry_policy: RetryPolicy::default(),
--- a/crates/onyxstile-system/src/role/proxy/attempt.rs
+++ b/crates/onyxstile-system/src/role/proxy/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a call to one endpoint, and its outcome.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use super::admit::PendingFirstEvent;
 use super::call::Call;
 use super::counts::SendFailure;
+use super::in_flight::InFlight;
 use super::upstream::{Checkout, ConnectionId, SendError};
 use crate::balance::EndpointKey;
 use crate::load::Load;
@@ -28,6 +30,10 @@
     NotExecuted,
     /// No connection was established, or it was closed before a byte was sent.
     NotSent,
+    /// No byte was sent within the timeout or before the end of the process, which says nothing about the endpoint.
+    Abandoned,
+    /// The process ends. The request may have been executed, which says nothing about the endpoint.
+    CutOff,
     /// The request may have been executed; the reason why there is no response.
     Unknown(&'static str),
 }
@@ -37,7 +43,7 @@
     fn failure(&self) -> Option<SendFailure> {
         match self {
             Attempt::Complete(head, _) if head.status.is_server_error() => Some(SendFailure::ServerError),
-            Attempt::Complete(..) | Attempt::Streaming(_) => None,
+            Attempt::Complete(..) | Attempt::Streaming(_) | Attempt::Abandoned | Attempt::CutOff => None,
             Attempt::NotExecuted => Some(SendFailure::NotExecuted),
             Attempt::NotSent => Some(SendFailure::NotSent),
             Attempt::Unknown(_) => Some(SendFailure::Unknown),
@@ -55,7 +61,7 @@
 
 impl Proxy {
     /// Sends a call to an endpoint. Without a response, or the first bytes of a stream, within `timeout` the outcome is
-    /// `Unknown`. `carried` are the connections that have carried the call; the one of this send is added.
+    /// `Unknown` if the request was sent. `carried` are the connections that have carried the call; the one of this send is added.
     pub(super) async fn attempt(
         self: &Rc<Proxy>, call: &Call, body: &Bytes, key: EndpointKey, last_event: Option<&str>,
         timeout: Duration, carried: &mut Vec<ConnectionId>,
@@ -68,8 +74,10 @@
             endpoint.cache.note(&call.parts, call.engine_capacity_tokens());
         }
         let _in_flight = InFlight::new(self.clone(), key, began);
+        let was_sent = Cell::new(false);
         let attempt = async {
-            match self.pools.send(key, address, request, call.route.is_repeatable(), carried).await {
+            let is_repeatable = call.route.is_repeatable();
+            match self.pools.send(key, address, request, is_repeatable, carried, &was_sent).await {
                 Ok((response, checkout)) => {
                     carried.push(checkout.id);
                     self.read(call, key, response, checkout).await
@@ -84,9 +92,16 @@
                 }
             }
         };
-        let attempt = tokio::time::timeout(timeout, attempt)
-            .await
-            .unwrap_or(Attempt::Unknown("no response within the timeout"));
+        let attempt = self.phase.until_end(|| was_sent.get(), tokio::time::timeout(timeout, attempt)).await;
+        let attempt = match attempt {
+            Some(Ok(attempt)) => attempt,
+            _ if !was_sent.get() => Attempt::Abandoned,
+            Some(Err(_)) => Attempt::Unknown("no response within the timeout"),
+            None => {
+                self.counts.count_cut_off();
+                Attempt::CutOff
+            }
+        };
         self.record_outcome(key, &attempt, began);
         if matches!(attempt, Attempt::Streaming(_)) {
             first_event.mark_received();
@@ -191,7 +206,7 @@
         match attempt {
             Attempt::Complete(head, _) if head.status.is_server_error() => endpoint.failed_with_error(now),
             Attempt::Complete(..) | Attempt::Streaming(_) => endpoint.succeeded(now, Some(now.since(began))),
-            Attempt::NotExecuted => {}
+            Attempt::NotExecuted | Attempt::Abandoned | Attempt::CutOff => {}
             Attempt::NotSent => {
                 endpoint.unreachable(now);
                 self.pools.drop_idle(key);
@@ -201,30 +216,6 @@
     }
 }
 
-/// A call in flight at an endpoint. Dropping it records its end in the endpoint's health record.
-struct InFlight {
-    proxy: Rc<Proxy>,
-    key: EndpointKey,
-    at: crate::clock::Instant,
-}
-
-impl InFlight {
-    fn new(proxy: Rc<Proxy>, key: EndpointKey, at: crate::clock::Instant) -> InFlight {
-        if let Some(endpoint) = proxy.endpoints.borrow_mut().get_mut(key) {
-            endpoint.health.sent(at);
-        }
-        InFlight { proxy, key, at }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if let Some(endpoint) = self.proxy.endpoints.borrow_mut().get_mut(self.key) {
-            endpoint.health.ended(self.at);
-        }
-    }
-}
-
 async fn begin_stream(head: response::Parts, mut body: Incoming, checkout: Checkout) -> Attempt {
     loop {
         match body.frame().await {
--- a/crates/onyxstile-system/src/role/proxy/call_sender.rs
+++ b/crates/onyxstile-system/src/role/proxy/call_sender.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::http::response;
 
 use super::attempt::{Attempt, Stream};
 use super::call::Call;
 use super::destination_call::DestinationCall;
+use super::send_outcome::{GiveUp, SendOutcome};
 use super::upstream::ConnectionId;
 use super::{DestinationKey, Proxy};
 use crate::balance::EndpointKey;
@@ -19,20 +19,6 @@
 /// Bounds of the first retry timer.
 const TIMER_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(500));
 
-/// Outcome of sending a call.
-pub(super) enum SendOutcome {
-    /// Complete response.
-    Complete(response::Parts, Bytes),
-    /// The response stream has begun.
-    Streaming(Stream),
-    /// The call was not executed and will not be.
-    NotExecuted,
-    /// The call may have been executed, but its response is lost.
-    Failed,
-    /// The call may have been executed, but it has expired.
-    TimedOut,
-}
-
 /// Sends a call, with retries.
 pub(super) struct CallSender {
     pub proxy: Rc<Proxy>,
@@ -74,9 +60,7 @@
     /// Resumes a stream after the event `last_event`.
     pub(super) async fn resume(&mut self, last_event: Option<&str>) -> Option<Stream> {
         self.failed.extend(self.attempted.last());
-        if !self.wait_for_resend().await {
-            return None;
-        }
+        self.wait_for_resend().await.ok()?;
         match self.send(last_event).await {
             SendOutcome::Streaming(stream) => Some(stream),
             _ => None,
@@ -85,13 +69,10 @@
 
     async fn send(&mut self, last_event: Option<&str>) -> SendOutcome {
         loop {
-            if self.call.remaining(self.proxy.clock.now()).is_zero() {
-                return if self.may_have_run { SendOutcome::TimedOut } else { SendOutcome::NotExecuted };
-            }
-            let Some(key) = self.choose_endpoint() else { return self.outcome_without_response() };
-            if !self.acquire_slot(key).await {
-                return if self.may_have_run { SendOutcome::TimedOut } else { SendOutcome::NotExecuted };
-            }
+            let key = match self.acquire_endpoint().await {
+                Ok(key) => key,
+                Err(reason) => return self.give_up(reason),
+            };
             let timeout = self.silence_timeout(key);
             let began = self.proxy.clock.now();
             let carried = &mut self.carried;
@@ -102,7 +83,7 @@
             match attempt {
                 Attempt::Complete(head, body) => {
                     let has_failed = head.status.is_server_error();
-                    if !(has_failed && self.may_resend() && self.wait_for_resend().await) {
+                    if !(has_failed && self.may_resend() && self.wait_for_resend().await.is_ok()) {
                         self.finish(began, has_failed);
                         return SendOutcome::Complete(head, body);
                     }
@@ -112,24 +93,21 @@
                     self.may_have_run = true;
                     return SendOutcome::Streaming(stream);
                 }
-                Attempt::NotExecuted => {
-                    self.record_refusal(key);
-                    self.failed.push(key);
-                    if !self.wait_for_resend().await {
-                        return self.outcome_without_response();
+                Attempt::NotExecuted | Attempt::NotSent | Attempt::Abandoned => {
+                    if matches!(attempt, Attempt::NotExecuted) {
+                        self.record_refusal(key);
                     }
-                }
-                Attempt::NotSent => {
                     self.failed.push(key);
-                    if !self.wait_for_resend().await {
-                        return self.outcome_without_response();
+                    if let Err(reason) = self.wait_for_resend().await {
+                        return self.give_up(reason);
                     }
                 }
+                Attempt::CutOff => return SendOutcome::TimedOut,
                 Attempt::Unknown(reason) => {
                     log::debug!("call {} failed: {reason}", self.call.id);
                     self.may_have_run = true;
                     self.failed.push(key);
-                    if !(self.may_resend() && self.wait_for_resend().await) {
+                    if !(self.may_resend() && self.wait_for_resend().await.is_ok()) {
                         let is_expired = self.call.remaining(self.proxy.clock.now()).is_zero();
                         return if is_expired { SendOutcome::TimedOut } else { SendOutcome::Failed };
                     }
@@ -138,8 +116,28 @@
         }
     }
 
-    fn outcome_without_response(&self) -> SendOutcome {
-        if self.may_have_run { SendOutcome::Failed } else { SendOutcome::NotExecuted }
+    /// Chooses an endpoint and acquires a slot for it.
+    async fn acquire_endpoint(&mut self) -> Result<EndpointKey, GiveUp> {
+        let now = self.proxy.clock.now();
+        if self.call.remaining(now).is_zero() {
+            return Err(GiveUp::Expired);
+        }
+        if self.proxy.phase.is_past_last_send(now) {
+            return Err(GiveUp::ShuttingDown);
+        }
+        let key = self.choose_endpoint().ok_or(GiveUp::NoEndpoint)?;
+        self.acquire_slot(key).await?;
+        Ok(key)
+    }
+
+    /// Outcome of a call for which there is no response.
+    fn give_up(&self, reason: GiveUp) -> SendOutcome {
+        match reason {
+            GiveUp::Expired if self.may_have_run => SendOutcome::TimedOut,
+            _ if self.may_have_run => SendOutcome::Failed,
+            GiveUp::ShuttingDown => SendOutcome::ShuttingDown,
+            GiveUp::Expired | GiveUp::NoTimeToRetry | GiveUp::NoEndpoint => SendOutcome::NotExecuted,
+        }
     }
 
     /// Whether the call may be sent again although it may have been executed.
@@ -151,8 +149,9 @@
         (self.call.target_latency() / TIMER_DIVISOR).clamp(TIMER_RANGE.0, TIMER_RANGE.1)
     }
 
-    /// Waits until a retry timer fires and the random decision allows a resend; false if the call expires first.
-    async fn wait_for_resend(&mut self) -> bool {
+    /// Waits until a retry timer fires and the random decision allows a resend. Returns as soon as it is known that the call
+    /// expires or the process ends before that.
+    async fn wait_for_resend(&mut self) -> Result<(), GiveUp> {
         let proxy = self.proxy.clone();
         loop {
             let due = proxy.clock.now() + timer(self.first_timer(), self.timer_firings);
@@ -166,31 +165,34 @@
                 _ => due,
             };
             if fires >= self.call.expires_at {
-                return false;
+                return Err(GiveUp::NoTimeToRetry);
+            }
+            if !proxy.phase.wait_for_send(fires).await {
+                return Err(GiveUp::ShuttingDown);
             }
-            tokio::time::sleep(fires.since(proxy.clock.now())).await;
             let probability = self.destination_call.as_ref().map_or(1.0, DestinationCall::resend_probability);
             if proxy.random_fraction() < probability {
-                return true;
+                return Ok(());
             }
         }
     }
 
-    /// Counts the call at the destination of this send and waits for a slot there; false if the call expires first.
-    async fn acquire_slot(&mut self, endpoint: EndpointKey) -> bool {
+    /// Counts the call at the destination of this send and waits for a slot there.
+    async fn acquire_slot(&mut self, endpoint: EndpointKey) -> Result<(), GiveUp> {
         let key = if self.call.is_stream() {
             DestinationKey::Endpoint(endpoint)
         } else {
             DestinationKey::Service(self.call.service.clone())
         };
         let is_first = self.destination_call.is_none();
-        if self.destination_call.as_ref().is_none_or(|destination_call| destination_call.key != key) {
-            self.destination_call = Some(DestinationCall::new(self.proxy.clone(), key, is_first));
-        }
-        let expires_at = self.call.expires_at;
-        match &mut self.destination_call {
-            Some(destination_call) => destination_call.take_slot(expires_at, endpoint).await,
-            None => false,
+        let counted = self.destination_call.take().filter(|destination_call| destination_call.key == key);
+        let counted = counted.unwrap_or_else(|| DestinationCall::new(self.proxy.clone(), key, is_first));
+        let destination_call = self.destination_call.insert(counted);
+        let slot = destination_call.take_slot(self.call.expires_at, endpoint);
+        match self.proxy.phase.until_last_send(slot).await {
+            Some(true) => Ok(()),
+            Some(false) => Err(GiveUp::Expired),
+            None => Err(GiveUp::ShuttingDown),
         }
     }
 
--- a/crates/onyxstile-system/src/role/proxy/counts.rs
+++ b/crates/onyxstile-system/src/role/proxy/counts.rs
@@ -63,6 +63,7 @@
     requests: Cell<u64>,
     failures: [Cell<u64>; SEND_FAILURES.len()],
     refusals: [Cell<u64>; REFUSALS.len()],
+    cut_off: Cell<u64>,
 }
 
 impl Counts {
@@ -81,6 +82,21 @@
         add(&self.refusals[refusal as usize]);
     }
 
+    /// Counts a call that was at an endpoint when the process ended.
+    pub fn count_cut_off(&self) {
+        add(&self.cut_off);
+    }
+
+    /// Number of calls that were at an endpoint when the process ended.
+    pub fn cut_off(&self) -> u64 {
+        self.cut_off.get()
+    }
+
+    /// Number of requests that were refused because the process ends.
+    pub fn refused_at_end(&self) -> u64 {
+        self.refusals[Refusal::ShuttingDown as usize].get()
+    }
+
     /// Number of client requests.
     pub fn requests(&self) -> u64 {
         self.requests.get()
--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -11,19 +11,22 @@
 
 use super::Proxy;
 use super::call::Call;
-use super::call_sender::{CallSender, SendOutcome};
+use super::call_sender::CallSender;
 use super::chain::Chain;
 use super::client_response::{ClientResponse, ResponseBody, close_after, copy_head, not_executed, reply};
 use super::conversation::Claim;
 use super::counts::Refusal;
 use super::phase::{OpenRequest, Phase};
 use super::relay_stream::{self, StreamRelay};
+use super::send_outcome::SendOutcome;
 use super::turn_error::TurnError;
 use crate::clock::Instant;
 use crate::role::http::{BodyError, read_body};
 
 /// Default `Retry-After` of refusals.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Rate at which the clients of a proxy that ends are told to come back, as the time between two of them.
+const RETRY_SPACING: Duration = Duration::from_millis(1);
 /// Time from the start of the process until the configuration has been received, if controllers are reachable.
 const STARTUP_TIME: Duration = Duration::from_millis(600);
 
@@ -51,39 +54,59 @@
     };
     let max_bytes = configuration.limits.max_body_bytes;
     let mut call = Call::new(configuration, route, head, proxy.clock.now(), proxy.random_fraction());
+    match proxy.phase.until_last_send(prepare(proxy, &mut call, body, max_bytes)).await {
+        Some(Ok((claim, chain))) => serve(proxy, call, claim, chain, open_request).await,
+        Some(Err(response)) => *response,
+        None => refuse_at_end(proxy),
+    }
+}
+
+/// Receives the body of a call and claims what it needs before it can be sent; fails with the response to a call that can't run.
+async fn prepare(
+    proxy: &Rc<Proxy>, call: &mut Call, body: Incoming, max_bytes: usize,
+) -> Result<(Option<Claim>, Chain), Box<ClientResponse>> {
     let timeout = call.remaining(proxy.clock.now());
-    call.body = match read_body(body, max_bytes, timeout).await {
-        Ok(body) => body,
-        Err(BodyError::TooLong) => return reply(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
-        Err(BodyError::Broken) => return reply(StatusCode::BAD_REQUEST, "the body ended early"),
-        Err(BodyError::TooSlow) => {
-            return reply(StatusCode::REQUEST_TIMEOUT, "the body did not end in time");
-        }
-    };
+    call.body = read_body(body, max_bytes, timeout).await.map_err(|error| Box::new(body_error(error)))?;
+    let refused = |refusal, wait| Err(Box::new(refuse(proxy, refusal, wait)));
     // Refuses requests that the exit of the process would cut off. Heads and bodies that arrive late during a drain lead here.
     if proxy.phase.ends_before(call.latest_response_end()) {
-        return refuse(proxy, Refusal::ShuttingDown, RETRY_AFTER);
+        return refused(Refusal::ShuttingDown, RETRY_AFTER);
     }
     if proxy.endpoints.borrow().usable(&call.service) == 0 {
-        return refuse(proxy, Refusal::NoEndpoint, RETRY_AFTER);
+        return refused(Refusal::NoEndpoint, RETRY_AFTER);
     }
-    let admission_delay = proxy.admission_delay(&call);
+    let admission_delay = proxy.admission_delay(call);
     if let Some(wait) = admission_delay.filter(|_| call.is_certainly_first()) {
-        return refuse(proxy, Refusal::Busy, wait);
+        return refused(Refusal::Busy, wait);
     }
     proxy.endpoints.borrow_mut().note_prompt(&call.parts);
-    let (claim, chain) = tokio::join!(proxy.claim(&call), proxy.chain(&call));
-    match (claim, chain) {
+    match tokio::join!(proxy.claim(call), proxy.chain(call)) {
         (Ok(claim), Ok(chain)) => match admission_delay {
-            Some(wait) if claim.as_ref().is_none_or(Claim::is_first) => refuse(proxy, Refusal::Busy, wait),
-            _ => serve(proxy, call, claim, chain, open_request).await,
+            Some(wait) if claim.as_ref().is_none_or(Claim::is_first) => refused(Refusal::Busy, wait),
+            _ => Ok((claim, chain)),
         },
-        (Err(TurnError::BudgetSpent), _) => refuse(proxy, Refusal::BudgetSpent, RETRY_AFTER),
-        (_, Err(TurnError::PreviousNotFound)) => refuse(proxy, Refusal::NoPrevious, RETRY_AFTER),
-        _ => refuse(proxy, Refusal::NoStorage, RETRY_AFTER),
+        (Err(TurnError::BudgetSpent), _) => refused(Refusal::BudgetSpent, RETRY_AFTER),
+        (_, Err(TurnError::PreviousNotFound)) => refused(Refusal::NoPrevious, RETRY_AFTER),
+        _ => refused(Refusal::NoStorage, RETRY_AFTER),
     }
 }
 
+/// Response to a request whose body could not be read.
+fn body_error(error: BodyError) -> ClientResponse {
+    match error {
+        BodyError::TooLong => reply(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
+        BodyError::Broken => reply(StatusCode::BAD_REQUEST, "the body ended early"),
+        BodyError::TooSlow => reply(StatusCode::REQUEST_TIMEOUT, "the body did not end in time"),
+    }
+}
+
+/// Refuses a call that waited when the process ended. All such calls are refused at about the same time, so their clients are
+/// told to come back at different times.
+fn refuse_at_end(proxy: &Proxy) -> ClientResponse {
+    let spread = RETRY_SPACING * proxy.phase.open_requests() as u32;
+    refuse(proxy, Refusal::ShuttingDown, RETRY_AFTER + spread.mul_f64(proxy.random_fraction()))
+}
+
 /// Counts a refusal and builds its response; `wait` becomes the `Retry-After` of those that the client may retry.
 fn refuse(proxy: &Proxy, refusal: Refusal, wait: Duration) -> ClientResponse {
     proxy.counts.count_refusal(refusal);
@@ -116,6 +139,7 @@
             open_request,
         )),
         SendOutcome::NotExecuted => refuse(proxy, Refusal::NotAccepted, RETRY_AFTER),
+        SendOutcome::ShuttingDown => refuse_at_end(proxy),
         SendOutcome::Failed => reply(StatusCode::BAD_GATEWAY, "the endpoint's answer was lost"),
         SendOutcome::TimedOut => reply(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
     }
--- a/crates/onyxstile-system/src/role/proxy/lifecycle.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifecycle.rs
@@ -20,8 +20,6 @@
 /// How long the listener stays open after SIGTERM. The platform removes a relay after two failed readiness checks, one second
 /// apart; until then clients still connect.
 const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(2600);
-/// Time before exit in which the kernel sends its socket buffers. No request is accepted any more.
-const FLUSH_TIME: Duration = Duration::from_millis(80);
 
 /// Lower bound of the limit on request heads, in bytes: `Prompt-Prefix` may list hundreds of parts.
 const MIN_HEAD_LIMIT: usize = 64 * 1024;
@@ -58,22 +56,23 @@
 }
 
 /// Waits for SIGTERM, then reports not ready and keeps accepting connections while clients may still be directed here. Returns
-/// when the listener is closed and every connection has ended, or shortly before the process would be killed.
+/// when the listener is closed and every connection has ended, or shortly before the process would be killed: calls that are
+/// still open by then have been answered, and the process waits until the answers have been sent.
 pub(super) async fn drain(proxy: Rc<Proxy>, termination: Termination) {
     termination.received().await;
-    log::info!("SIGTERM received; draining");
-    let settings = &proxy.settings;
-    let grace = proxy.phase.drain(ShortestGrace::new(proxy.clock.now(), settings.borrow().grace()));
-    grace.wait_until(settings, proxy.clock, listener_close_time).await;
+    log::info!("SIGTERM received; draining: {}", open_work(&proxy));
+    let end = proxy.phase.end();
+    end.begin();
+    end.reached(listener_close_time).await;
     let shutdown = proxy.phase.shutdown();
     shutdown.begin();
     log::info!("the listener closes: {}", open_work(&proxy));
     let requests_before = proxy.counts.requests();
     // Waits for all work, not only for the open requests: an open connection may still carry another request.
-    if !grace.wait_for_shutdown(&shutdown, settings, proxy.clock).await {
+    if end.limit(ShortestGrace::deadline, shutdown.ended()).await.is_none() {
         log::warn!("grace period almost over: {}", open_work(&proxy));
+        end.limit(ShortestGrace::exit_deadline, shutdown.ended()).await;
     }
-    tokio::time::sleep(FLUSH_TIME).await;
     let late_requests = proxy.counts.requests() - requests_before;
     log::info!("proxy exits: {}; {late_requests} requests came after the close", open_work(&proxy));
 }
@@ -86,5 +85,6 @@
 /// Summary of the open work for the log.
 fn open_work(proxy: &Proxy) -> String {
     let (work, requests) = (proxy.phase.shutdown().open(), proxy.phase.open_requests());
-    format!("{work} tasks and {requests} requests open")
+    let (refused, cut_off) = (proxy.counts.refused_at_end(), proxy.counts.cut_off());
+    format!("{work} tasks and {requests} requests open, {refused} refused and {cut_off} cut off by the end")
 }
--- a/crates/onyxstile-system/src/role/proxy/relay_stream.rs
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -199,6 +199,10 @@
     let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
     let mut response = hyper::Response::new(ResponseBody::Stream(receiver));
     copy_head(&relay.stream.head, &mut response);
-    tokio::task::spawn_local(relay.run(chunks));
+    tokio::task::spawn_local(async move {
+        let proxy = relay.proxy.clone();
+        // A stream that is dropped at the end of the process is cut without its end marker, and its claim is settled.
+        proxy.phase.until_end(|| true, relay.run(chunks)).await;
+    });
     response
 }
--- a/crates/onyxstile-system/src/role/proxy/upstream.rs
+++ b/crates/onyxstile-system/src/role/proxy/upstream.rs
@@ -89,15 +89,19 @@
     /// sent on a connection that is then reset may have been executed.
     pub(super) async fn send(
         &self, key: EndpointKey, address: SocketAddrV4, request: Request<Full<Bytes>>, is_repeatable: bool,
-        carried: &[ConnectionId],
+        carried: &[ConnectionId], was_sent: &Cell<bool>,
     ) -> Result<(Response<Incoming>, Checkout), SendError> {
         let mut request = request;
         while let Some(IdleConnection { id, mut sender, .. }) = self.take(key, carried) {
+            was_sent.set(true);
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(checked_out(key, id, sender, response, None)),
                 Err(mut error) => match error.take_message() {
                     // The idle connection was closed before anything was written to it.
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        was_sent.set(false);
+                        request = unsent;
+                    }
                     None => return Err(SendError::Unknown(error.into_error().to_string())),
                 },
             }
@@ -108,6 +112,7 @@
             return Err(SendError::NotSent("the endpoint reset the new connection".into()));
         }
         let NewConnection { id, mut sender, connect_time } = opened;
+        was_sent.set(true);
         match sender.try_send_request(request).await {
             Ok(response) => Ok(checked_out(key, id, sender, response, Some(connect_time))),
             Err(mut error) => {
--- a/crates/onyxstile-system/src/role/shortest_grace.rs
+++ b/crates/onyxstile-system/src/role/shortest_grace.rs
@@ -1,14 +1,13 @@
 //! Time left for a role after SIGTERM.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::time::Duration;
 
-use super::shutdown::Shutdown;
-use crate::clock::{Instant, SteadyClock};
-use crate::settings::{Settings, shutdown_time};
+use crate::clock::Instant;
+use crate::settings::shutdown_time;
 
-/// Interval between checks for a changed grace period in the settings.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between the exit of a process and the kill, in which a signal may arrive late and the kernel sends its socket buffers.
+const EXIT_MARGIN: Duration = Duration::from_millis(200);
 
 /// Shortest grace period in the settings since SIGTERM. The platform may kill the process by the grace period at SIGTERM
 /// or by a later one; which one applies is unknown.
@@ -42,35 +41,24 @@
         self.grace.get()
     }
 
-    /// Latest time at which the role ends.
+    /// Time at which work that is still open is given up and answered.
     pub fn deadline(&self) -> Instant {
-        self.sigterm_at + shutdown_time(self.grace())
+        self.deadline_before(Duration::ZERO)
     }
 
-    /// Waits until the time given by `time`, which a shorter grace period brings forward.
-    pub async fn wait_until(
-        &self, settings: &RefCell<Settings>, clock: SteadyClock, time: impl Fn(&ShortestGrace) -> Instant,
-    ) {
-        loop {
-            let now = clock.now();
-            self.update(now, settings.borrow().grace());
-            let left = time(self).since(now);
-            if left.is_zero() {
-                return;
-            }
-            tokio::time::sleep(left.min(CHECK_INTERVAL)).await;
-        }
+    /// The time `reserve` before [`ShortestGrace::deadline`], but not before SIGTERM.
+    pub fn deadline_before(&self, reserve: Duration) -> Instant {
+        self.sigterm_at + shutdown_time(self.grace()).saturating_sub(reserve)
     }
 
-    /// Waits until a shutdown is complete; false if the deadline expires first.
-    pub async fn wait_for_shutdown(
-        &self, shutdown: &Shutdown, settings: &RefCell<Settings>, clock: SteadyClock,
-    ) -> bool {
-        tokio::select! {
-            biased;
-            () = shutdown.ended() => true,
-            () = self.wait_until(settings, clock, ShortestGrace::deadline) => false,
-        }
+    /// Time at which the process exits at the latest, whether its last answers have been read or not.
+    pub fn exit_deadline(&self) -> Instant {
+        self.exit_deadline_before(Duration::ZERO)
+    }
+
+    /// The time `reserve` before [`ShortestGrace::exit_deadline`], but not before SIGTERM.
+    pub fn exit_deadline_before(&self, reserve: Duration) -> Instant {
+        self.sigterm_at + self.grace().saturating_sub(EXIT_MARGIN).saturating_sub(reserve)
     }
 }
 
--- a/crates/onyxstile-system/tests/support/standalone_proxy.rs
+++ b/crates/onyxstile-system/tests/support/standalone_proxy.rs
@@ -1,7 +1,7 @@
 //! Proxies without the other roles: the test sends the feed that an agent would send. All connections of a proxy are closed
 //! when its task ends.
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,10 +11,11 @@
 use onyxstile_system::role::rpc::Client;
 use onyxstile_system::role::signals::Signals;
 use onyxstile_system::role::{proxy, storage};
-use onyxstile_system::settings::Settings;
+use onyxstile_system::settings::{Bounds, Settings};
 use onyxstile_system::storage_plan::{StorageNode, StoragePlan};
 use onyxstile_system::tolerance::Location;
 use onyxstile_system::wire::{Feed, PublishedState, Request};
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 use super::tier::{self, LIMITS, free_ports, request_until, send_request, settings, start_process};
@@ -89,6 +90,31 @@
         (proxy, storage_machines)
     }
 
+    /// Starts a proxy with a short grace period and a plan of storage machines that accept connections and do not answer.
+    pub async fn start_with_silent_storage(
+        configuration: &str, endpoint: SocketAddrV4, grace_s: f64,
+    ) -> (StandaloneProxy, Vec<TcpListener>) {
+        let ports = free_ports(1).remove(0);
+        let settings = settings(&ports, &std::env::temp_dir(), "edge-1", 1, "edge");
+        let mut plan = StoragePlan { epoch: 1, size: 3, ..StoragePlan::default() };
+        let mut listeners = Vec::new();
+        for host in STORAGE_HOSTS {
+            let ip = Ipv4Addr::new(127, 0, 0, host);
+            listeners.push(TcpListener::bind((ip, settings.peer_port())).await.expect("a free port"));
+            let location = Location { region: String::new(), zone: format!("z{host}") };
+            plan.current.push(StorageNode {
+                name: format!("storage-{host}"),
+                ip: ip.octets(),
+                disk: 1,
+                location,
+            });
+        }
+        let bounds = Bounds { grace_s, ..settings.bounds.clone() };
+        let proxy = StandaloneProxy::run(Settings { metrics: None, bounds, ..settings });
+        proxy.make_ready(configuration, endpoint, plan).await;
+        (proxy, listeners)
+    }
+
     async fn make_ready(&self, configuration: &str, endpoint: SocketAddrV4, plan: StoragePlan) {
         self.send_feed(configuration, endpoint, plan).await;
         request_until(200, self.readiness, "GET", "/api/readyz", &[], "").await;
