Tier: a controller answers the calls that are open at the end of its grace period

What callers saw: an operator's change that arrives whole in the last 0.85 s of a controller's grace period, while it can't be made, has its connection closed without an answer.

Cause: the same as in a proxy: the controller's exit was known to its drain only; a call to its API was bounded by the timeouts of its head, its body and its operation, which add up to more than a grace period.

Change: calls to the API are bounded by the end of the process and get a 503 then, as after any outcome that is not clear; the controller exits when their connections have ended, 0.2 s before the kill at the latest.

Evidence: a_change_that_is_not_made_by_the_end_of_the_grace_period_is_answered (tests/controller_end.rs) failed before with an empty answer and passes now. A configuration that was passed on may still be made: the operator sends it again, as after every 503.

--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -136,7 +136,8 @@
 }
 
 /// Waits for SIGTERM, then accepts no more calls of operators and endpoints and keeps running until the open ones are
-/// answered: a caller that requested a change would otherwise not know whether it was made.
+/// answered: a caller that requested a change would otherwise not know whether it was made. Calls that are still open at the
+/// end of the grace period are answered then.
 async fn end(server: &ControllerServer, termination: Termination, shutdown: &Shutdown) {
     termination.received().await;
     log::info!("SIGTERM: {} API requests are open", shutdown.open());
@@ -144,6 +145,7 @@
     server.process_end.begin();
     if server.process_end.limit(ShortestGrace::deadline, shutdown.ended()).await.is_none() {
         log::warn!("the grace period is about to expire: {} API requests are open", shutdown.open());
+        server.process_end.limit(ShortestGrace::exit_deadline, shutdown.ended()).await;
     }
 }
 
--- a/crates/onyxstile-system/src/role/controller/api.rs
+++ b/crates/onyxstile-system/src/role/controller/api.rs
@@ -12,6 +12,7 @@
 use crate::control::{Operation, Outcome};
 use crate::registry::{Instance, Stage};
 use crate::role::http::{Answer, BodyError, json, read_body, text};
+use crate::role::shortest_grace::ShortestGrace;
 
 /// Maximum size of a configuration in bytes.
 const CONFIGURATION_MAX: usize = 8 * 1024 * 1024;
@@ -20,8 +21,16 @@
 /// Timeout for reading a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Answers one request.
+/// Answers one request, at the latest when the process ends.
 pub(super) async fn answer(server: Rc<ControllerServer>, request: Request<Incoming>) -> Answer {
+    let answered = route(server.clone(), request);
+    let answered = server.process_end.limit(ShortestGrace::deadline, answered).await;
+    // As after any request without a clear outcome, the caller asks another controller.
+    answered
+        .unwrap_or_else(|| text(StatusCode::SERVICE_UNAVAILABLE, "this controller ends; retry the request"))
+}
+
+async fn route(server: Rc<ControllerServer>, request: Request<Incoming>) -> Answer {
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
     if let Some(id) = path.strip_prefix("/api/instances/") {
--- a/crates/onyxstile-system/tests/controller_end.rs
+++ b/crates/onyxstile-system/tests/controller_end.rs
@@ -5,7 +5,10 @@
 
 mod support;
 
+use std::time::Duration;
+
 use support::tier::{LIMITS, Tier, request_until, run_test, terminate};
+use support::virtual_time::{VirtualTime, run_ready_tasks};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -41,3 +44,45 @@
         assert!(answer.starts_with("HTTP/1.1 "), "an answer, not a closed connection: {answer:?}");
     });
 }
+
+/// Time from SIGTERM until the connection's head is complete, and then until the body is: each less than its own timeout.
+const LATE_PARTS: (Duration, Duration) = (Duration::from_millis(2900), Duration::from_millis(4550));
+/// More than the rest of the grace period of 8 s.
+const REST_OF_GRACE: Duration = Duration::from_millis(400);
+/// Step of the clock.
+const STEP: Duration = Duration::from_millis(25);
+
+/// Failure (LOST): a change that was received whole in the last 0.85 s of the grace period, while it could not be made, was closed
+/// without an answer when the controller exited.
+#[test]
+fn a_change_that_is_not_made_by_the_end_of_the_grace_period_is_answered() {
+    run_test(async {
+        let tier = Tier::start("controller-end-late", &configuration(5), &[]).await;
+        let control = tier.control(2);
+        request_until(200, control, "GET", "/api/config", &[], "").await;
+        let time = VirtualTime::stop();
+        let body = configuration(6);
+        let mut operator = TcpStream::connect(control).await.expect("a connection");
+        operator.write_all(b"PUT /api/config HTTP/1.1\r\nHost: a\r\n").await.expect("it is sent");
+        run_ready_tasks().await;
+        terminate();
+        pass(&time, LATE_PARTS.0).await;
+        let rest = format!("If-Match: 5\r\nContent-Length: {}\r\n\r\n", body.len());
+        operator.write_all(rest.as_bytes()).await.expect("it is sent");
+        pass(&time, LATE_PARTS.1).await;
+        // The other controllers had no open requests and have exited, so the change cannot be made.
+        operator.write_all(body.as_bytes()).await.expect("it is sent");
+        pass(&time, REST_OF_GRACE).await;
+        let mut answer = String::new();
+        operator.read_to_string(&mut answer).await.ok();
+        assert!(answer.starts_with("HTTP/1.1 503 "), "an answer, not a closed connection: {answer:?}");
+    });
+}
+
+/// Moves the clock on in small steps, as a running process sees it.
+async fn pass(time: &VirtualTime, total: Duration) {
+    let end = tokio::time::Instant::now() + total;
+    while tokio::time::Instant::now() < end {
+        time.advance(STEP).await;
+    }
+}
