--- a/crates/onyxstile-system/src/role/proxy/call_sender.rs
+++ b/crates/onyxstile-system/src/role/proxy/call_sender.rs
@@ -7,7 +7,7 @@
 
 use super::attempt::{Attempt, Stream};
 use super::call::Call;
-use super::destination_call::DestinationCall;
+use super::destination_call::{DestinationCall, SlotWait};
 use super::send_outcome::{GiveUp, SendOutcome};
 use super::upstream::ConnectionId;
 use super::{DestinationKey, Proxy};
@@ -116,18 +116,28 @@
         }
     }
 
-    /// Chooses an endpoint and acquires a slot for it.
+    /// Chooses an endpoint and acquires a slot for it. An endpoint that was chosen before a wait may be leaving after it, so the
+    /// choice is then made again.
     async fn acquire_endpoint(&mut self) -> Result<EndpointKey, GiveUp> {
-        let now = self.proxy.clock.now();
-        if self.call.remaining(now).is_zero() {
-            return Err(GiveUp::Expired);
-        }
-        if self.proxy.phase.is_past_last_send(now) {
-            return Err(GiveUp::ShuttingDown);
+        loop {
+            let now = self.proxy.clock.now();
+            if self.call.remaining(now).is_zero() {
+                return Err(GiveUp::Expired);
+            }
+            if self.proxy.phase.is_past_last_send(now) {
+                return Err(GiveUp::ShuttingDown);
+            }
+            let key = self.choose_endpoint().ok_or(GiveUp::NoEndpoint)?;
+            if self.acquire_slot(key).await? == SlotWait::None {
+                return Ok(key);
+            }
+            // Nothing else runs before the next choice, so the slot is free for it.
+            self.release_slot();
         }
-        let key = self.choose_endpoint().ok_or(GiveUp::NoEndpoint)?;
-        self.acquire_slot(key).await?;
-        Ok(key)
+    }
+
+    fn release_slot(&mut self) {
+        self.destination_call.iter_mut().for_each(DestinationCall::release_slot);
     }
 
     /// Outcome of a call for which there is no response.
@@ -178,7 +188,7 @@
     }
 
     /// Counts the call at the destination of this send and waits for a slot there.
-    async fn acquire_slot(&mut self, endpoint: EndpointKey) -> Result<(), GiveUp> {
+    async fn acquire_slot(&mut self, endpoint: EndpointKey) -> Result<SlotWait, GiveUp> {
         let key = if self.call.is_stream() {
             DestinationKey::Endpoint(endpoint)
         } else {
@@ -190,8 +200,8 @@
         let destination_call = self.destination_call.insert(counted);
         let slot = destination_call.take_slot(self.call.expires_at, endpoint);
         match self.proxy.phase.until_last_send(slot).await {
-            Some(true) => Ok(()),
-            Some(false) => Err(GiveUp::Expired),
+            Some(Some(wait)) => Ok(wait),
+            Some(None) => Err(GiveUp::Expired),
             None => Err(GiveUp::ShuttingDown),
         }
     }
--- a/crates/onyxstile-system/src/role/proxy/destination_call.rs
+++ b/crates/onyxstile-system/src/role/proxy/destination_call.rs
@@ -10,6 +10,15 @@
 /// Maximum time between two attempts to take a slot.
 const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Whether a call had to wait for its slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SlotWait {
+    /// A slot was free.
+    None,
+    /// The call has waited; what was decided before the wait may no longer hold.
+    Waited,
+}
+
 /// A call that is counted at a destination. Dropping it ends the count and releases its slot.
 pub(super) struct DestinationCall {
     pub proxy: Rc<Proxy>,
@@ -50,18 +59,20 @@
         self.with(|destination, _| destination.fire_time(due))
     }
 
-    /// Waits for a slot for a send to `endpoint`; false if none is free before `expires_at`.
+    /// Waits for a slot for a send to `endpoint`; `None` if none is free before `expires_at`.
     pub(super) async fn take_slot(
         &mut self, expires_at: crate::clock::Instant, endpoint: EndpointKey,
-    ) -> bool {
+    ) -> Option<SlotWait> {
         self.release_slot();
         let proxy = self.proxy.clone();
+        let mut wait = SlotWait::None;
         if !proxy.slots.borrow_mut().take(&self.key) {
+            wait = SlotWait::Waited;
             proxy.slots.borrow_mut().wait(&self.key);
             let waiter = SlotWaiter { proxy: proxy.clone(), key: self.key.clone() };
             loop {
                 if proxy.clock.now() >= expires_at {
-                    return false;
+                    return None;
                 }
                 tokio::time::timeout(SLOT_POLL_INTERVAL, proxy.slot_freed.notified()).await.ok();
                 if proxy.slots.borrow_mut().take(&self.key) {
@@ -74,10 +85,11 @@
         if let Some(endpoint) = proxy.endpoints.borrow_mut().get_mut(endpoint) {
             endpoint.begin();
         }
-        true
+        Some(wait)
     }
 
-    fn release_slot(&mut self) {
+    /// Releases the slot, if the call holds one.
+    pub(super) fn release_slot(&mut self) {
         let Some(endpoint) = self.endpoint.take() else { return };
         self.proxy.slots.borrow_mut().release(&self.key, self.is_late);
         self.proxy.slot_freed.notify_one();
--- a/crates/onyxstile-system/tests/support/standalone_proxy.rs
+++ b/crates/onyxstile-system/tests/support/standalone_proxy.rs
@@ -135,18 +135,17 @@
         let stored = StoredConfiguration { revision: 1, body: configuration.as_bytes().to_vec() };
         let state =
             PublishedState { sequence: 1, configuration: Some(Rc::new(stored)), storage: Rc::new(plan) };
-        let instance = Instance {
-            id: "i-1".into(),
-            service: "api".into(),
-            address: (endpoint.ip().octets(), endpoint.port()),
-            zone: "z1".into(),
-            capacity: 8,
-            stage: Stage::Ready,
-            warmup_left_ms: 0,
-            sequence: 1,
-            is_silent: false,
-        };
-        let feed = Feed { state: Some(state), endpoints: vec![instance], is_fresh: true, ..Feed::default() };
+        let endpoints = vec![instance("i-1", endpoint, Stage::Ready, 1)];
+        self.feed(Feed { state: Some(state), endpoints, is_fresh: true, ..Feed::default() }).await;
+    }
+
+    /// Sends the proxy a record of an endpoint of its service `api`.
+    pub async fn update_endpoint(&self, id: &str, address: SocketAddrV4, stage: Stage, sequence: u64) {
+        let endpoints = vec![instance(id, address, stage, sequence)];
+        self.feed(Feed { endpoints, is_fresh: true, ..Feed::default() }).await;
+    }
+
+    async fn feed(&self, feed: Feed) {
         let client = Client::default();
         while client.call(self.feed, &Request::Feed(feed.clone()), FEED_TIMEOUT).await.is_err() {
             tokio::task::yield_now().await;
@@ -159,6 +158,20 @@
     }
 }
 
+fn instance(id: &str, address: SocketAddrV4, stage: Stage, sequence: u64) -> Instance {
+    Instance {
+        id: id.into(),
+        service: "api".into(),
+        address: (address.ip().octets(), address.port()),
+        zone: "z1".into(),
+        capacity: 8,
+        stage,
+        warmup_left_ms: 0,
+        sequence,
+        is_silent: false,
+    }
+}
+
 /// Sends SIGTERM, which all proxies of this process receive, and waits until none reports ready.
 pub async fn terminate(proxies: &[StandaloneProxy]) {
     tier::terminate();
