Tests of long conversations start when all storage machines answer

No fault of the tier.

Change: the start waits until each storage machine answers a request; no check is changed.

--- a/crates/onyxstile-system/tests/support/standalone_proxy.rs
+++ b/crates/onyxstile-system/tests/support/standalone_proxy.rs
@@ -86,6 +86,7 @@
         }
         let settings = settings(&ports, folder, "edge-1", 1, "edge");
         let proxy = StandaloneProxy::run(Settings { metrics: None, ..settings });
+        wait_until_they_answer(&storage_machines).await;
         proxy.make_ready(configuration, endpoint, plan).await;
         (proxy, storage_machines)
     }
@@ -158,6 +159,16 @@
     }
 }
 
+/// Waits until each machine answers a request: a test may call one as soon as it has started it.
+async fn wait_until_they_answer(machines: &[SocketAddrV4]) {
+    let client = Client::default();
+    for machine in machines {
+        while client.call(*machine, &Request::Status, FEED_TIMEOUT).await.is_err() {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
 fn instance(id: &str, address: SocketAddrV4, stage: Stage, sequence: u64) -> Instance {
     Instance {
         id: id.into(),
