Tests of a process's end: one scenario, one step of the clock, one way to send a call

Seven tests built the same proxy with one endpoint, three files moved the clock in steps of their own, two sent the same call, and two built the same record of a storage machine. Scenario, VirtualTime::advance_in_steps, StandaloneProxy::send_call and storage_node serve them all.

--- a/crates/onyxstile-system/tests/calls_at_process_end.rs
+++ b/crates/onyxstile-system/tests/calls_at_process_end.rs
@@ -9,6 +9,7 @@
 
 mod support;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use support::listener::field;
@@ -16,7 +17,7 @@
 use support::standalone_proxy::{StandaloneProxy, configuration, terminate};
 use support::tier::run_test;
 use support::virtual_time::{VirtualTime, run_ready_tasks};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 /// Number of calls that wait in most tests.
@@ -37,34 +38,48 @@
     configuration().replace("5000", DEADLINE_MS).replace("non_idempotent", route_type)
 }
 
-async fn send_call(proxy: &StandaloneProxy, headers: &str) -> TcpStream {
-    let mut client = TcpStream::connect(proxy.front).await.expect("a connection");
-    let head = format!(
-        "POST /r/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nDeadline-Ms: {DEADLINE_MS}\r\n{headers}Content-Length: 0\r\n\r\n"
-    );
-    client.write_all(head.as_bytes()).await.expect("sent");
-    client
+/// A proxy with one endpoint, on a clock that the test moves.
+struct Scenario {
+    time: VirtualTime,
+    endpoint: Rc<ScriptedEndpoint>,
+    proxies: Vec<StandaloneProxy>,
 }
 
-async fn send_calls(proxy: &StandaloneProxy, count: usize) -> Vec<TcpStream> {
-    let mut clients = Vec::new();
-    for _ in 0..count {
-        clients.push(send_call(proxy, "").await);
+impl Scenario {
+    async fn start(treatment: Treatment, route_type: &str) -> Scenario {
+        Scenario::start_with(treatment, &route_of_type(route_type)).await
     }
-    run_ready_tasks().await;
-    clients
-}
 
-/// Moves the clock on in small steps, as a running process sees it.
-async fn pass(time: &VirtualTime, total: Duration) {
-    let mut left = total;
-    while !left.is_zero() {
-        let step = left.min(STEP);
-        time.advance(step).await;
-        left -= step;
+    async fn start_with(treatment: Treatment, configuration: &str) -> Scenario {
+        let time = VirtualTime::stop();
+        let (endpoint, address) = ScriptedEndpoint::listen(treatment).await;
+        let proxies = StandaloneProxy::start(1, configuration, address).await;
+        Scenario { time, endpoint, proxies }
+    }
+
+    /// Sends calls, each on a connection of its own, and returns after the proxy has received them.
+    async fn send_calls(&self, count: usize) -> Vec<TcpStream> {
+        let mut clients = Vec::new();
+        for _ in 0..count {
+            clients.push(self.proxies[0].send_call(&deadline_header()).await);
+        }
+        run_ready_tasks().await;
+        clients
+    }
+
+    async fn pass(&self, total: Duration) {
+        self.time.advance_in_steps(total, STEP).await;
+    }
+
+    async fn terminate(&self) {
+        terminate(&self.proxies).await;
     }
 }
 
+fn deadline_header() -> String {
+    format!("Deadline-Ms: {DEADLINE_MS}\r\n")
+}
+
 /// All that was received on a connection until it was closed.
 async fn received(mut client: TcpStream) -> String {
     let mut bytes = Vec::new();
@@ -87,19 +102,17 @@
 #[test]
 fn calls_that_no_endpoint_takes_are_refused_before_exit() {
     run_test(async {
-        let time = VirtualTime::stop();
-        let (endpoint, address) = ScriptedEndpoint::listen(Treatment::Refuse).await;
-        let proxies = StandaloneProxy::start(1, &route_of_type("non_idempotent"), address).await;
-        let clients = send_calls(&proxies[0], CALLS).await;
-        pass(&time, Duration::from_millis(500)).await;
-        terminate(&proxies).await;
-        pass(&time, UNTIL_END).await;
+        let scenario = Scenario::start(Treatment::Refuse, "non_idempotent").await;
+        let clients = scenario.send_calls(CALLS).await;
+        scenario.pass(Duration::from_millis(500)).await;
+        scenario.terminate().await;
+        scenario.pass(UNTIL_END).await;
         for client in clients {
             let answer = received(client).await;
             assert_eq!(status(&answer), Some(503), "{answer:?}");
             assert!(field(&answer, "retry-after").is_some(), "{answer}");
         }
-        assert_eq!(endpoint.executions.get(), 0);
+        assert_eq!(scenario.endpoint.executions.get(), 0);
     });
 }
 
@@ -107,15 +120,13 @@
 #[test]
 fn call_whose_next_timer_fires_after_exit_is_refused_at_sigterm() {
     run_test(async {
-        let time = VirtualTime::stop();
-        let (_endpoint, address) = ScriptedEndpoint::listen(Treatment::Refuse).await;
         let slow = route_of_type("non_idempotent").replace(r#"latency_ms":200"#, r#"latency_ms":4000"#);
-        let proxies = StandaloneProxy::start(1, &slow, address).await;
-        let clients = send_calls(&proxies[0], 1).await;
+        let scenario = Scenario::start_with(Treatment::Refuse, &slow).await;
+        let clients = scenario.send_calls(1).await;
         // Timers of 500 ms, doubled up to 8 s: one fires within 16.2 s, the next 8 s later.
-        pass(&time, Duration::from_millis(16_200)).await;
+        scenario.pass(Duration::from_millis(16_200)).await;
         assert_eq!(status_so_far(&clients[0]), None);
-        terminate(&proxies).await;
+        scenario.terminate().await;
         run_ready_tasks().await;
         assert_eq!(status_so_far(&clients[0]), Some(503));
     });
@@ -125,19 +136,17 @@
 #[test]
 fn waiting_calls_are_served_if_an_endpoint_takes_them_during_the_drain() {
     run_test(async {
-        let time = VirtualTime::stop();
-        let (endpoint, address) = ScriptedEndpoint::listen(Treatment::Refuse).await;
-        let proxies = StandaloneProxy::start(1, &route_of_type("non_idempotent"), address).await;
-        let clients = send_calls(&proxies[0], CALLS).await;
-        pass(&time, Duration::from_millis(500)).await;
-        terminate(&proxies).await;
-        pass(&time, Duration::from_secs(3)).await;
-        endpoint.treatment.set(Treatment::Serve);
-        pass(&time, UNTIL_END - Duration::from_secs(3)).await;
+        let scenario = Scenario::start(Treatment::Refuse, "non_idempotent").await;
+        let clients = scenario.send_calls(CALLS).await;
+        scenario.pass(Duration::from_millis(500)).await;
+        scenario.terminate().await;
+        scenario.pass(Duration::from_secs(3)).await;
+        scenario.endpoint.treatment.set(Treatment::Serve);
+        scenario.pass(UNTIL_END - Duration::from_secs(3)).await;
         for client in clients {
             assert_eq!(status(&received(client).await), Some(200));
         }
-        assert_eq!(endpoint.executions.get(), CALLS);
+        assert_eq!(scenario.endpoint.executions.get(), CALLS);
     });
 }
 
@@ -145,15 +154,13 @@
 #[test]
 fn calls_that_wait_for_a_slot_are_refused_before_exit() {
     run_test(async {
-        let time = VirtualTime::stop();
-        let (endpoint, address) = ScriptedEndpoint::listen(Treatment::StaySilent).await;
-        let proxies = StandaloneProxy::start(1, &route_of_type("non_idempotent"), address).await;
-        let at_endpoint = send_calls(&proxies[0], SLOTS).await;
-        pass(&time, Duration::from_millis(200)).await;
-        assert_eq!(endpoint.executions.get(), SLOTS);
-        let waiting = send_calls(&proxies[0], CALLS).await;
-        terminate(&proxies).await;
-        pass(&time, UNTIL_END).await;
+        let scenario = Scenario::start(Treatment::StaySilent, "non_idempotent").await;
+        let at_endpoint = scenario.send_calls(SLOTS).await;
+        scenario.pass(Duration::from_millis(200)).await;
+        assert_eq!(scenario.endpoint.executions.get(), SLOTS);
+        let waiting = scenario.send_calls(CALLS).await;
+        scenario.terminate().await;
+        scenario.pass(UNTIL_END).await;
         let refusals: Vec<_> = all_received(waiting).await;
         assert!(refusals.iter().all(|answer| status(answer) == Some(503)), "{refusals:?}");
         // Hundreds of clients that come back at the same moment would overload the other proxies.
@@ -162,7 +169,7 @@
         times.dedup();
         assert!(times.len() > CALLS / 2, "{times:?}");
         assert!(all_received(at_endpoint).await.iter().all(|answer| status(answer) == Some(504)));
-        assert_eq!(endpoint.executions.get(), SLOTS);
+        assert_eq!(scenario.endpoint.executions.get(), SLOTS);
     });
 }
 
@@ -178,19 +185,17 @@
 #[test]
 fn call_at_a_silent_endpoint_gets_a_timeout_and_not_before_the_end() {
     run_test(async {
-        let time = VirtualTime::stop();
-        let (endpoint, address) = ScriptedEndpoint::listen(Treatment::StaySilent).await;
-        let proxies = StandaloneProxy::start(1, &route_of_type("non_idempotent"), address).await;
-        let mut clients = send_calls(&proxies[0], 1).await;
-        pass(&time, Duration::from_millis(100)).await;
-        terminate(&proxies).await;
-        pass(&time, UNTIL_END - STEP).await;
+        let scenario = Scenario::start(Treatment::StaySilent, "non_idempotent").await;
+        let mut clients = scenario.send_calls(1).await;
+        scenario.pass(Duration::from_millis(100)).await;
+        scenario.terminate().await;
+        scenario.pass(UNTIL_END - STEP).await;
         assert_eq!(status_so_far(&clients[0]), None, "the endpoint may still answer");
-        pass(&time, 2 * STEP).await;
+        scenario.pass(2 * STEP).await;
         assert_eq!(status(&received(clients.remove(0)).await), Some(504));
-        assert_eq!(endpoint.executions.get(), 1);
-        pass(&time, AFTER_END).await;
-        assert!(proxies[0].has_ended());
+        assert_eq!(scenario.endpoint.executions.get(), 1);
+        scenario.pass(AFTER_END).await;
+        assert!(scenario.proxies[0].has_ended());
     });
 }
 
@@ -198,13 +203,11 @@
 #[test]
 fn failed_call_that_waits_for_a_resend_gets_the_answer_of_its_endpoint() {
     run_test(async {
-        let time = VirtualTime::stop();
-        let (_endpoint, address) = ScriptedEndpoint::listen(Treatment::Fail).await;
-        let proxies = StandaloneProxy::start(1, &route_of_type("idempotent"), address).await;
-        let clients = send_calls(&proxies[0], CALLS).await;
-        pass(&time, Duration::from_millis(500)).await;
-        terminate(&proxies).await;
-        pass(&time, UNTIL_END).await;
+        let scenario = Scenario::start(Treatment::Fail, "idempotent").await;
+        let clients = scenario.send_calls(CALLS).await;
+        scenario.pass(Duration::from_millis(500)).await;
+        scenario.terminate().await;
+        scenario.pass(UNTIL_END).await;
         for client in clients {
             let answer = received(client).await;
             assert_eq!(status(&answer), Some(500), "{answer:?}");
@@ -221,11 +224,12 @@
         let (endpoint, address) = ScriptedEndpoint::listen(Treatment::Serve).await;
         let (proxy, _listeners) =
             StandaloneProxy::start_with_silent_storage(&route_of_type("streaming"), address, 1.0).await;
-        let client = send_call(&proxy, "Program: p\r\nBudget: 100\r\nToken-Count: 1,10\r\n").await;
+        let headers = format!("{}Program: p\r\nBudget: 100\r\nToken-Count: 1,10\r\n", deadline_header());
+        let client = proxy.send_call(&headers).await;
         run_ready_tasks().await;
         let proxies = [proxy];
         terminate(&proxies).await;
-        pass(&time, Duration::from_millis(600)).await;
+        time.advance_in_steps(Duration::from_millis(600), STEP).await;
         let answer = received(client).await;
         assert_eq!(status(&answer), Some(503), "{answer:?}");
         assert_eq!(endpoint.executions.get(), 0);
--- a/crates/onyxstile-system/tests/choice_after_wait.rs
+++ b/crates/onyxstile-system/tests/choice_after_wait.rs
@@ -14,7 +14,6 @@
 use support::standalone_proxy::{StandaloneProxy, configuration};
 use support::tier::run_test;
 use support::virtual_time::VirtualTime;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 /// Slots of a proxy with the limits of the tests' settings.
@@ -27,20 +26,11 @@
 async fn send_calls(proxy: &StandaloneProxy, count: usize) -> Vec<TcpStream> {
     let mut clients = Vec::new();
     for _ in 0..count {
-        let mut client = TcpStream::connect(proxy.front).await.expect("a connection");
-        let request = "POST /r/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nDeadline-Ms: 5000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-        client.write_all(request.as_bytes()).await.expect("sent");
-        clients.push(client);
+        clients.push(proxy.send_call("Deadline-Ms: 5000\r\nConnection: close\r\n").await);
     }
     clients
 }
 
-async fn pass_steps(time: &VirtualTime, steps: u32) {
-    for _ in 0..steps {
-        time.advance(STEP).await;
-    }
-}
-
 /// Failure (DRAIN): a call that had waited for a slot was sent to an endpoint that had begun to leave during the wait.
 #[test]
 fn call_that_waited_for_a_slot_is_not_sent_to_an_endpoint_that_is_leaving() {
@@ -52,15 +42,15 @@
         let proxy = proxies.remove(0);
         proxy.update_endpoint("i-2", staying_address, Stage::Ready, 1).await;
         let _running = send_calls(&proxy, SLOTS).await;
-        pass_steps(&time, 8).await;
+        time.advance_in_steps(8 * STEP, STEP).await;
         let at_leaving = leaving.requests.get();
         assert_eq!(at_leaving + staying.requests.get(), SLOTS);
         assert!(at_leaving > 0);
         let waiting = send_calls(&proxy, WAITING).await;
-        pass_steps(&time, 2).await;
+        time.advance_in_steps(2 * STEP, STEP).await;
         proxy.update_endpoint("i-1", leaving_address, Stage::Draining, 2).await;
         staying.may_respond.send_replace(true);
-        pass_steps(&time, 6).await;
+        time.advance_in_steps(6 * STEP, STEP).await;
         for mut client in waiting {
             assert_eq!(read_answer(&mut client).await, (Some(200), 5));
         }
--- a/crates/onyxstile-system/tests/controller_end.rs
+++ b/crates/onyxstile-system/tests/controller_end.rs
@@ -66,23 +66,15 @@
         operator.write_all(b"PUT /api/config HTTP/1.1\r\nHost: a\r\n").await.expect("it is sent");
         run_ready_tasks().await;
         terminate();
-        pass(&time, LATE_PARTS.0).await;
+        time.advance_in_steps(LATE_PARTS.0, STEP).await;
         let rest = format!("If-Match: 5\r\nContent-Length: {}\r\n\r\n", body.len());
         operator.write_all(rest.as_bytes()).await.expect("it is sent");
-        pass(&time, LATE_PARTS.1).await;
+        time.advance_in_steps(LATE_PARTS.1, STEP).await;
         // The other controllers had no open requests and have exited, so the change cannot be made.
         operator.write_all(body.as_bytes()).await.expect("it is sent");
-        pass(&time, REST_OF_GRACE).await;
+        time.advance_in_steps(REST_OF_GRACE, STEP).await;
         let mut answer = String::new();
         operator.read_to_string(&mut answer).await.ok();
         assert!(answer.starts_with("HTTP/1.1 503 "), "an answer, not a closed connection: {answer:?}");
     });
 }
-
-/// Moves the clock on in small steps, as a running process sees it.
-async fn pass(time: &VirtualTime, total: Duration) {
-    let end = tokio::time::Instant::now() + total;
-    while tokio::time::Instant::now() < end {
-        time.advance(STEP).await;
-    }
-}
--- a/crates/onyxstile-system/tests/soak/endpoints.rs
+++ b/crates/onyxstile-system/tests/soak/endpoints.rs
@@ -1,6 +1,6 @@
 //! Endpoints of a run: each follows the instructions in the headers of a request, and records executions and their times.
-//! Some requests are refused once, or for seconds. If one of them is sent again on the same connection, a late copy of the refusal arrives
-//! before its answer.
+//! Some requests are refused once, or for seconds. If one of them is sent again on the same connection, a late copy of the
+//! refusal arrives before its answer.
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
--- a/crates/onyxstile-system/tests/support/standalone_proxy.rs
+++ b/crates/onyxstile-system/tests/support/standalone_proxy.rs
@@ -1,7 +1,7 @@
 //! Proxies without the other roles: the test sends the feed that an agent would send. All connections of a proxy are closed
 //! when its task ends.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +15,8 @@
 use onyxstile_system::storage_plan::{StorageNode, StoragePlan};
 use onyxstile_system::tolerance::Location;
 use onyxstile_system::wire::{Feed, PublishedState, Request};
-use tokio::net::TcpListener;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
 use super::tier::{self, LIMITS, free_ports, request_until, send_request, settings, start_process};
@@ -77,8 +78,7 @@
             let name = format!("storage-{host}");
             let settings = settings(&ports, folder, &name, host, "storage");
             storage_machines.push(SocketAddrV4::new(settings.ip, settings.peer_port()));
-            let location = Location { region: String::new(), zone: settings.zone.clone() };
-            plan.current.push(StorageNode { name, ip: settings.ip.octets(), disk: 1, location });
+            plan.current.push(storage_node(host));
             let settings = Settings { metrics: None, ..settings };
             start_process(
                 async move { storage::run(settings, Signals::listen()).await.expect("storage runs") },
@@ -100,15 +100,10 @@
         let mut plan = StoragePlan { epoch: 1, size: 3, ..StoragePlan::default() };
         let mut listeners = Vec::new();
         for host in STORAGE_HOSTS {
-            let ip = Ipv4Addr::new(127, 0, 0, host);
-            listeners.push(TcpListener::bind((ip, settings.peer_port())).await.expect("a free port"));
-            let location = Location { region: String::new(), zone: format!("z{host}") };
-            plan.current.push(StorageNode {
-                name: format!("storage-{host}"),
-                ip: ip.octets(),
-                disk: 1,
-                location,
-            });
+            let node = storage_node(host);
+            let address = SocketAddrV4::new(node.ip.into(), settings.peer_port());
+            listeners.push(TcpListener::bind(address).await.expect("a free port"));
+            plan.current.push(node);
         }
         let bounds = Bounds { grace_s, ..settings.bounds.clone() };
         let proxy = StandaloneProxy::run(Settings { metrics: None, bounds, ..settings });
@@ -140,6 +135,16 @@
         self.feed(Feed { state: Some(state), endpoints, is_fresh: true, ..Feed::default() }).await;
     }
 
+    /// Sends a call without a body to its route on a new connection, with further headers that each end with a line break.
+    pub async fn send_call(&self, headers: &str) -> TcpStream {
+        let mut client = TcpStream::connect(self.front).await.expect("a connection");
+        let head = format!(
+            "POST /r/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n{headers}Content-Length: 0\r\n\r\n"
+        );
+        client.write_all(head.as_bytes()).await.expect("sent");
+        client
+    }
+
     /// Sends the proxy a record of an endpoint of its service `api`.
     pub async fn update_endpoint(&self, id: &str, address: SocketAddrV4, stage: Stage, sequence: u64) {
         let endpoints = vec![instance(id, address, stage, sequence)];
@@ -159,6 +164,11 @@
     }
 }
 
+fn storage_node(host: u8) -> StorageNode {
+    let location = Location { region: String::new(), zone: format!("z{host}") };
+    StorageNode { name: format!("storage-{host}"), ip: [127, 0, 0, host], disk: 1, location }
+}
+
 /// Waits until each machine answers a request: a test may call one as soon as it has started it.
 async fn wait_until_they_answer(machines: &[SocketAddrV4]) {
     let client = Client::default();
--- a/crates/onyxstile-system/tests/support/virtual_time.rs
+++ b/crates/onyxstile-system/tests/support/virtual_time.rs
@@ -43,6 +43,16 @@
         tokio::time::advance(time).await;
         run_ready_tasks().await;
     }
+
+    /// Advances the clock by `total` in steps, as a running process sees it. Timers that are due within a step fire at its end.
+    pub async fn advance_in_steps(&self, total: Duration, step: Duration) {
+        let mut left = total;
+        while !left.is_zero() {
+            let next = left.min(step);
+            self.advance(next).await;
+            left -= next;
+        }
+    }
 }
 
 impl Drop for VirtualTime {
