Tier: the times at the end of a full proxy stay reached once they are

What callers could see: a full proxy with a quarter of a core needs more processor time for its last answers than it has, and closes connections without one.

The time at which calls are given up depends on how many are open. Each answer left fewer, so the time moved back for the others, and all of them woke up and looked again.

Change: once a call has reached a time, it is over for all calls that it bounds, and they are woken once. role/process_end.rs promises an end that only moves forward; that holds for the times derived from it now.

--- a/crates/onyxstile-system/src/role/process_end.rs
+++ b/crates/onyxstile-system/src/role/process_end.rs
@@ -31,7 +31,7 @@
     /// Records SIGTERM: the grace period begins.
     pub fn begin(&self) {
         self.grace.get_or_init(|| ShortestGrace::new(self.clock.now(), self.configured.get()));
-        self.changed.notify_waiters();
+        self.wake_waiters();
     }
 
     /// Applies the grace period of settings that were read just now.
@@ -39,10 +39,15 @@
         self.configured.set(grace);
         if let Some(shortest) = self.grace.get() {
             shortest.update(self.clock.now(), grace);
-            self.changed.notify_waiters();
+            self.wake_waiters();
         }
     }
 
+    /// Wakes all waiters, so that they look at their times again.
+    pub fn wake_waiters(&self) {
+        self.changed.notify_waiters();
+    }
+
     /// The grace period, once SIGTERM has been received.
     pub fn grace(&self) -> Option<&ShortestGrace> {
         self.grace.get()
--- a/crates/onyxstile-system/src/role/proxy/phase.rs
+++ b/crates/onyxstile-system/src/role/proxy/phase.rs
@@ -24,6 +24,10 @@
     open_requests: Cell<usize>,
     /// Number of calls in a step before a send.
     unsent: Cell<usize>,
+    /// Whether the time for sends is over. It stays over, although fewer calls would need less time to be answered.
+    sends_are_over: Cell<bool>,
+    /// The same for calls that were sent.
+    answers_are_over: Cell<bool>,
     shutdown: Rc<Shutdown>,
 }
 
@@ -51,6 +55,8 @@
             end: ProcessEnd::new(clock, grace),
             open_requests: Cell::default(),
             unsent: Cell::default(),
+            sends_are_over: Cell::default(),
+            answers_are_over: Cell::default(),
             shutdown: Rc::default(),
         }
     }
@@ -102,11 +108,17 @@
     /// Time at which calls that were sent are answered by the proxy. It is earlier if the answers to all of them could not be
     /// written before the process exits.
     fn last_answer(&self, grace: &ShortestGrace) -> Instant {
+        if self.answers_are_over.get() {
+            return grace.sigterm_at();
+        }
         grace.deadline().min(grace.exit_deadline_before(self.time_to_answer_sent()))
     }
 
     /// Time after which no call is sent. Calls that have not been sent by then are refused, which takes time if many wait.
     fn last_send(&self, grace: &ShortestGrace) -> Instant {
+        if self.sends_are_over.get() {
+            return grace.sigterm_at();
+        }
         let reserve = SEND_TIME + TIME_PER_ANSWER * self.unsent.get() as u32;
         grace.deadline_before(reserve).min(grace.exit_deadline_before(reserve + self.time_to_answer_sent()))
     }
@@ -115,6 +127,14 @@
         TIME_PER_ANSWER * self.open_requests.get().saturating_sub(self.unsent.get()) as u32
     }
 
+    /// Records that a time is over, and lets all calls that it bounds end together: if each looked again after the one before
+    /// had been answered, hundreds of calls would wake up hundreds of times.
+    fn mark_over(&self, is_over: &Cell<bool>) {
+        if !is_over.replace(true) {
+            self.end.wake_waiters();
+        }
+    }
+
     /// Whether calls that have not been sent by `now` are given up.
     pub(super) fn is_past_last_send(&self, now: Instant) -> bool {
         self.end.grace().is_some_and(|grace| self.last_send(grace) <= now)
@@ -123,7 +143,7 @@
     /// Runs a step of a call that has not been sent; `None` if the process ends first.
     pub(super) async fn until_last_send<T>(&self, step: impl Future<Output = T>) -> Option<T> {
         let _unsent = UnsentCall::new(&self.unsent);
-        self.end.limit(|grace| self.last_send(grace), step).await
+        self.until_end(|| false, step).await
     }
 
     /// Waits before a send until `until`; false as soon as it is known that the process ends first.
@@ -139,7 +159,11 @@
     ) -> Option<T> {
         let last =
             |grace: &ShortestGrace| if was_sent() { self.last_answer(grace) } else { self.last_send(grace) };
-        self.end.limit(last, step).await
+        let output = self.end.limit(last, step).await;
+        if output.is_none() {
+            self.mark_over(if was_sent() { &self.answers_are_over } else { &self.sends_are_over });
+        }
+        output
     }
 
     /// Counts a request as open until the returned value is dropped.
--- a/crates/onyxstile-system/tests/calls_at_process_end.rs
+++ b/crates/onyxstile-system/tests/calls_at_process_end.rs
@@ -33,6 +33,11 @@
 /// Slots of a proxy with the limits of the tests' settings.
 const SLOTS: usize = 256;
 
+/// Number of calls that wait while all slots are taken.
+const MANY_CALLS: usize = 200;
+/// Less than the time from SIGTERM until that many waiting calls are refused.
+const BEFORE_LAST_SEND: Duration = Duration::from_millis(7200);
+
 /// A configuration whose route has the given type.
 fn route_of_type(route_type: &str) -> String {
     configuration().replace("5000", DEADLINE_MS).replace("non_idempotent", route_type)
@@ -173,6 +178,26 @@
     });
 }
 
+/// Failure: each refusal left fewer calls to be answered, so the time for the others moved back and all of them looked again; 975
+/// calls took 0.43 s of processor time, more than a proxy with a quarter of a core has at its end.
+#[test]
+fn waiting_calls_are_refused_together() {
+    run_test(async {
+        let scenario = Scenario::start(Treatment::StaySilent, "non_idempotent").await;
+        let _at_endpoint = scenario.send_calls(SLOTS).await;
+        scenario.pass(Duration::from_millis(200)).await;
+        let waiting = scenario.send_calls(MANY_CALLS).await;
+        scenario.terminate().await;
+        scenario.pass(BEFORE_LAST_SEND).await;
+        let mut refused = 0;
+        while refused == 0 {
+            scenario.time.advance(Duration::from_millis(1)).await;
+            refused = waiting.iter().filter(|client| status_so_far(client) == Some(503)).count();
+        }
+        assert_eq!(refused, MANY_CALLS, "calls refused within one millisecond");
+    });
+}
+
 async fn all_received(clients: Vec<TcpStream>) -> Vec<String> {
     let mut answers = Vec::new();
     for client in clients {
