Tier: proxies and controllers wait for their shutdown in one function

Both waited until their work had ended or was given up, warned, and then waited for the exit: ProcessEnd::wait_for_shutdown serves both. A slot that needed no wait is SlotWait::Free, so that None means no slot only. Two tests share how waiting calls reach the end. Nothing else changes; the tests keep their assertions and pass.

--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -24,7 +24,6 @@
 use super::membership::{self, Shared};
 use super::process_end::ProcessEnd;
 use super::rpc::{self, Client};
-use super::shortest_grace::ShortestGrace;
 use super::shutdown::Shutdown;
 use super::signals::{self, Signals, Termination};
 use super::{http, metrics, socket};
@@ -143,10 +142,9 @@
     log::info!("SIGTERM: {} API requests are open", shutdown.open());
     shutdown.begin();
     server.process_end.begin();
-    if server.process_end.limit(ShortestGrace::deadline, shutdown.ended()).await.is_none() {
-        log::warn!("the grace period is about to expire: {} API requests are open", shutdown.open());
-        server.process_end.limit(ShortestGrace::exit_deadline, shutdown.ended()).await;
-    }
+    let warn =
+        || log::warn!("the grace period is about to expire: {} API requests are open", shutdown.open());
+    server.process_end.wait_for_shutdown(shutdown, warn).await;
 }
 
 impl ControllerServer {
--- a/crates/onyxstile-system/src/role/process_end.rs
+++ b/crates/onyxstile-system/src/role/process_end.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use super::shortest_grace::ShortestGrace;
+use super::shutdown::Shutdown;
 use crate::clock::{Instant, SteadyClock};
 
 /// End of a process.
@@ -80,6 +81,15 @@
         }
     }
 
+    /// Waits until a shutdown is complete. If work is still open when it is given up and answered, calls `is_late` and goes on
+    /// until the process has to exit.
+    pub async fn wait_for_shutdown(&self, shutdown: &Shutdown, is_late: impl FnOnce()) {
+        if self.limit(ShortestGrace::deadline, shutdown.ended()).await.is_none() {
+            is_late();
+            self.limit(ShortestGrace::exit_deadline, shutdown.ended()).await;
+        }
+    }
+
     /// Waits until `until`; false as soon as the time given by `time` is known to be no later.
     pub async fn sleep_until(&self, until: Instant, time: impl Fn(&ShortestGrace) -> Instant) -> bool {
         loop {
--- a/crates/onyxstile-system/src/role/proxy/call_sender.rs
+++ b/crates/onyxstile-system/src/role/proxy/call_sender.rs
@@ -128,7 +128,7 @@
                 return Err(GiveUp::ShuttingDown);
             }
             let key = self.choose_endpoint().ok_or(GiveUp::NoEndpoint)?;
-            if self.acquire_slot(key).await? == SlotWait::None {
+            if self.acquire_slot(key).await? == SlotWait::Free {
                 return Ok(key);
             }
             // Nothing else runs before the next choice, so the slot is free for it.
--- a/crates/onyxstile-system/src/role/proxy/destination_call.rs
+++ b/crates/onyxstile-system/src/role/proxy/destination_call.rs
@@ -14,7 +14,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum SlotWait {
     /// A slot was free.
-    None,
+    Free,
     /// The call has waited; what was decided before the wait may no longer hold.
     Waited,
 }
@@ -65,7 +65,7 @@
     ) -> Option<SlotWait> {
         self.release_slot();
         let proxy = self.proxy.clone();
-        let mut wait = SlotWait::None;
+        let mut wait = SlotWait::Free;
         if !proxy.slots.borrow_mut().take(&self.key) {
             wait = SlotWait::Waited;
             proxy.slots.borrow_mut().wait(&self.key);
--- a/crates/onyxstile-system/src/role/proxy/lifecycle.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifecycle.rs
@@ -69,10 +69,7 @@
     log::info!("the listener closes: {}", open_work(&proxy));
     let requests_before = proxy.counts.requests();
     // Waits for all work, not only for the open requests: an open connection may still carry another request.
-    if end.limit(ShortestGrace::deadline, shutdown.ended()).await.is_none() {
-        log::warn!("grace period almost over: {}", open_work(&proxy));
-        end.limit(ShortestGrace::exit_deadline, shutdown.ended()).await;
-    }
+    end.wait_for_shutdown(&shutdown, || log::warn!("grace period almost over: {}", open_work(&proxy))).await;
     let late_requests = proxy.counts.requests() - requests_before;
     log::info!("proxy exits: {}; {late_requests} requests came after the close", open_work(&proxy));
 }
--- a/crates/onyxstile-system/tests/calls_at_process_end.rs
+++ b/crates/onyxstile-system/tests/calls_at_process_end.rs
@@ -79,6 +79,15 @@
     async fn terminate(&self) {
         terminate(&self.proxies).await;
     }
+
+    /// Answers to calls that wait from before SIGTERM until the end.
+    async fn answers_to_waiting_calls(&self) -> Vec<String> {
+        let clients = self.send_calls(CALLS).await;
+        self.pass(Duration::from_millis(500)).await;
+        self.terminate().await;
+        self.pass(UNTIL_END).await;
+        all_received(clients).await
+    }
 }
 
 fn deadline_header() -> String {
@@ -108,12 +117,7 @@
 fn calls_that_no_endpoint_takes_are_refused_before_exit() {
     run_test(async {
         let scenario = Scenario::start(Treatment::Refuse, "non_idempotent").await;
-        let clients = scenario.send_calls(CALLS).await;
-        scenario.pass(Duration::from_millis(500)).await;
-        scenario.terminate().await;
-        scenario.pass(UNTIL_END).await;
-        for client in clients {
-            let answer = received(client).await;
+        for answer in scenario.answers_to_waiting_calls().await {
             assert_eq!(status(&answer), Some(503), "{answer:?}");
             assert!(field(&answer, "retry-after").is_some(), "{answer}");
         }
@@ -229,12 +233,7 @@
 fn failed_call_that_waits_for_a_resend_gets_the_answer_of_its_endpoint() {
     run_test(async {
         let scenario = Scenario::start(Treatment::Fail, "idempotent").await;
-        let clients = scenario.send_calls(CALLS).await;
-        scenario.pass(Duration::from_millis(500)).await;
-        scenario.terminate().await;
-        scenario.pass(UNTIL_END).await;
-        for client in clients {
-            let answer = received(client).await;
+        for answer in scenario.answers_to_waiting_calls().await {
             assert_eq!(status(&answer), Some(500), "{answer:?}");
             assert_eq!(field(&answer, "response-seal").as_deref(), Some("s"));
         }
