Tests of the trace: a stand-in server counts calls as they arrive

A server refuses every fourth call, but took a call's number from the answers that it had given so far, and answered 8 ms later. Calls that ran at the same time shared a number and skipped others; in lockstep none had the fourth one. No fault of the relay.

Change: the number of a call is counted on receipt, so exactly every fourth one is refused. The test asks for that now, beside the check that was there.

--- a/tests/trace/main.rs
+++ b/tests/trace/main.rs
@@ -132,6 +132,7 @@
     for (address, answers) in [(a, &at_a), (b, &at_b)] {
         let counted = &s.servers[&address.to_string()];
         assert_eq!(counted.attempts, answers.lock().unwrap().len() as u64);
+        assert_eq!(answered(answers, 429), counted.attempts / CALLS_PER_REFUSAL as u64);
         // One that crossed may have been read as a success or as out of time; any other was read as what it was.
         let (taken, late) = (answered(answers, 200), crossed(&[answers]));
         assert!((taken - late..=taken).contains(&counted.succeeded), "{} of {taken}", counted.succeeded);
--- a/tests/trace/stage.rs
+++ b/tests/trace/stage.rs
@@ -14,13 +14,18 @@
 /// allows 20 ms, the rest is for threads that are kept from running.
 const LAST_MOMENT: Duration = Duration::from_millis(1000);
 
+/// A refusing endpoint refuses one of this many calls.
+pub const CALLS_PER_REFUSAL: usize = 4;
+
 /// What an endpoint answered: to which message, with what, and when.
 pub type Answers = Arc<Mutex<Vec<(String, u16, Instant)>>>;
 
-/// An endpoint whose answers are `answer`'s, by how many it gave before and the time that the call has left.
+/// An endpoint whose answers are `answer`'s, by how many calls it received before and the time that the call has left.
 pub fn endpoint(answer: impl Fn(usize, Duration) -> u16 + Send + Sync + 'static) -> (SocketAddr, Answers) {
     let answers = Answers::default();
     let to = answers.clone();
+    // Counted on receipt: calls that run at the same time would otherwise share a number and skip others.
+    let received = AtomicUsize::new(0);
     let address = listen(move |mut talk| {
         while let Some(_first) = talk.line() {
             let (mut length, mut id, mut left) = (0, String::new(), 0);
@@ -33,7 +38,7 @@
                 }
             }
             talk.exact(length);
-            let before = to.lock().unwrap().len();
+            let before = received.fetch_add(1, Relaxed);
             let status = answer(before, Duration::from_millis(left));
             let more = if status == 429 { "Wait-Ms: 30\r\n" } else { "" };
             to.lock().unwrap().push((id, status, Instant::now()));
@@ -43,11 +48,11 @@
     (address, answers)
 }
 
-/// One that turns every fourth call away, with a wait, and takes some time for each.
+/// One that turns every fourth call away (`CALLS_PER_REFUSAL`), with a wait, and takes some time for each.
 pub fn refusing() -> (SocketAddr, Answers) {
     endpoint(|before, _| {
         thread::sleep(Duration::from_millis(8));
-        if before % 4 == 3 { 429 } else { 200 }
+        if before % CALLS_PER_REFUSAL == CALLS_PER_REFUSAL - 1 { 429 } else { 200 }
     })
 }
 
