Tier: a process whose grace period is shortened late answers before it exits (LOST)

What callers saw: a grace period is shortened while a proxy drains, less than 0.2 s before its new end. The connections of all calls that are open in the proxy are closed without an answer, of those that never ran too.

Cause: the same change makes the answers due and the exit. The exit, 0.2 s before the kill, was in the past by then, so the process exited before the calls that the end had woken up ran once more.

--- a/crates/onyxstile-system/src/role/shortest_grace/tests.rs
+++ b/crates/onyxstile-system/src/role/shortest_grace/tests.rs
@@ -25,3 +25,16 @@
     grace.update(at(4000), Duration::from_secs(3));
     assert_eq!(grace.deadline(), at(8600));
 }
+
+/// Failure (LOST): a grace period that was shortened in its last 0.2 s ended the process at once, and calls that waited in it were
+/// closed without an answer.
+#[test]
+fn process_has_time_for_its_answers_after_a_late_shorter_grace_period() {
+    let grace = ShortestGrace::new(at(1000), Duration::from_secs(6));
+    assert_eq!(grace.exit_deadline(), at(6800));
+    grace.update(at(3940), Duration::from_secs(3));
+    assert_eq!(grace.deadline(), at(3600));
+    assert_eq!(grace.exit_deadline(), at(4140));
+    grace.update(at(3990), Duration::from_secs(3));
+    assert_eq!(grace.exit_deadline(), at(4140), "the same grace period is no news");
+}
