--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod indexed_log;
 pub mod listener;
 pub mod memory_folder;
+pub mod role_process;
 pub mod scripted_endpoint;
 pub mod search;
 pub mod standalone_proxy;
--- a/crates/onyxstile-system/tests/support/tier.rs
+++ b/crates/onyxstile-system/tests/support/tier.rs
@@ -71,6 +71,21 @@
         SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, host), self.internal + 1)
     }
 
+    /// First internal port of all machines, over TCP and UDP.
+    pub fn peers(&self) -> u16 {
+        self.internal
+    }
+
+    /// Port of proxies for readiness checks.
+    pub fn readiness(&self) -> u16 {
+        self.readiness
+    }
+
+    /// Port of the metrics of a role's process.
+    pub fn metrics_of(&self, role: &str) -> u16 {
+        if role == "agent" { self.agent_metrics } else { self.metrics }
+    }
+
     fn beginning_at(internal: u16) -> Ports {
         Ports {
             internal,
