--- a/crates/onyxstile-system/src/settings.rs
+++ b/crates/onyxstile-system/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file of a process (`boot.toml`), provided by the platform. Unknown fields are ignored.
 
+pub mod lenient;
 mod metrics_address;
 
 use std::collections::BTreeMap;
@@ -43,13 +44,17 @@
 #[derive(Debug, Clone, Default, Deserialize)]
 pub struct Listen {
     /// Client connections (edge).
+    #[serde(default, deserialize_with = "lenient::optional_address")]
     pub front: Option<SocketAddrV4>,
     /// Readiness checks of the platform (edge).
+    #[serde(default, deserialize_with = "lenient::optional_address")]
     pub readiness: Option<SocketAddrV4>,
     /// Endpoints and the operator (control plane).
+    #[serde(default, deserialize_with = "lenient::optional_address")]
     pub control: Option<SocketAddrV4>,
     /// Updates from the agent to the proxy, for hosts with several relays. The default is the second internal port on
     /// loopback.
+    #[serde(default, deserialize_with = "lenient::optional_address")]
     pub feed: Option<SocketAddrV4>,
 }
 
@@ -58,10 +63,13 @@
 #[serde(default)]
 pub struct Limits {
     /// Memory limit in MB, above which the process is killed.
+    #[serde(deserialize_with = "lenient::whole_number")]
     pub memory_mb: u64,
     /// Maximum number of open descriptors, 200 of which are reserved for files outside the data folder.
+    #[serde(deserialize_with = "lenient::whole_number")]
     pub max_fds: u64,
     /// Disk capacity in MB.
+    #[serde(deserialize_with = "lenient::whole_number")]
     pub disk_mb: u64,
 }
 
@@ -82,14 +90,17 @@
 #[serde(default)]
 pub struct Bounds {
     /// Time after its acknowledgement within which a drain takes effect on each relay, in ms.
+    #[serde(deserialize_with = "lenient::whole_number")]
     pub drain_ms: u64,
     /// Time between SIGTERM and SIGKILL, in seconds.
     pub grace_s: f64,
     /// Time after its acknowledgement within which a configuration takes effect, in ms.
+    #[serde(deserialize_with = "lenient::whole_number")]
     pub config_apply_ms: u64,
     /// Time within which a machine that returns must be fully in service, in seconds.
     pub catch_up_s: f64,
     /// Maximum delay for forwarding a stream event, in ms.
+    #[serde(deserialize_with = "lenient::whole_number")]
     pub pass_ms: u64,
 }
 
@@ -126,7 +137,7 @@
     /// Data folder, on machines with a disk.
     pub data_dir: Option<PathBuf>,
     /// Approximate interval of endpoint heartbeats, in ms.
-    #[serde(default = "default_heartbeat_ms")]
+    #[serde(default = "default_heartbeat_ms", deserialize_with = "lenient::whole_number")]
     pub heartbeat_ms: u64,
     /// Region of each zone.
     #[serde(default)]
--- a/crates/onyxstile-system/src/tolerance.rs
+++ b/crates/onyxstile-system/src/tolerance.rs
@@ -8,15 +8,20 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use serde::Deserialize;
 
+use crate::settings::lenient;
+
 /// Losses that may occur simultaneously without violating a guarantee: a number of machines, zones or regions.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub struct Tolerance {
     /// Machines whose `counts_for_quorum` is true.
+    #[serde(deserialize_with = "lenient::count_or_empty")]
     pub machines: usize,
     /// Entire zones; 0 if only machines are tolerated.
+    #[serde(deserialize_with = "lenient::count_or_empty")]
     pub zones: usize,
     /// Entire regions; 0 if only machines or zones are tolerated.
+    #[serde(deserialize_with = "lenient::count_or_empty")]
     pub regions: usize,
 }
 
