--- a/crates/onyxstile-system/src/disk.rs
+++ b/crates/onyxstile-system/src/disk.rs
@@ -8,12 +8,14 @@
 
 mod control_record;
 mod folder;
+mod folder_lock;
 mod format;
 mod record_log;
 mod versions;
 
 pub use control_record::ControlRecord;
 pub use folder::{Folder, RealFolder};
+pub use folder_lock::FolderLock;
 pub use format::{FORMAT_VERSION, decode, encode};
 pub use record_log::{OpenedLog, RECORD_MAX, RecordLog};
 pub use versions::Versions;
--- a/crates/onyxstile-system/src/lib.rs
+++ b/crates/onyxstile-system/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod prefix;
+pub mod process;
 pub mod program;
 pub mod registry;
 pub mod relays;
--- a/crates/onyxstile-system/src/main.rs
+++ b/crates/onyxstile-system/src/main.rs
@@ -1,15 +1,19 @@
 //! `onyxstile-system`: one binary with a sub-command for each role of the serving tier.
 
+use std::fmt::{self, Display};
+use std::io::Write;
 use std::net::SocketAddrV4;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand};
-use onyxstile_system::role::controller::RoleError;
+use onyxstile_system::process::{EndRecord, Exit};
 use onyxstile_system::role::signals::Signals;
-use onyxstile_system::role::{agent, controller, proxy, status, storage};
-use onyxstile_system::settings::{MetricsAddress, Settings, SettingsError};
-use onyxstile_system::{configuration, logging};
+use onyxstile_system::role::{RoleError, agent, controller, proxy, settings_wait, status, storage};
+use onyxstile_system::settings::{MetricsAddress, PATH_VARIABLE, Settings, SettingsError};
+use onyxstile_system::{configuration, logging, process};
 
 /// The serving tier for agent programs.
 #[derive(Parser)]
@@ -54,34 +58,50 @@
     },
 }
 
-impl Command {
-    /// The metrics address of a role.
-    fn metrics(&self) -> Option<MetricsAddress> {
-        match self {
-            Command::Proxy(role)
-            | Command::Agent(role)
-            | Command::Controller(role)
-            | Command::Storage(role) => role.metrics.clone(),
-            _ => None,
-        }
+/// A role that a process runs.
+#[derive(Clone, Copy)]
+enum RoleName {
+    Proxy,
+    Agent,
+    Controller,
+    Storage,
+}
+
+impl Display for RoleName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            RoleName::Proxy => "proxy",
+            RoleName::Agent => "agent",
+            RoleName::Controller => "controller",
+            RoleName::Storage => "storage",
+        })
     }
 }
 
+/// How long the exit waits for the last log lines to be written.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
+
 fn main() -> ExitCode {
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => return report::<RoleError>(Err(RoleError::Io("the runtime", error))),
-    };
-    runtime.block_on(tokio::task::LocalSet::new().run_until(program()))
+    // The event loop of the process is gone after a panic, so nothing that it may have left half done is used again.
+    let exit = catch_unwind(AssertUnwindSafe(run_program)).unwrap_or(Exit::Panicked);
+    logging::flush(LOG_FLUSH_TIMEOUT);
+    exit.into()
 }
 
-async fn program() -> ExitCode {
+fn run_program() -> Exit {
+    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(tokio::task::LocalSet::new().run_until(program())),
+        Err(error) => fail(Exit::NoRuntime, &error),
+    }
+}
+
+async fn program() -> Exit {
     let signals = Signals::listen();
     let arguments = Arguments::parse();
     if let Err(error) = logging::start(logging::level_from_environment()) {
-        eprintln!("{error}");
-        return ExitCode::FAILURE;
+        return fail(Exit::Failed, &error);
     }
+    process::count_panics();
     match arguments.command {
         Command::CheckSettings { file } => {
             report(Settings::read(&file).map(|_| "the settings are valid".into()))
@@ -89,15 +109,12 @@
         Command::CheckConfiguration { file } => report(check_configuration(&file)),
         Command::Status { address } => tokio::select! {
             result = status::run(address) => report(result.map(|()| "asked".into())),
-            () = signals.wait_any() => ExitCode::FAILURE,
-        },
-        command => match Settings::from_environment() {
-            Ok(settings) => {
-                let settings = Settings { metrics: command.metrics(), ..settings };
-                report(run(&command, settings, signals).await.map(|()| "ended".into()))
-            }
-            Err(error) => report::<SettingsError>(Err(error)),
+            () = signals.wait_any() => Exit::Failed,
         },
+        Command::Proxy(role) => run(RoleName::Proxy, role, signals).await,
+        Command::Agent(role) => run(RoleName::Agent, role, signals).await,
+        Command::Controller(role) => run(RoleName::Controller, role, signals).await,
+        Command::Storage(role) => run(RoleName::Storage, role, signals).await,
     }
 }
 
@@ -113,25 +130,49 @@
     ))
 }
 
-async fn run(command: &Command, settings: Settings, signals: Signals) -> Result<(), RoleError> {
-    match command {
-        Command::Proxy(_) => proxy::run(settings, signals).await,
-        Command::Agent(_) => agent::run(settings, signals).await,
-        Command::Controller(_) => controller::run(settings, signals).await,
-        Command::Storage(_) => storage::run(settings, signals).await,
-        _ => Ok(()),
+/// Runs a role until it ends, and records how it did.
+async fn run(name: RoleName, role: Role, mut signals: Signals) -> Exit {
+    if std::env::var_os(PATH_VARIABLE).is_none() {
+        return fail(Exit::NoSettings, &SettingsError::NoPath);
+    }
+    let settings = tokio::select! {
+        settings = settings_wait::read_settings(role.metrics.as_ref()) => settings,
+        () = signals.termination.received() => return Exit::Done,
+    };
+    let record = EndRecord::new(&settings, &name.to_string());
+    process::set_previous_end(record.begin());
+    let settings = Settings { metrics: role.metrics, ..settings };
+    let (exit, text) = match tokio::task::spawn_local(run_role(name, settings, signals)).await {
+        Ok(Ok(())) => (Exit::Done, "told to end".to_owned()),
+        Ok(Err(error)) => (Exit::PartEnded, error.to_string()),
+        Err(error) => (Exit::Panicked, error.to_string()),
+    };
+    log::info!("{name} exits with {}: {text}", exit.code());
+    record.end(&format!("exit {}: {text}", exit.code()));
+    exit
+}
+
+async fn run_role(name: RoleName, settings: Settings, signals: Signals) -> Result<(), RoleError> {
+    match name {
+        RoleName::Proxy => proxy::run(settings, signals).await,
+        RoleName::Agent => agent::run(settings, signals).await,
+        RoleName::Controller => controller::run(settings, signals).await,
+        RoleName::Storage => storage::run(settings, signals).await,
     }
 }
 
-fn report<E: std::fmt::Display>(result: Result<String, E>) -> ExitCode {
+fn report<E: Display>(result: Result<String, E>) -> Exit {
     match result {
         Ok(text) => {
             log::info!("{text}");
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
+            Exit::Done
         }
+        Err(error) => fail(Exit::Failed, &error),
     }
 }
+
+/// Tells the operator why a command failed. Unlike `eprintln!`, this does not panic if nobody reads standard error.
+fn fail(exit: Exit, error: &dyn Display) -> Exit {
+    writeln!(std::io::stderr(), "{error}").ok();
+    exit
+}
--- a/crates/onyxstile-system/src/metrics.rs
+++ b/crates/onyxstile-system/src/metrics.rs
@@ -46,6 +46,13 @@
         self.gauge(name, help, value.map_or(-1.0, |value| value.as_secs_f64()));
     }
 
+    /// Adds an event counter since the start of the process. `_total` is appended to the name.
+    pub fn counter(&mut self, name: &str, help: &str, value: u64) {
+        let counter = Counter::<u64>::default();
+        counter.inc_by(value);
+        self.registry.register(name, help, counter);
+    }
+
     /// Adds event counters since the start of the process, distinguished by a label. `_total` is appended to the name.
     pub fn counters(&mut self, name: &str, help: &str, label: &'static str, values: &[(&str, u64)]) {
         let family = Family::<Labels, Counter>::default();
--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -2,7 +2,10 @@
 
 pub mod agent;
 pub mod controller;
+pub mod error;
+pub mod essential_tasks;
 pub mod guarded_body;
+pub mod host;
 pub mod http;
 pub mod identity;
 pub mod lingering_close;
@@ -12,6 +15,7 @@
 pub mod process_end;
 pub mod proxy;
 pub mod rpc;
+pub mod settings_wait;
 pub mod shortest_grace;
 pub mod shutdown;
 pub mod signals;
@@ -20,3 +24,5 @@
 pub mod storage;
 pub mod subscription;
 pub mod watched_stream;
+
+pub use error::{RoleError, StartError};
--- a/crates/onyxstile-system/src/role/agent.rs
+++ b/crates/onyxstile-system/src/role/agent.rs
@@ -10,11 +10,12 @@
 
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use super::controller::RoleError;
-use super::metrics;
+use super::error::RoleError;
+use super::essential_tasks::EssentialTasks;
+use super::host::{Host, Service};
 use super::process_end::ProcessEnd;
 use super::rpc::Client;
-use super::signals::{self, Signals, Termination};
+use super::signals::{Signals, Termination};
 use super::subscription::{self, SubscriptionOptions};
 use crate::clock::SteadyClock;
 use crate::evidence::Evidence;
@@ -34,41 +35,65 @@
 /// Delay after a failed feed.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// State of an agent process.
+struct Agent {
+    feed_state: RefCell<FeedState>,
+    evidence: Rc<RefCell<Vec<Evidence>>>,
+    process_end: ProcessEnd,
+    is_ending: Cell<bool>,
+}
+
+impl Service for Agent {
+    fn metrics(&self) -> Metrics {
+        collect_metrics(&self.feed_state.borrow())
+    }
+
+    fn apply_settings(&self, settings: &Settings) {
+        self.process_end.set_grace(settings.grace());
+    }
+}
+
 /// Runs the role until SIGTERM, and then until the proxy on the same machine has ended.
 pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
-    let proxy = settings.feed_address();
-    let clock = SteadyClock::start();
-    let Signals { termination, hangups } = signals;
-    let settings = Rc::new(RefCell::new(settings));
-    let feed_state: Rc<RefCell<FeedState>> = Rc::default();
-    let reported_state = feed_state.clone();
+    let Signals { mut termination, hangups } = signals;
+    let host = Host::new(settings);
+    let service = serve(host.clone(), &mut termination);
+    host.clone().run(hangups, service).await
+}
+
+async fn serve(host: Rc<Host<Agent>>, termination: &mut Termination) -> Result<(), RoleError> {
+    let process_end = ProcessEnd::new(host.clock, host.settings.borrow().grace());
+    let agent = host.started(Agent {
+        feed_state: RefCell::default(),
+        evidence: Rc::default(),
+        process_end,
+        is_ending: Cell::new(false),
+    });
     let client = Client::default();
-    let evidence: Rc<RefCell<Vec<Evidence>>> = Rc::default();
     let options = SubscriptionOptions {
-        relay_evidence: Some(evidence.clone()),
+        relay_evidence: Some(agent.evidence.clone()),
         wait: POLL_WAIT,
         synced_epoch: Rc::default(),
     };
-    let updates = subscription::follow(settings.clone(), client.clone(), options);
-    log::info!("agent of {} is feeding {proxy}", settings.borrow().node_name);
-    let is_ending = Rc::new(Cell::new(false));
-    let process_end = ProcessEnd::new(clock, settings.borrow().grace());
-    let link = ProxyLink { client, proxy, clock };
+    let mut tasks = EssentialTasks::default();
+    let updates = subscription::follow(host.settings.clone(), client.clone(), options, &mut tasks);
+    let proxy = host.settings.borrow().feed_address();
+    log::info!("agent of {} is feeding {proxy}", host.settings.borrow().node_name);
+    let link = ProxyLink { client, proxy, clock: host.clock };
     tokio::select! {
-        () = metrics::serve(settings.borrow().clone(), clock, move || collect_metrics(&reported_state.borrow())) => {}
-        () = feed(link, updates, &feed_state, is_ending.clone(), evidence) => log::info!("the proxy has ended"),
-        () = signals::reload_settings(hangups, settings.clone(), |fresh| process_end.set_grace(fresh.grace())) => {}
-        () = end(termination, &process_end, is_ending) => log::info!("the agent is shutting down"),
+        error = tasks.ended() => return Err(error),
+        () = feed(link, updates, &agent) => log::info!("the proxy has ended"),
+        () = end(termination, &agent) => log::info!("the agent is shutting down"),
     }
     Ok(())
 }
 
 /// Waits for SIGTERM, and then for the time in which the proxy may drain.
-async fn end(termination: Termination, process_end: &ProcessEnd, is_ending: Rc<Cell<bool>>) {
+async fn end(termination: &mut Termination, agent: &Agent) {
     termination.received().await;
-    is_ending.set(true);
-    process_end.begin();
-    process_end.reached(|grace| grace.sigterm_at() + grace.grace().mul_f64(DRAIN_SHARE)).await;
+    agent.is_ending.set(true);
+    agent.process_end.begin();
+    agent.process_end.reached(|grace| grace.sigterm_at() + grace.grace().mul_f64(DRAIN_SHARE)).await;
 }
 
 /// Connection to the proxy.
@@ -78,10 +103,8 @@
     clock: SteadyClock,
 }
 
-async fn feed(
-    link: ProxyLink, mut updates: UnboundedReceiver<FeedUpdate>, feed_state: &RefCell<FeedState>,
-    is_ending: Rc<Cell<bool>>, evidence: Rc<RefCell<Vec<Evidence>>>,
-) {
+async fn feed(link: ProxyLink, mut updates: UnboundedReceiver<FeedUpdate>, agent: &Agent) {
+    let feed_state = &agent.feed_state;
     let ProxyLink { client, proxy, clock } = link;
     let mut fed_incarnation: Option<u64> = None;
     loop {
@@ -92,12 +115,12 @@
                 if fed_incarnation.is_none_or(|previous| previous == incarnation) =>
             {
                 fed_incarnation = Some(incarnation);
-                *evidence.borrow_mut() = reported;
+                *agent.evidence.borrow_mut() = reported;
             }
             result => {
                 // The proxy was restarted or is down: the next feed is complete.
                 fed_incarnation = None;
-                if is_ending.get() && result.is_err() {
+                if agent.is_ending.get() && result.is_err() {
                     return;
                 }
                 tokio::time::sleep(RETRY_DELAY).await;
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -8,64 +8,49 @@
 mod registry_store;
 mod registry_sync;
 mod requests;
+mod step_guard;
 mod stepping;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io;
+use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 
-use quick_error::quick_error;
+use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot};
 
+pub use super::error::RoleError;
+use super::error::StartError;
+use super::essential_tasks::EssentialTasks;
+use super::host::{Host, Service, start_until_termination};
 use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::process_end::ProcessEnd;
 use super::rpc::{self, Client};
 use super::shutdown::Shutdown;
-use super::signals::{self, Signals, Termination};
-use super::{http, metrics, socket};
+use super::signals::{Signals, Termination};
+use super::{http, socket};
 use crate::clock::{Instant, SteadyClock};
 use crate::control::{Durable, Outcome};
 use crate::controller::{Controller, Input};
-use crate::disk::{ControlRecord, RealFolder};
+use crate::disk::{ControlRecord, FolderLock, RealFolder};
 use crate::evidence::EvidencePool;
+use crate::metrics::Metrics;
+use crate::process::Resource;
 use crate::registry::{DrainSync, Registry};
 use crate::relays::Relays;
 use crate::settings::Settings;
 use crate::swim::Class;
 use crate::tolerance::Tolerance;
-use recovery::open_record;
-use registry_store::RegistryStore;
+use recovery::Recovery;
+use registry_store::{OpenedStore, RegistryStore, StoredRegistry};
+use step_guard::StepGuard;
 
 /// Time for sending a first message to the other controllers; nothing depends on it.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(4);
 
-quick_error! {
-    /// Reason why a role cannot run.
-    #[derive(Debug)]
-    pub enum RoleError {
-        /// Error of a socket or a file.
-        Io(what: &'static str, error: io::Error) {
-            display("{}: {}", what, error)
-        }
-        /// The settings lack a field that the role needs.
-        Settings(field: &'static str) {
-            display("the settings lack {}", field)
-        }
-    }
-}
-
-type Failure = (&'static str, io::Error);
-
-impl From<Failure> for RoleError {
-    fn from((what, error): Failure) -> Self {
-        RoleError::Io(what, error)
-    }
-}
-
 /// Controller process: the state machine with its disk, peers and registry.
 pub struct ControllerServer {
     settings: Rc<RefCell<Settings>>,
@@ -88,56 +73,103 @@
     is_planning: Cell<bool>,
     /// Time from the start until the controller was settled for the first time.
     settled_after: Cell<Option<Duration>>,
+    step_guard: StepGuard,
+    /// Held until the process ends.
+    _lock: Option<FolderLock>,
 }
 
-/// Runs the role until SIGTERM.
+/// Runs the role until SIGTERM. Waits at its start while an address is taken or the disk refuses; until it has all that an
+/// elector needs, it takes no part in anything.
 pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
-    let clock = SteadyClock::start();
-    let Signals { termination, hangups } = signals;
-    let data = settings.data_dir.clone().ok_or(RoleError::Settings("data_dir"))?;
-    let control = settings.listen.control.ok_or(RoleError::Settings("listen.control"))?;
-    let (record, durable) = open_record(&settings, &data).map_err(|error| ("data_dir", error))?;
-    let (registry_store, stored) = RegistryStore::open(data).map_err(|error| ("data_dir", error))?;
-    let peers = socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
-        .map_err(|error| ("peer port", error))?;
-    let api = socket::listen(control).map_err(|error| ("control port", error))?;
-    let swim = membership::start(&settings, Class::Core, durable.disk, clock)
-        .await
-        .map_err(|error| ("membership port", error))?;
-    let server = Rc::new(ControllerServer::new(settings, clock, durable, swim, record, registry_store));
-    log::info!("loaded {} registered endpoints, complete: {}", stored.instances.len(), stored.is_complete);
-    server.registry.borrow_mut().restore(clock.now(), stored.instances);
-    // At the first start of the whole system there is nothing to copy.
-    let is_first_start = server.settings.borrow().bootstrap;
-    *server.drain_sync.borrow_mut() = DrainSync::new(stored.is_complete || is_first_start);
-    if is_first_start && !stored.is_complete {
-        // Otherwise, if all controllers were killed before the first endpoint registers, none would know that its
-        // registry is complete.
-        drop(server.registry_store.write(&server.registry.borrow(), true));
-    }
-    log::info!("controller {} is listening at {control}", server.settings.borrow().node_name);
+    let Signals { mut termination, hangups } = signals;
+    let host = Host::new(settings);
+    let service = serve(host.clone(), &mut termination);
+    host.clone().run(hangups, service).await
+}
+
+async fn serve(host: Rc<Host<ControllerServer>>, termination: &mut Termination) -> Result<(), RoleError> {
+    let Some(started) = start_until_termination(termination, start(&host)).await else { return Ok(()) };
+    let Started { server, peers, tasks, store_end } = started;
+    log::info!("controller {} has started", server.settings.borrow().node_name);
     server.announce().await;
-    let (rpc_server, api_server, metrics_server) = (server.clone(), server.clone(), server.clone());
+    let (rpc_server, api_server) = (server.clone(), server.clone());
     let shutdown: Rc<Shutdown> = Rc::default();
     tokio::select! {
-        () = rpc::serve(peers, Rc::new(move |request| rpc_server.clone().answer(request))) => {}
-        () = http::serve(api, clock, shutdown.clone(), move |request| api::answer(api_server.clone(), request)) => {}
-        () = metrics::serve(server.settings.borrow().clone(), clock, move || metrics_server.metrics()) => {}
-        () = server.clone().tick() => {}
-        () = server.clone().follow_registries() => {}
-        () = signals::reload_settings(hangups, server.settings.clone(), |fresh| {
-            server.swim.borrow_mut().set_seeds(fresh.seed_addresses());
-            server.process_end.set_grace(fresh.grace());
-        }) => {}
+        never = rpc::serve(peers, Rc::new(move |request| rpc_server.clone().answer(request))) => match never {},
+        never = serve_api(&host, api_server, shutdown.clone()) => match never {},
+        never = server.clone().tick() => match never {},
+        never = server.clone().follow_registries() => match never {},
+        error = tasks.ended() => return Err(error),
+        _ = store_end => return Err(RoleError::PartEnded("writer of the registry record")),
+        () = server.step_guard.broken() => return Err(RoleError::PartEnded("the state machine")),
         () = end(&server, termination, &shutdown) => log::info!("the controller is shutting down"),
     }
     Ok(())
 }
 
+/// A controller that has started.
+struct Started {
+    server: Rc<ControllerServer>,
+    peers: TcpListener,
+    tasks: EssentialTasks,
+    store_end: oneshot::Receiver<()>,
+}
+
+/// Gets what an elector needs. The socket of the membership protocol and the lock come first: while another process has
+/// them, its votes may still change.
+async fn start(host: &Rc<Host<ControllerServer>>) -> Started {
+    let (settings, waits) = (&host.settings, &host.waits);
+    let socket = waits.acquire(Resource::Membership, || membership::bind(&settings.borrow())).await;
+    let data = || settings.borrow().data_dir.clone().ok_or(StartError::Missing("data_dir"));
+    let lock =
+        waits.acquire(Resource::DataFolder, || Ok::<_, StartError>(FolderLock::acquire(&data()?)?)).await;
+    let mut recovery = Recovery::default();
+    let (record, durable) =
+        waits.acquire(Resource::Records, || recovery.open_record(&settings.borrow(), &data()?)).await;
+    let opened =
+        waits.acquire(Resource::Records, || Ok::<_, StartError>(RegistryStore::open(data()?)?)).await;
+    let OpenedStore { store, stored, end: store_end } = opened;
+    let listen_to_peers = || {
+        let settings = settings.borrow();
+        socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
+    };
+    let peers = waits.acquire(Resource::Peers, listen_to_peers).await;
+    let mut tasks = EssentialTasks::default();
+    let member = (Class::Core, durable.disk);
+    let swim = membership::start(&settings.borrow(), member, host.clock, socket, &mut tasks);
+    let server = ControllerServer::new(settings.clone(), host.clock, durable, swim, record, store);
+    let server = host.started(ControllerServer { _lock: Some(lock), ..server });
+    server.restore_registry(stored);
+    Started { server, peers, tasks, store_end }
+}
+
+/// Serves operators and endpoints. Without their address the controller still votes and tells relays what it knows.
+async fn serve_api(
+    host: &Host<ControllerServer>, server: Rc<ControllerServer>, shutdown: Rc<Shutdown>,
+) -> Infallible {
+    let listen = || {
+        let control = host.settings.borrow().listen.control.ok_or(StartError::Missing("listen.control"))?;
+        Ok::<_, StartError>(socket::listen(control)?)
+    };
+    let listener = host.waits.acquire(Resource::Control, listen).await;
+    http::serve(listener, host.clock, shutdown, move |request| api::answer(server.clone(), request)).await
+}
+
+impl Service for ControllerServer {
+    fn metrics(&self) -> Metrics {
+        self.collect_metrics()
+    }
+
+    fn apply_settings(&self, settings: &Settings) {
+        self.swim.borrow_mut().set_seeds(settings.seed_addresses());
+        self.process_end.set_grace(settings.grace());
+    }
+}
+
 /// Waits for SIGTERM, then accepts no more calls of operators and endpoints and keeps running until the open ones are
 /// answered: a caller that requested a change would otherwise not know whether it was made. Calls that are still open at the
 /// end of the grace period are answered then.
-async fn end(server: &ControllerServer, termination: Termination, shutdown: &Shutdown) {
+async fn end(server: &ControllerServer, termination: &mut Termination, shutdown: &Shutdown) {
     termination.received().await;
     log::info!("SIGTERM: {} API requests are open", shutdown.open());
     shutdown.begin();
@@ -149,9 +181,10 @@
 
 impl ControllerServer {
     fn new(
-        settings: Settings, clock: SteadyClock, durable: Durable, swim: Shared,
+        shared_settings: Rc<RefCell<Settings>>, clock: SteadyClock, durable: Durable, swim: Shared,
         record: ControlRecord<RealFolder>, registry_store: RegistryStore,
     ) -> ControllerServer {
+        let settings = shared_settings.borrow();
         let heartbeat = Duration::from_millis(settings.heartbeat_ms);
         let controller =
             Controller::new(settings.ip, durable, settings.fault_tolerance, random_id(), clock.now())
@@ -159,7 +192,7 @@
                 .with_last_write(record.last_recovered_write());
         ControllerServer {
             process_end: ProcessEnd::new(clock, settings.grace()),
-            settings: Rc::new(RefCell::new(settings)),
+            settings: shared_settings.clone(),
             clock,
             controller: RefCell::new(controller),
             registry: RefCell::new(Registry::new(random_id(), heartbeat)),
@@ -177,6 +210,26 @@
             evidence: RefCell::default(),
             is_planning: Cell::new(false),
             settled_after: Cell::new(None),
+            step_guard: StepGuard::default(),
+            _lock: None,
+        }
+    }
+
+    /// Restores the endpoints that were registered before the start.
+    fn restore_registry(&self, stored: StoredRegistry) {
+        log::info!(
+            "loaded {} registered endpoints, complete: {}",
+            stored.instances.len(),
+            stored.is_complete
+        );
+        self.registry.borrow_mut().restore(self.clock.now(), stored.instances);
+        // At the first start of the whole system there is nothing to copy.
+        let is_first_start = self.settings.borrow().bootstrap;
+        *self.drain_sync.borrow_mut() = DrainSync::new(stored.is_complete || is_first_start);
+        if is_first_start && !stored.is_complete {
+            // Otherwise, if all controllers were killed before the first endpoint registers, none would know that its
+            // registry is complete.
+            drop(self.registry_store.write(&self.registry.borrow(), true));
         }
     }
 
--- a/crates/onyxstile-system/src/role/controller/metric_values.rs
+++ b/crates/onyxstile-system/src/role/controller/metric_values.rs
@@ -5,7 +5,7 @@
 
 impl ControllerServer {
     /// Current metric values.
-    pub(super) fn metrics(&self) -> Metrics {
+    pub(super) fn collect_metrics(&self) -> Metrics {
         let mut metrics = Metrics::default();
         self.add_view_metrics(&mut metrics);
         self.add_state_metrics(&mut metrics);
--- a/crates/onyxstile-system/src/role/controller/recovery.rs
+++ b/crates/onyxstile-system/src/role/controller/recovery.rs
@@ -6,6 +6,7 @@
 use crate::control::Durable;
 use crate::controller::Controller;
 use crate::disk::{ControlRecord, RealFolder};
+use crate::role::error::StartError;
 use crate::role::identity::random_id;
 use crate::settings::Settings;
 
@@ -24,22 +25,36 @@
     }
 }
 
-/// Opens the control record. One that cannot be read counts as a lost disk: its votes are lost, so the machine becomes
-/// another elector.
-pub(super) fn open_record(
-    settings: &Settings, data: &Path,
-) -> io::Result<(ControlRecord<RealFolder>, Durable)> {
-    let ((mut record, held), is_lost) = open_or_discard(
-        || ControlRecord::open(RealFolder::open(data.into())?, RealFolder::open(data.into())?),
-        || ControlRecord::discard(&mut RealFolder::open(data.into())?),
-    )?;
-    if let Some(durable) = held {
-        return Ok((record, durable));
+/// Recovery of the control record, over several attempts if the disk refuses.
+#[derive(Default)]
+pub(super) struct Recovery {
+    /// Whether a record that could not be read was discarded. It stays lost in later attempts.
+    is_lost: bool,
+}
+
+impl Recovery {
+    /// Opens the control record. One that cannot be read counts as a lost disk: its votes are lost, so the machine becomes
+    /// another elector.
+    pub(super) fn open_record(
+        &mut self, settings: &Settings, data: &Path,
+    ) -> Result<(ControlRecord<RealFolder>, Durable), StartError> {
+        let open = || ControlRecord::open(RealFolder::open(data.into())?, RealFolder::open(data.into())?);
+        let discard = || {
+            self.is_lost = true;
+            ControlRecord::discard(&mut RealFolder::open(data.into())?)
+        };
+        let ((mut record, held), _) = open_or_discard(open, discard)?;
+        if let Some(durable) = held {
+            return Ok((record, durable));
+        }
+        let seeds = settings.seed_addresses();
+        let is_founder = settings.bootstrap && !self.is_lost && seeds.contains(&settings.ip);
+        let durable = if is_founder {
+            Controller::bootstrap(settings.ip, &seeds)
+        } else {
+            Controller::empty(random_id())
+        };
+        record.save(&durable)?;
+        Ok((record, durable))
     }
-    let seeds = settings.seed_addresses();
-    let is_founder = settings.bootstrap && !is_lost && seeds.contains(&settings.ip);
-    let durable =
-        if is_founder { Controller::bootstrap(settings.ip, &seeds) } else { Controller::empty(random_id()) };
-    record.save(&durable)?;
-    Ok((record, durable))
 }
--- a/crates/onyxstile-system/src/role/controller/registry_store.rs
+++ b/crates/onyxstile-system/src/role/controller/registry_store.rs
@@ -76,9 +76,19 @@
     last_attempt: Cell<Instant>,
 }
 
+/// The result of [`RegistryStore::open`].
+pub(super) struct OpenedStore {
+    /// Handle for submitting writes.
+    pub store: RegistryStore,
+    /// Content of the record.
+    pub stored: StoredRegistry,
+    /// Completes when the thread has ended, which it does only by a panic.
+    pub end: oneshot::Receiver<()>,
+}
+
 impl RegistryStore {
-    /// Opens the record in a folder and returns its content as well. One that cannot be read counts as lost.
-    pub(super) fn open(folder: PathBuf) -> io::Result<(RegistryStore, StoredRegistry)> {
+    /// Opens the record in a folder. One that cannot be read counts as lost.
+    pub(super) fn open(folder: PathBuf) -> io::Result<OpenedStore> {
         let ((versions, held), _) = open_or_discard(
             || Versions::open(RealFolder::open(folder.clone())?, RECORD),
             || Versions::discard(&mut RealFolder::open(folder.clone())?, RECORD),
@@ -91,8 +101,14 @@
         });
         let shared: Arc<Shared> = Arc::default();
         let writing = shared.clone();
-        std::thread::spawn(move || run(versions, &writing));
-        Ok((RegistryStore { shared, submitted: Cell::new(0), last_attempt: Cell::default() }, stored))
+        let (ending, end) = oneshot::channel();
+        std::thread::Builder::new().name("registry".into()).spawn(move || {
+            // Dropped however the thread ends.
+            let _ending: oneshot::Sender<()> = ending;
+            run(versions, &writing);
+        })?;
+        let store = RegistryStore { shared, submitted: Cell::new(0), last_attempt: Cell::default() };
+        Ok(OpenedStore { store, stored, end })
     }
 
     /// Writes the registry if it has changed or if the last write failed; postponed while the disk is busy.
--- a/crates/onyxstile-system/src/role/controller/registry_sync.rs
+++ b/crates/onyxstile-system/src/role/controller/registry_sync.rs
@@ -2,6 +2,7 @@
 //! every endpoint, and each stores them on its disk. A drain is on disks before it is acknowledged. A controller that has
 //! lost its disk, or has replaced another one, holds all drains before relays count it.
 
+use std::convert::Infallible;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -102,7 +103,7 @@
     }
 
     /// Pulls the records of all other current electors.
-    pub(super) async fn follow_registries(self: Rc<ControllerServer>) {
+    pub(super) async fn follow_registries(self: Rc<ControllerServer>) -> Infallible {
         let mut followed: Vec<([u8; 4], tokio::task::JoinHandle<()>)> = Vec::new();
         loop {
             let (own, electors) = (self.own(), self.electors());
--- a/crates/onyxstile-system/src/role/controller/requests.rs
+++ b/crates/onyxstile-system/src/role/controller/requests.rs
@@ -7,6 +7,7 @@
 use super::ControllerServer;
 use crate::clock::Instant;
 use crate::controller::Input;
+use crate::process;
 use crate::relays::Relay;
 use crate::role::rpc::ResponseFuture;
 use crate::swim::MemberState;
@@ -170,6 +171,7 @@
     pub(super) fn status(&self) -> Vec<String> {
         let controller = self.controller.borrow();
         let mut lines = vec![format!("node {}", self.settings.borrow().node_name)];
+        lines.push(format!("previous end: {}", process::previous_end()));
         let Some(view) = controller.view() else {
             lines.push("view none: not taken in yet".into());
             return lines;
--- a/crates/onyxstile-system/src/role/controller/stepping.rs
+++ b/crates/onyxstile-system/src/role/controller/stepping.rs
@@ -1,5 +1,6 @@
 //! Inputs of the state machine: time, membership and operations.
 
+use std::convert::Infallible;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +21,7 @@
 
 impl ControllerServer {
     /// Drives the clock of the state machine.
-    pub(super) async fn tick(self: Rc<ControllerServer>) {
+    pub(super) async fn tick(self: Rc<ControllerServer>) -> Infallible {
         loop {
             self.note_settled();
             self.step(Input::Live(self.live_controllers()));
@@ -52,6 +53,7 @@
     /// Passes one input to the state machine and executes its effects. While the disk refuses writes, inputs are dropped,
     /// as if the machine were cut off.
     pub(super) fn step(&self, input: Input) {
+        let Some(_running) = self.step_guard.enter() else { return };
         let now = self.clock.now();
         if !self.retry_disk(now) {
             return;
--- a/crates/onyxstile-system/src/role/http.rs
+++ b/crates/onyxstile-system/src/role/http.rs
@@ -1,5 +1,6 @@
 //! HTTP helpers shared by the roles.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -70,7 +71,9 @@
 };
 
 /// Answers all requests that arrive at a listener with `answer` until the shutdown begins. The future never completes.
-pub async fn serve<F, A>(listener: TcpListener, clock: SteadyClock, shutdown: Rc<Shutdown>, answer: F)
+pub async fn serve<F, A>(
+    listener: TcpListener, clock: SteadyClock, shutdown: Rc<Shutdown>, answer: F,
+) -> Infallible
 where
     F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = Answer> + 'static,
@@ -84,5 +87,5 @@
             listener::serve(stream, clock, READ_LIMITS, &shutdown, |request| answer(request)).await;
         }
     })
-    .await;
+    .await
 }
--- a/crates/onyxstile-system/src/role/listener.rs
+++ b/crates/onyxstile-system/src/role/listener.rs
@@ -30,7 +30,7 @@
 /// future never completes: a role ends when its open work does, not when its listener closes.
 pub async fn accept<F: Future<Output = ()> + 'static>(
     listener: TcpListener, shutdown: Rc<Shutdown>, serve: impl Fn(TcpStream, WorkGuard) -> F,
-) {
+) -> Infallible {
     // Queued connections may become work, so the shutdown must not complete before the listener has closed.
     let listener_guard = shutdown.enter();
     loop {
--- a/crates/onyxstile-system/src/role/membership.rs
+++ b/crates/onyxstile-system/src/role/membership.rs
@@ -8,6 +8,7 @@
 
 use tokio::net::UdpSocket;
 
+use super::essential_tasks::EssentialTasks;
 use crate::clock::SteadyClock;
 use crate::settings::Settings;
 use crate::swim::{Class, Datagram, Member, MemberState, Outgoing, Swim, Timing};
@@ -18,6 +19,9 @@
 /// Maximum size of a received datagram in bytes.
 const DATAGRAM_MAX: usize = 8 * 1024;
 
+/// Delay after a failed receive; an error that lasts would otherwise keep the processor busy.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Membership shared within a process.
 pub type Shared = Rc<RefCell<Swim>>;
 
@@ -39,17 +43,27 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
 
-/// Binds the UDP socket and starts the membership protocol of this machine.
-pub async fn start(settings: &Settings, class: Class, disk: u64, clock: SteadyClock) -> io::Result<Shared> {
+/// Binds the UDP socket of the membership protocol. No other process of the machine can have it at the same time.
+pub fn bind(settings: &Settings) -> io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(SocketAddrV4::new(settings.ip, settings.peer_port()))?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
+
+/// Starts the membership protocol of this machine as two of `tasks`.
+pub fn start(
+    settings: &Settings, (class, disk): (Class, u64), clock: SteadyClock, socket: UdpSocket,
+    tasks: &mut EssentialTasks,
+) -> Shared {
     let port = settings.peer_port();
-    let socket = Rc::new(UdpSocket::bind(SocketAddrV4::new(settings.ip, port)).await?);
+    let socket = Rc::new(socket);
     let own = own_record(settings, class, disk);
     let seed = own.incarnation ^ u64::from(u32::from(settings.ip));
     let seeds: Vec<Ipv4Addr> = settings.seed_addresses();
     let swim = Rc::new(RefCell::new(Swim::new(own, seeds, Timing::default(), seed, clock.now())));
-    tokio::task::spawn_local(tick(swim.clone(), socket.clone(), port, clock));
-    tokio::task::spawn_local(receive(swim.clone(), socket, port, clock));
-    Ok(swim)
+    tasks.spawn("membership clock", tick(swim.clone(), socket.clone(), port, clock));
+    tasks.spawn("membership receiver", receive(swim.clone(), socket, port, clock));
+    swim
 }
 
 async fn tick(swim: Shared, socket: Rc<UdpSocket>, port: u16, clock: SteadyClock) {
@@ -66,8 +80,11 @@
         let length = match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => length,
             Err(error) => {
-                // A closed port of a peer surfaces as an error of the next call; the socket stays usable.
                 log::debug!("membership socket: {error}");
+                // A closed port of a peer surfaces as an error of the next call, once for each datagram sent there.
+                if error.kind() != io::ErrorKind::ConnectionRefused {
+                    tokio::time::sleep(RECEIVE_RETRY_DELAY).await;
+                }
                 continue;
             }
         };
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -17,6 +17,7 @@
 mod forward;
 mod in_flight;
 mod lifecycle;
+mod listeners;
 mod metric_values;
 mod phase;
 mod quorum;
@@ -34,14 +35,16 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
-use super::controller::RoleError;
+use super::error::RoleError;
+use super::host::{Host, Service, start_until_termination};
+use super::http;
 use super::identity::random_id;
 use super::rpc::{self, Client};
-use super::signals::{self, Signals};
-use super::{http, metrics, socket};
+use super::signals::{Signals, Termination};
 use crate::balance::{EndpointKey, Endpoints};
 use crate::clock::SteadyClock;
 use crate::configuration::{ClientLimits, Configuration};
+use crate::metrics::Metrics;
 use crate::program::TurnCache;
 use crate::retry::{Destination, RetryPolicy};
 use crate::settings::Settings;
@@ -50,6 +53,7 @@
 use crate::tolerance::Tolerance;
 use chain::SlowMembers;
 use counts::Counts;
+use listeners::Listeners;
 use phase::Phase;
 use upstream::ConnectionPools;
 
@@ -94,36 +98,47 @@
     retry_policy: RetryPolicy,
 }
 
-/// Runs the role until SIGTERM, then until the accepted requests have been answered.
-///
-/// Fails if a required listen address is missing from the settings or can't be bound.
+/// Runs the role until SIGTERM, then until the accepted requests have been answered. Waits at its start while an address is
+/// taken.
 pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
-    let clock = SteadyClock::start();
-    let Signals { termination, hangups } = signals;
-    let front = settings.listen.front.ok_or(RoleError::Settings("listen.front"))?;
-    let readiness = settings.listen.readiness.ok_or(RoleError::Settings("listen.readiness"))?;
-    let feed_address = settings.feed_address();
-    let clients = socket::listen(front).map_err(|error| ("front", error))?;
-    let readiness = socket::listen(readiness).map_err(|error| ("readiness", error))?;
-    let feed = socket::listen(feed_address).map_err(|error| ("feed port", error))?;
-    log::info!("proxy {} listening on {front}", settings.node_name);
-    let proxy = Rc::new(Proxy::new(settings, clock));
-    let (feed_proxy, probe_proxy, metrics_proxy) = (proxy.clone(), proxy.clone(), proxy.clone());
+    let Signals { mut termination, hangups } = signals;
+    let host = Host::new(settings);
+    let service = serve(host.clone(), &mut termination);
+    host.clone().run(hangups, service).await
+}
+
+async fn serve(host: Rc<Host<Proxy>>, termination: &mut Termination) -> Result<(), RoleError> {
+    let Some(listeners) = start_until_termination(termination, Listeners::open(&host)).await else {
+        return Ok(());
+    };
+    let Listeners { clients, readiness, feed } = listeners;
+    log::info!("proxy {} is listening", host.settings.borrow().node_name);
+    let proxy = host.started(Proxy::new(host.settings.clone(), host.clock));
+    let (feed_proxy, probe_proxy) = (proxy.clone(), proxy.clone());
     tokio::select! {
-        () = metrics::serve(proxy.settings.borrow().clone(), clock, move || metrics_proxy.metric_values()) => {}
-        () = rpc::serve(feed, Rc::new(move |request| feed_proxy.clone().handle_agent_request(request))) => {}
-        () = http::serve(readiness, clock, Rc::default(), move |request| lifecycle::readiness(probe_proxy.clone(), request)) => {}
-        () = lifecycle::accept(proxy.clone(), clients) => {}
-        () = signals::reload_settings(hangups, proxy.settings.clone(), |fresh| {
-            proxy.phase.end().set_grace(fresh.grace());
-        }) => {}
+        never = rpc::serve(feed, Rc::new(move |request| feed_proxy.clone().handle_agent_request(request))) => match never {},
+        never = http::serve(readiness, host.clock, Rc::default(), move |request| {
+            lifecycle::readiness(probe_proxy.clone(), request)
+        }) => match never {},
+        never = lifecycle::accept(proxy.clone(), clients) => match never {},
         () = lifecycle::drain(proxy.clone(), termination) => log::info!("proxy drained"),
     }
     Ok(())
 }
 
+impl Service for Proxy {
+    fn metrics(&self) -> Metrics {
+        self.metric_values()
+    }
+
+    fn apply_settings(&self, settings: &Settings) {
+        self.phase.end().set_grace(settings.grace());
+    }
+}
+
 impl Proxy {
-    fn new(settings: Settings, clock: SteadyClock) -> Proxy {
+    fn new(shared_settings: Rc<RefCell<Settings>>, clock: SteadyClock) -> Proxy {
+        let settings = shared_settings.borrow();
         let limits = &settings.limits;
         let by_descriptors = limits.max_fds.saturating_sub(DESCRIPTORS_RESERVED) / DESCRIPTORS_PER_CALL;
         let by_memory = limits.memory_mb * 1024 / MEMORY_PER_CALL_KB / 2;
@@ -149,7 +164,7 @@
             counts: Counts::default(),
             rng: RefCell::new(Pcg64Mcg::new(u128::from(incarnation) << 1 | 1)),
             retry_policy: RetryPolicy::default(),
-            settings: Rc::new(RefCell::new(settings)),
+            settings: shared_settings.clone(),
         }
     }
 
--- a/crates/onyxstile-system/src/role/proxy/lifecycle.rs
+++ b/crates/onyxstile-system/src/role/proxy/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Lifecycle of a proxy: readiness, accepting connections and draining.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,9 +34,9 @@
 }
 
 /// Accepts client connections until the listener closes.
-pub(super) async fn accept(proxy: Rc<Proxy>, listener: TcpListener) {
+pub(super) async fn accept(proxy: Rc<Proxy>, listener: TcpListener) -> Infallible {
     let shutdown = proxy.phase.shutdown();
-    listener::accept(listener, shutdown, |stream, work| serve(proxy.clone(), stream, work)).await;
+    listener::accept(listener, shutdown, |stream, work| serve(proxy.clone(), stream, work)).await
 }
 
 async fn serve(proxy: Rc<Proxy>, stream: TcpStream, _work: WorkGuard) {
@@ -58,7 +59,7 @@
 /// Waits for SIGTERM, then reports not ready and keeps accepting connections while clients may still be directed here. Returns
 /// when the listener is closed and every connection has ended, or shortly before the process would be killed: calls that are
 /// still open by then have been answered, and the process waits until the answers have been sent.
-pub(super) async fn drain(proxy: Rc<Proxy>, termination: Termination) {
+pub(super) async fn drain(proxy: Rc<Proxy>, termination: &mut Termination) {
     termination.received().await;
     log::info!("SIGTERM received; draining: {}", open_work(&proxy));
     let end = proxy.phase.end();
--- a/crates/onyxstile-system/src/role/rpc/server.rs
+++ b/crates/onyxstile-system/src/role/rpc/server.rs
@@ -1,5 +1,6 @@
 //! RPC server.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -22,7 +23,7 @@
 pub type Handler = Rc<dyn Fn(Request) -> ResponseFuture>;
 
 /// Answers all requests that arrive at a listener.
-pub async fn serve(listener: TcpListener, handler: Handler) {
+pub async fn serve(listener: TcpListener, handler: Handler) -> Infallible {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/onyxstile-system/src/role/signals.rs
+++ b/crates/onyxstile-system/src/role/signals.rs
@@ -1,6 +1,8 @@
 //! Process signals, and reloading of the settings file, which may also change without a signal.
 
 use std::cell::RefCell;
+use std::convert::Infallible;
+use std::io::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -38,14 +40,14 @@
     }
 }
 
-/// SIGTERM. A signal that arrives before the wait is not lost, and a second one has no effect.
+/// SIGTERM. A signal that arrives before the wait is not lost.
 pub struct Termination(Option<Signal>);
 
 impl Termination {
     /// Waits for SIGTERM.
-    pub async fn received(self) {
-        match self.0 {
-            Some(mut signal) => {
+    pub async fn received(&mut self) {
+        match &mut self.0 {
+            Some(signal) => {
                 signal.recv().await;
             }
             None => std::future::pending().await,
@@ -70,14 +72,18 @@
 
 fn register(kind: SignalKind, name: &str) -> Option<Signal> {
     // Logging is not set up yet.
-    signal(kind).inspect_err(|error| eprintln!("cannot install the handler for {name}: {error}")).ok()
+    signal(kind)
+        .inspect_err(|error| {
+            drop(writeln!(std::io::stderr(), "cannot install the handler for {name}: {error}"))
+        })
+        .ok()
 }
 
 /// Reloads the settings after each SIGHUP and at a regular interval, and calls `changed` with them. A file that cannot be
 /// read changes nothing.
 pub async fn reload_settings(
     mut hangups: Hangups, settings: Rc<RefCell<Settings>>, changed: impl Fn(&Settings),
-) {
+) -> Infallible {
     loop {
         tokio::select! {
             () = hangups.next() => log::info!("SIGHUP: reloading the settings"),
@@ -85,6 +91,9 @@
         }
         match Settings::from_environment() {
             Ok(fresh) => {
+                // The command line gives the address of the metrics.
+                let metrics = settings.borrow().metrics.clone();
+                let fresh = Settings { metrics, ..fresh };
                 changed(&fresh);
                 *settings.borrow_mut() = fresh;
             }
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -4,6 +4,7 @@
 //! quorum requests until it has copied all the data that it should hold.
 
 mod journal;
+mod log_entry;
 mod metric_values;
 mod records;
 mod recovery;
@@ -11,21 +12,29 @@
 mod requests;
 
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::{Notify, oneshot};
 
-use super::controller::RoleError;
+use super::error::{RoleError, StartError};
+use super::essential_tasks::EssentialTasks;
+use super::host::{Host, Service, start_until_termination};
 use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
-use super::signals::{self, Signals};
+use super::signals::{Signals, Termination};
+use super::socket;
 use super::subscription::{self, SubscriptionOptions};
-use super::{metrics, socket};
 use crate::clock::SteadyClock;
+use crate::disk::FolderLock;
 use crate::feed_state::FeedUpdate;
+use crate::metrics::Metrics;
+use crate::process::Resource;
 use crate::program::{Key, Progress, RecordIndex, RecordNumber, TurnCache, groups};
 use crate::settings::Settings;
 use crate::storage_plan::StoragePlan;
@@ -61,59 +70,119 @@
     repair: RefCell<Progress>,
     swim: Shared,
     disk: u64,
+    /// Held until the process ends.
+    _lock: FolderLock,
 }
 
-/// Runs the role until SIGTERM.
+/// Runs the role until SIGTERM. Waits at its start while an address is taken or the disk refuses.
 pub async fn run(settings: Settings, signals: Signals) -> Result<(), RoleError> {
-    let clock = SteadyClock::start();
-    let Signals { termination, hangups } = signals;
-    let mut loaded = LoadedLog::open(&settings, clock.now())?;
-    loaded.identify(settings.bootstrap).await;
-    let peers = socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
-        .map_err(|error| ("peer port", error))?;
-    let swim = membership::start(&settings, Class::Storage, loaded.disk, clock)
-        .await
-        .map_err(|error| ("membership port", error))?;
+    let Signals { mut termination, hangups } = signals;
+    let host = Host::new(settings);
+    let service = serve(host.clone(), &mut termination);
+    host.clone().run(hangups, service).await
+}
+
+async fn serve(host: Rc<Host<StorageServer>>, termination: &mut Termination) -> Result<(), RoleError> {
+    let Some(started) = start_until_termination(termination, start(&host)).await else { return Ok(()) };
+    let Started { server, peers, mut tasks, journal_end } = started;
+    let updates = server.subscribe(&mut tasks);
+    let rpc_server = server.clone();
+    tokio::select! {
+        never = rpc::serve(peers, Rc::new(move |request| rpc_server.clone().answer(request))) => match never {},
+        () = server.clone().follow(updates) => return Err(RoleError::PartEnded("updates of the controllers")),
+        never = server.clone().expire_records() => match never {},
+        error = tasks.ended() => return Err(error),
+        _ = journal_end => return Err(RoleError::PartEnded("log writer")),
+        () = termination.received() => log::info!("SIGTERM: storage is shutting down"),
+    }
+    Ok(())
+}
+
+/// A storage server that has started.
+struct Started {
+    server: Rc<StorageServer>,
+    peers: TcpListener,
+    tasks: EssentialTasks,
+    journal_end: oneshot::Receiver<()>,
+}
+
+/// Gets what a storage machine needs. The socket of the membership protocol and the lock come first: while another process
+/// has them, the log may still grow.
+async fn start(host: &Rc<Host<StorageServer>>) -> Started {
+    let (settings, waits) = (&host.settings, &host.waits);
+    let socket = waits.acquire(Resource::Membership, || membership::bind(&settings.borrow())).await;
+    let data = || settings.borrow().data_dir.clone().ok_or(StartError::Missing("data_dir"));
+    let lock =
+        waits.acquire(Resource::DataFolder, || Ok::<_, StartError>(FolderLock::acquire(&data()?)?)).await;
+    let open = || LoadedLog::open(data()?, settings.borrow().limits.disk_mb, host.clock.now());
+    let (mut loaded, journal_end) = waits.acquire(Resource::Records, open).await;
+    let is_first_start = settings.borrow().bootstrap;
+    loaded.identify(is_first_start).await;
+    let listen_to_peers = || {
+        let settings = settings.borrow();
+        socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
+    };
+    let peers = waits.acquire(Resource::Peers, listen_to_peers).await;
+    let mut tasks = EssentialTasks::default();
+    let member = (Class::Storage, loaded.disk);
+    let swim = membership::start(&settings.borrow(), member, host.clock, socket, &mut tasks);
     log::info!(
         "storage {} holds {:?} turns and programs, complete: {}",
-        settings.node_name,
+        settings.borrow().node_name,
         loaded.index.sizes(),
         loaded.is_complete
     );
-    let cache_bytes = settings.limits.memory_mb as usize * 1024 * 1024 / TURN_CACHE_MEMORY_DIVISOR;
-    let server = Rc::new(StorageServer {
-        settings: Rc::new(RefCell::new(settings)),
-        clock,
-        client: Client::default(),
-        index: RefCell::new(loaded.index),
-        turns: RefCell::new(TurnCache::new(cache_bytes)),
-        journal: loaded.journal,
-        next_number: Cell::new(loaded.next),
-        plan: RefCell::default(),
-        origin: random_id(),
-        is_complete: Cell::new(loaded.is_complete),
-        synced_epoch: Rc::new(Cell::new(loaded.synced_epoch)),
-        epoch: Cell::new(loaded.epoch),
-        changed: Notify::new(),
-        repair: RefCell::default(),
-        swim,
-        disk: loaded.disk,
-    });
-    let (rpc_server, metrics_server) = (server.clone(), server.clone());
-    tokio::select! {
-        () = metrics::serve(server.settings.borrow().clone(), clock, move || metrics_server.metrics()) => {}
-        () = rpc::serve(peers, Rc::new(move |request| rpc_server.clone().answer(request))) => {}
-        () = server.clone().follow() => {}
-        () = server.clone().expire_records() => {}
-        () = signals::reload_settings(hangups, server.settings.clone(), |fresh| {
-            server.swim.borrow_mut().set_seeds(fresh.seed_addresses());
-        }) => {}
-        () = termination.received() => log::info!("SIGTERM: storage is shutting down"),
+    let server = host.started(StorageServer::new(settings.clone(), host.clock, loaded, swim, lock));
+    Started { server, peers, tasks, journal_end }
+}
+
+impl Service for StorageServer {
+    fn metrics(&self) -> Metrics {
+        self.collect_metrics()
+    }
+
+    fn apply_settings(&self, settings: &Settings) {
+        self.swim.borrow_mut().set_seeds(settings.seed_addresses());
     }
-    Ok(())
 }
 
 impl StorageServer {
+    fn new(
+        settings: Rc<RefCell<Settings>>, clock: SteadyClock, loaded: LoadedLog, swim: Shared,
+        lock: FolderLock,
+    ) -> StorageServer {
+        let memory_bytes = settings.borrow().limits.memory_mb as usize * 1024 * 1024;
+        StorageServer {
+            settings,
+            clock,
+            client: Client::default(),
+            index: RefCell::new(loaded.index),
+            turns: RefCell::new(TurnCache::new(memory_bytes / TURN_CACHE_MEMORY_DIVISOR)),
+            journal: loaded.journal,
+            next_number: Cell::new(loaded.next),
+            plan: RefCell::default(),
+            origin: random_id(),
+            is_complete: Cell::new(loaded.is_complete),
+            synced_epoch: Rc::new(Cell::new(loaded.synced_epoch)),
+            epoch: Cell::new(loaded.epoch),
+            changed: Notify::new(),
+            repair: RefCell::default(),
+            swim,
+            disk: loaded.disk,
+            _lock: lock,
+        }
+    }
+
+    /// Starts following the controllers.
+    fn subscribe(&self, tasks: &mut EssentialTasks) -> UnboundedReceiver<FeedUpdate> {
+        let options = SubscriptionOptions {
+            relay_evidence: None,
+            wait: POLL_WAIT,
+            synced_epoch: self.synced_epoch.clone(),
+        };
+        subscription::follow(self.settings.clone(), self.client.clone(), options, tasks)
+    }
+
     fn tolerance(&self) -> Tolerance {
         self.settings.borrow().fault_tolerance
     }
@@ -133,13 +202,7 @@
         groups(&plan, key.placed_by(), self.tolerance()).iter().any(|group| group.members.contains(&own))
     }
 
-    async fn follow(self: Rc<StorageServer>) {
-        let options = SubscriptionOptions {
-            relay_evidence: None,
-            wait: POLL_WAIT,
-            synced_epoch: self.synced_epoch.clone(),
-        };
-        let mut updates = subscription::follow(self.settings.clone(), self.client.clone(), options);
+    async fn follow(self: Rc<StorageServer>, mut updates: UnboundedReceiver<FeedUpdate>) {
         while let Some(item) = updates.recv().await {
             if let FeedUpdate::State(published) = item {
                 self.clone().apply_plan(published.storage).await;
@@ -147,7 +210,7 @@
         }
     }
 
-    async fn expire_records(self: Rc<StorageServer>) {
+    async fn expire_records(self: Rc<StorageServer>) -> Infallible {
         loop {
             tokio::time::sleep(EXPIRY_INTERVAL).await;
             let obsolete = self.index.borrow_mut().expire(self.clock.now());
--- a/crates/onyxstile-system/src/role/storage/journal.rs
+++ b/crates/onyxstile-system/src/role/storage/journal.rs
@@ -1,49 +1,24 @@
 //! Log writer thread: requests that arrive during a sync are written together with the next one.
 
+use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 
-use borsh::{BorshDeserialize, BorshSerialize};
 use onyxstile_store::Error;
 use onyxstile_store::disk::OsDisk;
 use tokio::sync::oneshot;
 
+use super::log_entry::LogEntry;
 use crate::disk::{self, OpenedLog, RECORD_MAX, RecordLog};
-use crate::program::{Record, RecordNumber};
-use crate::wire::WireError;
+use crate::program::RecordNumber;
 
 /// Maximum size in bytes of a batch of records while the log is read.
 const BATCH_BYTES: usize = 256 * 1024;
 /// Maximum number of queued batches while the log is read.
 const BATCHES_WAITING: usize = 4;
 
-/// Record of the log.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub(super) enum LogEntry {
-    /// Id of the disk.
-    Disk(u64),
-    /// The machine has copied all the data that it should hold.
-    Complete,
-    /// Record of a program.
-    Record {
-        /// The record.
-        record: Record,
-        /// Wall-clock time of the write in ms.
-        written_ms: u64,
-    },
-    /// Newest epoch for which the machine holds all the data that the plan assigns to it.
-    Synced(u64),
-    /// Newest epoch that the machine has applied.
-    Epoch(u64),
-}
-
-/// Decodes one record.
-pub(super) fn read(bytes: &[u8]) -> Result<LogEntry, WireError> {
-    disk::decode(bytes)
-}
-
 /// Number and bytes of a record.
 type Numbered = (RecordNumber, Vec<u8>);
 
@@ -73,15 +48,30 @@
     used_bytes: Arc<AtomicU64>,
 }
 
+/// The result of [`Journal::start`].
+pub(super) struct StartedJournal {
+    /// Handle to the log.
+    pub journal: Journal,
+    /// Yields the records found in the folder.
+    pub loading: mpsc::Receiver<LoadEvent>,
+    /// Completes when the thread has ended: it could not open the log, or has panicked.
+    pub end: oneshot::Receiver<()>,
+}
+
 impl Journal {
-    /// Starts the thread on a folder that may hold `limit` bytes; the receiver yields the records found there.
-    pub(super) fn start(folder: PathBuf, limit: u64) -> (Journal, mpsc::Receiver<LoadEvent>) {
+    /// Starts the thread on a folder that may hold `limit` bytes. Fails if the system has no thread left.
+    pub(super) fn start(folder: PathBuf, limit: u64) -> io::Result<StartedJournal> {
         let (jobs, queue) = mpsc::channel();
         let (sender, loading) = mpsc::sync_channel(BATCHES_WAITING);
         let used_bytes = Arc::new(AtomicU64::new(0));
         let shared = used_bytes.clone();
-        std::thread::spawn(move || run(folder, limit, &sender, &queue, &shared));
-        (Journal { jobs, used_bytes }, loading)
+        let (ending, end) = oneshot::channel();
+        std::thread::Builder::new().name("log-writer".into()).spawn(move || {
+            // Dropped however the thread ends.
+            let _ending: oneshot::Sender<()> = ending;
+            run(folder, limit, &sender, &queue, &shared);
+        })?;
+        Ok(StartedJournal { journal: Journal { jobs, used_bytes }, loading, end })
     }
 
     /// Total size of the log in bytes.
--- a/crates/onyxstile-system/src/role/storage/metric_values.rs
+++ b/crates/onyxstile-system/src/role/storage/metric_values.rs
@@ -5,7 +5,7 @@
 
 impl StorageServer {
     /// Current metric values.
-    pub(super) fn metrics(&self) -> Metrics {
+    pub(super) fn collect_metrics(&self) -> Metrics {
         let mut metrics = Metrics::default();
         let index = self.index.borrow();
         let (turns, programs) = index.sizes();
--- a/crates/onyxstile-system/src/role/storage/records.rs
+++ b/crates/onyxstile-system/src/role/storage/records.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::StorageServer;
-use super::journal::{self, LogEntry};
+use super::log_entry::{self, LogEntry};
 use crate::program::{Key, Record, RecordNumber, Turn};
 use crate::role::membership::wall_clock_ms;
 
@@ -162,7 +162,7 @@
         }
         let read = self.journal.read(numbers).await;
         read.into_iter()
-            .map(|bytes| match journal::read(&bytes?) {
+            .map(|bytes| match log_entry::read(&bytes?) {
                 Ok(LogEntry::Record { record, .. }) => Some(record),
                 _ => None,
             })
--- a/crates/onyxstile-system/src/role/storage/recovery.rs
+++ b/crates/onyxstile-system/src/role/storage/recovery.rs
@@ -1,15 +1,18 @@
 //! Recovery of the log of a storage machine at its start.
 
 use std::path::PathBuf;
+use std::sync::mpsc;
 use std::time::Duration;
 
-use super::journal::{self, Journal, LoadEvent, LogEntry};
+use tokio::sync::oneshot;
+
+use super::journal::{Journal, LoadEvent, StartedJournal};
+use super::log_entry::{self, LogEntry};
 use crate::clock::Instant;
 use crate::program::{RecordIndex, RecordNumber};
-use crate::role::controller::RoleError;
+use crate::role::error::StartError;
 use crate::role::identity::random_id;
 use crate::role::membership::wall_clock_ms;
-use crate::settings::Settings;
 
 /// Maximum share of the disk for the log. Three eighths of it are for live records, the rest is for obsolete ones that
 /// are not removed yet.
@@ -45,11 +48,13 @@
 }
 
 impl LoadedLog {
-    /// Opens and reads the log.
-    pub fn open(settings: &Settings, now: Instant) -> Result<LoadedLog, RoleError> {
-        let folder = settings.data_dir.clone().ok_or(RoleError::Settings("data_dir"))?;
-        let (mut loaded, is_intact) = LoadedLog::read(folder, log_limit(settings.limits.disk_mb), now)?;
-        if !is_intact {
+    /// Opens and reads the log in a folder on a disk of `disk_mb`. The second value completes when its writer has ended.
+    pub fn open(
+        folder: PathBuf, disk_mb: u64, now: Instant,
+    ) -> Result<(LoadedLog, oneshot::Receiver<()>), StartError> {
+        let StartedJournal { journal, loading, end } = Journal::start(folder, log_limit(disk_mb))?;
+        let mut loaded = LoadedLog::empty(journal);
+        if !loaded.read(&loading, now)? {
             log::error!(
                 "the log has a gap: keeping its records and copying all data from the other machines"
             );
@@ -60,12 +65,11 @@
             loaded.has_gap = true;
             loaded.journal.drop_records(vec![COMPLETE, SYNCED]);
         }
-        Ok(loaded)
+        Ok((loaded, end))
     }
 
-    fn read(folder: PathBuf, limit: u64, now: Instant) -> Result<(LoadedLog, bool), RoleError> {
-        let (journal, loading) = Journal::start(folder, limit);
-        let mut loaded = LoadedLog {
+    fn empty(journal: Journal) -> LoadedLog {
+        LoadedLog {
             journal,
             index: RecordIndex::default(),
             next: FIRST,
@@ -74,23 +78,27 @@
             synced_epoch: 0,
             epoch: 0,
             has_gap: false,
-        };
+        }
+    }
+
+    /// Merges all records; returns whether the log is intact.
+    fn read(&mut self, loading: &mpsc::Receiver<LoadEvent>, now: Instant) -> Result<bool, StartError> {
         let mut obsolete = Vec::new();
         for step in loading.iter() {
             match step {
                 LoadEvent::Records(records) => {
                     for (number, bytes) in records {
-                        obsolete.extend(loaded.merge_records(now, number, &bytes));
+                        obsolete.extend(self.merge_records(now, number, &bytes));
                     }
                 }
                 LoadEvent::Done { is_intact } => {
-                    loaded.journal.drop_records(obsolete);
-                    return Ok((loaded, is_intact));
+                    self.journal.drop_records(obsolete);
+                    return Ok(is_intact);
                 }
-                LoadEvent::Failed(error) => return Err(unreadable(&error.to_string())),
+                LoadEvent::Failed(error) => return Err(StartError::Log(error.to_string())),
             }
         }
-        Err(unreadable("the log reader thread has ended"))
+        Err(StartError::Log("the log reader thread has ended".into()))
     }
 
     /// Merges a record; returns a record that is no longer needed.
@@ -98,7 +106,7 @@
         if number < EPOCH {
             self.next = self.next.max(number + 1);
         }
-        match journal::read(bytes) {
+        match log_entry::read(bytes) {
             Ok(LogEntry::Disk(id)) => self.disk = id,
             Ok(LogEntry::Complete) => self.is_complete = true,
             Ok(LogEntry::Synced(epoch)) => self.synced_epoch = epoch,
@@ -130,10 +138,6 @@
     }
 }
 
-fn unreadable(why: &str) -> RoleError {
-    RoleError::Io("data_dir", std::io::Error::other(why.to_owned()))
-}
-
 /// Maximum size of the log in bytes for a disk of `disk_mb`; no limit if the size is unknown (0).
 fn log_limit(disk_mb: u64) -> u64 {
     match disk_mb {
--- a/crates/onyxstile-system/src/role/storage/repair.rs
+++ b/crates/onyxstile-system/src/role/storage/repair.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::StorageServer;
-use super::journal::LogEntry;
+use super::log_entry::LogEntry;
 use super::recovery::{COMPLETE, EPOCH, SYNCED};
 use crate::program::{CopiedChanges, Key, Source};
 use crate::storage_plan::StoragePlan;
--- a/crates/onyxstile-system/src/role/storage/requests.rs
+++ b/crates/onyxstile-system/src/role/storage/requests.rs
@@ -5,6 +5,7 @@
 
 use super::StorageServer;
 use super::records::Lookup;
+use crate::process;
 use crate::program::{ClaimEntry, Record, groups};
 use crate::role::rpc::ResponseFuture;
 use crate::wire::{Request, Response};
@@ -137,6 +138,7 @@
         let (turns, programs) = self.index.borrow().sizes();
         vec![
             format!("node {}", self.settings.borrow().node_name),
+            format!("previous end: {}", process::previous_end()),
             format!("turns {turns} programs {programs} index bytes {}", self.index.borrow().memory_bytes()),
             format!(
                 "whole {} epoch {} synced {}",
--- a/crates/onyxstile-system/src/role/subscription.rs
+++ b/crates/onyxstile-system/src/role/subscription.rs
@@ -5,6 +5,7 @@
 //! all of them (`fetch`).
 
 mod fetch;
+mod polling;
 mod state;
 
 use std::cell::{Cell, RefCell};
@@ -14,11 +15,13 @@
 
 use tokio::sync::mpsc;
 
+use super::essential_tasks::EssentialTasks;
 use super::rpc::Client;
 use crate::evidence::Evidence;
 use crate::feed_state::FeedUpdate;
 use crate::settings::Settings;
 use crate::wire::{PullRequest, PullResponse, Request, Response};
+use polling::Polling;
 use state::State;
 
 /// Response timeout of a poll, in addition to its wait.
@@ -51,14 +54,14 @@
     state: RefCell<State>,
 }
 
-/// Starts following the controllers; returns the receiver of updates.
+/// Starts following the controllers as one of `tasks`; returns the receiver of updates.
 pub fn follow(
-    settings: Rc<RefCell<Settings>>, client: Client, options: SubscriptionOptions,
+    settings: Rc<RefCell<Settings>>, client: Client, options: SubscriptionOptions, tasks: &mut EssentialTasks,
 ) -> mpsc::UnboundedReceiver<FeedUpdate> {
     let (updates, receiver) = mpsc::unbounded_channel();
     let state = RefCell::default();
     let subscription = Rc::new(Subscription { settings, client, options, updates, state });
-    tokio::task::spawn_local(subscription.review());
+    tasks.spawn("subscription to the controllers", subscription.review());
     receiver
 }
 
@@ -114,6 +117,7 @@
     }
 
     async fn poll(self: Rc<Subscription>, controller: Ipv4Addr) {
+        let polling = Polling::new(self.clone(), controller);
         while self.controllers().contains(&controller) {
             let to = SocketAddrV4::new(controller, self.settings.borrow().peer_port());
             let pull = self.next_request(controller);
@@ -133,7 +137,7 @@
                 self.delay_retry().await;
             }
         }
-        self.state.borrow_mut().stopped(controller);
+        drop(polling);
         // While no elector is known, poll the next seed.
         if self.state.borrow().electors.is_empty() {
             self.poll_all();
--- a/crates/onyxstile-system/tests/subscription.rs
+++ b/crates/onyxstile-system/tests/subscription.rs
@@ -9,6 +9,7 @@
 
 use onyxstile_system::control::StoredConfiguration;
 use onyxstile_system::feed_state::FeedUpdate;
+use onyxstile_system::role::essential_tasks::EssentialTasks;
 use onyxstile_system::role::rpc::{self, Client};
 use onyxstile_system::role::subscription::{self, SubscriptionOptions};
 use onyxstile_system::settings::Settings;
@@ -76,7 +77,8 @@
             synced_epoch: Rc::default(),
         };
         let began = Instant::now();
-        let _updates = subscription::follow(settings, Client::default(), options);
+        let _updates =
+            subscription::follow(settings, Client::default(), options, &mut EssentialTasks::default());
         enough.notified().await;
         assert!(began.elapsed() >= MIN_DURATION, "{POLLS} polls in {:?}", began.elapsed());
     });
@@ -134,7 +136,8 @@
             wait: Duration::from_millis(1000),
             synced_epoch: Rc::default(),
         };
-        let mut updates = subscription::follow(settings, Client::default(), options);
+        let mut updates =
+            subscription::follow(settings, Client::default(), options, &mut EssentialTasks::default());
         let mut held = 0;
         loop {
             match updates.recv().await.expect("an update") {
@@ -207,7 +210,8 @@
             wait: Duration::from_millis(400),
             synced_epoch: Rc::default(),
         };
-        let _updates = subscription::follow(settings, Client::default(), options);
+        let _updates =
+            subscription::follow(settings, Client::default(), options, &mut EssentialTasks::default());
         received.notified().await;
         let pull = first.borrow().clone().expect("a poll");
         assert!(!pull.wants_state && pull.wait_ms == 0, "{pull:?}");
