Tier: a limit on the size of files does not end a process (FAULT)

Callers saw a process that is gone by signal 25. Cause: SIGXFSZ has no handler, and its default ends the process when any file, its log too, reaches the limit. Change: a handler; the write fails like any other that the disk refuses. Result: a_limit_on_the_size_of_files_does_not_end_a_process passes; before, proxy and controller ended by SIGXFSZ at their first line.

--- a/crates/onyxstile-system/src/role/signals.rs
+++ b/crates/onyxstile-system/src/role/signals.rs
@@ -13,6 +13,9 @@
 /// Interval at which the settings file is read again; it may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
+/// SIGXFSZ on Linux, which all its architectures share.
+const FILE_SIZE_SIGNAL: i32 = 25;
+
 /// Signals of this process.
 pub struct Signals {
     /// SIGTERM.
@@ -25,6 +28,8 @@
     /// Installs the signal handlers. Until then both signals terminate the process by default, so a process calls this
     /// first: before it reads its command line, sets up logging or reads its settings.
     pub fn listen() -> Signals {
+        // With a handler, a write beyond the limit on file sizes fails; the default action ends the process.
+        drop(register(SignalKind::from_raw(FILE_SIZE_SIGNAL), "SIGXFSZ"));
         Signals {
             termination: Termination(register(SignalKind::terminate(), "SIGTERM")),
             hangups: Hangups(register(SignalKind::hangup(), "SIGHUP")),
