--- a/crates/onyxstile-system/src/disk/versions.rs
+++ b/crates/onyxstile-system/src/disk/versions.rs
@@ -30,11 +30,20 @@
         Ok((Versions { folder, name, newest }, Some(body)))
     }
 
-    /// Removes all versions of the record called `name`, for a record that cannot be read.
+    /// Removes all versions of the record called `name`, for a record that cannot be read. The newest one is removed last: if
+    /// an older one were left alone, it would count as the current one, and it lacks what was acknowledged after it.
     pub fn discard(folder: &mut F, name: &str) -> io::Result<()> {
-        for file in folder.list()?.iter().filter(|file| number(name, file).is_some()) {
-            folder.remove(file)?;
+        let mut files: Vec<(u64, String)> =
+            folder.list()?.into_iter().filter_map(|file| Some((number(name, &file)?, file))).collect();
+        files.sort_unstable();
+        let Some((_, newest)) = files.pop() else { return Ok(()) };
+        if !files.is_empty() {
+            for (_, file) in files {
+                folder.remove(&file)?;
+            }
+            folder.sync_folder()?;
         }
+        folder.remove(&newest)?;
         folder.sync_folder()
     }
 
--- a/crates/onyxstile-system/tests/control_record.rs
+++ b/crates/onyxstile-system/tests/control_record.rs
@@ -114,6 +114,26 @@
     }
 }
 
+/// Guards against a snapshot older than the one that could not be read, left alone by a loss of power while both are discarded:
+/// it would count as the newest, without the votes since.
+#[test]
+fn discarding_a_record_never_leaves_an_older_snapshot_as_the_newest() {
+    for seed in 0..400u64 {
+        let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+        let mut folder = MemoryFolder::default();
+        open(&folder).0.save(&bootstrap_state()).expect("is saved");
+        folder.append("version-9", b"short").expect("is written");
+        folder.sync("version-9").expect("is synced");
+        folder.sync_folder().expect("is synced");
+        folder.fail_power_at(1 + seed % 6);
+        let discarded = ControlRecord::discard(&mut folder);
+        folder.restore_power(&mut random);
+        let found = ControlRecord::open(folder.clone(), folder.clone());
+        let is_older = found.is_ok_and(|(_, durable)| durable.is_some());
+        assert!(!is_older, "seed {seed}: {discarded:?}");
+    }
+}
+
 /// A crash while a record is discarded leaves writes without a snapshot. They must not be applied to a later snapshot.
 #[test]
 fn orphaned_write_is_not_replayed_onto_a_later_snapshot() {
