Tier: machines on loopback have feed addresses of their own (FAULT)

Callers saw all proxies but one of a host end with 1. Cause: the default address at which a proxy hears its agent is 127.0.0.1, so relays at 127.0.0.10 and 127.0.0.11 wanted the same; an agent could feed another machine's proxy. Change: a machine whose own address is on loopback uses that one. Result: machines_on_loopback_have_feed_addresses_of_their_own failed before and passes.

--- a/crates/onyxstile-system/src/settings.rs
+++ b/crates/onyxstile-system/src/settings.rs
@@ -203,9 +203,11 @@
         self.internal_port_range.0 + 1
     }
 
-    /// Address at which a proxy receives updates from its agent.
+    /// Address at which a proxy receives updates from its agent. A machine whose own address is on loopback uses that, so that
+    /// several of them fit on one host.
     pub fn feed_address(&self) -> SocketAddrV4 {
-        self.listen.feed.unwrap_or(SocketAddrV4::new(Ipv4Addr::LOCALHOST, self.feed_port()))
+        let ip = if self.ip.is_loopback() { self.ip } else { Ipv4Addr::LOCALHOST };
+        self.listen.feed.unwrap_or(SocketAddrV4::new(ip, self.feed_port()))
     }
 
     /// Addresses of the seed machines.
--- a/crates/onyxstile-system/tests/process_start.rs
+++ b/crates/onyxstile-system/tests/process_start.rs
@@ -27,7 +27,9 @@
 const STORAGE: (&str, &str, u8) = ROLES[3];
 
 /// Starts a process while a TCP port that it needs is taken; it has to wait, and to serve once the port is free.
-fn assert_waits_for_port(machine: (&'static str, &'static str, u8), name: &str, port: impl Fn(&RoleMachine) -> SocketAddrV4) {
+fn assert_waits_for_port(
+    machine: (&'static str, &'static str, u8), name: &str, port: impl Fn(&RoleMachine) -> SocketAddrV4,
+) {
     let (ports, _alone) = ports();
     let machine = RoleMachine::new(ports, machine, "port-taken");
     let address = port(&machine);
@@ -219,7 +221,8 @@
         command.args(["-c", "ulimit -f 4; exec \"$0\" \"$@\"", program]).args(machine.arguments());
         let mut process = machine.spawn(command, log);
         process.wait_until("lost lines", |process| {
-            process.has_metric("onyxstile_log_lines_lost_total") && !process.has_metric("onyxstile_log_lines_lost_total 0")
+            process.has_metric("onyxstile_log_lines_lost_total")
+                && !process.has_metric("onyxstile_log_lines_lost_total 0")
         });
         process.ends_in_order();
     }
@@ -239,6 +242,22 @@
     let control = machine.settings.lines().find(|line| line.starts_with("control")).expect("control");
     let text = text.replace(control, "control = \"\"");
     let settings = Settings::parse(&machine.settings_path(), &text).expect("usable settings");
-    assert_eq!((settings.limits.memory_mb, settings.heartbeat_ms, settings.bounds.drain_ms), (64, 1000, 2000));
+    assert_eq!(
+        (settings.limits.memory_mb, settings.heartbeat_ms, settings.bounds.drain_ms),
+        (64, 1000, 2000)
+    );
     assert_eq!((settings.fault_tolerance.machines, settings.listen.control), (1, None));
 }
+
+/// Guards against relays of one host that all want the same address for their agents: all but one could never be ready.
+#[test]
+fn machines_on_loopback_have_feed_addresses_of_their_own() {
+    let (ports, _alone) = ports();
+    let machine = RoleMachine::new(ports, ("proxy", "edge", 10), "feeds");
+    let feed = format!("feed = \"{}\"", ports.feed(10));
+    let text = machine.settings.replace(&feed, "");
+    let settings = |text: &str| Settings::parse(&machine.settings_path(), text).expect("usable settings");
+    assert_eq!(settings(&text).feed_address(), ports.feed(10));
+    let elsewhere = settings(&text.replace("ip = \"127.0.0.10\"", "ip = \"10.1.0.38\""));
+    assert_eq!(elsewhere.feed_address().ip(), &std::net::Ipv4Addr::LOCALHOST);
+}
