Soak: successors in a drain, logs that are not taken, and the memory of each process

Change: successors of any role are started while the one before drains; a quarter of the incarnations of agents, controllers and storage have a log whose reader has gone, a quarter one that nobody reads; resident memory is held against memory_mb.

--- a/crates/onyxstile-system/tests/process_log.rs
+++ b/crates/onyxstile-system/tests/process_log.rs
@@ -26,7 +26,8 @@
         let mut process = machine.start(Stdio::from(output));
         process.wait_for_metric("onyxstile_log_lines_lost_total");
         if loses {
-            process.wait_until("lost lines", |process| !process.has_metric("onyxstile_log_lines_lost_total 0"));
+            process
+                .wait_until("lost lines", |process| !process.has_metric("onyxstile_log_lines_lost_total 0"));
         }
         process.signal("-HUP");
         process.wait_for_metric("onyxstile_log_lines_lost_total");
--- a/crates/onyxstile-system/tests/soak/faults.rs
+++ b/crates/onyxstile-system/tests/soak/faults.rs
@@ -21,7 +21,7 @@
     while !run.is_traffic_over.get() {
         run.random_pause(PAUSE_MS).await;
         let edge = run.edges[run.random_below(run.edges.len() as u64) as usize].clone();
-        match run.random_below(24) {
+        match run.random_below(29) {
             0..=4 => edge.terminate(),
             5 => terminate_again(&run, &edge).await,
             6 | 7 => {
@@ -37,6 +37,11 @@
             16 => run.others[run.random_below(run.others.len() as u64) as usize].reload(),
             17..=19 => stop_one(&run, Machine::terminate),
             20 | 21 => stop_one(&run, Machine::kill),
+            22..=24 => start_successor_in_drain(&run, &edge).await,
+            25 | 26 => stop_one(&run, |machine| {
+                machine.terminate();
+                machine.start_successors();
+            }),
             _ => {
                 tokio::task::spawn_local(shorten_grace_at_last_moment(run.clone(), edge));
             }
@@ -50,6 +55,13 @@
     edge.terminate();
 }
 
+/// Stops a machine and starts its processes again while the old ones may still drain.
+async fn start_successor_in_drain(run: &Run, edge: &Machine) {
+    edge.terminate();
+    run.random_pause(PAUSE_MS).await;
+    edge.start_successors();
+}
+
 /// Stops the edge machines one after the other.
 async fn drain_zone(run: Rc<Run>) {
     for edge in &run.edges {
--- a/crates/onyxstile-system/tests/soak/machine.rs
+++ b/crates/onyxstile-system/tests/soak/machine.rs
@@ -71,6 +71,11 @@
         self.processes.iter().for_each(|process| process.terminate());
     }
 
+    /// Starts the next incarnations of its processes while these still drain.
+    pub fn start_successors(&self) {
+        self.processes.iter().for_each(|process| process.start_successor());
+    }
+
     /// Sends SIGHUP to its processes.
     pub fn reload(&self) {
         self.processes.iter().for_each(|process| process.reload());
--- a/crates/onyxstile-system/tests/soak/main.rs
+++ b/crates/onyxstile-system/tests/soak/main.rs
@@ -144,8 +144,10 @@
     run.others.iter().for_each(|machine| machine.terminate());
     while supervisors.join_next().await.is_some() {}
     clients.ledger.check(&run, &endpoints);
+    let processes = run.edges.iter().chain(&run.others).flat_map(|machine| &machine.processes);
+    let peak_mb = processes.map(|process| process.peak_mb.get()).max().unwrap_or(0);
     format!(
-        "{}, {}, {}, {}",
+        "{}, peak memory {peak_mb} MB, {}, {}, {}",
         check_stops(&run),
         clients.ledger.summary(),
         programs.summary(),
--- a/crates/onyxstile-system/tests/soak/process.rs
+++ b/crates/onyxstile-system/tests/soak/process.rs
@@ -2,8 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::fs::File;
+use std::io::Write;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -20,15 +23,46 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest pause before a process is restarted.
 const RESTART_PAUSE_MAX_MS: u64 = 400;
+/// Memory limit in the settings of all machines, in MB.
+const MEMORY_MB: u64 = 64;
+/// Number of checks of a process between two checks of its memory.
+const POLLS_PER_MEMORY_CHECK: u32 = 20;
+/// One incarnation in this many has a log whose reader has gone, another one a log that nobody reads.
+const LOG_KINDS: u32 = 4;
 const SIGHUP: u32 = 1;
 const SIGTERM: u32 = 15;
 
+/// A running process.
+struct Incarnation {
+    child: Child,
+    started: Instant,
+    /// The other end of its standard error if that is a pipe that nobody reads.
+    _unread_log: Option<UnixStream>,
+}
+
+impl Incarnation {
+    fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+/// Fills a pipe until it takes nothing more.
+fn fill(mut pipe: &UnixStream) {
+    pipe.set_nonblocking(true).expect("is set");
+    while pipe.write(&[b'.'; 4096]).is_ok() {}
+    while pipe.write(b".").is_ok() {}
+    pipe.set_nonblocking(false).expect("is set");
+}
+
 /// The process of one role of a machine, over all its incarnations.
 pub struct Process {
     role: &'static str,
     settings: PathBuf,
     pub log: PathBuf,
-    child: RefCell<Option<Child>>,
+    child: RefCell<Option<Incarnation>>,
+    /// The next incarnation, if it was started while this one drains.
+    successor: RefCell<Option<Incarnation>>,
+    incarnations: Cell<u32>,
     started: Cell<Option<Instant>>,
     has_handlers: Cell<bool>,
     pub terminated_at: Cell<Option<Instant>>,
@@ -40,6 +74,9 @@
     pub terminations: RefCell<Vec<Instant>>,
     pub kills: RefCell<Vec<Instant>>,
     is_killed: Cell<bool>,
+    polls: Cell<u32>,
+    /// Peak of the resident memory over all incarnations, in MB.
+    pub peak_mb: Cell<u64>,
     had_no_handler: Cell<bool>,
 }
 
@@ -51,6 +88,8 @@
             settings: settings.to_owned(),
             log,
             child: RefCell::default(),
+            successor: RefCell::default(),
+            incarnations: Cell::default(),
             started: Cell::default(),
             has_handlers: Cell::default(),
             terminated_at: Cell::default(),
@@ -60,24 +99,57 @@
             terminations: RefCell::default(),
             kills: RefCell::default(),
             is_killed: Cell::default(),
+            polls: Cell::default(),
+            peak_mb: Cell::default(),
             had_no_handler: Cell::default(),
         }
     }
 
-    fn start(&self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+    fn spawn(&self) -> Incarnation {
+        let (stderr, unread_log) = self.standard_error();
         let child = Command::new(env!("CARGO_BIN_EXE_onyxstile-system"))
             .arg(self.role)
             .env("ONYXSTILE_CONFIG", &self.settings)
-            .stderr(log)
+            .stderr(stderr)
             .spawn()
             .expect("the program starts");
+        Incarnation { child, started: Instant::now(), _unread_log: unread_log }
+    }
+
+    /// The standard error of the next incarnation: the log, or, for some of those whose log nothing is checked by, a pipe whose
+    /// reader has gone, or one that nobody reads.
+    fn standard_error(&self) -> (Stdio, Option<UnixStream>) {
+        let number = self.incarnations.replace(self.incarnations.get() + 1);
+        let (output, reader) = UnixStream::pair().expect("a pair");
+        match number % LOG_KINDS {
+            1 if self.role != "proxy" => (Stdio::from(OwnedFd::from(output)), None),
+            2 if self.role != "proxy" => {
+                fill(&output);
+                (Stdio::from(OwnedFd::from(output)), Some(reader))
+            }
+            _ => {
+                let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+                (log.into(), None)
+            }
+        }
+    }
+
+    /// Starts the next incarnation while this one still drains.
+    pub fn start_successor(&self) {
+        if self.terminated_at.get().is_some() && self.successor.borrow().is_none() {
+            *self.successor.borrow_mut() = Some(self.spawn());
+        }
+    }
+
+    fn start(&self) {
+        let successor = self.successor.borrow_mut().take();
+        let child = successor.unwrap_or_else(|| self.spawn());
         self.terminated_at.set(None);
         self.effective_grace.set(self.configured_grace.get());
         self.is_killed.set(false);
         self.has_handlers.set(false);
         self.had_no_handler.set(false);
-        self.started.set(Some(Instant::now()));
+        self.started.set(Some(child.started));
         *self.child.borrow_mut() = Some(child);
     }
 
@@ -104,10 +176,8 @@
     /// Whether the process has a handler for a signal. While the system loads the program there is none, and the signal ends the
     /// process, whatever the program is.
     fn catches(&self, signal: u32) -> bool {
-        let Some(id) = self.child.borrow().as_ref().map(Child::id) else { return false };
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
-        let mask = mask.and_then(|text| u64::from_str_radix(text.trim(), 16).ok()).unwrap_or(0);
+        let mask = self.status_field("SigCgt:");
+        let mask = mask.and_then(|text| u64::from_str_radix(&text, 16).ok()).unwrap_or(0);
         mask & (1 << (signal - 1)) != 0
     }
 
@@ -139,10 +209,14 @@
 
     /// Kills the process.
     pub fn kill(&self) {
+        if let Some(mut successor) = self.successor.borrow_mut().take() {
+            successor.child.kill().ok();
+            successor.child.wait().ok();
+        }
         if let Some(child) = &mut *self.child.borrow_mut() {
             self.is_killed.set(true);
             self.kills.borrow_mut().push(Instant::now());
-            child.kill().ok();
+            child.child.kill().ok();
         }
     }
 
@@ -150,9 +224,15 @@
     pub async fn supervise(self: Rc<Process>, run: Rc<Run>) {
         loop {
             self.start();
+            if run.is_shutting_down.get() {
+                self.terminate();
+            }
             let status = self.wait_for_exit(&run).await;
             *self.child.borrow_mut() = None;
             self.check(status, &run);
+            if self.successor.borrow().is_some() {
+                continue;
+            }
             run.random_pause(RESTART_PAUSE_MAX_MS).await;
             if run.is_shutting_down.get() {
                 return;
@@ -162,15 +242,38 @@
 
     async fn wait_for_exit(&self, run: &Run) -> ExitStatus {
         loop {
-            let waited = self.child.borrow_mut().as_mut().expect("a started process").try_wait();
+            let waited = self.child.borrow_mut().as_mut().expect("a started process").child.try_wait();
             if let Some(status) = waited.expect("its status") {
                 return status;
             }
             self.check_timing(run);
+            self.check_memory(run);
             run.sleep(POLL_INTERVAL).await;
         }
     }
 
+    /// Checks that the resident memory of the process has stayed within the limit in its settings.
+    fn check_memory(&self, run: &Run) {
+        let polls = self.polls.replace(self.polls.get() + 1);
+        if !polls.is_multiple_of(POLLS_PER_MEMORY_CHECK) {
+            return;
+        }
+        let peak_mb =
+            self.status_field("VmHWM:").and_then(|text| text.split(' ').next()?.parse::<u64>().ok());
+        let peak_mb = peak_mb.unwrap_or(0) / 1024;
+        self.peak_mb.set(self.peak_mb.get().max(peak_mb));
+        if peak_mb > MEMORY_MB {
+            run.record_fault(format!("{} has used {peak_mb} MB", self.log.display()));
+        }
+    }
+
+    /// A field of the process's status in the system's list.
+    fn status_field(&self, name: &str) -> Option<String> {
+        let id = self.child.borrow().as_ref().map(Incarnation::id)?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        status.lines().find_map(|line| line.strip_prefix(name)).map(|text| text.trim().to_owned())
+    }
+
     /// Checks that the process installs its signal handlers and exits in time.
     fn check_timing(&self, run: &Run) {
         let age = self.started.get().map(|started| started.elapsed()).unwrap_or_default();
--- a/crates/onyxstile-system/tests/support/role_process.rs
+++ b/crates/onyxstile-system/tests/support/role_process.rs
@@ -30,7 +30,8 @@
 impl RoleMachine {
     /// A machine with an empty data folder.
     pub fn new(ports: Ports, (role, class, host): (&'static str, &str, u8), test: &str) -> RoleMachine {
-        let folder = std::env::temp_dir().join(format!("onyxstile-{test}-{role}-{host}-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("onyxstile-{test}-{role}-{host}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let feed = format!("feed = \"{}\"\n[limits]", ports.feed(host));
         let settings = settings_text(&ports, &folder, "data", host, class).replace("[limits]", &feed);
@@ -115,7 +116,12 @@
             if let Some(status) = self.child.try_wait().expect("its status") {
                 panic!("{}: ended with {status} instead of: {what}", self.role);
             }
-            assert!(start.elapsed() < CONDITION_TIMEOUT, "{}: not in time: {what}; {}", self.role, self.metrics());
+            assert!(
+                start.elapsed() < CONDITION_TIMEOUT,
+                "{}: not in time: {what}; {}",
+                self.role,
+                self.metrics()
+            );
             std::thread::yield_now();
         }
     }
