--- a/crates/onyxstile-system/src/role.rs
+++ b/crates/onyxstile-system/src/role.rs
@@ -2,6 +2,7 @@
 
 pub mod agent;
 pub mod controller;
+pub mod data_folder;
 pub mod error;
 pub mod essential_tasks;
 pub mod guarded_body;
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -8,44 +8,38 @@
 mod registry_store;
 mod registry_sync;
 mod requests;
+mod start;
 mod step_guard;
 mod stepping;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot};
 
 pub use super::error::RoleError;
-use super::error::StartError;
-use super::essential_tasks::EssentialTasks;
 use super::host::{Host, Service, start_until_termination};
 use super::identity::random_id;
-use super::membership::{self, Shared};
+use super::membership::Shared;
 use super::process_end::ProcessEnd;
 use super::rpc::{self, Client};
 use super::shutdown::Shutdown;
 use super::signals::{Signals, Termination};
-use super::{http, socket};
 use crate::clock::{Instant, SteadyClock};
 use crate::control::{Durable, Outcome};
 use crate::controller::{Controller, Input};
 use crate::disk::{ControlRecord, FolderLock, RealFolder};
 use crate::evidence::EvidencePool;
 use crate::metrics::Metrics;
-use crate::process::Resource;
 use crate::registry::{DrainSync, Registry};
 use crate::relays::Relays;
 use crate::settings::Settings;
-use crate::swim::Class;
 use crate::tolerance::Tolerance;
-use recovery::Recovery;
-use registry_store::{OpenedStore, RegistryStore, StoredRegistry};
+use registry_store::{RegistryStore, StoredRegistry};
+use start::{Started, serve_api, start};
 use step_guard::StepGuard;
 
 /// Time for sending a first message to the other controllers; nothing depends on it.
@@ -107,54 +101,6 @@
     Ok(())
 }
 
-/// A controller that has started.
-struct Started {
-    server: Rc<ControllerServer>,
-    peers: TcpListener,
-    tasks: EssentialTasks,
-    store_end: oneshot::Receiver<()>,
-}
-
-/// Gets what an elector needs. The socket of the membership protocol and the lock come first: while another process has
-/// them, its votes may still change.
-async fn start(host: &Rc<Host<ControllerServer>>) -> Started {
-    let (settings, waits) = (&host.settings, &host.waits);
-    let socket = waits.acquire(Resource::Membership, || membership::bind(&settings.borrow())).await;
-    let data = || settings.borrow().data_dir.clone().ok_or(StartError::Missing("data_dir"));
-    let lock =
-        waits.acquire(Resource::DataFolder, || Ok::<_, StartError>(FolderLock::acquire(&data()?)?)).await;
-    let mut recovery = Recovery::default();
-    let (record, durable) =
-        waits.acquire(Resource::Records, || recovery.open_record(&settings.borrow(), &data()?)).await;
-    let opened =
-        waits.acquire(Resource::Records, || Ok::<_, StartError>(RegistryStore::open(data()?)?)).await;
-    let OpenedStore { store, stored, end: store_end } = opened;
-    let listen_to_peers = || {
-        let settings = settings.borrow();
-        socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
-    };
-    let peers = waits.acquire(Resource::Peers, listen_to_peers).await;
-    let mut tasks = EssentialTasks::default();
-    let member = (Class::Core, durable.disk);
-    let swim = membership::start(&settings.borrow(), member, host.clock, socket, &mut tasks);
-    let server = ControllerServer::new(settings.clone(), host.clock, durable, swim, record, store);
-    let server = host.started(ControllerServer { _lock: Some(lock), ..server });
-    server.restore_registry(stored);
-    Started { server, peers, tasks, store_end }
-}
-
-/// Serves operators and endpoints. Without their address the controller still votes and tells relays what it knows.
-async fn serve_api(
-    host: &Host<ControllerServer>, server: Rc<ControllerServer>, shutdown: Rc<Shutdown>,
-) -> Infallible {
-    let listen = || {
-        let control = host.settings.borrow().listen.control.ok_or(StartError::Missing("listen.control"))?;
-        Ok::<_, StartError>(socket::listen(control)?)
-    };
-    let listener = host.waits.acquire(Resource::Control, listen).await;
-    http::serve(listener, host.clock, shutdown, move |request| api::answer(server.clone(), request)).await
-}
-
 impl Service for ControllerServer {
     fn metrics(&self) -> Metrics {
         self.collect_metrics()
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -21,14 +21,14 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{Notify, oneshot};
 
-use super::error::{RoleError, StartError};
+use super::data_folder::{self, ClaimedFolder};
+use super::error::RoleError;
 use super::essential_tasks::EssentialTasks;
 use super::host::{Host, Service, start_until_termination};
 use super::identity::random_id;
 use super::membership::{self, Shared};
 use super::rpc::{self, Client};
 use super::signals::{Signals, Termination};
-use super::socket;
 use super::subscription::{self, SubscriptionOptions};
 use crate::clock::SteadyClock;
 use crate::disk::FolderLock;
@@ -106,23 +106,15 @@
     journal_end: oneshot::Receiver<()>,
 }
 
-/// Gets what a storage machine needs. The socket of the membership protocol and the lock come first: while another process
-/// has them, the log may still grow.
+/// Gets what a storage machine needs.
 async fn start(host: &Rc<Host<StorageServer>>) -> Started {
     let (settings, waits) = (&host.settings, &host.waits);
-    let socket = waits.acquire(Resource::Membership, || membership::bind(&settings.borrow())).await;
-    let data = || settings.borrow().data_dir.clone().ok_or(StartError::Missing("data_dir"));
-    let lock =
-        waits.acquire(Resource::DataFolder, || Ok::<_, StartError>(FolderLock::acquire(&data()?)?)).await;
-    let open = || LoadedLog::open(data()?, settings.borrow().limits.disk_mb, host.clock.now());
+    let ClaimedFolder { path, socket, lock } = data_folder::claim(host).await;
+    let open = || LoadedLog::open(path.clone(), settings.borrow().limits.disk_mb, host.clock.now());
     let (mut loaded, journal_end) = waits.acquire(Resource::Records, open).await;
     let is_first_start = settings.borrow().bootstrap;
     loaded.identify(is_first_start).await;
-    let listen_to_peers = || {
-        let settings = settings.borrow();
-        socket::listen(SocketAddrV4::new(settings.ip, settings.peer_port()))
-    };
-    let peers = waits.acquire(Resource::Peers, listen_to_peers).await;
+    let peers = data_folder::listen_to_peers(host).await;
     let mut tasks = EssentialTasks::default();
     let member = (Class::Storage, loaded.disk);
     let swim = membership::start(&settings.borrow(), member, host.clock, socket, &mut tasks);
