Tier: metrics of resident memory, of the disk backlog and of open peer requests

Cause: a process that is killed for its memory leaves no line, and no metric told what it held for whom (docs/incidents/ memory-while-a-disk-stalls.md, hypotheses 1 and 3). Change: all roles tell resident_bytes, resident_peak_bytes and memory_limit_bytes; proxy, controller and storage the number, memory and age of the requests of other processes that are open; storage the bytes, requests and age of what waits for the disk and the time of the current call to it.

--- a/crates/onyxstile-system/src/process.rs
+++ b/crates/onyxstile-system/src/process.rs
@@ -3,6 +3,7 @@
 
 mod end_record;
 mod exit;
+mod memory;
 mod panics;
 mod start_waits;
 
@@ -12,6 +13,7 @@
 use crate::metrics::Metrics;
 pub use end_record::{EndRecord, PreviousEnd};
 pub use exit::Exit;
+pub use memory::ResidentMemory;
 pub use panics::{count_panics, panics};
 pub use start_waits::{Resource, StartWaits};
 
@@ -32,6 +34,7 @@
 /// Adds metrics that all roles have.
 pub fn add_metrics(metrics: &mut Metrics, waits: &StartWaits) {
     waits.add_metrics(metrics);
+    memory::add_metrics(metrics);
     metrics.counter("log_lines_lost", "Log lines that could not be written.", logging::lines_lost());
     metrics.counter("panics", "Panics of any task or thread.", panics());
     let end = [(previous_end().to_string(), 1.0)];
--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -25,7 +25,7 @@
 use super::identity::random_id;
 use super::membership::Shared;
 use super::process_end::ProcessEnd;
-use super::rpc::{self, Client};
+use super::rpc::{self, Client, ServerLoad};
 use super::shutdown::Shutdown;
 use super::signals::{Signals, Termination};
 use crate::clock::{Instant, SteadyClock};
@@ -56,6 +56,7 @@
     drain_sync: RefCell<DrainSync>,
     swim: Shared,
     client: Client,
+    load: Rc<ServerLoad>,
     record: RefCell<ControlRecord<RealFolder>>,
     unwritten: RefCell<Option<(Rc<Durable>, Instant)>>,
     replies: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
@@ -86,10 +87,11 @@
     let Started { server, peers, tasks, store_end } = started;
     log::info!("controller {} has started", server.settings.borrow().node_name);
     server.announce().await;
-    let (rpc_server, api_server) = (server.clone(), server.clone());
+    let (rpc_server, api_server, load) = (server.clone(), server.clone(), server.load.clone());
+    let answer = Rc::new(move |request| rpc_server.clone().answer(request));
     let shutdown: Rc<Shutdown> = Rc::default();
     tokio::select! {
-        never = rpc::serve(peers, Rc::new(move |request| rpc_server.clone().answer(request))) => match never {},
+        never = rpc::serve(peers, load, answer) => match never {},
         never = serve_api(&host, api_server, shutdown.clone()) => match never {},
         never = server.clone().tick() => match never {},
         never = server.clone().follow_registries() => match never {},
@@ -146,6 +148,7 @@
             drain_sync: RefCell::default(),
             swim,
             client: Client::default(),
+            load: ServerLoad::new(clock),
             record: RefCell::new(record),
             unwritten: RefCell::new(None),
             replies: RefCell::default(),
--- a/crates/onyxstile-system/src/role/controller/metric_values.rs
+++ b/crates/onyxstile-system/src/role/controller/metric_values.rs
@@ -11,6 +11,7 @@
         self.add_state_metrics(&mut metrics);
         self.add_registry_metrics(&mut metrics);
         self.add_relay_metrics(&mut metrics);
+        self.load.add_metrics(&mut metrics);
         metrics
     }
 
--- a/crates/onyxstile-system/src/role/host.rs
+++ b/crates/onyxstile-system/src/role/host.rs
@@ -74,6 +74,9 @@
         let collect = move || {
             let mut metrics = self.service.get().map_or_else(Metrics::default, |service| service.metrics());
             crate::process::add_metrics(&mut metrics, &self.waits);
+            let limit_bytes = self.settings.borrow().limits.memory_bytes() as f64;
+            let help = "Memory above which this process may be killed.";
+            metrics.gauge("memory_limit_bytes", help, limit_bytes);
             metrics
         };
         metrics::serve(listener, endpoint.path, clock, collect).await
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -39,7 +39,7 @@
 use super::host::{Host, Service, start_until_termination};
 use super::http;
 use super::identity::random_id;
-use super::rpc::{self, Client};
+use super::rpc::{self, Client, ServerLoad};
 use super::signals::{Signals, Termination};
 use crate::balance::{EndpointKey, Endpoints};
 use crate::clock::SteadyClock;
@@ -80,6 +80,7 @@
     settings: Rc<RefCell<Settings>>,
     clock: SteadyClock,
     client: Client,
+    load: Rc<ServerLoad>,
     incarnation: u64,
     configuration: RefCell<Option<Rc<Configuration>>>,
     sequence: Cell<u64>,
@@ -114,9 +115,10 @@
     let Listeners { clients, readiness, feed } = listeners;
     log::info!("proxy {} is listening", host.settings.borrow().node_name);
     let proxy = host.started(Proxy::new(host.settings.clone(), host.clock));
-    let (feed_proxy, probe_proxy) = (proxy.clone(), proxy.clone());
+    let (feed_proxy, probe_proxy, load) = (proxy.clone(), proxy.clone(), proxy.load.clone());
+    let answer = Rc::new(move |request| feed_proxy.clone().handle_agent_request(request));
     tokio::select! {
-        never = rpc::serve(feed, Rc::new(move |request| feed_proxy.clone().handle_agent_request(request))) => match never {},
+        never = rpc::serve(feed, load, answer) => match never {},
         never = http::serve(readiness, host.clock, Rc::default(), move |request| {
             lifecycle::readiness(probe_proxy.clone(), request)
         }) => match never {},
@@ -143,11 +145,12 @@
         let by_descriptors = limits.max_fds.saturating_sub(DESCRIPTORS_RESERVED) / DESCRIPTORS_PER_CALL;
         let by_memory = limits.memory_mb * 1024 / MEMORY_PER_CALL_KB / 2;
         let slots = by_descriptors.min(by_memory).clamp(16, 4096) as u32;
-        let turn_bytes = limits.memory_mb as usize * 1024 * 1024 / TURN_CACHE_MEMORY_DIVISOR;
+        let turn_bytes = limits.memory_bytes() / TURN_CACHE_MEMORY_DIVISOR;
         let incarnation = random_id();
         Proxy {
             clock,
             client: Client::default(),
+            load: ServerLoad::new(clock),
             incarnation,
             configuration: RefCell::default(),
             sequence: Cell::new(0),
--- a/crates/onyxstile-system/src/role/proxy/metric_values.rs
+++ b/crates/onyxstile-system/src/role/proxy/metric_values.rs
@@ -10,6 +10,7 @@
         self.add_phase_metrics(&mut metrics);
         self.add_request_metrics(&mut metrics);
         self.add_service_metrics(&mut metrics);
+        self.load.add_metrics(&mut metrics);
         metrics
     }
 
--- a/crates/onyxstile-system/src/role/rpc.rs
+++ b/crates/onyxstile-system/src/role/rpc.rs
@@ -1,9 +1,12 @@
 //! RPC between roles over TCP: one connection per peer with many concurrent calls, each with its own timeout.
 
 mod frame;
+pub mod open_requests;
 mod server;
+mod server_load;
 
 pub use server::{Handler, ResponseFuture, serve};
+pub use server_load::ServerLoad;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/crates/onyxstile-system/src/role/rpc/server.rs
+++ b/crates/onyxstile-system/src/role/rpc/server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::frame::{read_frame, write_frames};
+use super::server_load::ServerLoad;
 use super::{ONE_WAY_CALL, OUTGOING_MAX};
 use crate::role::socket;
 use crate::wire::{self, Request, Response};
@@ -22,14 +23,14 @@
 /// Request handler.
 pub type Handler = Rc<dyn Fn(Request) -> ResponseFuture>;
 
-/// Answers all requests that arrive at a listener.
-pub async fn serve(listener: TcpListener, handler: Handler) -> Infallible {
+/// Answers all requests that arrive at a listener, and counts them in `load`.
+pub async fn serve(listener: TcpListener, load: Rc<ServerLoad>, handler: Handler) -> Infallible {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let handler = handler.clone();
+                let (handler, load) = (handler.clone(), load.clone());
                 tokio::task::spawn_local(async move {
-                    if let Err(error) = serve_connection(stream, handler).await {
+                    if let Err(error) = serve_connection(stream, load, handler).await {
                         log::debug!("peer connection: {error}");
                     }
                 });
@@ -42,22 +43,23 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, handler: Handler) -> io::Result<()> {
+async fn serve_connection(stream: TcpStream, load: Rc<ServerLoad>, handler: Handler) -> io::Result<()> {
     socket::prepare_peer(&stream);
     let (reader, writer) = stream.into_split();
     let (outgoing, queue) = mpsc::channel(OUTGOING_MAX);
     tokio::select! {
         result = write_frames(writer, queue) => result,
-        result = read_requests(reader, handler, outgoing) => result,
+        result = read_requests(reader, &load, handler, outgoing) => result,
     }
 }
 
 async fn read_requests(
-    reader: OwnedReadHalf, handler: Handler, outgoing: mpsc::Sender<(u64, Vec<u8>)>,
+    reader: OwnedReadHalf, load: &Rc<ServerLoad>, handler: Handler, outgoing: mpsc::Sender<(u64, Vec<u8>)>,
 ) -> io::Result<()> {
     let mut reader = BufReader::new(reader);
     loop {
         let (number, body) = read_frame(&mut reader).await?;
+        let open = load.open(body.len());
         let request: Request = wire::decode(&body).map_err(io::Error::other)?;
         let answer = handler(request);
         let outgoing = outgoing.clone();
@@ -67,6 +69,7 @@
                 // The connection may have been closed.
                 outgoing.send((number, wire::encode(&response))).await.ok();
             }
+            drop(open);
         });
     }
 }
--- /dev/null
+++ b/crates/onyxstile-system/src/role/rpc/server_load.rs
@@ -0,0 +1,55 @@
+//! Load of an RPC server, shared between its connections and the metrics.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use super::open_requests::{OpenRequests, RequestId};
+use crate::clock::SteadyClock;
+use crate::metrics::Metrics;
+
+/// Load of a server.
+pub struct ServerLoad {
+    clock: SteadyClock,
+    requests: RefCell<OpenRequests>,
+}
+
+/// An open request, which is closed when this is dropped.
+pub(super) struct RequestGuard {
+    load: Rc<ServerLoad>,
+    id: RequestId,
+}
+
+impl ServerLoad {
+    /// No load.
+    pub fn new(clock: SteadyClock) -> Rc<ServerLoad> {
+        Rc::new(ServerLoad { clock, requests: RefCell::default() })
+    }
+
+    /// Opens a request whose message has `bytes` bytes.
+    pub(super) fn open(self: &Rc<ServerLoad>, bytes: usize) -> RequestGuard {
+        let id = self.requests.borrow_mut().open(self.clock.now(), bytes);
+        RequestGuard { load: self.clone(), id }
+    }
+
+    /// Adds metrics of the load.
+    pub fn add_metrics(&self, metrics: &mut Metrics) {
+        let requests = self.requests.borrow();
+        metrics.gauge(
+            "peer_requests_open",
+            "Requests of other processes that are being answered.",
+            requests.count() as f64,
+        );
+        metrics.gauge("peer_request_bytes", "Memory of these requests.", requests.bytes() as f64);
+        metrics.gauge(
+            "peer_request_age_seconds",
+            "Age of the oldest of these requests.",
+            requests.oldest_age(self.clock.now()).as_secs_f64(),
+        );
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.load.requests.borrow_mut().close(self.id);
+    }
+}
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -27,7 +27,7 @@
 use super::host::{Host, Service, start_until_termination};
 use super::identity::random_id;
 use super::membership::{self, Shared};
-use super::rpc::{self, Client};
+use super::rpc::{self, Client, ServerLoad};
 use super::signals::{Signals, Termination};
 use super::subscription::{self, SubscriptionOptions};
 use crate::clock::SteadyClock;
@@ -56,6 +56,7 @@
     settings: Rc<RefCell<Settings>>,
     clock: SteadyClock,
     client: Client,
+    load: Rc<ServerLoad>,
     index: RefCell<RecordIndex>,
     turns: RefCell<TurnCache>,
     journal: Journal,
@@ -86,9 +87,10 @@
     let Some(started) = start_until_termination(termination, start(&host)).await else { return Ok(()) };
     let Started { server, peers, mut tasks, journal_end } = started;
     let updates = server.subscribe(&mut tasks);
-    let rpc_server = server.clone();
+    let (rpc_server, load) = (server.clone(), server.load.clone());
+    let answer = Rc::new(move |request| rpc_server.clone().answer(request));
     tokio::select! {
-        never = rpc::serve(peers, Rc::new(move |request| rpc_server.clone().answer(request))) => match never {},
+        never = rpc::serve(peers, load, answer) => match never {},
         () = server.clone().follow(updates) => return Err(RoleError::PartEnded("updates of the controllers")),
         never = server.clone().expire_records() => match never {},
         error = tasks.ended() => return Err(error),
@@ -110,7 +112,7 @@
 async fn start(host: &Rc<Host<StorageServer>>) -> Started {
     let (settings, waits) = (&host.settings, &host.waits);
     let ClaimedFolder { path, socket, lock } = data_folder::claim(host).await;
-    let open = || LoadedLog::open(path.clone(), settings.borrow().limits.disk_mb, host.clock.now());
+    let open = || LoadedLog::open(path.clone(), &settings.borrow().limits, host.clock);
     let (mut loaded, journal_end) = waits.acquire(Resource::Records, open).await;
     let is_first_start = settings.borrow().bootstrap;
     loaded.identify(is_first_start).await;
@@ -143,11 +145,13 @@
         settings: Rc<RefCell<Settings>>, clock: SteadyClock, loaded: LoadedLog, swim: Shared,
         lock: FolderLock,
     ) -> StorageServer {
-        let memory_bytes = settings.borrow().limits.memory_mb as usize * 1024 * 1024;
+        let memory_bytes = settings.borrow().limits.memory_bytes();
+        let load = ServerLoad::new(clock);
         StorageServer {
             settings,
             clock,
             client: Client::default(),
+            load,
             index: RefCell::new(loaded.index),
             turns: RefCell::new(TurnCache::new(memory_bytes / TURN_CACHE_MEMORY_DIVISOR)),
             journal: loaded.journal,
--- a/crates/onyxstile-system/src/role/storage/metric_values.rs
+++ b/crates/onyxstile-system/src/role/storage/metric_values.rs
@@ -1,6 +1,7 @@
 //! Metrics of a storage machine.
 
 use super::StorageServer;
+use super::journal::BacklogStatus;
 use crate::metrics::Metrics;
 
 impl StorageServer {
@@ -37,6 +38,23 @@
             "Whether this machine is copying records that it should hold.",
             is_repairing,
         );
+        add_backlog_metrics(&mut metrics, &self.journal.backlog());
+        self.load.add_metrics(&mut metrics);
         metrics
     }
 }
+
+fn add_backlog_metrics(metrics: &mut Metrics, backlog: &BacklogStatus) {
+    metrics.gauge("disk_backlog_bytes", "Memory of requests that wait for the disk.", backlog.bytes as f64);
+    metrics.gauge("disk_backlog_requests", "Requests that wait for the disk.", backlog.requests as f64);
+    metrics.gauge(
+        "disk_backlog_age_seconds",
+        "How long the oldest of them has waited.",
+        backlog.oldest_age.as_secs_f64(),
+    );
+    metrics.gauge(
+        "disk_call_seconds",
+        "How long the current call to the disk has lasted; 0 without one.",
+        backlog.disk_call_time.as_secs_f64(),
+    );
+}
--- a/crates/onyxstile-system/src/role/storage/records.rs
+++ b/crates/onyxstile-system/src/role/storage/records.rs
@@ -63,8 +63,8 @@
 
     /// Whether the index has reached its share of the memory.
     pub(super) fn is_index_full(&self) -> bool {
-        let memory = self.settings.borrow().limits.memory_mb as f64 * 1024.0 * 1024.0 * INDEX_SHARE;
-        self.index.borrow().memory_bytes() as f64 > memory
+        let memory_bytes = self.settings.borrow().limits.memory_bytes() as f64;
+        self.index.borrow().memory_bytes() as f64 > memory_bytes * INDEX_SHARE
     }
 
     fn next_number(&self) -> RecordNumber {
--- a/crates/onyxstile-system/src/role/storage/recovery.rs
+++ b/crates/onyxstile-system/src/role/storage/recovery.rs
@@ -8,11 +8,12 @@
 
 use super::journal::{Journal, LoadEvent, StartedJournal};
 use super::log_entry::{self, LogEntry};
-use crate::clock::Instant;
+use crate::clock::{Instant, SteadyClock};
 use crate::program::{RecordIndex, RecordNumber};
 use crate::role::error::StartError;
 use crate::role::identity::random_id;
 use crate::role::membership::wall_clock_ms;
+use crate::settings::Limits;
 
 /// Maximum share of the disk for the log. Three eighths of it are for live records, the rest is for obsolete ones that
 /// are not removed yet.
@@ -48,13 +49,14 @@
 }
 
 impl LoadedLog {
-    /// Opens and reads the log in a folder on a disk of `disk_mb`. The second value completes when its writer has ended.
+    /// Opens and reads the log in a folder. The second value completes when its writer has ended.
     pub fn open(
-        folder: PathBuf, disk_mb: u64, now: Instant,
+        folder: PathBuf, limits: &Limits, clock: SteadyClock,
     ) -> Result<(LoadedLog, oneshot::Receiver<()>), StartError> {
-        let StartedJournal { journal, loading, end } = Journal::start(folder, log_limit(disk_mb))?;
+        let StartedJournal { journal, loading, end } =
+            Journal::start(folder, log_limit(limits.disk_mb), clock)?;
         let mut loaded = LoadedLog::empty(journal);
-        if !loaded.read(&loading, now)? {
+        if !loaded.read(&loading, clock.now())? {
             log::error!(
                 "the log has a gap: keeping its records and copying all data from the other machines"
             );
@@ -132,7 +134,7 @@
         if self.is_complete {
             records.push((COMPLETE, LogEntry::Complete));
         }
-        if self.journal.append(records).await && self.has_gap {
+        if self.journal.append_own(records).await && self.has_gap {
             self.journal.accept_loss();
         }
     }
--- a/crates/onyxstile-system/src/role/storage/repair.rs
+++ b/crates/onyxstile-system/src/role/storage/repair.rs
@@ -30,7 +30,7 @@
             return;
         }
         while self.epoch.get() < plan.epoch {
-            if self.journal.append(vec![(EPOCH, LogEntry::Epoch(plan.epoch))]).await {
+            if self.journal.append_own(vec![(EPOCH, LogEntry::Epoch(plan.epoch))]).await {
                 self.epoch.set(plan.epoch);
             } else {
                 tokio::time::sleep(RETRY_DELAY).await;
--- a/crates/onyxstile-system/src/settings.rs
+++ b/crates/onyxstile-system/src/settings.rs
@@ -79,6 +79,13 @@
     }
 }
 
+impl Limits {
+    /// Memory limit in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        (self.memory_mb as usize).saturating_mul(1024 * 1024)
+    }
+}
+
 /// Accepted range for the time between SIGTERM and SIGKILL, in seconds.
 const GRACE_RANGE_S: (f64, f64) = (0.5, 24.0 * 3600.0);
 
--- a/crates/onyxstile-system/tests/metrics.rs
+++ b/crates/onyxstile-system/tests/metrics.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 
 use onyxstile_system::metrics::{LABEL_VALUES_MAX, Metrics};
+use onyxstile_system::process::ResidentMemory;
 use onyxstile_system::settings::{MetricsAddress, MetricsAddressError};
 use support::tier::{LIMITS, METRICS_PATH, Tier, request_until, run_test, send_request};
 
@@ -123,3 +124,11 @@
         assert_eq!(read(&format!("{port}/m")), Err(MetricsAddressError::Port(port.into())));
     }
 }
+
+#[test]
+fn resident_memory_is_read_from_the_list_of_the_system() {
+    let status = "Name:\ta\nVmPeak:\t   900 kB\nVmHWM:\t    12 kB\nVmRSS:\t     8 kB\n";
+    let expected = ResidentMemory { current: 8 * 1024, peak: 12 * 1024 };
+    assert_eq!(ResidentMemory::parse(status), Some(expected));
+    assert_eq!(ResidentMemory::parse("Name:\ta\n"), None);
+}
--- a/crates/onyxstile-system/tests/subscription.rs
+++ b/crates/onyxstile-system/tests/subscription.rs
@@ -1,6 +1,8 @@
 //! Polling of controllers. A controller that is not settled answers at once and is polled again after a pause. The state
 //! is fetched from one controller, a different one for each machine, and from any other if that one is slow.
 
+mod support;
+
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
@@ -14,6 +16,7 @@
 use onyxstile_system::role::subscription::{self, SubscriptionOptions};
 use onyxstile_system::settings::Settings;
 use onyxstile_system::wire::{PublishedState, PullRequest, PullResponse, Request, Response};
+use support::unlimited_load;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
@@ -69,7 +72,7 @@
             }
             Box::pin(std::future::ready(Response::Pull(unsettled(Ipv4Addr::LOCALHOST))))
         });
-        tokio::task::spawn_local(rpc::serve(listener, handler));
+        tokio::task::spawn_local(rpc::serve(listener, unlimited_load(), handler));
         let settings = Rc::new(RefCell::new(settings(controller)));
         let options = SubscriptionOptions {
             relay_evidence: None,
@@ -122,7 +125,7 @@
                     Response::Pull(answer)
                 })
             });
-            tokio::task::spawn_local(rpc::serve(listener, handler));
+            tokio::task::spawn_local(rpc::serve(listener, unlimited_load(), handler));
         }
         Controllers { addresses, port, sent }
     }
@@ -203,7 +206,7 @@
             notify.notify_one();
             Box::pin(std::future::ready(Response::Pull(unsettled(Ipv4Addr::LOCALHOST))))
         });
-        tokio::task::spawn_local(rpc::serve(listener, handler));
+        tokio::task::spawn_local(rpc::serve(listener, unlimited_load(), handler));
         let settings = Rc::new(RefCell::new(settings(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port))));
         let options = SubscriptionOptions {
             relay_evidence: None,
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -17,8 +17,11 @@
 pub mod virtual_time;
 
 use std::net::Ipv4Addr;
+use std::rc::Rc;
 
+use onyxstile_system::clock::SteadyClock;
 use onyxstile_system::control::{ElectorId, bootstrap_disk};
+use onyxstile_system::role::rpc::ServerLoad;
 use onyxstile_system::storage_plan::{StorageNode, StoragePlan};
 use onyxstile_system::tolerance::{Location, Tolerance};
 
@@ -31,6 +34,11 @@
     assert!(sent.expect("kill runs").success());
 }
 
+/// Load of an RPC server for tests.
+pub fn unlimited_load() -> Rc<ServerLoad> {
+    ServerLoad::new(SteadyClock::start())
+}
+
 /// A number from an environment variable, or the default.
 pub fn env_number(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
