--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod control_simulation;
 pub mod endpoints;
+pub mod faulty_disk;
 pub mod gated_endpoint;
 pub mod indexed_log;
 pub mod listener;
