Tier: storage refuses at once what its disk can't take in time (FAULT)

Callers saw: a storage machine whose disk stands still takes every write, answers none and grows until its memory is over the limit; reads of turns that are not in memory got no answer either. Cause: the log's queue had no limit, in bytes or time, and a caller's timeout freed nothing in it. What the writer has is answered when the disk answers. Records of the machine itself are not refused. Metric disk_refusals.

--- a/crates/onyxstile-system/src/role/storage/journal.rs
+++ b/crates/onyxstile-system/src/role/storage/journal.rs
@@ -1,6 +1,8 @@
 //! Handle to the log of a storage machine, which a thread of its own writes.
 //!
-//! Each request is answered when the disk answers.
+//! What waits for the disk is bounded in bytes and in time. While the disk does not answer, requests are refused at once;
+//! a refused request is never written. Once the writer has a request, only the disk knows its outcome, and it is answered
+//! when the disk answers.
 
 mod backlog;
 mod queue;
@@ -11,6 +13,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
+use std::time::Duration;
 
 use onyxstile_store::Error;
 use tokio::sync::oneshot;
@@ -21,10 +24,13 @@
 use crate::program::RecordNumber;
 use backlog::{RECORD_COPIES, REQUEST_OVERHEAD_BYTES};
 pub(super) use queue::BacklogStatus;
-use queue::{Job, JobQueue, Numbered};
+use queue::{Job, JobId, JobQueue, Numbered};
 
 /// Maximum number of queued batches while the log is read.
 const BATCHES_WAITING: usize = 4;
+/// Longest time for which a request waits until the writer takes it. Shorter than the timeout of its callers, who then
+/// learn that it was not carried out.
+const QUEUE_WAIT_MAX: Duration = Duration::from_millis(700);
 
 /// Events of the thread while it reads the log.
 pub(super) enum LoadEvent {
@@ -39,6 +45,15 @@
     Failed(Error),
 }
 
+/// Limits of a log.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct JournalLimits {
+    /// Maximum size of the log on the disk, in bytes.
+    pub disk_bytes: u64,
+    /// Maximum memory of the requests that wait for the disk, in bytes.
+    pub backlog_bytes: usize,
+}
+
 /// Handle to the log for the serving thread.
 pub(super) struct Journal {
     queue: Arc<JobQueue>,
@@ -56,9 +71,11 @@
 }
 
 impl Journal {
-    /// Starts the thread on a folder that may hold `limit` bytes. Fails if the system has no thread left.
-    pub(super) fn start(folder: PathBuf, limit: u64, clock: SteadyClock) -> io::Result<StartedJournal> {
-        let queue = Arc::new(JobQueue::new(clock));
+    /// Starts the thread on a folder. Fails if the system has no thread left.
+    pub(super) fn start(
+        folder: PathBuf, limits: JournalLimits, clock: SteadyClock,
+    ) -> io::Result<StartedJournal> {
+        let queue = Arc::new(JobQueue::new(clock, limits.backlog_bytes));
         let (sender, loading) = mpsc::sync_channel(BATCHES_WAITING);
         let used_bytes = Arc::new(AtomicU64::new(0));
         let (writer_queue, shared_bytes) = (queue.clone(), used_bytes.clone());
@@ -66,7 +83,7 @@
         std::thread::Builder::new().name("log-writer".into()).spawn(move || {
             // Dropped however the thread ends.
             let _ending: oneshot::Sender<()> = ending;
-            writer::run(folder, limit, &sender, &writer_queue, &shared_bytes);
+            writer::run(folder, limits.disk_bytes, &sender, &writer_queue, &shared_bytes);
         })?;
         Ok(StartedJournal { journal: Journal { queue, used_bytes }, loading, end })
     }
@@ -81,7 +98,8 @@
         self.queue.status()
     }
 
-    /// Writes and syncs records for a caller; false if the disk refused them or a record exceeds the size limit.
+    /// Writes and syncs records for a caller; false if the backlog or the disk refused them, or a record exceeds the size
+    /// limit.
     pub(super) async fn append(&self, records: Vec<(RecordNumber, LogEntry)>) -> bool {
         let encoded: Vec<Numbered> =
             records.into_iter().map(|(number, stored)| (number, disk::encode(&stored))).collect();
@@ -94,7 +112,7 @@
         self.request(bytes, |answer| Job::Append(encoded, answer)).await.unwrap_or(false)
     }
 
-    /// Writes and syncs records of this machine itself; false if the disk refused them.
+    /// Writes and syncs records of this machine itself, however long the disk takes; false if it refused them.
     pub(super) async fn append_own(&self, records: Vec<(RecordNumber, LogEntry)>) -> bool {
         let (answer, receiver) = oneshot::channel();
         let encoded = records.iter().map(|(number, stored)| (*number, disk::encode(stored))).collect();
@@ -108,7 +126,8 @@
         self.queue.submit_own(Job::Append(vec![(number, disk::encode(stored))], answer));
     }
 
-    /// Reads records in the order of `numbers`; `None` for each that is missing or cannot be read.
+    /// Reads records in the order of `numbers`; `None` for each that is missing or cannot be read. Empty if the backlog
+    /// refused the request.
     pub(super) async fn read(&self, numbers: Vec<RecordNumber>) -> Vec<Option<Vec<u8>>> {
         self.request(REQUEST_OVERHEAD_BYTES, |answer| Job::Read(numbers, answer)).await.unwrap_or_default()
     }
@@ -125,11 +144,26 @@
         self.queue.submit_own(Job::AcceptLoss);
     }
 
-    /// Submits a request of a caller and waits for its answer.
+    /// Submits a request of a caller and waits for its answer; `None` if it was refused.
     async fn request<T>(&self, bytes: usize, job: impl FnOnce(oneshot::Sender<T>) -> Job) -> Option<T> {
         let (answer, receiver) = oneshot::channel();
-        self.queue.submit(bytes, job(answer));
-        receiver.await.ok()
+        match self.queue.submit(bytes, job(answer)) {
+            Ok(id) => self.wait(id, receiver).await,
+            Err(refusal) => {
+                log::debug!("refusing a request to the log: {}", refusal.label());
+                None
+            }
+        }
+    }
+
+    async fn wait<T>(&self, id: JobId, mut answer: oneshot::Receiver<T>) -> Option<T> {
+        if let Ok(answered) = tokio::time::timeout(QUEUE_WAIT_MAX, &mut answer).await {
+            return answered.ok();
+        }
+        if self.queue.withdraw(id) {
+            return None;
+        }
+        answer.await.ok()
     }
 }
 
--- a/crates/onyxstile-system/src/role/storage/journal/queue.rs
+++ b/crates/onyxstile-system/src/role/storage/journal/queue.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::oneshot;
 
-use super::backlog::Backlog;
+use super::backlog::{Backlog, Refusal};
 use crate::clock::{Instant, SteadyClock};
 use crate::program::RecordNumber;
 
@@ -41,7 +41,12 @@
     }
 }
 
+/// Identifies a queued job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct JobId(u64);
+
 struct QueuedJob {
+    id: JobId,
     submitted: Instant,
     bytes: usize,
     job: Job,
@@ -67,6 +72,8 @@
     pub oldest_age: Duration,
     /// How long the current call to the disk has lasted.
     pub disk_call_time: Duration,
+    /// Number of refusals by reason.
+    pub refusals: Vec<(&'static str, u64)>,
 }
 
 struct State {
@@ -74,6 +81,7 @@
     backlog: Backlog,
     /// Submission time of the oldest job that the writer carries out.
     oldest_in_batch: Option<Instant>,
+    last_id: u64,
     is_closed: bool,
 }
 
@@ -85,12 +93,13 @@
 }
 
 impl JobQueue {
-    /// An empty queue.
-    pub(super) fn new(clock: SteadyClock) -> JobQueue {
+    /// An empty queue with a backlog of at most `max_bytes` bytes.
+    pub(super) fn new(clock: SteadyClock, max_bytes: usize) -> JobQueue {
         let state = State {
             jobs: VecDeque::new(),
-            backlog: Backlog::default(),
+            backlog: Backlog::new(max_bytes),
             oldest_in_batch: None,
+            last_id: 0,
             is_closed: false,
         };
         JobQueue { state: Mutex::new(state), has_work: Condvar::new(), clock }
@@ -101,17 +110,21 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Queues a job that takes `bytes` bytes of memory while it waits.
-    pub(super) fn submit(&self, bytes: usize, job: Job) {
+    /// Queues a job that takes `bytes` bytes of memory while it waits, unless the backlog refuses it.
+    pub(super) fn submit(&self, bytes: usize, job: Job) -> Result<JobId, Refusal> {
         let now = self.clock.now();
         let mut state = self.state();
-        state.backlog.add(bytes);
-        self.push(&mut state, now, bytes, job);
+        state.backlog.admit(now, bytes)?;
+        Ok(self.push(&mut state, now, bytes, job))
     }
 
-    /// Queues a job of this machine itself.
+    /// Queues a job of this machine itself; their number is bounded, and none is refused.
     pub(super) fn submit_own(&self, job: Job) {
-        self.submit(job.record_bytes(), job);
+        let now = self.clock.now();
+        let mut state = self.state();
+        let bytes = job.record_bytes();
+        state.backlog.add(bytes);
+        self.push(&mut state, now, bytes, job);
     }
 
     /// Queues removals, together with those that are queued last.
@@ -126,9 +139,22 @@
         self.push(&mut state, now, 0, Job::Drop(numbers));
     }
 
-    fn push(&self, state: &mut State, now: Instant, bytes: usize, job: Job) {
-        state.jobs.push_back(QueuedJob { submitted: now, bytes, job });
+    fn push(&self, state: &mut State, now: Instant, bytes: usize, job: Job) -> JobId {
+        state.last_id += 1;
+        let id = JobId(state.last_id);
+        state.jobs.push_back(QueuedJob { id, submitted: now, bytes, job });
         self.has_work.notify_one();
+        id
+    }
+
+    /// Takes a job back that has waited too long. False if the writer has it: then only the disk knows its outcome.
+    pub(super) fn withdraw(&self, id: JobId) -> bool {
+        let mut state = self.state();
+        let Ok(index) = state.jobs.binary_search_by_key(&id.0, |queued| queued.id.0) else { return false };
+        let Some(queued) = state.jobs.remove(index) else { return false };
+        state.backlog.remove(queued.bytes);
+        state.backlog.count(Refusal::WaitedTooLong);
+        true
     }
 
     /// Waits for jobs and returns those to carry out next; `None` once the queue is closed and empty.
@@ -170,6 +196,7 @@
             requests: state.backlog.requests(),
             oldest_age: oldest.map_or(Duration::ZERO, |submitted| now.since(submitted)),
             disk_call_time: state.backlog.disk_call_time(now),
+            refusals: Refusal::ALL.map(|refusal| (refusal.label(), state.backlog.refusals(refusal))).into(),
         }
     }
 }
@@ -193,3 +220,6 @@
     }
     batch
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/onyxstile-system/src/role/storage/metric_values.rs
+++ b/crates/onyxstile-system/src/role/storage/metric_values.rs
@@ -57,4 +57,6 @@
         "How long the current call to the disk has lasted; 0 without one.",
         backlog.disk_call_time.as_secs_f64(),
     );
+    let help = "Requests that were refused because the disk could not take them in time.";
+    metrics.counters("disk_refusals", help, "reason", &backlog.refusals);
 }
--- a/crates/onyxstile-system/src/role/storage/records.rs
+++ b/crates/onyxstile-system/src/role/storage/records.rs
@@ -35,7 +35,8 @@
 }
 
 impl StorageServer {
-    /// Writes records to the disk and then merges them; false if there is not enough disk space or memory.
+    /// Writes records to the disk and then merges them; false if there is not enough disk space or memory, or if the disk does
+    /// not answer.
     pub(super) async fn write(&self, records: Vec<Record>) -> bool {
         let fresh: Vec<Record> = {
             let index = self.index.borrow();
--- a/crates/onyxstile-system/src/role/storage/recovery.rs
+++ b/crates/onyxstile-system/src/role/storage/recovery.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::oneshot;
 
-use super::journal::{Journal, LoadEvent, StartedJournal};
+use super::journal::{Journal, JournalLimits, LoadEvent, StartedJournal};
 use super::log_entry::{self, LogEntry};
 use crate::clock::{Instant, SteadyClock};
 use crate::program::{RecordIndex, RecordNumber};
@@ -18,6 +18,9 @@
 /// Maximum share of the disk for the log. Three eighths of it are for live records, the rest is for obsolete ones that
 /// are not removed yet.
 const DISK_SHARE: f64 = 0.8;
+/// Requests that wait for the disk take at most 1 part in this many of the memory. It holds some seconds of writes, which
+/// is longer than their callers wait.
+const BACKLOG_MEMORY_DIVISOR: usize = 16;
 /// Number of the record with the id of the disk.
 const DISK: RecordNumber = 0;
 /// Number of the record that states that the machine has copied all the data that it should hold.
@@ -53,8 +56,7 @@
     pub fn open(
         folder: PathBuf, limits: &Limits, clock: SteadyClock,
     ) -> Result<(LoadedLog, oneshot::Receiver<()>), StartError> {
-        let StartedJournal { journal, loading, end } =
-            Journal::start(folder, log_limit(limits.disk_mb), clock)?;
+        let StartedJournal { journal, loading, end } = Journal::start(folder, log_limits(limits), clock)?;
         let mut loaded = LoadedLog::empty(journal);
         if !loaded.read(&loading, clock.now())? {
             log::error!(
@@ -140,10 +142,11 @@
     }
 }
 
-/// Maximum size of the log in bytes for a disk of `disk_mb`; no limit if the size is unknown (0).
-fn log_limit(disk_mb: u64) -> u64 {
-    match disk_mb {
+/// Limits of the log on a machine with these limits; the log is unlimited if the size of the disk is unknown (0).
+fn log_limits(limits: &Limits) -> JournalLimits {
+    let disk_bytes = match limits.disk_mb {
         0 => u64::MAX / 2,
         disk_mb => (disk_mb as f64 * 1024.0 * 1024.0 * DISK_SHARE) as u64,
-    }
+    };
+    JournalLimits { disk_bytes, backlog_bytes: limits.memory_bytes() / BACKLOG_MEMORY_DIVISOR }
 }
