Tier: storage keeps only the newest plan while its disk takes none (FAULT)

Cause: the task that writes an epoch to the disk also received the updates of the controllers. While the disk stood still they waited in a channel without a limit, each with a whole configuration of up to 8 MiB. Change: updates are received at all times; the newest plan replaces one that waits, and the rest of an update is dropped.

--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -19,7 +19,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::data_folder::{self, ClaimedFolder};
 use super::error::RoleError;
@@ -198,11 +198,19 @@
         groups(&plan, key.placed_by(), self.tolerance()).iter().any(|group| group.members.contains(&own))
     }
 
-    async fn follow(self: Rc<StorageServer>, mut updates: UnboundedReceiver<FeedUpdate>) {
-        while let Some(item) = updates.recv().await {
-            if let FeedUpdate::State(published) = item {
-                self.clone().apply_plan(published.storage).await;
-            }
+    /// Applies the plans of the controllers. While the disk does not take a plan, only the newest later one is kept.
+    async fn follow(self: Rc<StorageServer>, updates: UnboundedReceiver<FeedUpdate>) {
+        let (newest, plans) = watch::channel(Rc::default());
+        tokio::select! {
+            () = receive_plans(updates, newest) => {}
+            () = self.apply_plans(plans) => {}
+        }
+    }
+
+    async fn apply_plans(self: Rc<StorageServer>, mut plans: watch::Receiver<Rc<StoragePlan>>) {
+        while plans.changed().await.is_ok() {
+            let plan = plans.borrow_and_update().clone();
+            self.clone().apply_plan(plan).await;
         }
     }
 
@@ -217,3 +225,12 @@
         }
     }
 }
+
+/// Passes on the storage plan of each update, and drops the rest of it.
+async fn receive_plans(mut updates: UnboundedReceiver<FeedUpdate>, newest: watch::Sender<Rc<StoragePlan>>) {
+    while let Some(update) = updates.recv().await {
+        if let FeedUpdate::State(published) = update {
+            newest.send_replace(published.storage);
+        }
+    }
+}
