Tier: a controller refuses a drain that its disk does not take in time

Callers saw: no answer to the drain of an endpoint while the disk of a controller stood still; each try added one more caller that waited. Cause: the wait for the registry's record had no end, and those who had given up stayed in its list. Change: the wait ends after 0.9 s with a refusal (endpoints call another controller after 1 s); the next write forgets callers that are gone. A refused drain may still reach the disk, which does no harm: the endpoint is leaving.

--- a/crates/onyxstile-system/src/role/controller/registry_store.rs
+++ b/crates/onyxstile-system/src/role/controller/registry_store.rs
@@ -139,6 +139,8 @@
         let record = disk::encode(&StoredRegistry { is_complete, instances: registry.records() });
         let mut pending = self.shared.pending();
         pending.record = Some((record, registry.changes()));
+        // Callers that no longer wait would otherwise add up while the disk does not answer.
+        pending.answers.retain(|waiting| !waiting.is_closed());
         pending.answers.push(answer);
         self.shared.has_work.notify_one();
         self.submitted.set(registry.changes());
@@ -167,3 +169,6 @@
         shared.is_busy.store(false, Ordering::Relaxed);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/onyxstile-system/src/role/controller/registry_sync.rs
+++ b/crates/onyxstile-system/src/role/controller/registry_sync.rs
@@ -13,6 +13,8 @@
 
 /// Time for another controller to write a record to its disk.
 const REGISTER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for this controller to do so. Endpoints call another controller after 1 s without an answer.
+const PERSIST_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest time for which a pull may wait for updates.
 const WAIT: Duration = Duration::from_millis(1000);
 /// Response timeout of a pull, in addition to its wait.
@@ -52,10 +54,12 @@
         is_kept && is_held
     }
 
+    /// Whether the registry is on the disk within the time for which callers wait. Otherwise the record is refused; that the
+    /// disk may still take it does no harm, since the endpoint is leaving.
     async fn persist_registry(&self) -> bool {
         let is_complete = self.drain_sync.borrow().is_complete();
         let written = self.registry_store.write_now(&self.registry.borrow(), is_complete);
-        written.await.unwrap_or(false)
+        matches!(tokio::time::timeout(PERSIST_TIMEOUT, written).await, Ok(Ok(true)))
     }
 
     async fn replicate_to_others(&self, instance: &Instance) -> bool {
