Tier: open requests of other processes are bounded by bytes

Cause: an RPC server started a task for each request, whatever was open already, so that any handler that waits could fill the memory. Change: open requests take at most 1/8 of the memory, a single one may be larger; others are refused at once. Metric peer_requests_refused. Result: requests_beyond_the_memory_of_a_server_are_refused.

--- a/crates/onyxstile-system/src/role/controller.rs
+++ b/crates/onyxstile-system/src/role/controller.rs
@@ -148,7 +148,7 @@
             drain_sync: RefCell::default(),
             swim,
             client: Client::default(),
-            load: ServerLoad::new(clock),
+            load: ServerLoad::new(clock, rpc::request_memory(&settings.limits)),
             record: RefCell::new(record),
             unwritten: RefCell::new(None),
             replies: RefCell::default(),
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -150,7 +150,7 @@
         Proxy {
             clock,
             client: Client::default(),
-            load: ServerLoad::new(clock),
+            load: ServerLoad::new(clock, rpc::request_memory(limits)),
             incarnation,
             configuration: RefCell::default(),
             sequence: Cell::new(0),
--- a/crates/onyxstile-system/src/role/rpc.rs
+++ b/crates/onyxstile-system/src/role/rpc.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::socket;
+use crate::settings::Limits;
 use crate::wire::{self, Request, Response};
 use frame::{read_frame, write_frames};
 
@@ -33,9 +34,16 @@
 const DOUBLINGS_MAX: u32 = 3;
 /// Maximum number of frames queued for a peer that does not read; further calls fail at once.
 const OUTGOING_MAX: usize = 4096;
+/// Open requests of other processes take at most 1 part in this many of the memory.
+const REQUEST_MEMORY_DIVISOR: usize = 8;
 /// Call number of frames that need no response.
 const ONE_WAY_CALL: u64 = 0;
 
+/// Memory that open requests of other processes may take, in bytes, in a process with these limits.
+pub fn request_memory(limits: &Limits) -> usize {
+    limits.memory_bytes() / REQUEST_MEMORY_DIVISOR
+}
+
 quick_error! {
     /// Reason why a call failed.
     #[derive(Debug)]
--- a/crates/onyxstile-system/src/role/rpc/open_requests.rs
+++ b/crates/onyxstile-system/src/role/rpc/open_requests.rs
@@ -18,23 +18,33 @@
 }
 
 /// The open requests of a server.
-#[derive(Default)]
 pub struct OpenRequests {
+    max_bytes: usize,
     bytes: usize,
     last_id: u64,
     /// By id, so the oldest comes first.
     requests: BTreeMap<RequestId, OpenRequest>,
+    refused: u64,
 }
 
 impl OpenRequests {
-    /// Adds a request whose message has `message_bytes` bytes.
-    pub fn open(&mut self, now: Instant, message_bytes: usize) -> RequestId {
+    /// No open requests; they may take `max_bytes` bytes of memory, which a single one may exceed.
+    pub fn new(max_bytes: usize) -> OpenRequests {
+        OpenRequests { max_bytes, bytes: 0, last_id: 0, requests: BTreeMap::new(), refused: 0 }
+    }
+
+    /// Adds a request whose message has `message_bytes` bytes; `None` if the server has no memory left for it.
+    pub fn open(&mut self, now: Instant, message_bytes: usize) -> Option<RequestId> {
         let bytes = message_bytes.saturating_add(REQUEST_OVERHEAD_BYTES);
+        if self.bytes > 0 && self.bytes.saturating_add(bytes) > self.max_bytes {
+            self.refused += 1;
+            return None;
+        }
         self.last_id += 1;
         let id = RequestId(self.last_id);
         self.bytes += bytes;
         self.requests.insert(id, OpenRequest { since: now, bytes });
-        id
+        Some(id)
     }
 
     /// Removes a request that has been answered.
@@ -58,4 +68,9 @@
     pub fn oldest_age(&self, now: Instant) -> Duration {
         self.requests.values().next().map_or(Duration::ZERO, |oldest| now.since(oldest.since))
     }
+
+    /// Number of requests that were refused.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
 }
--- a/crates/onyxstile-system/src/role/rpc/server.rs
+++ b/crates/onyxstile-system/src/role/rpc/server.rs
@@ -23,7 +23,7 @@
 /// Request handler.
 pub type Handler = Rc<dyn Fn(Request) -> ResponseFuture>;
 
-/// Answers all requests that arrive at a listener, and counts them in `load`.
+/// Answers all requests that arrive at a listener. Those for which `load` has no memory left are refused.
 pub async fn serve(listener: TcpListener, load: Rc<ServerLoad>, handler: Handler) -> Infallible {
     loop {
         match listener.accept().await {
@@ -59,7 +59,10 @@
     let mut reader = BufReader::new(reader);
     loop {
         let (number, body) = read_frame(&mut reader).await?;
-        let open = load.open(body.len());
+        let Some(open) = load.open(body.len()) else {
+            refuse(number, &outgoing).await;
+            continue;
+        };
         let request: Request = wire::decode(&body).map_err(io::Error::other)?;
         let answer = handler(request);
         let outgoing = outgoing.clone();
@@ -73,3 +76,11 @@
         });
     }
 }
+
+/// Refuses a request. While the peer does not read its responses, no further request of it is read.
+async fn refuse(number: u64, outgoing: &mpsc::Sender<(u64, Vec<u8>)>) {
+    if number != ONE_WAY_CALL {
+        // The connection may have been closed.
+        outgoing.send((number, wire::encode(&Response::Refused))).await.ok();
+    }
+}
--- a/crates/onyxstile-system/src/role/rpc/server_load.rs
+++ b/crates/onyxstile-system/src/role/rpc/server_load.rs
@@ -20,15 +20,15 @@
 }
 
 impl ServerLoad {
-    /// No load.
-    pub fn new(clock: SteadyClock) -> Rc<ServerLoad> {
-        Rc::new(ServerLoad { clock, requests: RefCell::default() })
+    /// No load; open requests may take `max_bytes` bytes of memory.
+    pub fn new(clock: SteadyClock, max_bytes: usize) -> Rc<ServerLoad> {
+        Rc::new(ServerLoad { clock, requests: RefCell::new(OpenRequests::new(max_bytes)) })
     }
 
-    /// Opens a request whose message has `bytes` bytes.
-    pub(super) fn open(self: &Rc<ServerLoad>, bytes: usize) -> RequestGuard {
-        let id = self.requests.borrow_mut().open(self.clock.now(), bytes);
-        RequestGuard { load: self.clone(), id }
+    /// Opens a request whose message has `bytes` bytes; `None` if it has to be refused.
+    pub(super) fn open(self: &Rc<ServerLoad>, bytes: usize) -> Option<RequestGuard> {
+        let id = self.requests.borrow_mut().open(self.clock.now(), bytes)?;
+        Some(RequestGuard { load: self.clone(), id })
     }
 
     /// Adds metrics of the load.
@@ -45,6 +45,11 @@
             "Age of the oldest of these requests.",
             requests.oldest_age(self.clock.now()).as_secs_f64(),
         );
+        metrics.counter(
+            "peer_requests_refused",
+            "Requests of other processes that were refused for lack of memory.",
+            requests.refused(),
+        );
     }
 }
 
--- a/crates/onyxstile-system/src/role/storage.rs
+++ b/crates/onyxstile-system/src/role/storage.rs
@@ -146,7 +146,7 @@
         lock: FolderLock,
     ) -> StorageServer {
         let memory_bytes = settings.borrow().limits.memory_bytes();
-        let load = ServerLoad::new(clock);
+        let load = ServerLoad::new(clock, rpc::request_memory(&settings.borrow().limits));
         StorageServer {
             settings,
             clock,
--- a/crates/onyxstile-system/tests/rpc.rs
+++ b/crates/onyxstile-system/tests/rpc.rs
@@ -3,7 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
 use std::time::{Duration, Instant};
 
+use onyxstile_system::clock;
 use onyxstile_system::role::rpc::Client;
+use onyxstile_system::role::rpc::open_requests::OpenRequests;
 use onyxstile_system::role::socket::connect_with_retries;
 use onyxstile_system::wire::Request;
 use socket2::{Domain, Socket, Type};
@@ -76,3 +78,19 @@
         assert!(began.elapsed() < Duration::from_millis(900), "{:?}", began.elapsed());
     });
 }
+
+/// Guards against a server that takes requests of other processes without a limit while it can't answer them.
+#[test]
+fn requests_beyond_the_memory_of_a_server_are_refused() {
+    let at = clock::Instant::from_millis;
+    let mut requests = OpenRequests::new(10_000);
+    let large = requests.open(at(0), 50_000).expect("a single request may exceed the limit");
+    assert!(requests.open(at(5), 0).is_none(), "there is no memory left");
+    assert_eq!((requests.count(), requests.refused()), (1, 1));
+    requests.close(large);
+    let small: Vec<_> = (0..100).filter_map(|ms| requests.open(at(ms), 100)).collect();
+    assert!(requests.bytes() <= 10_000 && small.len() > 2, "{} bytes, {}", requests.bytes(), small.len());
+    assert_eq!(requests.oldest_age(at(100)), Duration::from_millis(100));
+    small.into_iter().for_each(|id| requests.close(id));
+    assert_eq!((requests.count(), requests.bytes()), (0, 0));
+}
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -35,9 +35,9 @@
     assert!(sent.expect("kill runs").success());
 }
 
-/// Load of an RPC server for tests.
+/// Load of an RPC server whose open requests may take any memory.
 pub fn unlimited_load() -> Rc<ServerLoad> {
-    ServerLoad::new(SteadyClock::start())
+    ServerLoad::new(SteadyClock::start(), usize::MAX)
 }
 
 /// A number from an environment variable, or the default.
