Tier: a storage machine that refuses is asked again at doubling intervals

Cause: with refusals at once a proxy sent a request, with all its bytes, every 0.12 s: ten times in 1.2 s to a machine that has no room. Change: the delay doubles with each refusal; after a lost connection it stays 0.12 s, since a machine that restarts is back soon.

--- a/crates/onyxstile-system/src/role/proxy/quorum.rs
+++ b/crates/onyxstile-system/src/role/proxy/quorum.rs
@@ -13,7 +13,7 @@
 
 /// Timeout of a request to one storage machine. A machine that restarts within it may still be counted.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(900);
-/// Delay before a failed request to a machine is retried.
+/// Delay before a failed request to a machine is retried. It doubles with each refusal: a machine that refuses is overloaded.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
 /// Pending responses from the members of a key's groups.
@@ -64,9 +64,14 @@
         until: tokio::time::Instant,
     ) {
         let to = std::net::SocketAddrV4::new(member, self.settings.borrow().peer_port());
+        let mut retry_delay = RETRY_DELAY;
         while tokio::time::Instant::now() < until {
             match self.client.call(to, request, MEMBER_TIMEOUT).await {
-                Ok(Response::Refused) | Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+                Ok(Response::Refused) => {
+                    tokio::time::sleep(retry_delay).await;
+                    retry_delay *= 2;
+                }
+                Err(_) => tokio::time::sleep(RETRY_DELAY).await,
                 Ok(response) => {
                     // The receiver is gone if the caller already has enough responses.
                     sender.send((member, response)).ok();
