--- a/crates/onyxstile-system/tests/soak/faults.rs
+++ b/crates/onyxstile-system/tests/soak/faults.rs
@@ -6,11 +6,16 @@
 use crate::Run;
 use crate::machine::Machine;
 use crate::process::GRACE_PERIODS;
+use crate::support::faulty_disk::DiskFault;
 
 /// Longest pause between two faults, in ms.
 const PAUSE_MS: u64 = 300;
 /// Longest pause between two stops of machines of the zone, in ms.
 const STEP_MS: u64 = 1500;
+/// Longest fault of a disk, in ms.
+const DISK_FAULT_MS: u64 = 4000;
+/// Additional time of each sync of a slow disk, in ms.
+const SLOW_SYNC_MS: std::ops::Range<u64> = 20..400;
 /// Time before its end at which a shorter grace period is set, in ms: enough to read it, and too late for most of the drain.
 const LAST_MOMENT_MS: std::ops::Range<u64> = 20..220;
 /// Core and storage machines tolerate the loss of one: the next is stopped only after all have run for this time.
@@ -21,7 +26,7 @@
     while !run.is_traffic_over.get() {
         run.random_pause(PAUSE_MS).await;
         let edge = run.edges[run.random_below(run.edges.len() as u64) as usize].clone();
-        match run.random_below(29) {
+        match run.random_below(33) {
             0..=4 => edge.terminate(),
             5 => terminate_again(&run, &edge).await,
             6 | 7 => {
@@ -42,6 +47,9 @@
                 machine.terminate();
                 machine.start_successors();
             }),
+            27..=30 => {
+                tokio::task::spawn_local(fail_one_disk(run.clone()));
+            }
             _ => {
                 tokio::task::spawn_local(shorten_grace_at_last_moment(run.clone(), edge));
             }
@@ -103,6 +111,28 @@
     }
 }
 
+/// Lets the disk of one of the core and storage machines fail for a while if all of them are stable.
+async fn fail_one_disk(run: Rc<Run>) {
+    if !run.others.iter().all(|machine| machine.is_stable(STABLE_TIME)) {
+        return;
+    }
+    let machine = run.others[run.random_below(run.others.len() as u64) as usize].clone();
+    let fault = match run.random_below(3) {
+        0 => DiskFault::Stall,
+        1 => DiskFault::Slow(SLOW_SYNC_MS.start + run.random_below(SLOW_SYNC_MS.end - SLOW_SYNC_MS.start)),
+        _ => DiskFault::Refuse,
+    };
+    run.disk_faults.set(run.disk_faults.get() + 1);
+    machine.fail_disk(fault);
+    run.random_pause(DISK_FAULT_MS).await;
+    machine.heal_disk();
+}
+
+/// Ends the faults of all disks.
+pub fn heal_disks(run: &Run) {
+    run.others.iter().for_each(|machine| machine.heal_disk());
+}
+
 /// Kills all processes of the tier at once; all of them are restarted.
 pub fn kill_all(run: &Run) {
     run.edges.iter().chain(&run.others).for_each(|machine| machine.kill());
--- a/crates/onyxstile-system/tests/soak/machine.rs
+++ b/crates/onyxstile-system/tests/soak/machine.rs
@@ -1,10 +1,12 @@
 //! Machines of a run, each with a settings file and its processes.
 
+use std::cell::Cell;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use crate::process::{GRACE_PERIODS, Process};
+use crate::support::faulty_disk::{DiskFault, FaultyDisk};
 use crate::support::tier::{Ports, settings_text};
 
 /// Zone of all edge machines.
@@ -17,6 +19,10 @@
     pub processes: Vec<Rc<Process>>,
     settings: PathBuf,
     text: String,
+    disk: Rc<FaultyDisk>,
+    has_disk_fault: Cell<bool>,
+    /// End of the last fault of its disk.
+    disk_healed_at: Cell<Option<Instant>>,
 }
 
 /// Drains of a proxy over all its incarnations.
@@ -45,11 +51,21 @@
             "core" => &["controller"],
             _ => &["storage"],
         };
+        let disk = Rc::new(FaultyDisk::new(folder.join(format!("{name}.disk"))));
         let process = |role: &&'static str| {
-            Rc::new(Process::new(role, &settings, folder.join(format!("{name}-{role}.log"))))
+            Rc::new(Process::new(role, &settings, folder.join(format!("{name}-{role}.log")), disk.clone()))
         };
         let processes = roles.iter().map(process).collect();
-        let machine = Machine { processes, name, host, settings, text };
+        let machine = Machine {
+            processes,
+            name,
+            host,
+            settings,
+            text,
+            disk,
+            has_disk_fault: Cell::default(),
+            disk_healed_at: Cell::default(),
+        };
         machine.set_grace_period(0);
         machine
     }
@@ -101,9 +117,25 @@
         self.processes[0].kills.borrow().clone()
     }
 
-    /// Whether all its processes have run for at least `time` without SIGTERM.
+    /// Begins a fault of its disk.
+    pub fn fail_disk(&self, fault: DiskFault) {
+        self.has_disk_fault.set(true);
+        self.disk.fail(fault);
+    }
+
+    /// Ends a fault of its disk.
+    pub fn heal_disk(&self) {
+        if self.has_disk_fault.replace(false) {
+            self.disk.heal();
+            self.disk_healed_at.set(Some(Instant::now()));
+        }
+    }
+
+    /// Whether all its processes have run for at least `time` without SIGTERM, with a healthy disk.
     pub fn is_stable(&self, time: Duration) -> bool {
-        self.processes.iter().all(|process| process.is_stable(time))
+        let has_healthy_disk = !self.has_disk_fault.get()
+            && self.disk_healed_at.get().is_none_or(|healed_at| healed_at.elapsed() > time);
+        has_healthy_disk && self.processes.iter().all(|process| process.is_stable(time))
     }
 
     /// Drains of its first process, from its log.
--- a/crates/onyxstile-system/tests/soak/main.rs
+++ b/crates/onyxstile-system/tests/soak/main.rs
@@ -1,5 +1,5 @@
-//! The whole tier in real processes under traffic, planned stops, restarts and configuration changes in overlapping series, in
-//! real time.
+//! The whole tier in real processes under traffic, planned stops, restarts, configuration changes and disks that stall, are slow or
+//! refuse, in overlapping series and in real time.
 //!
 //! The seed determines the random choices of a run. `SOAK=50 SEED=1` runs 50 seeds from 1 on (`make soak`), `SOAK_S` sets the
 //! seconds of traffic per seed and `SOAK_LANES` the number of parallel runs; the defaults give a short form. A tier has three edge
@@ -67,6 +67,8 @@
     pub edges: Vec<Rc<Machine>>,
     pub others: Vec<Rc<Machine>>,
     pub faults: RefCell<Vec<String>>,
+    /// Number of faults of disks.
+    pub disk_faults: Cell<u32>,
     rng: RefCell<Pcg64Mcg>,
 }
 
@@ -109,6 +111,7 @@
         edges: EDGES.map(|host| machine("edge", host)).collect(),
         others: others.collect(),
         faults: RefCell::default(),
+        disk_faults: Cell::new(0),
         rng: RefCell::new(Pcg64Mcg::new(u128::from(seed) << 1 | 1)),
         folder,
         ports,
@@ -133,6 +136,7 @@
     workloads.spawn_local(faults::inject_faults(run.clone()));
     run.sleep(traffic_time).await;
     run.is_traffic_over.set(true);
+    faults::heal_disks(&run);
     if seed.is_multiple_of(KILL_ALL_EVERY) {
         faults::kill_all(&run);
     }
@@ -147,8 +151,9 @@
     let processes = run.edges.iter().chain(&run.others).flat_map(|machine| &machine.processes);
     let peak_mb = processes.map(|process| process.peak_mb.get()).max().unwrap_or(0);
     format!(
-        "{}, peak memory {peak_mb} MB, {}, {}, {}",
+        "{}, {} faults of disks, peak memory {peak_mb} MB, {}, {}, {}",
         check_stops(&run),
+        run.disk_faults.get(),
         clients.ledger.summary(),
         programs.summary(),
         operator.summary()
--- a/crates/onyxstile-system/tests/soak/process.rs
+++ b/crates/onyxstile-system/tests/soak/process.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Run;
+use crate::support::faulty_disk::FaultyDisk;
 use crate::support::send_signal;
 
 /// Grace periods between SIGTERM and the kill; the settings of a machine name one of them.
@@ -29,6 +30,8 @@
 const POLLS_PER_MEMORY_CHECK: u32 = 20;
 /// One incarnation in this many has a log whose reader has gone, another one a log that nobody reads.
 const LOG_KINDS: u32 = 4;
+/// Roles that keep data on a disk.
+const ROLES_WITH_DISK: [&str; 2] = ["controller", "storage"];
 const SIGHUP: u32 = 1;
 const SIGTERM: u32 = 15;
 
@@ -59,6 +62,7 @@
     role: &'static str,
     settings: PathBuf,
     pub log: PathBuf,
+    disk: Rc<FaultyDisk>,
     child: RefCell<Option<Incarnation>>,
     /// The next incarnation, if it was started while this one drains.
     successor: RefCell<Option<Incarnation>>,
@@ -82,11 +86,12 @@
 
 impl Process {
     /// A process that is not started yet.
-    pub fn new(role: &'static str, settings: &Path, log: PathBuf) -> Process {
+    pub fn new(role: &'static str, settings: &Path, log: PathBuf, disk: Rc<FaultyDisk>) -> Process {
         Process {
             role,
             settings: settings.to_owned(),
             log,
+            disk,
             child: RefCell::default(),
             successor: RefCell::default(),
             incarnations: Cell::default(),
@@ -107,12 +112,12 @@
 
     fn spawn(&self) -> Incarnation {
         let (stderr, unread_log) = self.standard_error();
-        let child = Command::new(env!("CARGO_BIN_EXE_onyxstile-system"))
-            .arg(self.role)
-            .env("ONYXSTILE_CONFIG", &self.settings)
-            .stderr(stderr)
-            .spawn()
-            .expect("the program starts");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxstile-system"));
+        command.arg(self.role).env("ONYXSTILE_CONFIG", &self.settings).stderr(stderr);
+        if ROLES_WITH_DISK.contains(&self.role) {
+            self.disk.attach(&mut command);
+        }
+        let child = command.spawn().expect("the program starts");
         Incarnation { child, started: Instant::now(), _unread_log: unread_log }
     }
 
