Tier: a storage machine that cannot tell is not asked first for the next turn

Cause: a machine whose disk does not answer, or that copies, says at once that it cannot tell. Before, its silence cost it its preference for 2 s; now each turn asked it first again, and then all machines. Change: such an answer costs the preference too. Result: a_machine_that_cannot_tell_is_not_asked_first failed (3, 3 and 6 lookups for three turns) and passes (4 each).

--- a/crates/onyxstile-system/src/role/proxy/chain.rs
+++ b/crates/onyxstile-system/src/role/proxy/chain.rs
@@ -3,7 +3,7 @@
 //!
 //! Turns are immutable, so one response that contains a turn is sufficient; only a quorum can establish that a turn does not
 //! exist. If a machine responds slowly, the request is hedged to all members of the turn's group, and the machine is not
-//! preferred for a while.
+//! preferred for a while; neither is one that cannot tell, as while its disk does not answer.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -21,7 +21,7 @@
 /// Hedging delay: time that the nearest machine has before all members are asked. Covers some round trips inside a region and
 /// one scheduling delay of the machine.
 const HEDGE_DELAY: Duration = Duration::from_millis(25);
-/// How long a machine that exceeded the hedging delay is not preferred.
+/// How long a machine that exceeded the hedging delay, or could not tell whether it holds a turn, is not preferred.
 const SLOW_MEMBER_PENALTY: Duration = Duration::from_secs(2);
 /// Maximum number of turns in one request.
 const TURNS_PER_REQUEST: usize = 64;
@@ -52,7 +52,7 @@
     }
 }
 
-/// Storage machines that exceeded the hedging delay, and until when they are not preferred.
+/// Storage machines that are not preferred, and until when.
 #[derive(Debug, Default)]
 pub(super) struct SlowMembers {
     until: HashMap<Ipv4Addr, Instant>,
@@ -171,9 +171,11 @@
         let to = SocketAddrV4::new(member, self.settings.borrow().peer_port());
         let epoch = self.plan.borrow().epoch;
         let request = Request::GetTurns { epoch, ids };
-        let Ok(Response::Turns { turns, .. }) = self.client.call(to, &request, PREPARE_TIMEOUT).await else {
-            return Vec::new();
-        };
+        let response = self.client.call(to, &request, PREPARE_TIMEOUT).await;
+        let Ok(Response::Turns { turns, is_conclusive }) = response else { return Vec::new() };
+        if !is_conclusive && turns.contains(&None) {
+            self.slow_members.borrow_mut().note(self.clock.now(), member);
+        }
         let turns: Vec<Rc<Turn>> = turns.into_iter().flatten().collect();
         turns.iter().for_each(|turn| self.turns.borrow_mut().insert(turn.clone()));
         turns
