Tier: one byte budget for the disk backlog and open requests; shared test parts

Change: byte_budget.rs serves both. tier::lock_ports replaces four locks, tier::run_test_within the runner, support::metric_value two readers. Refusals are counted by the enum itself; disk_stall.rs stops its disk in one place. Assertions, bounds and behaviour are as before.

--- a/crates/onyxstile-system/src/lib.rs
+++ b/crates/onyxstile-system/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod byte_budget;
 pub mod clock;
 pub mod configuration;
 pub mod connection_watchdog;
--- a/crates/onyxstile-system/src/role/rpc/open_requests.rs
+++ b/crates/onyxstile-system/src/role/rpc/open_requests.rs
@@ -3,11 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::byte_budget::{ByteBudget, REQUEST_OVERHEAD_BYTES};
 use crate::clock::Instant;
 
-/// Memory of an open request besides its message, in bytes: its task and its place in the tables.
-const REQUEST_OVERHEAD_BYTES: usize = 2048;
-
 /// Identifies an open request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(u64);
@@ -19,8 +17,7 @@
 
 /// The open requests of a server.
 pub struct OpenRequests {
-    max_bytes: usize,
-    bytes: usize,
+    budget: ByteBudget,
     last_id: u64,
     /// By id, so the oldest comes first.
     requests: BTreeMap<RequestId, OpenRequest>,
@@ -30,19 +27,18 @@
 impl OpenRequests {
     /// No open requests; they may take `max_bytes` bytes of memory, which a single one may exceed.
     pub fn new(max_bytes: usize) -> OpenRequests {
-        OpenRequests { max_bytes, bytes: 0, last_id: 0, requests: BTreeMap::new(), refused: 0 }
+        OpenRequests { budget: ByteBudget::new(max_bytes), last_id: 0, requests: BTreeMap::new(), refused: 0 }
     }
 
     /// Adds a request whose message has `message_bytes` bytes; `None` if the server has no memory left for it.
     pub fn open(&mut self, now: Instant, message_bytes: usize) -> Option<RequestId> {
         let bytes = message_bytes.saturating_add(REQUEST_OVERHEAD_BYTES);
-        if self.bytes > 0 && self.bytes.saturating_add(bytes) > self.max_bytes {
+        if !self.budget.try_take(bytes) {
             self.refused += 1;
             return None;
         }
         self.last_id += 1;
         let id = RequestId(self.last_id);
-        self.bytes += bytes;
         self.requests.insert(id, OpenRequest { since: now, bytes });
         Some(id)
     }
@@ -50,7 +46,7 @@
     /// Removes a request that has been answered.
     pub fn close(&mut self, id: RequestId) {
         if let Some(request) = self.requests.remove(&id) {
-            self.bytes -= request.bytes;
+            self.budget.give_back(request.bytes);
         }
     }
 
@@ -61,7 +57,7 @@
 
     /// Memory of the open requests, in bytes.
     pub fn bytes(&self) -> usize {
-        self.bytes
+        self.budget.used_bytes()
     }
 
     /// Age of the oldest open request; zero without one.
--- a/crates/onyxstile-system/src/role/storage/journal.rs
+++ b/crates/onyxstile-system/src/role/storage/journal.rs
@@ -19,10 +19,11 @@
 use tokio::sync::oneshot;
 
 use super::log_entry::LogEntry;
+use crate::byte_budget::REQUEST_OVERHEAD_BYTES;
 use crate::clock::SteadyClock;
 use crate::disk::{self, RECORD_MAX};
 use crate::program::RecordNumber;
-use backlog::{RECORD_COPIES, REQUEST_OVERHEAD_BYTES};
+use backlog::RECORD_COPIES;
 pub(super) use queue::BacklogStatus;
 use queue::{Job, JobId, JobQueue, Numbered};
 
--- a/crates/onyxstile-system/src/role/storage/journal/backlog.rs
+++ b/crates/onyxstile-system/src/role/storage/journal/backlog.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
+use crate::byte_budget::ByteBudget;
 use crate::clock::Instant;
 
 /// A call to the disk that lasts this long counts as stalled. Callers time out soon after it.
 const STALL_TIME: Duration = Duration::from_millis(500);
-/// Memory of a waiting request besides its records, in bytes: its task, its answer and its place in the queue.
-pub(super) const REQUEST_OVERHEAD_BYTES: usize = 2048;
 /// Copies of the records of a waiting request: as received, and encoded for the log.
 pub(super) const RECORD_COPIES: usize = 2;
 
@@ -23,7 +22,7 @@
 }
 
 impl Refusal {
-    /// Every reason, in the order of [`Refusal::index`].
+    /// Every reason, in the order of the enum.
     pub(super) const ALL: [Refusal; 3] = [Refusal::DiskStalled, Refusal::BacklogFull, Refusal::WaitedTooLong];
 
     /// Label of the reason in the metrics.
@@ -34,21 +33,12 @@
             Refusal::WaitedTooLong => "waited_too_long",
         }
     }
-
-    fn index(self) -> usize {
-        match self {
-            Refusal::DiskStalled => 0,
-            Refusal::BacklogFull => 1,
-            Refusal::WaitedTooLong => 2,
-        }
-    }
 }
 
 /// Requests that wait for the disk, queued or with the writer.
 #[derive(Debug)]
 pub(super) struct Backlog {
-    max_bytes: usize,
-    bytes: usize,
+    budget: ByteBudget,
     requests: usize,
     disk_call_since: Option<Instant>,
     refusals: [u64; Refusal::ALL.len()],
@@ -58,41 +48,37 @@
     /// An empty backlog of at most `max_bytes` bytes; a single request may exceed them.
     pub(super) fn new(max_bytes: usize) -> Backlog {
         let refusals = [0; Refusal::ALL.len()];
-        Backlog { max_bytes, bytes: 0, requests: 0, disk_call_since: None, refusals }
+        Backlog { budget: ByteBudget::new(max_bytes), requests: 0, disk_call_since: None, refusals }
     }
 
     /// Decides on a request of `bytes` bytes and adds it if it is admitted.
     pub(super) fn admit(&mut self, now: Instant, bytes: usize) -> Result<(), Refusal> {
-        let refusal = if self.is_stalled(now) {
-            Some(Refusal::DiskStalled)
-        } else if self.bytes > 0 && self.bytes.saturating_add(bytes) > self.max_bytes {
-            Some(Refusal::BacklogFull)
-        } else {
-            None
-        };
-        if let Some(refusal) = refusal {
-            self.count(refusal);
-            return Err(refusal);
+        if self.is_stalled(now) {
+            return Err(self.refuse(Refusal::DiskStalled));
+        }
+        if !self.budget.try_take(bytes) {
+            return Err(self.refuse(Refusal::BacklogFull));
         }
-        self.add(bytes);
+        self.requests += 1;
         Ok(())
     }
 
     /// Adds a request without a decision.
     pub(super) fn add(&mut self, bytes: usize) {
-        self.bytes += bytes;
+        self.budget.take(bytes);
         self.requests += 1;
     }
 
     /// Removes a request that is answered or refused.
     pub(super) fn remove(&mut self, bytes: usize) {
-        self.bytes = self.bytes.saturating_sub(bytes);
+        self.budget.give_back(bytes);
         self.requests = self.requests.saturating_sub(1);
     }
 
-    /// Counts a refusal.
-    pub(super) fn count(&mut self, refusal: Refusal) {
-        self.refusals[refusal.index()] += 1;
+    /// Counts a refusal and returns it.
+    pub(super) fn refuse(&mut self, refusal: Refusal) -> Refusal {
+        self.refusals[refusal as usize] += 1;
+        refusal
     }
 
     /// Notes that a call to the disk begins.
@@ -116,7 +102,7 @@
 
     /// Bytes that wait.
     pub(super) fn bytes(&self) -> usize {
-        self.bytes
+        self.budget.used_bytes()
     }
 
     /// Number of requests that wait.
@@ -126,7 +112,7 @@
 
     /// Number of refusals for a reason.
     pub(super) fn refusals(&self, refusal: Refusal) -> u64 {
-        self.refusals[refusal.index()]
+        self.refusals[refusal as usize]
     }
 }
 
--- a/crates/onyxstile-system/src/role/storage/journal/queue.rs
+++ b/crates/onyxstile-system/src/role/storage/journal/queue.rs
@@ -153,7 +153,7 @@
         let Ok(index) = state.jobs.binary_search_by_key(&id.0, |queued| queued.id.0) else { return false };
         let Some(queued) = state.jobs.remove(index) else { return false };
         state.backlog.remove(queued.bytes);
-        state.backlog.count(Refusal::WaitedTooLong);
+        state.backlog.refuse(Refusal::WaitedTooLong);
         true
     }
 
--- a/crates/onyxstile-system/tests/disk_stall.rs
+++ b/crates/onyxstile-system/tests/disk_stall.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddrV4;
 use std::process::{Command, Stdio};
 use std::rc::Rc;
-use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use onyxstile_system::program::{Record, Turn};
@@ -13,9 +12,10 @@
 use onyxstile_system::role::rpc::Client;
 use onyxstile_system::wire::{Request, Response};
 use support::faulty_disk::{DiskFault, FaultyDisk};
+use support::metric_value;
 use support::role_process::{ROLES, RoleMachine, RoleProcess};
-use support::tier::{LIMITS, Ports, free_ports, request_until};
-use tokio::task::{JoinSet, LocalSet, yield_now};
+use support::tier::{LIMITS, Ports, free_ports, request_until, run_test_within};
+use tokio::task::{JoinHandle, JoinSet, yield_now};
 
 /// Memory limit in the settings, in bytes.
 const MEMORY_LIMIT: f64 = 64.0 * 1024.0 * 1024.0;
@@ -35,14 +35,6 @@
 const CONTROLLER: (&str, &str, u8) = ROLES[2];
 const STORAGE: (&str, &str, u8) = ROLES[3];
 
-/// The tests run one after the other: the search for free ports binds them briefly.
-static PORT_LOCK: Mutex<()> = Mutex::new(());
-
-fn ports() -> (Ports, MutexGuard<'static, ()>) {
-    let guard = PORT_LOCK.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-    (free_ports(1).remove(0), guard)
-}
-
 /// A storage machine on a faulty disk.
 struct StorageMachine {
     machine: RoleMachine,
@@ -51,10 +43,10 @@
 }
 
 impl StorageMachine {
-    fn new(ports: Ports, test: &str) -> StorageMachine {
+    fn new(ports: Ports, test: &str) -> Rc<StorageMachine> {
         let machine = RoleMachine::new(ports, STORAGE, test);
         let disk = FaultyDisk::new(machine.folder.join("disk"));
-        StorageMachine { machine, disk, client: Client::default() }
+        Rc::new(StorageMachine { machine, disk, client: Client::default() })
     }
 
     fn peers(&self) -> SocketAddrV4 {
@@ -76,6 +68,19 @@
         self.call(&Request::Write { epoch: 0, records: vec![Record::Turn(Rc::new(turn(number)))] }).await
     }
 
+    /// Stops the disk and writes a turn; returns once the call to the disk has lasted for `seconds`.
+    async fn write_during_stall(
+        self: &Rc<StorageMachine>, process: &RoleProcess, number: usize, seconds: f64,
+    ) -> JoinHandle<Option<Response>> {
+        self.disk.fail(DiskFault::Stall);
+        let storage = self.clone();
+        let write = tokio::task::spawn_local(async move { storage.write(number).await });
+        while metric(process, "onyxstile_disk_call_seconds") < seconds {
+            yield_now().await;
+        }
+        write
+    }
+
     /// Numbers of the turns below `count` that the machine holds.
     async fn held_turns(&self, count: usize) -> Vec<usize> {
         // The connection of the other client may lead to an earlier process.
@@ -119,24 +124,20 @@
 /// Value of a metric of a process.
 fn metric(process: &RoleProcess, name: &str) -> f64 {
     let text = process.metrics();
-    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
-    value.and_then(|value| value.parse().ok()).unwrap_or_else(|| panic!("no {name} in {text}"))
+    metric_value(&text, name).unwrap_or_else(|| panic!("no {name} in {text}"))
 }
 
 fn run_test(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let run = async { tokio::time::timeout(TEST_TIMEOUT, test).await.expect("in time") };
-    LocalSet::new().block_on(&runtime, run);
+    run_test_within(TEST_TIMEOUT, test);
 }
 
 /// Guards against a storage machine that keeps whatever its callers send while its disk does not answer, until its memory is
 /// over the limit (rule FAULT). It also must not lose what it acknowledged, nor hold what it refused.
 #[test]
 fn a_stalled_disk_does_not_fill_the_memory_of_storage() {
-    let (ports, _alone) = ports();
-    let storage = Rc::new(StorageMachine::new(ports, "disk-stall"));
-    let process = storage.start();
     run_test(async {
+        let storage = StorageMachine::new(free_ports(1).remove(0), "disk-stall");
+        let process = storage.start();
         assert_eq!(storage.write(0).await, Some(Response::Done), "before the stall");
         storage.disk.fail(DiskFault::Stall);
         let mut writes = JoinSet::new();
@@ -173,43 +174,31 @@
 /// Guards against callers that wait for a turn from a machine whose disk does not answer, instead of asking another one.
 #[test]
 fn a_read_is_inconclusive_at_once_while_the_disk_stalls() {
-    let (ports, _alone) = ports();
-    let storage = Rc::new(StorageMachine::new(ports, "disk-stall-read"));
-    let mut process = storage.start();
     run_test(async {
+        let storage = StorageMachine::new(free_ports(1).remove(0), "disk-stall-read");
+        let mut process = storage.start();
         // Twice as many bytes as the cache takes, so that the first turns are on the disk only.
         for number in 0..32 {
             assert_eq!(storage.write(number).await, Some(Response::Done));
         }
-        storage.disk.fail(DiskFault::Stall);
-        let stalled = storage.clone();
-        let write = tokio::task::spawn_local(async move { stalled.write(40).await });
-        while metric(&process, "onyxstile_disk_call_seconds") < 0.5 {
-            yield_now().await;
-        }
+        let write = storage.write_during_stall(&process, 40, 0.5).await;
         let lookup = Request::GetTurns { epoch: 0, ids: vec![turn_id(0)] };
         let expected = Response::Turns { turns: vec![None], is_conclusive: false };
         assert_eq!(storage.call(&lookup).await, Some(expected));
         storage.disk.heal();
         assert_eq!(write.await.expect("no panic"), Some(Response::Done));
         assert_eq!(storage.held_turns(1).await, [0]);
+        process.ends_in_order();
     });
-    process.ends_in_order();
 }
 
 /// Guards against a storage machine that does not hear SIGTERM while its disk does not answer.
 #[test]
 fn storage_ends_in_order_while_its_disk_stalls() {
-    let (ports, _alone) = ports();
-    let storage = Rc::new(StorageMachine::new(ports, "disk-stall-end"));
-    let mut process = storage.start();
     run_test(async {
-        storage.disk.fail(DiskFault::Stall);
-        let stalled = storage.clone();
-        let write = tokio::task::spawn_local(async move { stalled.write(0).await });
-        while metric(&process, "onyxstile_disk_call_seconds") == 0.0 {
-            yield_now().await;
-        }
+        let storage = StorageMachine::new(free_ports(1).remove(0), "disk-stall-end");
+        let mut process = storage.start();
+        let write = storage.write_during_stall(&process, 0, f64::MIN_POSITIVE).await;
         process.ends_in_order();
         assert_eq!(write.await.expect("no panic"), None);
     });
@@ -225,19 +214,17 @@
 #[test]
 fn configurations_do_not_fill_the_memory_of_storage_while_its_disk_stalls() {
     const CONFIGURATIONS: u64 = 120;
-    let (ports, _alone) = ports();
-    let storage = StorageMachine::new(ports, "disk-stall-plan");
-    let mut process = storage.start();
-    storage.disk.fail(DiskFault::Stall);
-    let core: Vec<RoleMachine> = (2..=4)
-        .map(|host| RoleMachine::new(ports, (CONTROLLER.0, CONTROLLER.1, host), "disk-stall-plan"))
-        .collect();
-    let others: Vec<RoleMachine> = (6..=7)
-        .map(|host| RoleMachine::new(ports, (STORAGE.0, STORAGE.1, host), "disk-stall-plan"))
-        .collect();
-    let running: Vec<RoleProcess> =
-        core.iter().chain(&others).map(|machine| machine.start(Stdio::null())).collect();
+    const NAME: &str = "disk-stall-plan";
     run_test(async {
+        let ports = free_ports(1).remove(0);
+        let storage = StorageMachine::new(ports, NAME);
+        let mut process = storage.start();
+        storage.disk.fail(DiskFault::Stall);
+        let machine = |(role, class, _), host| RoleMachine::new(ports, (role, class, host), NAME);
+        let core: Vec<RoleMachine> = (2..=4).map(|host| machine(CONTROLLER, host)).collect();
+        let others: Vec<RoleMachine> = (6..=7).map(|host| machine(STORAGE, host)).collect();
+        let _running: Vec<RoleProcess> =
+            core.iter().chain(&others).map(|machine| machine.start(Stdio::null())).collect();
         // The plan has come, and the disk does not take its epoch.
         process.wait_for_metric("onyxstile_disk_backlog_requests 1");
         let control = core[0].address(ports.control);
@@ -251,19 +238,18 @@
         let peak = metric(&process, "onyxstile_resident_peak_bytes");
         assert!(peak < MEMORY_LIMIT, "peak of {peak} bytes");
     });
-    drop(running);
 }
 
 /// Guards against callers that a controller never answers while its disk does not take the drain of an endpoint.
 #[test]
 fn a_drain_is_refused_in_time_while_the_disk_of_a_controller_stalls() {
-    let (ports, _alone) = ports();
-    let machine = RoleMachine::new(ports, CONTROLLER, "disk-stall-drain");
-    let disk = FaultyDisk::new(machine.folder.join("disk"));
-    let mut process = start_on(&machine, &disk);
-    let peers = machine.address(ports.peers());
-    process.wait_for_listener(peers);
     run_test(async {
+        let ports = free_ports(1).remove(0);
+        let machine = RoleMachine::new(ports, CONTROLLER, "disk-stall-drain");
+        let disk = FaultyDisk::new(machine.folder.join("disk"));
+        let mut process = start_on(&machine, &disk);
+        let peers = machine.address(ports.peers());
+        process.wait_for_listener(peers);
         let client = Client::default();
         let leaving = |number: u32| Instance {
             id: format!("i-{number}"),
--- a/crates/onyxstile-system/tests/metrics.rs
+++ b/crates/onyxstile-system/tests/metrics.rs
@@ -7,6 +7,7 @@
 use onyxstile_system::metrics::{LABEL_VALUES_MAX, Metrics};
 use onyxstile_system::process::ResidentMemory;
 use onyxstile_system::settings::{MetricsAddress, MetricsAddressError};
+use support::metric_value;
 use support::tier::{LIMITS, METRICS_PATH, Tier, request_until, run_test, send_request};
 
 /// The metrics text of a role.
@@ -18,22 +19,16 @@
     String::from_utf8(answer.body.expect("a complete answer").to_vec()).expect("text")
 }
 
-/// Value of a metric, if present; `name` includes the labels.
-fn find_value(text: &str, name: &str) -> Option<f64> {
-    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '))?;
-    Some(line.parse().expect("a number"))
-}
-
 /// Value of a metric that has to be present.
 fn value(text: &str, name: &str) -> f64 {
-    find_value(text, name).unwrap_or_else(|| panic!("no {name} in\n{text}"))
+    metric_value(text, name).unwrap_or_else(|| panic!("no {name} in\n{text}"))
 }
 
 /// Reads until a metric has this value. A metric of a service is present only after an endpoint of the service is known.
 async fn read_until(from: SocketAddrV4, name: &str, wanted: f64) -> String {
     loop {
         let text = read(from).await;
-        if find_value(&text, name) == Some(wanted) {
+        if metric_value(&text, name) == Some(wanted) {
             return text;
         }
         tokio::task::yield_now().await;
--- a/crates/onyxstile-system/tests/process_log.rs
+++ b/crates/onyxstile-system/tests/process_log.rs
@@ -9,17 +9,13 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::process::Stdio;
-use std::sync::Mutex;
 
 use support::role_process::{ROLES, RoleMachine};
-use support::tier::free_ports;
-
-/// The tests run one after the other: the search for free ports binds them briefly.
-static PORT_LOCK: Mutex<()> = Mutex::new(());
+use support::tier::{free_ports, lock_ports};
 
 /// Starts each role with a standard error; it has to serve, to count the lost lines if `loses`, and to end in order.
 fn assert_serves(test: &str, loses: bool, mut standard_error: impl FnMut() -> (OwnedFd, Option<UnixStream>)) {
-    let _alone = PORT_LOCK.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _alone = lock_ports();
     for role in ROLES {
         let machine = RoleMachine::new(free_ports(1).remove(0), role, test);
         let (output, _reader) = standard_error();
--- a/crates/onyxstile-system/tests/process_start.rs
+++ b/crates/onyxstile-system/tests/process_start.rs
@@ -8,17 +8,14 @@
 use std::io::Write;
 use std::net::{SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::process::{Command, Stdio};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::MutexGuard;
 
 use onyxstile_system::settings::Settings;
 use support::role_process::{ROLES, RoleMachine};
-use support::tier::{Ports, free_ports};
-
-/// The tests run one after the other: the search for free ports binds them briefly.
-static PORT_LOCK: Mutex<()> = Mutex::new(());
+use support::tier::{Ports, free_ports, lock_ports};
 
 fn ports() -> (Ports, MutexGuard<'static, ()>) {
-    let guard = PORT_LOCK.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let guard = lock_ports();
     (free_ports(1).remove(0), guard)
 }
 
--- a/crates/onyxstile-system/tests/signals.rs
+++ b/crates/onyxstile-system/tests/signals.rs
@@ -15,18 +15,14 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use support::send_signal;
-use support::tier::{Ports, free_ports, settings_text};
+use support::tier::{Ports, free_ports, lock_ports, settings_text};
 
 const ROLES: [(&str, &str, u8); 4] =
     [("proxy", "edge", 1), ("agent", "edge", 1), ("controller", "core", 2), ("storage", "storage", 5)];
 
-/// The tests run one after the other: the search for free ports binds them briefly.
-static PORT_LOCK: Mutex<()> = Mutex::new(());
-
 /// Timeout of the wait for an exit.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -90,7 +86,7 @@
 
 #[test]
 fn a_hangup_while_a_process_reads_its_settings_does_not_end_it() {
-    let _alone = PORT_LOCK.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _alone = lock_ports();
     let ports = free_ports(1).remove(0);
     for (role, class, host) in ROLES {
         let mut process = Starting::start(&ports, role, class, host, "hangup");
@@ -104,7 +100,7 @@
 
 #[test]
 fn a_termination_while_a_process_reads_its_settings_is_an_orderly_end() {
-    let _alone = PORT_LOCK.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _alone = lock_ports();
     let ports = free_ports(1).remove(0);
     for (role, class, host) in ROLES {
         let mut process = Starting::start(&ports, role, class, host, "termination");
--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -40,6 +40,12 @@
     ServerLoad::new(SteadyClock::start(), usize::MAX)
 }
 
+/// Value of a metric in the text of a role, if present; `name` includes the labels.
+pub fn metric_value(text: &str, name: &str) -> Option<f64> {
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '))?;
+    Some(line.parse().expect("a number"))
+}
+
 /// A number from an environment variable, or the default.
 pub fn env_number(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
--- a/crates/onyxstile-system/tests/support/tier.rs
+++ b/crates/onyxstile-system/tests/support/tier.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener as StdListener};
 use std::path::{Path, PathBuf};
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -43,7 +43,12 @@
 pub const STANDBY: u8 = 8;
 
 /// Tests run one after the other, because each uses the first free ports.
-static TIER_LOCK: Mutex<()> = Mutex::new(());
+static PORT_LOCK: Mutex<()> = Mutex::new(());
+
+/// Keeps the other tests of this test process from using ports until it is dropped.
+pub fn lock_ports() -> MutexGuard<'static, ()> {
+    PORT_LOCK.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
 
 /// Free loopback ports, below the range of outgoing connections, for this many machines with their own ports.
 pub fn free_ports(machines: u16) -> Vec<Ports> {
@@ -297,9 +302,14 @@
 
 /// Runs a test; it fails if it does not end within the timeout.
 pub fn run_test<F: Future<Output = ()>>(test: F) {
-    let _guard = TIER_LOCK.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    run_test_within(TEST_TIMEOUT, test);
+}
+
+/// Runs a test; it fails if it does not end within `timeout`.
+pub fn run_test_within<F: Future<Output = ()>>(timeout: Duration, test: F) {
+    let _alone = lock_ports();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let local = tokio::task::LocalSet::new();
-    let run = local.run_until(async { tokio::time::timeout(TEST_TIMEOUT, test).await });
+    let run = local.run_until(async { tokio::time::timeout(timeout, test).await });
     runtime.block_on(run).expect("the test ends within the timeout");
 }
