Soak: memory is read from the process itself, successors hear of settings

Cause: the soak reported 242 MB of a proxy twice. The memory was read before the process had loaded the program, when the system lists that of its parent. Trace: a program of 201 MB that starts processes and reads their peak at once saw its own in 5,778 of 57,097 reads, and 3 MB at most in the others. Besides, SIGHUP went to the running incarnation only: a successor that waits kept the settings that it had read at its start. Change: memory is checked once the process has its signal handlers; the peak covers the time before, so the check is as strict. SIGHUP goes to successors too. A grace period that is overrun is reported with the settings written and the SIGHUPs sent. The list of the system is read by ResidentMemory.

--- a/crates/onyxstile-system/tests/soak/process.rs
+++ b/crates/onyxstile-system/tests/soak/process.rs
@@ -10,6 +10,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use onyxstile_system::process::ResidentMemory;
+
 use crate::Run;
 use crate::support::faulty_disk::FaultyDisk;
 use crate::support::send_signal;
@@ -30,6 +32,8 @@
 const POLLS_PER_MEMORY_CHECK: u32 = 20;
 /// One incarnation in this many has a log whose reader has gone, another one a log that nobody reads.
 const LOG_KINDS: u32 = 4;
+/// Number of changes of the settings in the report of a fault.
+const HISTORY_LENGTH: usize = 6;
 /// Roles that keep data on a disk.
 const ROLES_WITH_DISK: [&str; 2] = ["controller", "storage"];
 const SIGHUP: u32 = 1;
@@ -47,6 +51,20 @@
     fn id(&self) -> u32 {
         self.child.id()
     }
+
+    /// The system's list of facts about the process.
+    fn status(&self) -> Option<String> {
+        std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()
+    }
+
+    /// Whether the process has a handler for a signal. While the system loads the program there is none, and the signal ends the
+    /// process, whatever the program is.
+    fn catches(&self, signal: u32) -> bool {
+        let status = self.status().unwrap_or_default();
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = mask.and_then(|text| u64::from_str_radix(text.trim(), 16).ok()).unwrap_or(0);
+        mask & (1 << (signal - 1)) != 0
+    }
 }
 
 /// Fills a pipe until it takes nothing more.
@@ -73,6 +91,10 @@
     /// Grace period in the settings, and the one that applies to the running process.
     configured_grace: Cell<Duration>,
     effective_grace: Cell<Duration>,
+    /// Grace periods that were written to the settings, over all incarnations.
+    written_grace: RefCell<Vec<(Instant, Duration)>>,
+    /// Times of SIGHUP, over all incarnations.
+    hangups: RefCell<Vec<Instant>>,
     /// Times at which the grace period was shortened after SIGTERM, over all incarnations.
     pub shortenings: RefCell<Vec<Instant>>,
     pub terminations: RefCell<Vec<Instant>>,
@@ -100,6 +122,8 @@
             terminated_at: Cell::default(),
             configured_grace: Cell::default(),
             effective_grace: Cell::default(),
+            written_grace: RefCell::default(),
+            hangups: RefCell::default(),
             shortenings: RefCell::default(),
             terminations: RefCell::default(),
             kills: RefCell::default(),
@@ -162,6 +186,7 @@
     /// the kill does not go by that.
     pub fn configure_grace(&self, grace: Duration) {
         self.configured_grace.set(grace);
+        self.written_grace.borrow_mut().push((Instant::now(), grace));
         match self.terminated_at.get() {
             None => self.effective_grace.set(grace),
             Some(terminated_at) if terminated_at.elapsed() < grace && grace < self.effective_grace.get() => {
@@ -178,12 +203,9 @@
             && self.started.get().is_some_and(|started| started.elapsed() > time)
     }
 
-    /// Whether the process has a handler for a signal. While the system loads the program there is none, and the signal ends the
-    /// process, whatever the program is.
+    /// Whether the running incarnation has a handler for a signal.
     fn catches(&self, signal: u32) -> bool {
-        let mask = self.status_field("SigCgt:");
-        let mask = mask.and_then(|text| u64::from_str_radix(&text, 16).ok()).unwrap_or(0);
-        mask & (1 << (signal - 1)) != 0
+        self.child.borrow().as_ref().is_some_and(|child| child.catches(signal))
     }
 
     fn signal(&self, name: &str) {
@@ -192,10 +214,14 @@
         }
     }
 
-    /// Sends SIGHUP if the process handles it. A process that has not begun reads its settings anyway.
+    /// Sends SIGHUP to each incarnation that handles it. A process that has not begun reads its settings anyway; a successor that
+    /// waits for the end of the one before it has read them.
     pub fn reload(&self) {
-        if self.catches(SIGHUP) {
-            self.signal("-HUP");
+        for incarnation in [&self.child, &self.successor] {
+            if let Some(incarnation) = incarnation.borrow().as_ref().filter(|one| one.catches(SIGHUP)) {
+                self.hangups.borrow_mut().push(Instant::now());
+                send_signal(incarnation.id(), "-HUP");
+            }
         }
     }
 
@@ -257,28 +283,22 @@
         }
     }
 
-    /// Checks that the resident memory of the process has stayed within the limit in its settings.
+    /// Checks that the resident memory of the process has stayed within the limit in its settings. Until it has its handlers, it
+    /// may not have loaded the program, and the system lists the memory of this test for it. The peak covers that time.
     fn check_memory(&self, run: &Run) {
         let polls = self.polls.replace(self.polls.get() + 1);
-        if !polls.is_multiple_of(POLLS_PER_MEMORY_CHECK) {
+        if !self.has_handlers.get() || !polls.is_multiple_of(POLLS_PER_MEMORY_CHECK) {
             return;
         }
-        let peak_mb =
-            self.status_field("VmHWM:").and_then(|text| text.split(' ').next()?.parse::<u64>().ok());
-        let peak_mb = peak_mb.unwrap_or(0) / 1024;
+        let status = self.child.borrow().as_ref().and_then(Incarnation::status);
+        let memory = status.and_then(|status| ResidentMemory::parse(&status));
+        let peak_mb = memory.map_or(0, |memory| memory.peak) / (1024 * 1024);
         self.peak_mb.set(self.peak_mb.get().max(peak_mb));
         if peak_mb > MEMORY_MB {
             run.record_fault(format!("{} has used {peak_mb} MB", self.log.display()));
         }
     }
 
-    /// A field of the process's status in the system's list.
-    fn status_field(&self, name: &str) -> Option<String> {
-        let id = self.child.borrow().as_ref().map(Incarnation::id)?;
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        status.lines().find_map(|line| line.strip_prefix(name)).map(|text| text.trim().to_owned())
-    }
-
     /// Checks that the process installs its signal handlers and exits in time.
     fn check_timing(&self, run: &Run) {
         let age = self.started.get().map(|started| started.elapsed()).unwrap_or_default();
@@ -303,13 +323,27 @@
             let shortened =
                 self.shortenings.borrow().last().map(|at| at.saturating_duration_since(terminated_at));
             run.record_fault(format!(
-                "{} is still running after the grace period of {grace:?}, shortened {shortened:?} after SIGTERM",
-                self.log.display()
+                "{} is still running after the grace period of {grace:?}, shortened {shortened:?} after SIGTERM; {}",
+                self.log.display(),
+                self.settings_history(terminated_at)
             ));
             self.kill();
         }
     }
 
+    /// Grace periods written and SIGHUPs sent lately, in ms from SIGTERM.
+    fn settings_history(&self, terminated_at: Instant) -> String {
+        let ms = |at: Instant| match at.checked_duration_since(terminated_at) {
+            Some(after) => format!("+{}", after.as_millis()),
+            None => format!("-{}", (terminated_at - at).as_millis()),
+        };
+        let last = |list: Vec<String>| list[list.len().saturating_sub(HISTORY_LENGTH)..].join(" ");
+        let written = self.written_grace.borrow();
+        let written = written.iter().map(|(at, grace)| format!("{}:{}s", ms(*at), grace.as_secs())).collect();
+        let hangups = self.hangups.borrow().iter().map(|at| ms(*at)).collect();
+        format!("written {}; SIGHUP {}", last(written), last(hangups))
+    }
+
     fn check(&self, status: ExitStatus, run: &Run) {
         use std::os::unix::process::ExitStatusExt;
         let is_terminated = self.terminated_at.get().is_some();
