Tier: metrics of memory held of endpoints' answers, and of answers that were cut off

No metric told whose memory a proxy holds, nor why and from which endpoint an answer was given up. Change: answer_bytes_held; answers_cut_off by reason (not in time, connection lost); answers_cut_off_by_endpoint; a log line with endpoint and route, at most one in ten seconds for each endpoint. No logic is changed.

--- a/crates/onyxstile-system/src/lib.rs
+++ b/crates/onyxstile-system/src/lib.rs
@@ -6,6 +6,7 @@
 //! clock are in [`role`].
 
 pub mod admission;
+pub mod answer_memory;
 pub mod balance;
 pub mod byte_budget;
 pub mod clock;
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -12,6 +12,7 @@
 mod client_response;
 mod conversation;
 mod counts;
+mod cut_offs;
 mod destination_call;
 mod feed;
 mod forward;
@@ -41,6 +42,7 @@
 use super::identity::random_id;
 use super::rpc::{self, Client, ServerLoad};
 use super::signals::{Signals, Termination};
+use crate::answer_memory::AnswerMemory;
 use crate::balance::{EndpointKey, Endpoints};
 use crate::clock::SteadyClock;
 use crate::configuration::{ClientLimits, Configuration};
@@ -53,6 +55,7 @@
 use crate::tolerance::Tolerance;
 use chain::SlowMembers;
 use counts::Counts;
+use cut_offs::CutOffs;
 use listeners::Listeners;
 use phase::Phase;
 use upstream::ConnectionPools;
@@ -95,6 +98,8 @@
     slow_members: RefCell<SlowMembers>,
     phase: Phase,
     counts: Counts,
+    cut_offs: CutOffs,
+    answer_memory: Rc<AnswerMemory>,
     rng: RefCell<Pcg64Mcg>,
     retry_policy: RetryPolicy,
 }
@@ -165,6 +170,8 @@
             slow_members: RefCell::default(),
             phase: Phase::new(clock, settings.grace()),
             counts: Counts::default(),
+            cut_offs: CutOffs::default(),
+            answer_memory: Rc::default(),
             rng: RefCell::new(Pcg64Mcg::new(u128::from(incarnation) << 1 | 1)),
             retry_policy: RetryPolicy::default(),
             settings: shared_settings.clone(),
--- a/crates/onyxstile-system/src/role/proxy/attempt.rs
+++ b/crates/onyxstile-system/src/role/proxy/attempt.rs
@@ -15,6 +15,7 @@
 use super::admit::PendingFirstEvent;
 use super::call::Call;
 use super::counts::SendFailure;
+use super::cut_offs::CutReason;
 use super::in_flight::InFlight;
 use super::upstream::{Checkout, ConnectionId, SendError};
 use crate::balance::EndpointKey;
@@ -96,7 +97,10 @@
         let attempt = match attempt {
             Some(Ok(attempt)) => attempt,
             _ if !was_sent.get() => Attempt::Abandoned,
-            Some(Err(_)) => Attempt::Unknown("no response within the timeout"),
+            Some(Err(_)) => {
+                self.record_cut_off(call, key, CutReason::NotInTime);
+                Attempt::Unknown("no response within the timeout")
+            }
             None => {
                 self.counts.count_cut_off();
                 Attempt::CutOff
@@ -167,18 +171,37 @@
             return Attempt::Unknown("successful response has no seal");
         }
         if call.is_stream() && head.status.is_success() {
-            return begin_stream(head, body, checkout).await;
+            let begun = begin_stream(head, body, checkout).await;
+            if matches!(begun, Attempt::Unknown(_)) {
+                self.record_cut_off(call, key, CutReason::ConnectionLost);
+            }
+            return begun;
         }
         // A response without a length ends with its connection; a reset is an error here.
-        match body.collect().await {
+        let mut held = self.answer_memory.holder();
+        let counted = body.map_frame(|frame| {
+            held.add(frame.data_ref().map_or(0, Bytes::len));
+            frame
+        });
+        match counted.collect().await {
             Ok(collected) => {
                 self.return_connection(checkout);
                 Attempt::Complete(head, collected.to_bytes())
             }
-            Err(_) => Attempt::Unknown("connection failed while reading the response"),
+            Err(_) => {
+                self.record_cut_off(call, key, CutReason::ConnectionLost);
+                Attempt::Unknown("connection failed while reading the response")
+            }
         }
     }
 
+    /// Counts an answer of the endpoint `key` that was cut off.
+    pub(super) fn record_cut_off(&self, call: &Call, key: EndpointKey, reason: CutReason) {
+        let endpoints = self.endpoints.borrow();
+        let endpoint = endpoints.get(key).map_or("", |endpoint| endpoint.instance.id.as_str());
+        self.cut_offs.record(self.clock.now(), reason, endpoint, &call.route.name);
+    }
+
     /// Handles a response for a request that was not executed. `is_superseded`: the address now belongs to another incarnation,
     /// possibly of another service.
     async fn handle_refusal(
--- /dev/null
+++ b/crates/onyxstile-system/src/role/proxy/cut_offs.rs
@@ -0,0 +1,78 @@
+//! Answers of endpoints that were cut off: counters by reason and by endpoint, and log lines at a limited rate.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::metrics::{LABEL_VALUES_MAX, Metrics};
+
+/// Minimum time between two log lines about one endpoint.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Why an answer was cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CutReason {
+    /// It was not complete in time.
+    NotInTime,
+    /// The connection failed.
+    ConnectionLost,
+}
+
+/// All reasons, in the order of their declaration, with their names in metrics.
+const REASONS: [(CutReason, &str); 2] =
+    [(CutReason::NotInTime, "not_in_time"), (CutReason::ConnectionLost, "connection_lost")];
+
+impl CutReason {
+    /// Name in metrics and logs.
+    pub fn name(self) -> &'static str {
+        REASONS[self as usize].1
+    }
+}
+
+/// Cut off answers of one endpoint.
+#[derive(Default)]
+struct EndpointCutOffs {
+    count: u64,
+    logged_at: Option<Instant>,
+}
+
+/// Counters of answers that were cut off.
+#[derive(Default)]
+pub(super) struct CutOffs {
+    by_reason: [Cell<u64>; REASONS.len()],
+    /// At most as many as a metric has label values.
+    by_endpoint: RefCell<BTreeMap<String, EndpointCutOffs>>,
+}
+
+impl CutOffs {
+    /// Counts an answer of `endpoint` on `route` that was cut off.
+    pub fn record(&self, now: Instant, reason: CutReason, endpoint: &str, route: &str) {
+        let count = &self.by_reason[reason as usize];
+        count.set(count.get() + 1);
+        let mut endpoints = self.by_endpoint.borrow_mut();
+        if !endpoints.contains_key(endpoint) && endpoints.len() >= LABEL_VALUES_MAX {
+            return;
+        }
+        let entry = endpoints.entry(endpoint.to_owned()).or_default();
+        entry.count += 1;
+        let is_due = entry.logged_at.is_none_or(|logged_at| now.since(logged_at) >= LOG_INTERVAL);
+        if is_due {
+            entry.logged_at = Some(now);
+            let (name, count) = (reason.name(), entry.count);
+            log::info!("answer of {endpoint} on route {route} cut off: {name}; {count} of it so far");
+        }
+    }
+
+    /// Adds the counters.
+    pub fn add_metrics(&self, metrics: &mut Metrics) {
+        let by_reason = REASONS.map(|(reason, name)| (name, self.by_reason[reason as usize].get()));
+        let help = "Answers of endpoints that were cut off.";
+        metrics.counters("answers_cut_off", help, "reason", &by_reason);
+        let endpoints = self.by_endpoint.borrow();
+        let by_endpoint: Vec<(&str, u64)> =
+            endpoints.iter().map(|(endpoint, entry)| (endpoint.as_str(), entry.count)).collect();
+        let help = "Answers that were cut off, by endpoint.";
+        metrics.counters("answers_cut_off_by_endpoint", help, "endpoint", &by_endpoint);
+    }
+}
--- a/crates/onyxstile-system/src/role/proxy/metric_values.rs
+++ b/crates/onyxstile-system/src/role/proxy/metric_values.rs
@@ -45,6 +45,9 @@
         metrics.counters("sends_missed", help, "cause", &self.counts.failures());
         let help = "Requests that the proxy answered itself; none of them ran.";
         metrics.counters("refusals", help, "cause", &self.counts.refusals());
+        self.cut_offs.add_metrics(metrics);
+        let help = "Memory that answers of endpoints take until they are passed on.";
+        metrics.gauge("answer_bytes_held", help, self.answer_memory.used_bytes() as f64);
     }
 
     fn add_service_metrics(&self, metrics: &mut Metrics) {
--- a/crates/onyxstile-system/src/role/proxy/relay_stream.rs
+++ b/crates/onyxstile-system/src/role/proxy/relay_stream.rs
@@ -13,6 +13,7 @@
 use super::chain::Chain;
 use super::client_response::{Chunk, ClientResponse, ResponseBody, copy_head};
 use super::conversation::Claim;
+use super::cut_offs::CutReason;
 use super::phase::OpenRequest;
 use crate::balance::EVENTS_PER_SAMPLE;
 use crate::clock::Instant;
@@ -78,6 +79,7 @@
             if matches!(end, StreamEnd::Interrupted) {
                 self.call_sender.record_interrupted_stream();
             }
+            self.record_cut_off(&end);
             match end {
                 StreamEnd::Complete => break,
                 StreamEnd::Interrupted if self.call_sender.call.route.resumable => {
@@ -116,9 +118,22 @@
         chunks.send(Chunk::End).await.ok();
     }
 
+    /// Counts a stream that was cut off.
+    fn record_cut_off(&self, end: &StreamEnd) {
+        let reason = match end {
+            StreamEnd::Complete | StreamEnd::ClientGone => return,
+            StreamEnd::Interrupted => CutReason::ConnectionLost,
+            StreamEnd::TimedOut => CutReason::NotInTime,
+        };
+        if let Some(key) = self.call_sender.attempted.last() {
+            self.proxy.record_cut_off(&self.call_sender.call, *key, reason);
+        }
+    }
+
     /// Forwards events until the stream from the endpoint ends.
     async fn forward(&mut self, chunks: &mpsc::Sender<Chunk>, forwarded: &mut Forwarded) -> StreamEnd {
         let mut splitter = Splitter::default();
+        let mut held = self.proxy.answer_memory.holder();
         let mut mark = ProgressMark { events: forwarded.events, at: self.proxy.clock.now() };
         let mut next = std::mem::take(&mut self.stream.first);
         loop {
@@ -131,6 +146,7 @@
             if !self.forward_events(events, chunks, forwarded).await {
                 return StreamEnd::ClientGone;
             }
+            held.resize(splitter.held_bytes() + forwarded.output.capacity());
             let left = self.call_sender.call.deadline.since(self.proxy.clock.now());
             let timeout = self.silence_timeout().min(left);
             let frame = tokio::select! {
--- a/crates/onyxstile-system/src/sse.rs
+++ b/crates/onyxstile-system/src/sse.rs
@@ -39,6 +39,11 @@
         self.rest.is_empty()
     }
 
+    /// Memory of the incomplete event, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.rest.capacity()
+    }
+
     /// Whether the incomplete event exceeds the maximum size.
     pub fn is_over_limit(&self) -> bool {
         self.rest.len() > EVENT_BYTES_MAX
