--- a/crates/onyxstile-system/tests/support/mod.rs
+++ b/crates/onyxstile-system/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod control_simulation;
+pub mod endless_endpoint;
 pub mod endpoints;
 pub mod faulty_disk;
 pub mod gated_endpoint;
