Tier: bodies of clients and operators are read in one piece of memory, metered below HTTP

What callers saw: a client that sends junk where the size of a chunk is due kept the proxy's or controller's thread busy until its call's time was over, and many small chunks each kept a read buffer alive. Change: read_body copies into one buffer; the socket of each accepted connection hands the thread back and fails after 1 MB without a whole head or frame. The lingering close reads past the meter, within its own bounds.

--- a/crates/onyxstile-system/src/role/controller/api.rs
+++ b/crates/onyxstile-system/src/role/controller/api.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, LOCATION};
 use hyper::{Method, Request, StatusCode};
@@ -11,7 +12,7 @@
 use super::ControllerServer;
 use crate::control::{Operation, Outcome};
 use crate::registry::{Instance, Stage};
-use crate::role::http::{Answer, BodyError, json, read_body, text};
+use crate::role::http::{Answer, BodyError, json, meter_of, read_body, text};
 use crate::role::shortest_grace::ShortestGrace;
 
 /// Maximum size of a configuration in bytes.
@@ -56,7 +57,7 @@
 ) -> Answer {
     let instance = match *method {
         Method::PUT => {
-            let body = match read_body(request.into_body(), BODY_MAX, BODY_TIMEOUT).await {
+            let body = match read_request_body(request, BODY_MAX).await {
                 Ok(body) => body,
                 Err(error) => return refuse_body(error),
             };
@@ -79,10 +80,15 @@
     json(StatusCode::OK, "{}")
 }
 
+async fn read_request_body(request: Request<Incoming>, max_bytes: usize) -> Result<Bytes, BodyError> {
+    let meter = meter_of(request.extensions());
+    read_body(request.into_body(), meter, max_bytes, BODY_TIMEOUT).await
+}
+
 async fn put_configuration(server: &ControllerServer, request: Request<Incoming>) -> Answer {
     let header = request.headers().get(hyper::header::IF_MATCH).and_then(|value| value.to_str().ok());
     let base = header.and_then(|value| value.trim().trim_matches('"').parse().ok());
-    match read_body(request.into_body(), CONFIGURATION_MAX, BODY_TIMEOUT).await {
+    match read_request_body(request, CONFIGURATION_MAX).await {
         Ok(body) => {
             let body = Rc::new(body.to_vec());
             outcome_response(server.operate(Operation::PutConfiguration { base, body }).await)
--- a/crates/onyxstile-system/src/role/http.rs
+++ b/crates/onyxstile-system/src/role/http.rs
@@ -3,15 +3,18 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use hyper::http::Extensions;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 
 use super::listener::{self, ReadLimits};
+use super::metered_socket::ReadMeter;
 use super::shutdown::Shutdown;
 use crate::clock::SteadyClock;
 use crate::connection_watchdog::ConnectionTimeouts;
@@ -45,23 +48,36 @@
     TooSlow,
 }
 
-/// Reads a complete body of at most `max_bytes` bytes within `timeout`.
-pub async fn read_body<B>(body: B, max_bytes: usize, timeout: Duration) -> Result<Bytes, BodyError>
+/// Reads a complete body of at most `max_bytes` bytes within `timeout`. `meter` is that of its connection. The memory in use
+/// follows the bytes that have come, whatever length was told and in however many chunks they come.
+pub async fn read_body<B>(
+    mut body: B, meter: Option<Arc<ReadMeter>>, max_bytes: usize, timeout: Duration,
+) -> Result<Bytes, BodyError>
 where
-    B: Body<Data = Bytes>,
-    B::Error: std::error::Error + Send + Sync + 'static,
+    B: Body<Data = Bytes> + Unpin,
 {
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyError::TooLong);
     }
-    let Ok(result) = tokio::time::timeout(timeout, Limited::new(body, max_bytes).collect()).await else {
-        return Err(BodyError::TooSlow);
+    let reading = async {
+        let mut bytes = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| BodyError::Broken)?;
+            meter.iter().for_each(|meter| meter.progress());
+            let data = frame.into_data().unwrap_or_default();
+            if data.len() > max_bytes - bytes.len() {
+                return Err(BodyError::TooLong);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(Bytes::from(bytes))
     };
-    match result {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
-        Err(_) => Err(BodyError::Broken),
-    }
+    tokio::time::timeout(timeout, reading).await.unwrap_or(Err(BodyError::TooSlow))
+}
+
+/// Meter of the connection that a request came on.
+pub fn meter_of(extensions: &Extensions) -> Option<Arc<ReadMeter>> {
+    extensions.get::<Arc<ReadMeter>>().cloned()
 }
 
 /// Limits for endpoints, operators and the platform; they keep connections open between heartbeats.
--- a/crates/onyxstile-system/src/role/listener.rs
+++ b/crates/onyxstile-system/src/role/listener.rs
@@ -100,8 +100,9 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let (stream, handle) = WatchedStream::new(stream, clock, limits.timeouts);
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
         let guard = handle.request();
+        request.extensions_mut().insert(handle.meter());
         let answer = answer(request);
         async move { Ok::<_, Infallible>(answer.await.map(|body| GuardedBody::new(body, guard))) }
     });
--- a/crates/onyxstile-system/src/role/proxy/forward.rs
+++ b/crates/onyxstile-system/src/role/proxy/forward.rs
@@ -1,6 +1,7 @@
 //! Request handling: routing, the checks before a request is sent, and the response.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,7 +22,8 @@
 use super::send_outcome::SendOutcome;
 use super::turn_error::TurnError;
 use crate::clock::Instant;
-use crate::role::http::{BodyError, read_body};
+use crate::role::http::{BodyError, meter_of, read_body};
+use crate::role::metered_socket::ReadMeter;
 
 /// Default `Retry-After` of refusals.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -43,6 +45,7 @@
 
 async fn route(proxy: &Rc<Proxy>, request: Request<Incoming>, open_request: OpenRequest) -> ClientResponse {
     let (head, body) = request.into_parts();
+    let meter = meter_of(&head.extensions);
     let Some(configuration) = proxy.configuration.borrow().clone() else {
         let since_start = proxy.clock.now().since(Instant::default());
         let wait = STARTUP_TIME.saturating_sub(since_start).max(RETRY_AFTER);
@@ -54,7 +57,7 @@
     };
     let max_bytes = configuration.limits.max_body_bytes;
     let mut call = Call::new(configuration, route, head, proxy.clock.now(), proxy.random_fraction());
-    match proxy.phase.until_last_send(prepare(proxy, &mut call, body, max_bytes)).await {
+    match proxy.phase.until_last_send(prepare(proxy, &mut call, body, meter, max_bytes)).await {
         Some(Ok((claim, chain))) => serve(proxy, call, claim, chain, open_request).await,
         Some(Err(response)) => *response,
         None => refuse_at_end(proxy),
@@ -63,10 +66,11 @@
 
 /// Receives the body of a call and claims what it needs before it can be sent; fails with the response to a call that can't run.
 async fn prepare(
-    proxy: &Rc<Proxy>, call: &mut Call, body: Incoming, max_bytes: usize,
+    proxy: &Rc<Proxy>, call: &mut Call, body: Incoming, meter: Option<Arc<ReadMeter>>, max_bytes: usize,
 ) -> Result<(Option<Claim>, Chain), Box<ClientResponse>> {
     let timeout = call.remaining(proxy.clock.now());
-    call.body = read_body(body, max_bytes, timeout).await.map_err(|error| Box::new(body_error(error)))?;
+    call.body =
+        read_body(body, meter, max_bytes, timeout).await.map_err(|error| Box::new(body_error(error)))?;
     let refused = |refusal, wait| Err(Box::new(refuse(proxy, refusal, wait)));
     // Refuses requests that the exit of the process would cut off. Heads and bodies that arrive late during a drain lead here.
     if proxy.phase.ends_before(call.latest_response_end()) {
--- a/crates/onyxstile-system/src/role/watched_stream.rs
+++ b/crates/onyxstile-system/src/role/watched_stream.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -14,15 +15,19 @@
 use tokio::time::{Instant, Sleep};
 
 use super::lingering_close::LingeringClose;
+use super::metered_socket::{MeteredSocket, ReadMeter};
 use crate::clock::SteadyClock;
 use crate::connection_watchdog::{ConnectionTimeouts, ConnectionWatchdog, Overdue};
 
 /// Interval between checks of a connection while a request on it is being answered.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Bytes that a client may send without a whole head or frame of a body: more than the HTTP library buffers.
+const BYTES_WITHOUT_UNIT_MAX: usize = 1024 * 1024;
+
 /// Stream of a client connection with its timeouts.
 pub struct WatchedStream {
-    stream: TcpStream,
+    stream: MeteredSocket<TcpStream>,
     peer: Option<SocketAddr>,
     handle: WatchHandle,
     sleep: Pin<Box<Sleep>>,
@@ -34,6 +39,7 @@
 pub struct WatchHandle {
     clock: SteadyClock,
     watchdog: Rc<RefCell<ConnectionWatchdog>>,
+    meter: Arc<ReadMeter>,
     /// Whether response bytes are waiting for the client to read.
     has_unsent_bytes: Rc<Cell<bool>>,
 }
@@ -47,9 +53,15 @@
     /// Records that the head of a request is complete.
     pub fn request(&self) -> RequestGuard {
         self.watchdog.borrow_mut().request(self.clock.now());
+        self.meter.progress();
         RequestGuard { handle: self.clone() }
     }
 
+    /// Meter of the bytes that the client sends.
+    pub fn meter(&self) -> Arc<ReadMeter> {
+        self.meter.clone()
+    }
+
     /// Whether the connection is idle: no response is being produced or sent, and no request head has begun.
     pub fn is_idle(&self) -> bool {
         self.watchdog.borrow().is_idle() && !self.has_unsent_bytes.get()
@@ -68,8 +80,10 @@
         stream: TcpStream, clock: SteadyClock, timeouts: ConnectionTimeouts,
     ) -> (WatchedStream, WatchHandle) {
         let watchdog = Rc::new(RefCell::new(ConnectionWatchdog::new(clock.now(), timeouts)));
-        let handle = WatchHandle { clock, watchdog, has_unsent_bytes: Rc::default() };
+        let meter = ReadMeter::new(BYTES_WITHOUT_UNIT_MAX);
         let peer = stream.peer_addr().ok();
+        let stream = MeteredSocket::new(stream, meter.clone());
+        let handle = WatchHandle { clock, watchdog, meter, has_unsent_bytes: Rc::default() };
         let sleep = Box::pin(tokio::time::sleep(timeouts.idle));
         (WatchedStream { stream, peer, handle: handle.clone(), sleep, linger: None }, handle)
     }
@@ -179,7 +193,7 @@
             this.linger = Some(LingeringClose::begin(this.sleep.as_mut()));
         }
         let Some(linger) = &mut this.linger else { return Poll::Ready(Ok(())) };
-        ready!(linger.poll(&mut this.stream, this.sleep.as_mut(), cx));
+        ready!(linger.poll(this.stream.socket_mut(), this.sleep.as_mut(), cx));
         let discarded = linger.discarded();
         if discarded > 0 {
             log::info!(
--- a/crates/onyxstile-system/tests/answer_bounds.rs
+++ b/crates/onyxstile-system/tests/answer_bounds.rs
@@ -3,13 +3,13 @@
 mod support;
 
 use std::net::SocketAddrV4;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use support::endless_endpoint::{EndlessEndpoint, FORM_HEADER, Form, STATUS_HEADER};
 use support::listener::{field, listen, read_head};
 use support::metric_value;
 use support::tier::{Answer, LIMITS, METRICS_PATH, Tier, run_test, send_request};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Header that chooses the answer.
@@ -22,6 +22,8 @@
 const EVENTS: usize = 8_000;
 /// Size of a large header, in bytes.
 const HEADER_BYTES: usize = 40_000;
+/// Timeout of the routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(5000);
 
 fn configuration() -> String {
     let route = |name: &str, kind: &str, service: &str| {
@@ -161,7 +163,7 @@
         let tier = Tier::start("endless-refusal", &configuration(), &[("i-1", "large", endpoint)]).await;
         let headers = [("request-id", "r1"), ("deadline-ms", "2000")];
         for _ in 0..5 {
-            let began = std::time::Instant::now();
+            let began = Instant::now();
             let answer =
                 send_request(tier.front(), "POST", "/once/x", &headers, "").await.expect("an answer");
             assert_eq!(answer.status, 503);
@@ -170,3 +172,31 @@
         }
     });
 }
+
+/// Guards against a client that keeps a proxy busy for all of its time with junk where the size of a chunk is due.
+#[test]
+fn a_client_that_sends_junk_without_end_is_refused_and_others_are_served() {
+    run_test(async {
+        let scenario = Scenario::start("endless-client").await;
+        let client = TcpStream::connect(scenario.tier.front()).await.expect("a connection");
+        let (mut reader, mut writer) = client.into_split();
+        let head = "POST /once/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        writer.write_all(head.as_bytes()).await.expect("sent");
+        let began = Instant::now();
+        let sender =
+            tokio::task::spawn_local(async move { while writer.write_all(&[b'0'; 65536]).await.is_ok() {} });
+        let status = tokio::task::spawn_local(async move {
+            let mut line = [0; 12];
+            reader.read_exact(&mut line).await.expect("an answer");
+            String::from_utf8_lossy(&line).into_owned()
+        });
+        while !status.is_finished() {
+            let asked = Instant::now();
+            assert_eq!(scenario.call("once", &[]).await.status, 200);
+            assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+        }
+        assert_eq!(status.await.expect("no panic"), "HTTP/1.1 400");
+        assert!(began.elapsed() < ROUTE_TIMEOUT, "{:?}", began.elapsed());
+        sender.abort();
+    });
+}
