Tier: frames between processes take memory as they come, within the budget of open requests

Cause: a frame's memory was reserved as announced (32 MB at most), and counted only once it had come; a frame that never ends had no time limit; a response that nobody awaits any more was kept until it had come. Change: read_frame_body takes memory by pieces of 64 KB. A server counts them as they come and refuses a request it has no memory for; the rest is discarded. A frame has 30 s once its head has come. The new test was not run on the code before.

--- a/crates/onyxstile-system/src/role/rpc.rs
+++ b/crates/onyxstile-system/src/role/rpc.rs
@@ -24,7 +24,7 @@
 use super::socket;
 use crate::settings::Limits;
 use crate::wire::{self, Request, Response};
-use frame::{read_frame, write_frames};
+use frame::{read_frame_body, read_head, write_frames};
 
 /// Timeout of a first connection attempt: several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -190,9 +190,12 @@
 async fn read_answers(reader: OwnedReadHalf, pending: &Pending) -> io::Result<()> {
     let mut reader = BufReader::new(reader);
     loop {
-        let (number, body) = read_frame(&mut reader).await?;
+        let head = read_head(&mut reader).await?;
+        // A response that nobody waits for any more is discarded.
+        let is_awaited = |_| pending.borrow().contains_key(&head.number);
+        let Some(body) = read_frame_body(&mut reader, &head, is_awaited).await? else { continue };
         let response = wire::decode(&body).map_err(io::Error::other)?;
-        if let Some(answer) = pending.borrow_mut().remove(&number) {
+        if let Some(answer) = pending.borrow_mut().remove(&head.number) {
             // The caller may have timed out.
             answer.send(response).ok();
         }
--- a/crates/onyxstile-system/src/role/rpc/frame.rs
+++ b/crates/onyxstile-system/src/role/rpc/frame.rs
@@ -1,23 +1,58 @@
 //! Frame format of RPC connections: body length, call number, body.
 
 use std::io;
+use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 
 use crate::wire::{self, FRAME_MAX};
 
-/// Reads the next frame; returns its call number and body.
-pub(super) async fn read_frame(reader: &mut BufReader<OwnedReadHalf>) -> io::Result<(u64, Vec<u8>)> {
+/// Time within which a frame has to be complete once its head has come.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes of a body that are read at once.
+const PIECE_BYTES: usize = 64 * 1024;
+
+/// Head of a frame.
+pub(super) struct FrameHead {
+    /// Length of the body, in bytes.
+    length: usize,
+    /// Number of the call.
+    pub number: u64,
+}
+
+/// Waits for the next frame and reads its head.
+pub(super) async fn read_head<R: AsyncRead + Unpin>(reader: &mut R) -> io::Result<FrameHead> {
     let length = reader.read_u32().await? as usize;
     let number = reader.read_u64().await?;
     if length > FRAME_MAX {
         return Err(io::Error::other(wire::WireError::TooLong(length)));
     }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).await?;
-    Ok((number, body))
+    Ok(FrameHead { length, number })
+}
+
+/// Reads the body of a frame. Memory is taken as bytes come, not by the length that the peer has told: `admit` is called with
+/// the size of each piece. After it has refused one, the rest is discarded, and the result is `None`.
+pub(super) async fn read_frame_body<R: AsyncRead + Unpin>(
+    reader: &mut R, head: &FrameHead, mut admit: impl FnMut(usize) -> bool,
+) -> io::Result<Option<Vec<u8>>> {
+    let reading = async {
+        let mut body = Vec::new();
+        while body.len() < head.length {
+            let piece = PIECE_BYTES.min(head.length - body.len());
+            if !admit(piece) {
+                let rest = (head.length - body.len()) as u64;
+                tokio::io::copy(&mut AsyncReadExt::take(&mut *reader, rest), &mut tokio::io::sink()).await?;
+                return Ok(None);
+            }
+            let start = body.len();
+            body.resize(start + piece, 0);
+            reader.read_exact(&mut body[start..]).await?;
+        }
+        Ok(Some(body))
+    };
+    tokio::time::timeout(FRAME_TIMEOUT, reading).await.map_err(|_| io::ErrorKind::TimedOut)?
 }
 
 /// Writes frames until the queue is closed; queued frames are written together.
--- a/crates/onyxstile-system/src/role/rpc/open_requests.rs
+++ b/crates/onyxstile-system/src/role/rpc/open_requests.rs
@@ -43,6 +43,21 @@
         Some(id)
     }
 
+    /// Takes memory for further bytes of a request's message; false, and counted as refused, if there is none left. A request
+    /// that is the only one may exceed the limit.
+    pub fn grow(&mut self, id: RequestId, more_bytes: usize) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else { return false };
+        let is_alone = request.bytes == self.budget.used_bytes();
+        if is_alone {
+            self.budget.take(more_bytes);
+        } else if !self.budget.try_take(more_bytes) {
+            self.refused += 1;
+            return false;
+        }
+        request.bytes += more_bytes;
+        true
+    }
+
     /// Removes a request that has been answered.
     pub fn close(&mut self, id: RequestId) {
         if let Some(request) = self.requests.remove(&id) {
--- a/crates/onyxstile-system/src/role/rpc/server.rs
+++ b/crates/onyxstile-system/src/role/rpc/server.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-use super::frame::{read_frame, write_frames};
+use super::frame::{read_frame_body, read_head, write_frames};
 use super::server_load::ServerLoad;
 use super::{ONE_WAY_CALL, OUTGOING_MAX};
 use crate::role::socket;
@@ -58,8 +58,11 @@
 ) -> io::Result<()> {
     let mut reader = BufReader::new(reader);
     loop {
-        let (number, body) = read_frame(&mut reader).await?;
-        let Some(open) = load.open(body.len()) else {
+        let head = read_head(&mut reader).await?;
+        let number = head.number;
+        let mut open = load.open();
+        let admit = |bytes| open.as_mut().is_some_and(|open| open.grow(bytes));
+        let (Some(body), Some(open)) = (read_frame_body(&mut reader, &head, admit).await?, open) else {
             refuse(number, &outgoing).await;
             continue;
         };
--- a/crates/onyxstile-system/src/role/rpc/server_load.rs
+++ b/crates/onyxstile-system/src/role/rpc/server_load.rs
@@ -25,9 +25,9 @@
         Rc::new(ServerLoad { clock, requests: RefCell::new(OpenRequests::new(max_bytes)) })
     }
 
-    /// Opens a request whose message has `bytes` bytes; `None` if it has to be refused.
-    pub(super) fn open(self: &Rc<ServerLoad>, bytes: usize) -> Option<RequestGuard> {
-        let id = self.requests.borrow_mut().open(self.clock.now(), bytes)?;
+    /// Opens a request of which no byte has come; `None` if it has to be refused.
+    pub(super) fn open(self: &Rc<ServerLoad>) -> Option<RequestGuard> {
+        let id = self.requests.borrow_mut().open(self.clock.now(), 0)?;
         Some(RequestGuard { load: self.clone(), id })
     }
 
@@ -53,6 +53,13 @@
     }
 }
 
+impl RequestGuard {
+    /// Takes memory for further bytes of the message; false if the request has to be refused.
+    pub(super) fn grow(&mut self, bytes: usize) -> bool {
+        self.load.requests.borrow_mut().grow(self.id, bytes)
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.load.requests.borrow_mut().close(self.id);
--- a/crates/onyxstile-system/tests/rpc.rs
+++ b/crates/onyxstile-system/tests/rpc.rs
@@ -1,14 +1,20 @@
 //! Calls between roles to machines that do not respond. Where time is virtual, it advances whenever all tasks are idle.
 
+mod support;
+
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use onyxstile_system::clock;
-use onyxstile_system::role::rpc::Client;
+use onyxstile_system::metrics::Metrics;
 use onyxstile_system::role::rpc::open_requests::OpenRequests;
+use onyxstile_system::role::rpc::{Client, Handler, ServerLoad, serve};
 use onyxstile_system::role::socket::connect_with_retries;
-use onyxstile_system::wire::Request;
+use onyxstile_system::wire::{Request, Response};
 use socket2::{Domain, Socket, Type};
+use support::metric_value;
+use tokio::io::AsyncWriteExt;
 
 /// A listener with a full accept queue: SYN packets are dropped, as by a machine without power.
 fn unresponsive_listener() -> (Socket, Vec<TcpStream>, SocketAddrV4) {
@@ -94,3 +100,46 @@
     small.into_iter().for_each(|id| requests.close(id));
     assert_eq!((requests.count(), requests.bytes()), (0, 0));
 }
+
+/// Guards against memory that is taken for what peers announce and send without end: while requests come, they count like those that
+/// are being answered.
+#[test]
+fn frames_take_memory_as_they_come() {
+    const LIMIT: usize = 1 << 20;
+    const ANNOUNCED: usize = 32 << 20;
+    const SENT: usize = 24 << 20;
+    const PEERS: usize = 4;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = tokio::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let port = listener.local_addr().expect("its address").port();
+        let to = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+        let load = ServerLoad::new(clock::SteadyClock::start(), LIMIT);
+        let answer: Handler = Rc::new(|_| Box::pin(async { Response::Done }));
+        tokio::task::spawn_local(serve(listener, load.clone(), answer));
+        let mut peers = Vec::new();
+        for _ in 0..PEERS {
+            let mut peer = tokio::net::TcpStream::connect(to).await.expect("a connection");
+            let head = [&(ANNOUNCED as u32).to_be_bytes()[..], &1u64.to_be_bytes()].concat();
+            peer.write_all(&head).await.expect("sent");
+            peer.write_all(&vec![0; SENT]).await.expect("sent");
+            peers.push(peer);
+        }
+        let mut metrics = Metrics::default();
+        load.add_metrics(&mut metrics);
+        let held = metric_value(&metrics.text(), "onyxstile_peer_request_bytes").expect("a value");
+        assert!(held < (ANNOUNCED + LIMIT) as f64, "{held} bytes");
+        let refused =
+            metric_value(&metrics.text(), "onyxstile_peer_requests_refused_total").expect("a value");
+        assert_eq!(refused, (PEERS - 1) as f64, "a single request may exceed the limit");
+        drop(peers);
+        let client = Client::default();
+        let done = async {
+            while !matches!(
+                client.call(to, &Request::Status, Duration::from_secs(1)).await,
+                Ok(Response::Done)
+            ) {}
+        };
+        tokio::time::timeout(Duration::from_secs(10), done).await.expect("others are answered afterwards");
+    });
+}
