Soak: endpoints whose answers never end, several at once, beside stops and restarts

Cause: the soak's endpoints answered honestly. Change: two faulty endpoints a run, on a non-idempotent, an idempotent and a streaming route; up to four calls at once, in any form of the tests, also with clients that read slowly. Checked: the caller is answered or closed in time, nothing false is passed on, all connections to the endpoints are closed after the last call; memory and the other clients as before.

--- a/crates/onyxstile-system/tests/soak/connection.rs
+++ b/crates/onyxstile-system/tests/soak/connection.rs
@@ -14,6 +14,9 @@
 /// Receive buffer of a client that reads slowly; the rest of an answer is queued at the proxy.
 const SMALL_BUFFER: u32 = 8 * 1024;
 
+/// Bytes that are kept of an answer that is read to the end of its connection.
+const HELD_BYTES: usize = 64;
+
 /// A complete answer.
 pub struct Answer {
     pub status: u16,
@@ -22,6 +25,14 @@
     pub closes: bool,
 }
 
+/// An answer that was read to the end of its connection.
+pub struct Ended {
+    /// Status of its head, if that came.
+    pub status: Option<u16>,
+    /// Whether it ends as a complete body in chunks does.
+    pub has_end_marker: bool,
+}
+
 /// Outcome of a request.
 pub enum Outcome {
     /// A complete answer arrived.
@@ -69,6 +80,20 @@
         first.is_ok_and(|read| read.is_ok_and(|count| count > 0))
     }
 
+    /// Reads to the end of the connection and keeps only what tells how the answer ended; `None` if it does not end in time.
+    pub async fn read_to_end(&mut self, timeout: Duration) -> Option<Ended> {
+        let reading = async {
+            let mut status = None;
+            while matches!(self.stream.read_buf(&mut self.buffer).await, Ok(1..)) {
+                status = status.or_else(|| status_of(&self.buffer));
+                let surplus = self.buffer.len().saturating_sub(HELD_BYTES);
+                self.buffer.drain(..surplus);
+            }
+            Ended { status, has_end_marker: self.buffer.ends_with(b"\r\n0\r\n\r\n") }
+        };
+        tokio::time::timeout(timeout, reading).await.ok()
+    }
+
     async fn read_answer(&mut self) -> Outcome {
         loop {
             if let Some((answer, length)) = parse(&self.buffer) {
@@ -101,6 +126,12 @@
     }
 }
 
+/// Status of the answer that begins with `bytes`, if its first line has come.
+fn status_of(bytes: &[u8]) -> Option<u16> {
+    let line = bytes.split(|byte| *byte == b'\n').next()?;
+    String::from_utf8_lossy(line).split(' ').nth(1)?.parse().ok()
+}
+
 /// The answer at the start of `bytes` and its length; `None` if it is incomplete.
 fn parse(bytes: &[u8]) -> Option<(Answer, usize)> {
     let end = bytes.windows(4).position(|part| part == b"\r\n\r\n")? + 4;
--- a/crates/onyxstile-system/tests/soak/main.rs
+++ b/crates/onyxstile-system/tests/soak/main.rs
@@ -1,5 +1,5 @@
-//! The whole tier in real processes under traffic, planned stops, restarts, configuration changes and disks that stall, are slow or
-//! refuse, in overlapping series and in real time.
+//! The whole tier in real processes under traffic, planned stops, restarts, configuration changes, endpoints whose answers never
+//! end, and disks that stall, are slow or refuse, in overlapping series and in real time.
 //!
 //! The seed determines the random choices of a run. `SOAK=50 SEED=1` runs 50 seeds from 1 on (`make soak`), `SOAK_S` sets the
 //! seconds of traffic per seed and `SOAK_LANES` the number of parallel runs; the defaults give a short form. A tier has three edge
@@ -12,6 +12,7 @@
 
 mod clients;
 mod connection;
+mod endless;
 mod endpoints;
 mod faults;
 mod ledger;
@@ -28,6 +29,7 @@
 use std::time::{Duration, Instant};
 
 use clients::Clients;
+use endless::Endless;
 use endpoints::Endpoints;
 use machine::{Drains, Machine};
 use operator::Operator;
@@ -128,11 +130,13 @@
     }
     let endpoints = Endpoints::start(&run).await;
     let (clients, programs) = (Clients::new(), Programs::new(endpoints.clone()));
-    let operator = Rc::new(Operator::start(&run, endpoints.clone()).await);
+    let endless = Endless::start();
+    let operator = Rc::new(Operator::start(&run, endpoints.clone(), &endless).await);
     let mut workloads = JoinSet::new();
     (0..CLIENTS).for_each(|_| drop(workloads.spawn_local(clients.clone().client(run.clone()))));
     (0..PROGRAMS).for_each(|_| drop(workloads.spawn_local(programs.clone().run(run.clone()))));
     workloads.spawn_local(operator.clone().change_until_over(run.clone()));
+    workloads.spawn_local(endless.clone().call_until_over(run.clone()));
     workloads.spawn_local(faults::inject_faults(run.clone()));
     run.sleep(traffic_time).await;
     run.is_traffic_over.set(true);
@@ -151,10 +155,11 @@
     let processes = run.edges.iter().chain(&run.others).flat_map(|machine| &machine.processes);
     let peak_mb = processes.map(|process| process.peak_mb.get()).max().unwrap_or(0);
     format!(
-        "{}, {} faults of disks, peak memory {peak_mb} MB, {}, {}, {}",
+        "{}, {} faults of disks, peak memory {peak_mb} MB, {}, {}, {}, {}",
         check_stops(&run),
         run.disk_faults.get(),
         clients.ledger.summary(),
+        endless.summary(),
         programs.summary(),
         operator.summary()
     )
--- a/crates/onyxstile-system/tests/soak/operator.rs
+++ b/crates/onyxstile-system/tests/soak/operator.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::Run;
+use crate::endless::Endless;
 use crate::endpoints::Endpoints;
 use crate::programs::TOKENS_PER_EVENT;
 use crate::support::tier::{Answer, heartbeat, send_request};
@@ -48,13 +49,16 @@
         route("i", "/i/", "idempotent", "api", 2),
         route("s", "/s/", "streaming", "llm", 1),
         chat,
+        route("eo", "/eo/", "non_idempotent", "endless", 1),
+        route("ei", "/ei/", "idempotent", "endless", 2),
+        route("es", "/es/", "streaming", "endless", 1),
         route("idle", &format!("/idle{revision}/"), "non_idempotent", "api", 1),
     ];
     let engine = format!(
         r#"{{"capacity":400,"kv_capacity_tokens":1000,"chunk_size":{TOKENS_PER_EVENT},"models":[{{"name":"m"}}]}}"#
     );
     format!(
-        r#"{{"revision":{revision},"routes":[{}],"services":[{{"name":"api","health_check":"/healthz","max_connections":900,"protocol":"h1","tls":false}},{{"name":"llm","health_check":"/healthz","max_connections":900,"protocol":"h1","tls":false,"engine":{engine}}}],"limits":{LIMITS}}}"#,
+        r#"{{"revision":{revision},"routes":[{}],"services":[{{"name":"api","health_check":"/healthz","max_connections":900,"protocol":"h1","tls":false}},{{"name":"endless","health_check":"/healthz","max_connections":900,"protocol":"h1","tls":false}},{{"name":"llm","health_check":"/healthz","max_connections":900,"protocol":"h1","tls":false,"engine":{engine}}}],"limits":{LIMITS}}}"#,
         routes.join(",")
     )
 }
@@ -73,8 +77,9 @@
 
 impl Operator {
     /// Sends the first configuration until it is acknowledged and starts the heartbeats.
-    pub async fn start(run: &Rc<Run>, endpoints: Rc<Endpoints>) -> Operator {
-        tokio::task::spawn_local(send_heartbeats(run.clone(), endpoints));
+    pub async fn start(run: &Rc<Run>, endpoints: Rc<Endpoints>, endless: &Endless) -> Operator {
+        let instances = instances(&endpoints, endless);
+        tokio::task::spawn_local(send_heartbeats(run.clone(), instances));
         let operator = Operator {
             sent: RefCell::default(),
             acknowledged: Cell::new(0),
@@ -143,16 +148,21 @@
     }
 }
 
-/// Sends the heartbeats of all endpoints until the run ends.
-async fn send_heartbeats(run: Rc<Run>, endpoints: Rc<Endpoints>) {
-    let addresses = endpoints.addresses.borrow().clone();
+/// All endpoints with their services.
+fn instances(endpoints: &Endpoints, endless: &Endless) -> Vec<(&'static str, SocketAddrV4)> {
+    let addresses = endpoints.addresses.borrow();
+    let honest = SERVICES.iter().flat_map(|service| addresses.iter().map(|address| (*service, *address)));
+    let faulty = endless.endpoints.iter().map(|endpoint| ("endless", endpoint.address));
+    honest.chain(faulty).collect()
+}
+
+/// Sends the heartbeats of all endpoints, each with its service, until the run ends.
+async fn send_heartbeats(run: Rc<Run>, instances: Vec<(&'static str, SocketAddrV4)>) {
     for sequence in 1.. {
-        for (number, address) in addresses.iter().enumerate() {
-            for service in SERVICES {
-                let body = heartbeat(service, *address, "ready", sequence)
-                    .replace(r#""capacity":4"#, r#""capacity":400"#);
-                call_controller(&run, "PUT", &format!("/api/instances/{service}-{number}"), 0, &body).await;
-            }
+        for (number, (service, address)) in instances.iter().enumerate() {
+            let body = heartbeat(service, *address, "ready", sequence)
+                .replace(r#""capacity":4"#, r#""capacity":400"#);
+            call_controller(&run, "PUT", &format!("/api/instances/{service}-{number}"), 0, &body).await;
         }
         run.sleep(HEARTBEAT_INTERVAL).await;
     }
