Relay: two tests of work that grows with what came before, known to fail

A list of discovery is parsed from its start with each piece that ends with a brace; what has come after a chunk is moved with each chunk that is taken.

--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -114,3 +114,14 @@
     assert!(Lists::default().take(b"{\"rev\":4}x}\n").is_err());
     assert!(Lists::default().take(&vec![b' '; LINE_MAX + 1]).is_err());
 }
+
+/// Guards against a relay that stands still: a list that comes in many pieces is read from its start with each piece that ends
+/// with a brace.
+#[test]
+fn a_list_in_many_pieces_is_read_in_time() {
+    let (mut lists, began) = (Lists::default(), Instant::now());
+    assert!(lists.take(b"{\"rev\":4,\"targets\":[{\"uid\":\"").unwrap().is_empty());
+    while lists.take(b"}").is_ok_and(|found| found.is_empty()) {
+        assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
+    }
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -456,4 +456,22 @@
         let read = run(async { Reader::new(Pieces(vec![&long])).body(Framing::Chunked).await });
         assert!(matches!(read, Err(HttpError::BodyTooLarge)));
     }
+
+    /// Guards against a relay that stands still: with each chunk that is taken, all that has come after it is moved.
+    #[test]
+    fn many_small_chunks_in_a_large_buffer_are_read_in_time() {
+        const LARGE: usize = 1 << 20;
+        const SMALL: usize = 1_000_000;
+        let large = [format!("{LARGE:x}\r\n").as_bytes(), &vec![b'x'; LARGE], b"\r\n"].concat();
+        let source = [large, b"1\r\nx\r\n".repeat(SMALL)].concat();
+        let began = std::time::Instant::now();
+        run(async {
+            let mut reader = Reader::new(std::io::Cursor::new(source));
+            assert_eq!(reader.chunk(LARGE).await.unwrap().unwrap().len(), LARGE);
+            for _ in 0..SMALL {
+                assert_eq!(reader.chunk(LARGE).await.unwrap().unwrap(), b"x");
+                assert!(began.elapsed() < std::time::Duration::from_secs(10), "{:?}", began.elapsed());
+            }
+        });
+    }
 }
