Tier: the time in which a client does not read is not its endpoint's silence

Cause: found by reading the change of this issue once more. On a resumable route the silence of an endpoint was counted from its last event, the wait for the client's queue included, so an endpoint could count as silent because its client paused. Change: the silence begins once the events have been queued. No test of its own.

--- a/crates/onyxstile-system/src/role/proxy/stream_forwarding.rs
+++ b/crates/onyxstile-system/src/role/proxy/stream_forwarding.rs
@@ -34,13 +34,15 @@
         let mut next = std::mem::take(&mut self.stream.first);
         loop {
             let events = splitter.push(&next);
-            if !events.is_empty() {
-                last_event_at = self.proxy.clock.now();
-            }
+            let has_events = !events.is_empty();
             forwarded.events += events.iter().filter(|event| event.data.is_some()).count() as u32;
             self.note_progress(forwarded.events, &mut mark);
             self.check_limits(&splitter, events.len(), forwarded, &mut held)?;
             self.forward_events(events, chunks, forwarded).await?;
+            if has_events {
+                // The time in which the client did not read is not the endpoint's silence.
+                last_event_at = self.proxy.clock.now();
+            }
             next = match self.next_bytes(chunks, last_event_at).await? {
                 Some(bytes) => bytes,
                 None if splitter.is_empty() => return Ok(()),
