Tier: one kind of counter for failures, refusals and answers that were cut off

Cause: an array of counters with a table of names stood three times, twice in counts.rs and in cut_offs.rs. Change: label_counts.rs serves all; the metrics of answers are added in one place. Names and values of metrics are as before.

--- a/crates/onyxstile-system/src/answer_memory.rs
+++ b/crates/onyxstile-system/src/answer_memory.rs
@@ -109,7 +109,7 @@
         HeldBuffer { bytes: Vec::new(), held }
     }
 
-    /// Makes room for `more` bytes in all.
+    /// Makes room for `more` bytes behind those that it has.
     pub fn reserve(&mut self, more: usize) -> Result<(), MemoryExhausted> {
         let length = self.bytes.len() + more;
         if length > self.bytes.capacity() {
--- a/crates/onyxstile-system/src/role/proxy.rs
+++ b/crates/onyxstile-system/src/role/proxy.rs
@@ -19,6 +19,7 @@
 mod feed;
 mod forward;
 mod in_flight;
+mod label_counts;
 mod lifecycle;
 mod listeners;
 mod metric_values;
--- a/crates/onyxstile-system/src/role/proxy/counts.rs
+++ b/crates/onyxstile-system/src/role/proxy/counts.rs
@@ -2,6 +2,8 @@
 
 use std::cell::Cell;
 
+use super::label_counts::LabelCounts;
+
 /// Why a send produced no response to forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum SendFailure {
@@ -38,34 +40,42 @@
     ShuttingDown,
 }
 
-const SEND_FAILURES: [(SendFailure, &str); 4] = [
-    (SendFailure::NotExecuted, "not_executed"),
-    (SendFailure::NotSent, "not_sent"),
-    (SendFailure::Unknown, "unknown"),
-    (SendFailure::ServerError, "server_error"),
-];
-
-const REFUSALS: [(Refusal, &str); 9] = [
-    (Refusal::NoConfiguration, "no_configuration"),
-    (Refusal::NoRoute, "no_route"),
-    (Refusal::NoEndpoint, "no_endpoint"),
-    (Refusal::Busy, "busy"),
-    (Refusal::NoStorage, "no_storage"),
-    (Refusal::NotAccepted, "not_taken"),
-    (Refusal::BudgetSpent, "budget_spent"),
-    (Refusal::NoPrevious, "no_previous"),
-    (Refusal::ShuttingDown, "ending"),
+/// Names of the failures in metrics, in the order of their declaration.
+const SEND_FAILURES: [&str; 4] = ["not_executed", "not_sent", "unknown", "server_error"];
+
+/// Names of the refusals in metrics, in the order of their declaration.
+const REFUSALS: [&str; 9] = [
+    "no_configuration",
+    "no_route",
+    "no_endpoint",
+    "busy",
+    "no_storage",
+    "not_taken",
+    "budget_spent",
+    "no_previous",
+    "ending",
 ];
 
 /// Request and send counters.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Counts {
     requests: Cell<u64>,
-    failures: [Cell<u64>; SEND_FAILURES.len()],
-    refusals: [Cell<u64>; REFUSALS.len()],
+    failures: LabelCounts<{ SEND_FAILURES.len() }>,
+    refusals: LabelCounts<{ REFUSALS.len() }>,
     cut_off: Cell<u64>,
 }
 
+impl Default for Counts {
+    fn default() -> Counts {
+        Counts {
+            requests: Cell::default(),
+            failures: LabelCounts::new(SEND_FAILURES),
+            refusals: LabelCounts::new(REFUSALS),
+            cut_off: Cell::default(),
+        }
+    }
+}
+
 impl Counts {
     /// Counts a client request.
     pub fn count_request(&self) {
@@ -74,12 +84,12 @@
 
     /// Counts a failed send.
     pub fn count_failure(&self, failure: SendFailure) {
-        add(&self.failures[failure as usize]);
+        self.failures.add(failure as usize);
     }
 
     /// Counts a refused request.
     pub fn count_refusal(&self, refusal: Refusal) {
-        add(&self.refusals[refusal as usize]);
+        self.refusals.add(refusal as usize);
     }
 
     /// Counts a call that was at an endpoint when the process ended.
@@ -94,7 +104,7 @@
 
     /// Number of requests that were refused because the process ends.
     pub fn refused_at_end(&self) -> u64 {
-        self.refusals[Refusal::ShuttingDown as usize].get()
+        self.refusals.get(Refusal::ShuttingDown as usize)
     }
 
     /// Number of client requests.
@@ -104,12 +114,12 @@
 
     /// Failed sends by cause.
     pub fn failures(&self) -> Vec<(&'static str, u64)> {
-        SEND_FAILURES.iter().map(|(failure, name)| (*name, self.failures[*failure as usize].get())).collect()
+        self.failures.all()
     }
 
     /// Refused requests by cause.
     pub fn refusals(&self) -> Vec<(&'static str, u64)> {
-        REFUSALS.iter().map(|(refusal, name)| (*name, self.refusals[*refusal as usize].get())).collect()
+        self.refusals.all()
     }
 }
 
--- a/crates/onyxstile-system/src/role/proxy/cut_offs.rs
+++ b/crates/onyxstile-system/src/role/proxy/cut_offs.rs
@@ -1,9 +1,10 @@
 //! Answers of endpoints that were cut off: counters by reason and by endpoint, and log lines at a limited rate.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::label_counts::LabelCounts;
 use crate::clock::Instant;
 use crate::metrics::{LABEL_VALUES_MAX, Metrics};
 
@@ -27,20 +28,14 @@
     NoMemory,
 }
 
-/// All reasons, in the order of their declaration, with their names in metrics.
-const REASONS: [(CutReason, &str); 6] = [
-    (CutReason::NotInTime, "not_in_time"),
-    (CutReason::ConnectionLost, "connection_lost"),
-    (CutReason::TooLong, "too_long"),
-    (CutReason::NoWholeUnit, "no_whole_unit"),
-    (CutReason::TooManyEvents, "too_many_events"),
-    (CutReason::NoMemory, "no_memory"),
-];
+/// Names of the reasons in metrics and logs, in the order of their declaration.
+const REASONS: [&str; 6] =
+    ["not_in_time", "connection_lost", "too_long", "no_whole_unit", "too_many_events", "no_memory"];
 
 impl CutReason {
     /// Name in metrics and logs.
     pub fn name(self) -> &'static str {
-        REASONS[self as usize].1
+        REASONS[self as usize]
     }
 
     /// Whether the endpoint sent more than it may, which is rare enough to be logged.
@@ -57,18 +52,22 @@
 }
 
 /// Counters of answers that were cut off.
-#[derive(Default)]
 pub(super) struct CutOffs {
-    by_reason: [Cell<u64>; REASONS.len()],
+    by_reason: LabelCounts<{ REASONS.len() }>,
     /// At most as many as a metric has label values.
     by_endpoint: RefCell<BTreeMap<String, EndpointCutOffs>>,
 }
 
+impl Default for CutOffs {
+    fn default() -> CutOffs {
+        CutOffs { by_reason: LabelCounts::new(REASONS), by_endpoint: RefCell::default() }
+    }
+}
+
 impl CutOffs {
     /// Counts an answer of `endpoint` on `route` that was cut off.
     pub fn record(&self, now: Instant, reason: CutReason, endpoint: &str, route: &str) {
-        let count = &self.by_reason[reason as usize];
-        count.set(count.get() + 1);
+        self.by_reason.add(reason as usize);
         let mut endpoints = self.by_endpoint.borrow_mut();
         if !endpoints.contains_key(endpoint) && endpoints.len() >= LABEL_VALUES_MAX {
             return;
@@ -85,9 +84,8 @@
 
     /// Adds the counters.
     pub fn add_metrics(&self, metrics: &mut Metrics) {
-        let by_reason = REASONS.map(|(reason, name)| (name, self.by_reason[reason as usize].get()));
         let help = "Answers of endpoints that were cut off.";
-        metrics.counters("answers_cut_off", help, "reason", &by_reason);
+        metrics.counters("answers_cut_off", help, "reason", &self.by_reason.all());
         let endpoints = self.by_endpoint.borrow();
         let by_endpoint: Vec<(&str, u64)> =
             endpoints.iter().map(|(endpoint, entry)| (endpoint.as_str(), entry.count)).collect();
--- a/crates/onyxstile-system/src/role/proxy/metric_values.rs
+++ b/crates/onyxstile-system/src/role/proxy/metric_values.rs
@@ -46,10 +46,10 @@
         metrics.counters("sends_missed", help, "cause", &self.counts.failures());
         let help = "Requests that the proxy answered itself; none of them ran.";
         metrics.counters("refusals", help, "cause", &self.counts.refusals());
-        self.cut_offs.add_metrics(metrics);
     }
 
     fn add_answer_metrics(&self, metrics: &mut Metrics) {
+        self.cut_offs.add_metrics(metrics);
         let memory = self.answers.memory();
         let help = "Memory that answers of endpoints take until they are passed on.";
         metrics.gauge("answer_bytes_held", help, memory.used_bytes() as f64);
